--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Deployment.java
@@ -0,0 +1,129 @@
+package spokestall.proof;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import spokestall.policy.KeyHash;
+
+/** The shape of one of the two deployments: its services, sizes, distances, tenants and demand. */
+public enum Deployment {
+    PADMA("transfers", "records", 35, 200, "/transfers/payout", "/transfers/status", "/records/receipt"),
+    VERDE("routes", "publishing", 55, 180, "/routes/confirm", "/routes/days", "/publishing/calendar");
+
+    static final int TENANTS = 8;
+    static final int UPSTREAMS = 36;
+    static final int DISTRICTS = 6;
+    static final int REGIONS = 3;
+    private static final ObjectMapper JSON = new ObjectMapper();
+    final String big;
+    final String small;
+    final long apartMs;
+    final int rate;
+    private final String once;
+    private final String look;
+    private final String other;
+
+    Deployment(final String big, final String small, final long apartMs, final int rate, final String once,
+            final String look, final String other) {
+        this.big = big;
+        this.small = small;
+        this.apartMs = apartMs;
+        this.rate = rate;
+        this.once = once;
+        this.look = look;
+        this.other = other;
+    }
+
+    /** One upstream's place. */
+    record Place(String instance, String service, String district, String region) {
+    }
+
+    /** One kind of ask that callers make. */
+    record Kind(String tenant, String key, String path, boolean runOnce, int weight) {
+    }
+
+    static String district(final int i) {
+        return "d" + (i % DISTRICTS + 1);
+    }
+
+    static String region(final int i) {
+        return "r" + (i % DISTRICTS / 2 + 1);
+    }
+
+    static String districts() {
+        final List<String> all = new ArrayList<>();
+        for (int i = 0; i < DISTRICTS; i++) {
+            all.add(district(i) + "=" + region(i));
+        }
+        return String.join(",", all);
+    }
+
+    List<Place> upstreams() {
+        final List<Place> all = new ArrayList<>();
+        for (int i = 0; i < UPSTREAMS; i++) {
+            final String service = i < UPSTREAMS * 2 / 3 ? big : small;
+            all.add(new Place(service + "-" + i, service, district(i), region(i)));
+        }
+        return all;
+    }
+
+    static String key(final int tenant) {
+        return "key-of-tenant-" + tenant + "-0001";
+    }
+
+    static String tenant(final int i) {
+        return "tenant-" + i;
+    }
+
+    static String cell(final int i) {
+        return "cell-" + (i % 2);
+    }
+
+    /** Tenants 0 and 1 are large; 6 is at home in one region only, 7 in two. */
+    List<Kind> kinds() {
+        final List<Kind> all = new ArrayList<>();
+        for (int i = 0; i < TENANTS; i++) {
+            final int weight = i < 2 ? 6 : 1;
+            all.add(new Kind(tenant(i), key(i), once, true, 2 * weight));
+            all.add(new Kind(tenant(i), key(i), look, false, 5 * weight));
+            all.add(new Kind(tenant(i), key(i), other, false, 3 * weight));
+        }
+        return all;
+    }
+
+    static List<String> home(final int tenant) {
+        return tenant == 6 ? List.of("r1") : tenant == 7 ? List.of("r2", "r3") : List.of("r1", "r2", "r3");
+    }
+
+    ArrayNode plan() {
+        final ArrayNode list = JSON.createArrayNode();
+        for (final Kind k : kinds()) {
+            list.addObject().put("key", k.key).put("path", k.path).put("runOnce", k.runOnce).put("weight", k.weight);
+        }
+        return list;
+    }
+
+    ObjectNode policy() {
+        final ObjectNode policy = JSON.createObjectNode();
+        final ObjectNode cells = policy.putObject("cells");
+        for (int i = 0; i < TENANTS; i++) {
+            final ObjectNode cell = cells.has(cell(i)) ? (ObjectNode) cells.get(cell(i)) : cells.putObject(cell(i));
+            final ObjectNode tenants = cell.has("tenants") ? (ObjectNode) cell.get("tenants")
+                    : cell.putObject("tenants");
+            final ObjectNode t = tenants.putObject(tenant(i));
+            final ArrayNode home = t.putArray("homeRegions");
+            home(i).forEach(home::add);
+            t.putObject("keys").putObject("main").put("sha256", KeyHash.of(key(i)));
+            final ObjectNode bindings = t.putObject("bindings");
+            bindings.putObject("once").put("path", once).put("service", big).put("runOnce", true);
+            bindings.putObject("look").put("path", look).put("service", big);
+            bindings.putObject("other").put("path", other).put("service", small);
+        }
+        final ObjectNode services = policy.putObject("services");
+        services.putObject(big).put("warmPerS", 20).put("warmupMs", 10_000).put("goMs", 2000);
+        services.putObject(small).put("warmPerS", 20).put("warmupMs", 10_000).put("goMs", 2000);
+        return policy;
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Fleet.java
@@ -0,0 +1,246 @@
+package spokestall.proof;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A fleet on one machine: real processes for the nodes, stand-ins for the world around them. */
+final class Fleet implements AutoCloseable {
+    /** One node's process and how to start it again. */
+    static final class Member {
+        final String name;
+        final boolean core;
+        final String http;
+        final Path settings;
+        final Path data;
+        Process process;
+
+        Member(final String name, final boolean core, final String http, final Path settings, final Path data) {
+            this.name = name;
+            this.core = core;
+            this.http = http;
+            this.settings = settings;
+            this.data = data;
+        }
+    }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private final Deployment deployment;
+    private final Path folder;
+    private final Ledger ledger = new Ledger();
+    private final XnioWorker worker;
+    private final List<UpstreamStand> upstreams = new ArrayList<>();
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final PlatformStand platform;
+    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+
+    Fleet(final Deployment deployment, final Path folder, final int districts) throws IOException {
+        this.deployment = deployment;
+        this.folder = folder;
+        Files.createDirectories(folder);
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 2));
+        final List<Integer> ports = freePorts(1 + Deployment.UPSTREAMS + 4 * districts);
+        int next = 0;
+        platform = new PlatformStand(ports.get(next++), worker, ledger, () -> upstreams, 1000);
+        for (final Deployment.Place place : deployment.upstreams()) {
+            upstreams.add(new UpstreamStand(place, ports.get(next++), worker, ledger, 5, 60_000));
+        }
+        final List<String> seeds = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            seeds.add("127.0.0.1:" + ports.get(next + 4 * (i % districts)));
+        }
+        for (int i = 0; i < districts; i++) {
+            for (final boolean core : new boolean[] {true, false}) {
+                final String name = Deployment.district(i) + (core ? "-core" : "-edge");
+                final ObjectNode s = JSON.createObjectNode();
+                s.put("name", name).put("address", "127.0.0.1:" + ports.get(next++));
+                s.put("http", "127.0.0.1:" + ports.get(next++)).put("district", Deployment.district(i));
+                s.put("districts", Deployment.districts()).put("seeds", String.join(",", seeds));
+                s.put("platform", "127.0.0.1:" + ports.get(0)).put("cores", districts).put("edges", districts);
+                final Path data = folder.resolve(name);
+                if (core) {
+                    s.put("data", data.toString());
+                }
+                final Path file = folder.resolve(name + ".json");
+                Files.writeString(file, s.toPrettyString());
+                members.put(name, new Member(name, core, s.get("http").asText(), file, data));
+            }
+        }
+    }
+
+    private static List<Integer> freePorts(final int count) throws IOException {
+        final List<ServerSocket> held = new ArrayList<>();
+        final List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            final ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            socket.setReuseAddress(true);
+            held.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (final ServerSocket socket : held) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    Ledger ledger() {
+        return ledger;
+    }
+
+    Map<String, Member> members() {
+        return members;
+    }
+
+    List<UpstreamStand> upstreams() {
+        return upstreams;
+    }
+
+    void start() throws IOException {
+        platform.start();
+        for (final UpstreamStand u : upstreams) {
+            u.start();
+        }
+        for (final Member m : members.values()) {
+            start(m);
+        }
+    }
+
+    void start(final Member m) throws IOException {
+        final String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        m.process = new ProcessBuilder(java, "-ea", "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), "spokestall.Main", m.core ? "core" : "edge", "--settings",
+                m.settings.toString()).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), m.name + ".log"))).start();
+    }
+
+    JsonNode call(final String to, final String method, final ObjectNode params) {
+        try {
+            final HttpResponse<String> got = http.send(HttpRequest.newBuilder(URI.create("http://" + to + "/rpc/"
+                    + method)).timeout(Duration.ofSeconds(6)).POST(HttpRequest.BodyPublishers.ofString(
+                    params.toString())).build(), HttpResponse.BodyHandlers.ofString());
+            return JSON.readTree(got.body());
+        } catch (final IOException e) {
+            return JSON.createObjectNode();
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return JSON.createObjectNode();
+        }
+    }
+
+    JsonNode status(final Member m) {
+        return call(m.http, "status", JSON.createObjectNode()).path("result");
+    }
+
+    Member anyCore() {
+        return members.values().stream().filter(m -> m.core && m.process != null && m.process.isAlive()).findFirst()
+                .orElseThrow();
+    }
+
+    /** Puts the deployment's policy, asking again with the same change id until the outcome is known. */
+    long putPolicy() {
+        final ObjectNode params = JSON.createObjectNode().put("changeId", "first-policy");
+        params.set("policy", deployment.policy());
+        final long[] version = {-1};
+        until("the policy is accepted", 30_000, () -> {
+            final String to = anyCore().http;
+            params.put("base", call(to, "policy.get", JSON.createObjectNode()).path("result").path("version").asLong());
+            final JsonNode reply = call(to, "policy.put", params);
+            version[0] = reply.path("result").path("version").asLong(-1);
+            return reply.path("code").asInt() == 1000;
+        });
+        return version[0];
+    }
+
+    /** Waits until every live node is fresh at this version and edges see upstreams. */
+    void ready(final long version) {
+        until("every node is fresh at " + version, 30_000, () -> members.values().stream()
+                .filter(m -> m.process != null && m.process.isAlive()).allMatch(m -> {
+                    final JsonNode s = status(m);
+                    return s.path("fresh").asBoolean() && s.path("version").asLong() >= version;
+                }));
+        until("edges see the upstreams", 30_000, () -> members.values().stream().filter(m -> !m.core)
+                .filter(m -> m.process != null && m.process.isAlive()).allMatch(m -> {
+                    int ready = 0;
+                    for (final JsonNode u : call(m.http, "upstreams", JSON.createObjectNode()).path("result")
+                            .path("upstreams")) {
+                        ready += u.path("status").asText().equals("READY") ? 1 : 0;
+                    }
+                    return ready == upstreams.size();
+                }));
+    }
+
+    static void until(final String what, final long waitMs, final BooleanSupplier holds) {
+        final long endMs = System.nanoTime() / 1_000_000 + waitMs;
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() / 1_000_000 > endMs) {
+                throw new IllegalStateException("not within " + waitMs + " ms: " + what);
+            }
+            java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+        }
+    }
+
+    /** Runs the load generator as a process and gives its exit code. */
+    Process demand(final int seconds, final double least) throws IOException {
+        final Path plan = folder.resolve("plan.json");
+        Files.writeString(plan, deployment.plan().toPrettyString());
+        final String nodes = String.join(",", members.values().stream().filter(m -> !m.core).map(m -> m.http).toList());
+        final String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), "spokestall.Main", "demand",
+                "--to", nodes, "--plan", plan.toString(), "--rate", Integer.toString(deployment.rate), "--seconds",
+                Integer.toString(seconds), "--least", Double.toString(least)).inheritIO().start();
+    }
+
+    /** Stops every node cleanly; true if all ended with 0 in time. */
+    boolean stopAll() throws InterruptedException {
+        boolean clean = true;
+        for (final Member m : members.values()) {
+            if (m.process != null && m.process.isAlive()) {
+                m.process.destroy();
+            }
+        }
+        for (final Member m : members.values()) {
+            if (m.process != null) {
+                final boolean ended = m.process.waitFor(15, TimeUnit.SECONDS);
+                // A JVM that ends by TERM gives 143 after its hooks have run.
+                clean &= ended && (m.process.exitValue() == 0 || m.process.exitValue() == 143);
+                if (!ended) {
+                    m.process.destroyForcibly();
+                }
+            }
+        }
+        return clean;
+    }
+
+    @Override
+    public void close() {
+        for (final Member m : members.values()) {
+            if (m.process != null) {
+                m.process.destroyForcibly();
+            }
+        }
+        upstreams.forEach(UpstreamStand::stop);
+        platform.stop();
+        worker.shutdownNow();
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/PlatformStand.java
@@ -0,0 +1,84 @@
+package spokestall.proof;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.xnio.XnioWorker;
+
+/** A stand-in platform: lists upstreams with some lag and takes usage reports without looking at them. */
+final class PlatformStand {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private final Ledger ledger;
+    private final Supplier<Collection<UpstreamStand>> upstreams;
+    private final long lagMs;
+    private final Undertow server;
+    private String list = "{\"upstreams\":[]}";
+    private long listedMs;
+
+    PlatformStand(final int port, final XnioWorker worker, final Ledger ledger,
+            final Supplier<Collection<UpstreamStand>> upstreams, final long lagMs) {
+        this.ledger = ledger;
+        this.upstreams = upstreams;
+        this.lagMs = lagMs;
+        this.server = Undertow.builder().setWorker(worker).addHttpListener(port, "127.0.0.1")
+                .setHandler(this::handle).build();
+    }
+
+    void start() {
+        server.start();
+    }
+
+    void stop() {
+        server.stop();
+    }
+
+    private synchronized String list() {
+        final long nowMs = System.currentTimeMillis();
+        if (nowMs - listedMs >= lagMs) {
+            listedMs = nowMs;
+            final ObjectNode out = JSON.createObjectNode();
+            final ArrayNode all = out.putArray("upstreams");
+            for (final UpstreamStand u : upstreams.get()) {
+                all.addObject().put("instance", u.place().instance()).put("service", u.place().service())
+                        .put("address", u.address()).put("district", u.place().district())
+                        .put("region", u.place().region()).put("leaving", u.leaving());
+            }
+            list = out.toString();
+        }
+        return list;
+    }
+
+    private void handle(final HttpServerExchange exchange) {
+        if (exchange.getRequestPath().equals("/upstreams")) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            exchange.getResponseSender().send(list());
+        } else if (exchange.getRequestPath().equals("/usage")) {
+            exchange.getRequestReceiver().receiveFullBytes((e, body) -> take(e, body));
+        } else {
+            exchange.setStatusCode(404).endExchange();
+        }
+    }
+
+    private void take(final HttpServerExchange e, final byte[] body) {
+        try {
+            final JsonNode in = JSON.readTree(body);
+            final Map<String, Long> counts = new TreeMap<>();
+            in.path("counts").fields().forEachRemaining(c -> counts.put(c.getKey(), c.getValue().asLong()));
+            ledger.reported(new Ledger.Reported(e.getRequestHeaders().getFirst("Spokestall-Duty-Holder"),
+                    Long.parseLong(e.getRequestHeaders().getFirst("Spokestall-Fence-Token")),
+                    in.path("window").asLong(), counts, System.currentTimeMillis()));
+            e.setStatusCode(204).endExchange();
+        } catch (final IOException | NumberFormatException bad) {
+            e.setStatusCode(400).endExchange();
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/UpstreamStand.java
@@ -0,0 +1,113 @@
+package spokestall.proof;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
+import org.xnio.XnioWorker;
+
+/** A stand-in upstream: warms up slowly, keeps a ledger, and misbehaves when told to. */
+final class UpstreamStand {
+    /** How it behaves. */
+    enum Manner { WELL, LOSE, GARBAGE, TRUNCATE, SLOW }
+
+    private static final HttpString INSTANCE = new HttpString("Spokestall-Instance");
+    private static final HttpString ASK = new HttpString("Spokestall-Ask-Id");
+    private final Deployment.Place place;
+    private final String address;
+    private final Ledger ledger;
+    private final long workMs;
+    private final long readyAtMs;
+    private final Undertow server;
+    private volatile Manner manner = Manner.WELL;
+    private volatile boolean leaving;
+
+    UpstreamStand(final Deployment.Place place, final int port, final XnioWorker worker, final Ledger ledger,
+            final long workMs, final long warmForMs) {
+        this.place = place;
+        this.address = "127.0.0.1:" + port;
+        this.ledger = ledger;
+        this.workMs = workMs;
+        this.readyAtMs = System.currentTimeMillis() - warmForMs;
+        this.server = Undertow.builder().setWorker(worker).addHttpListener(port, "127.0.0.1")
+                .setHandler(this::handle).build();
+    }
+
+    Deployment.Place place() {
+        return place;
+    }
+
+    String address() {
+        return address;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
+    void behave(final Manner how) {
+        manner = how;
+    }
+
+    void start() {
+        server.start();
+    }
+
+    void stop() {
+        server.stop();
+    }
+
+    private void handle(final HttpServerExchange exchange) {
+        if (exchange.getRequestPath().equals("/spokestall/status")) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            exchange.getResponseSender().send("{\"instance\":\"" + place.instance() + "\",\"service\":\""
+                    + place.service() + "\",\"leaving\":" + leaving + ",\"readyForMs\":"
+                    + (System.currentTimeMillis() - readyAtMs) + "}");
+            return;
+        }
+        final String askId = exchange.getRequestHeaders().getFirst(ASK);
+        exchange.getResponseHeaders().put(ASK, askId);
+        exchange.getResponseHeaders().put(INSTANCE, place.instance());
+        if (!place.instance().equals(exchange.getRequestHeaders().getFirst(INSTANCE))) {
+            exchange.getResponseHeaders().put(new HttpString("Spokestall-Outcome"), "not-run");
+            exchange.setStatusCode(421).endExchange();
+            return;
+        }
+        exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
+            ledger.began(new Ledger.Began(place.instance(), place.service(), place.region(),
+                    e.getRequestHeaders().getFirst("Spokestall-Tenant"), askId, System.currentTimeMillis()));
+            e.dispatch(SameThreadExecutor.INSTANCE, () -> e.getIoThread().executeAfter(() -> answer(e, askId),
+                    manner == Manner.SLOW ? 50 * workMs : workMs, TimeUnit.MILLISECONDS));
+        });
+    }
+
+    private void answer(final HttpServerExchange e, final String askId) {
+        final Manner how = manner;
+        if (how == Manner.LOSE) {
+            IoUtils.safeClose(e.getConnection());
+            return;
+        }
+        if (how == Manner.GARBAGE) {
+            e.getResponseHeaders().put(ASK, "garbage").put(INSTANCE, "garbage");
+        }
+        final byte[] out = ("{\"answerTo\":\"" + askId + "\",\"by\":\"" + place.instance() + "\"}")
+                .getBytes(StandardCharsets.UTF_8);
+        e.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        if (how == Manner.TRUNCATE) {
+            e.getResponseHeaders().put(Headers.CONTENT_LENGTH, out.length + 100);
+            e.getResponseChannel();
+            IoUtils.safeClose(e.getConnection());
+            return;
+        }
+        e.getResponseSender().send(ByteBuffer.wrap(out));
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/Keeping.java
@@ -0,0 +1,63 @@
+package spokestall;
+
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import spokestall.ballot.Guard;
+import spokestall.ballot.Voters;
+import spokestall.duty.Sealed;
+import spokestall.edge.Claim;
+import spokestall.feed.Versions;
+import spokestall.time.FleetClock;
+import spokestall.wire.Codec;
+
+/** Which register keys the voters keep, and for how long; what was let go can't be made anew. */
+final class Keeping implements Guard {
+    private final FleetClock fleet;
+    private final long claimKeepMs;
+    private final long marginMs;
+    private final long windowMs;
+    private final Supplier<Voters> voters;
+    private final LongSupplier policyFloor;
+
+    Keeping(final FleetClock fleet, final long claimKeepMs, final long marginMs, final long windowMs,
+            final Supplier<Voters> voters, final LongSupplier policyFloor) {
+        this.fleet = fleet;
+        this.claimKeepMs = claimKeepMs;
+        this.marginMs = marginMs;
+        this.windowMs = windowMs;
+        this.voters = voters;
+        this.policyFloor = policyFloor;
+    }
+
+    @Override
+    public boolean gone(final String key) {
+        final long version = Versions.of(key);
+        if (version >= 0) {
+            return version <= policyFloor.getAsLong() || version < voters.get().firstNumber();
+        }
+        final long window = Sealed.windowOf(key);
+        if (window >= 0) {
+            return (window + 1) * windowMs + claimKeepMs < fleet.nowMs();
+        }
+        return key.startsWith("voters/")
+                && !key.equals("voters/" + voters.get().generation() + "/" + (voters.get().epoch() + 1));
+    }
+
+    @Override
+    public boolean takes(final String key, final byte[] value) {
+        if (!Claim.isKey(key) || value == null) {
+            return true;
+        }
+        final Claim claim = Codec.record(value, Claim.class);
+        return claim.ticketMs() + claimKeepMs + marginMs / 2 >= fleet.nowMs();
+    }
+
+    /** Whether a register may be dropped now: nothing that is let in can still refer to it. */
+    boolean over(final String key, final byte[] value) {
+        if (Claim.isKey(key)) {
+            return value != null && Codec.record(value, Claim.class).claimedMs() + claimKeepMs + marginMs
+                    < fleet.nowMs();
+        }
+        return gone(key);
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/Main.java
@@ -0,0 +1,92 @@
+package spokestall;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import spokestall.rim.Daemon;
+import spokestall.rim.LogLine;
+import spokestall.settings.Settings;
+
+/** The one program; the role is the subcommand. */
+public final class Main {
+    private Main() {
+    }
+
+    /** Flags of the two daemons. */
+    static final class DaemonFlags {
+        @Option(name = "--settings", metaVar = "FILE", usage = "settings file, a JSON object")
+        private Path file;
+        @Option(name = "--set", metaVar = "KEY=VALUE", usage = "one setting, wins over the file; may come often")
+        private List<String> sets = new ArrayList<>();
+        @Option(name = "--check", usage = "only check the settings")
+        private boolean check;
+        @Option(name = "--help", help = true, usage = "this page")
+        private boolean help;
+    }
+
+    /** Example: {@code java -jar spokestall.jar core --settings d1-core.json} */
+    public static void main(final String[] args) throws Exception {
+        LogLine.install();
+        final String role = args.length == 0 ? "--help" : args[0];
+        final String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
+        final int code = switch (role) {
+            case "core" -> daemon(true, rest);
+            case "edge" -> daemon(false, rest);
+            case "operator" -> Operator.run(rest);
+            case "demand" -> Demand.run(rest);
+            case "--help", "help" -> help(0);
+            default -> {
+                System.err.println("no such subcommand: " + role);
+                yield help(2);
+            }
+        };
+        System.out.flush();
+        Runtime.getRuntime().halt(code);
+    }
+
+    private static int help(final int code) {
+        (code == 0 ? System.out : System.err).print("""
+                spokestall <subcommand> [flags]; each takes --help
+                  core      a node with a disk: votes, probes upstreams, reports usage
+                  edge      a node that answers callers
+                  operator  one call to any node
+                  demand    a load generator
+                """);
+        return code;
+    }
+
+    private static int daemon(final boolean core, final String[] args) throws Exception {
+        final DaemonFlags flags = new DaemonFlags();
+        final CmdLineParser parser = new CmdLineParser(flags);
+        try {
+            parser.parseArgument(args);
+        } catch (final CmdLineException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            return 2;
+        }
+        if (flags.help) {
+            System.out.println("spokestall " + (core ? "core" : "edge") + " [flags]");
+            parser.printUsage(System.out);
+            System.out.print("settings:\n" + Settings.help());
+            return 0;
+        }
+        final Map<String, String> sets = new LinkedHashMap<>();
+        for (final String set : flags.sets) {
+            final int at = set.indexOf('=');
+            sets.put(at < 0 ? set : set.substring(0, at), at < 0 ? "" : set.substring(at + 1));
+        }
+        final Settings.Read read = Settings.read(flags.file, sets, core);
+        if (read instanceof Settings.Read.Bad bad) {
+            bad.troubles().forEach(t -> System.err.println(t.key() + ": " + t.reason()));
+            return 2;
+        }
+        return flags.check ? 0 : new Daemon(((Settings.Read.Good) read).settings(), core).run();
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -0,0 +1,732 @@
+package spokestall;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import spokestall.ballot.BallotNote;
+import spokestall.ballot.FormNote;
+import spokestall.ballot.Formation;
+import spokestall.ballot.Outcome;
+import spokestall.ballot.Proposer;
+import spokestall.ballot.Register;
+import spokestall.ballot.Remains;
+import spokestall.ballot.Seat;
+import spokestall.ballot.Voter;
+import spokestall.ballot.Voters;
+import spokestall.duty.LeaseKeeper;
+import spokestall.duty.Reporter;
+import spokestall.duty.Sealed;
+import spokestall.duty.UsageBook;
+import spokestall.duty.UsageCounter;
+import spokestall.duty.UsageNote;
+import spokestall.edge.Edge;
+import spokestall.edge.Elector;
+import spokestall.edge.Ticket;
+import spokestall.edge.Upstreams;
+import spokestall.edge.Where;
+import spokestall.feed.FeedNote;
+import spokestall.feed.Follower;
+import spokestall.feed.Versions;
+import spokestall.hand.HandNote;
+import spokestall.hand.Shelf;
+import spokestall.listing.Listed;
+import spokestall.listing.Listing;
+import spokestall.listing.ListingNote;
+import spokestall.listing.Prober;
+import spokestall.listing.Report;
+import spokestall.policy.Acceptance;
+import spokestall.policy.Book;
+import spokestall.policy.Change;
+import spokestall.policy.KeyHash;
+import spokestall.policy.Rules;
+import spokestall.policy.Snapshot;
+import spokestall.policy.Tenant;
+import spokestall.ring.Ring;
+import spokestall.ring.Segments;
+import spokestall.rpc.Calls;
+import spokestall.rpc.Reply;
+import spokestall.rpc.Result;
+import spokestall.settings.Settings;
+import spokestall.time.Clock;
+import spokestall.time.FleetClock;
+import spokestall.view.Member;
+import spokestall.view.View;
+import spokestall.view.ViewNote;
+import spokestall.wire.Codec;
+import spokestall.wire.Note;
+import spokestall.wire.Post;
+
+/**
+ * One node, whole: its state machines joined to each other and to the rim. Everything here runs on one stage; time,
+ * randomness, the network and the disk come from outside, so that a process and the simulator run the same node.
+ */
+public final class Node {
+    /** What a node reaches the world by. */
+    public record Rim(Clock clock, Random random, Post post, Segments segments, Prober.Reach reach,
+            Upstreams upstreams, Reporter.Platform platform) {
+    }
+
+    private record Present(Member member, boolean fresh, long heardMs) {
+    }
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String POLICY = "~policy";
+    private static final String OWNER = "~owner";
+    private static final int FORMAT = 1;
+    private static final int POLICY_KEPT = 1024;
+    private static final int SNAPSHOT_EVERY = 32;
+    private static final int WINDOWS_KEPT = 16;
+
+    static {
+        Notes.number();
+    }
+
+    private final Settings settings;
+    private final String name;
+    private final String address;
+    private final boolean core;
+    private final long life;
+    private final Clock clock;
+    private final Random random;
+    private final FleetClock fleet;
+    private final Post post;
+    private final View view;
+    private final Book book = new Book(POLICY_KEPT);
+    private final Listing listing;
+    private final Proposer proposer;
+    private final Follower follower;
+    private final Ring ring;
+    private final Voter voter;
+    private final Keeping keeping;
+    private final Formation formation;
+    private final Prober prober;
+    private final UsageBook usage = new UsageBook(WINDOWS_KEPT);
+    private final LeaseKeeper keeper;
+    private final Reporter reporter;
+    private final UsageCounter counter;
+    private final Elector elector;
+    private final Edge edge;
+    private final Shelf shelf;
+    private final Acceptance acceptance;
+    private final Calls calls = new Calls();
+    private final Map<String, Present> edges = new TreeMap<>();
+    private final long windowMs;
+    private long policyFloor;
+    private long tokenSeen;
+    private boolean stopped;
+
+    /** Example: {@code new Node(settings, true, rim).start();} */
+    public Node(final Settings settings, final boolean core, final Rim rim) {
+        this.settings = settings;
+        this.core = core;
+        this.name = settings.text("name");
+        this.address = settings.text("address");
+        this.clock = rim.clock();
+        this.random = rim.random();
+        this.life = clock.wallMs() << 10 | random.nextInt(1 << 10);
+        this.fleet = new FleetClock(clock, settings.part("farMs", 2));
+        this.post = (to, note) -> {
+            if (to.equals(address)) {
+                clock.after(0, () -> hear(note));
+            } else {
+                rim.post().send(to, note);
+            }
+        };
+        this.windowMs = settings.ms("reportWindowS") * 1000;
+        final Member self = new Member(name, address, settings.text("http"), core, settings.text("district"),
+                settings.region(), life, 0, false);
+        final long farMs = settings.ms("farMs");
+        this.view = new View(self, settings.seeds(), post, clock, fleet, random, new View.Pace(
+                2 * (int) (settings.ms("cores") + settings.ms("edges")), 6, settings.part("leaveBoundMs", 4)));
+        this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"));
+        this.proposer = new Proposer(name + "#" + Long.toHexString(life), address, post, clock, random,
+                new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64));
+        this.follower = new Follower(view::self, book, listing, proposer, post, clock,
+                new Follower.Pace(settings.part("keyBoundMs", 0.5), 32), this::coreAddresses, this::adopt,
+                this::policyMoved);
+        this.shelf = new Shelf(core ? 16 << 20 : 8 << 20);
+        this.elector = core ? null : new Elector(settings.region(), s -> listing.ready(s, fleet.nowMs()), clock, fleet,
+                random, new Elector.Pace((int) settings.ms("edges"), settings.number("warmRatio"), 1,
+                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 2)));
+        this.counter = core ? null : new UsageCounter(name, life, windowMs, 3, fleet, post, this::coreAddresses);
+        this.edge = core ? null : edge(rim);
+        this.ring = core ? new Ring(rim.segments()) : null;
+        this.keeping = core ? new Keeping(fleet, settings.ms("claimKeepMs"), settings.part("claimKeepMs", 0.2),
+                windowMs, this::voters, () -> policyFloor) : null;
+        this.voter = core ? new Voter(name, ring, post, keeping, freshId()) : null;
+        this.formation = core ? new Formation(name, address, name + "#" + Long.toHexString(life), voter, proposer,
+                post, clock, new Formation.Pace((int) settings.ms("cores"), settings.part("leaveBoundMs", 0.4),
+                settings.part("leaveBoundMs", 0.15), settings.part("leaveBoundMs", 0.75), 8 * farMs),
+                new Merge(fleet), this::remains, this::coreAndEdgeAddresses, this::freshId) : null;
+        this.prober = core ? new Prober(self, listing, rim.reach(), post, fleet, new Prober.Pace(
+                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2),
+                this::otherCores) : null;
+        this.reporter = core ? new Reporter(name, address, usage, proposer, rim.platform(), post, clock, fleet,
+                new Reporter.Pace(windowMs, settings.part("reportDueMs", 0.15), settings.ms("reportDueMs"),
+                        settings.part("leaseMs", 0.4), settings.part("leaseMs", 0.4), settings.number("dutiesPerS")),
+                this::coreAddresses, this::floorMs) : null;
+        this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
+                settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
+                settings.part("leaseMs", 0.1), settings.ms("maxRunMs")), this::holds) : null;
+        this.acceptance = core ? new Acceptance(name, book, new Rules(calls.file().at("/$defs/policy"),
+                settings.regions(), settings.districts().keySet()), proposer, follower,
+                settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), this::tellNews) : null;
+        if (core) {
+            openDisk();
+        }
+        calls();
+    }
+
+    private Edge edge(final Rim rim) {
+        final int share = (int) settings.ms("edges");
+        return new Edge(name, address, settings.region(), settings.text("district"), book, follower, proposer, elector,
+                rim.upstreams(), counter, shelf, post, clock, fleet, random, new Edge.Pace(
+                (int) settings.ms("askOpenMax"), settings.ms("claimKeepMs"), 20 * settings.ms("farMs"),
+                4 * settings.ms("farMs"), 500, 3, settings.number("retryShare") * 0.9,
+                settings.number("retryAllowance") / share, settings.ms("askSpanMaxMs"),
+                settings.part("claimKeepMs", 0.01)), this::homeCores);
+    }
+
+    private String freshId() {
+        return name + "/" + Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+    }
+
+    /** Why the data folder can't be used, or null. Example: {@code if (node.foreignDisk() != null) exit(2);} */
+    public String foreignDisk() {
+        final byte[] owner = core ? ring.table().get(OWNER) : null;
+        final String mine = FORMAT + " " + name;
+        if (owner == null) {
+            return null;
+        }
+        final String had = new String(owner, StandardCharsets.UTF_8);
+        return had.equals(mine) ? null : "the data folder is of '" + had + "' (format and node), not of '" + mine + "'";
+    }
+
+    private void openDisk() {
+        if (foreignDisk() != null) {
+            return;
+        }
+        if (ring.state() != Ring.State.BROKEN && ring.table().get(OWNER) == null) {
+            voter.keepOwn(OWNER, (FORMAT + " " + name).getBytes(StandardCharsets.UTF_8), ok -> { });
+        }
+        final byte[] had = voter.own(POLICY);
+        if (had != null) {
+            final Snapshot snapshot = Codec.record(had, Snapshot.class);
+            book.load(snapshot);
+            policyFloor = snapshot.version() - POLICY_KEPT;
+        }
+        if (voter.voters() != null) {
+            proposer.adopt(voter.voters());
+        }
+        voter.watch((key, register) -> tokens(key, register));
+        voter.registers().forEach(this::tokens);
+    }
+
+    private void tokens(final String key, final Register register) {
+        if (key.equals("duty/usage_report") && register.value() != null) {
+            tokenSeen = Math.max(tokenSeen, Codec.record(register.value(), spokestall.duty.Lease.class).token());
+        }
+    }
+
+    /** Begins all beats. Example: {@code node.start();} */
+    public void start() {
+        LOG.atInfo().log("event=start node=%s role=%s address=%s district=%s region=%s life=%s", name,
+                core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
+        every(settings.part("leaveBoundMs", 0.125), view::tick);
+        every(settings.part("keyBoundMs", 0.08), follower::tick);
+        if (core) {
+            every(settings.part("leaveBoundMs", 0.0625), formation::tick);
+            every(settings.part("leaveBoundMs", 0.125), prober::tick);
+            every(settings.part("leaseMs", 0.1), keeper::tick);
+            every(settings.part("reportDueMs", 0.01), reporter::tick);
+            every(settings.part("keyBoundMs", 0.2), this::tidy);
+            every(settings.part("keyBoundMs", 0.02), this::learnFounded);
+        } else {
+            every(windowMs / 10, counter::tick);
+            every(settings.part("leaveBoundMs", 1), () -> elector.retain(Set.copyOf(
+                    listing.listed().stream().map(Listed::instance).toList())));
+        }
+        every(settings.part("leaveBoundMs", 2), () -> listing.prune(fleet.nowMs() - settings.part("leaveBoundMs", 30)));
+    }
+
+    private void every(final long spanMs, final Runnable beat) {
+        clock.after(1 + random.nextInt((int) Math.max(1, spanMs)), new Runnable() {
+            @Override
+            public void run() {
+                if (!stopped) {
+                    clock.after(spanMs, this);
+                    beat.run();
+                }
+            }
+        });
+    }
+
+    /** The fleet's time here. Example: {@code node.fleetMs()} */
+    public long fleetMs() {
+        return fleet.nowMs();
+    }
+
+    /** The edge part, or null on a core. Example: {@code node.edge().open(head)} */
+    public Edge edge() {
+        return edge;
+    }
+
+    /** The voter part, or null on an edge. Example: {@code node.voter().state()} */
+    public Voter voter() {
+        return voter;
+    }
+
+    /** The duty's keeper, or null on an edge. Example: {@code node.keeper().execution()} */
+    public LeaseKeeper keeper() {
+        return keeper;
+    }
+
+    /** The policy in force here. Example: {@code node.book().policy().version()} */
+    public Book book() {
+        return book;
+    }
+
+    /** The follower of the feed. Example: {@code node.follower().fresh()} */
+    public Follower follower() {
+        return follower;
+    }
+
+    /** The upstreams known here. Example: {@code node.listing().listed()} */
+    public Listing listing() {
+        return listing;
+    }
+
+    /** Carries out a call. Example: {@code node.call("status", params, reply -> ...);} */
+    public void call(final String method, final JsonNode params, final Consumer<Reply> done) {
+        calls.run(method, params, done);
+    }
+
+    /** Leaves: where answers first, then what is in flight, then the duties; done is run when all is given up.
+     * Example: {@code node.leave(() -> System.exit(0));} */
+    public void leave(final Runnable done) {
+        LOG.atInfo().log("event=leaving node=%s", name);
+        view.leave();
+        follower.tick();
+        if (edge != null) {
+            clock.after(settings.part("stopWaitMs", 0.3), () -> {
+                edge.leave();
+                drained(clock.nowMs() + settings.ms("stopWaitMs"), done);
+            });
+        } else {
+            keeper.stop(() -> stop(done));
+        }
+    }
+
+    private void drained(final long untilMs, final Runnable done) {
+        if (edge.open() == 0 || clock.nowMs() >= untilMs) {
+            counter.tick();
+            clock.after(50, () -> stop(done));
+        } else {
+            clock.after(20, () -> drained(untilMs, done));
+        }
+    }
+
+    private void stop(final Runnable done) {
+        stopped = true;
+        LOG.atInfo().log("event=stop node=%s", name);
+        done.run();
+    }
+
+    private Voters voters() {
+        return proposer.voters();
+    }
+
+    private void adopt(final Voters table) {
+        if (core) {
+            formation.adopt(table);
+        } else {
+            proposer.adopt(table);
+        }
+    }
+
+    private List<Member> otherCores() {
+        return view.members().stream().filter(Member::core).toList();
+    }
+
+    private List<String> coreAddresses() {
+        if (voters() != null) {
+            return voters().seats().stream().map(Seat::address).toList();
+        }
+        final List<String> found = new ArrayList<>(otherCores().stream().map(Member::address).toList());
+        if (core) {
+            found.add(address);
+        }
+        return found;
+    }
+
+    private List<String> coreAndEdgeAddresses() {
+        final Set<String> found = new java.util.TreeSet<>(view.members().stream().map(Member::address).toList());
+        if (voters() != null) {
+            voters().seats().forEach(s -> found.add(s.address()));
+        }
+        found.remove(address);
+        return List.copyOf(found);
+    }
+
+    private List<String> homeCores(final Set<String> regions) {
+        return view.members().stream().filter(m -> m.core() && regions.contains(m.region())).map(Member::address)
+                .toList();
+    }
+
+    private long floorMs() {
+        final Register floor = voter.registers().get(Merge.FLOOR);
+        return floor == null || floor.value() == null ? fleet.nowMs()
+                : Long.parseLong(new String(floor.value(), StandardCharsets.UTF_8));
+    }
+
+    private void holds(final spokestall.duty.Execution execution) {
+        reporter.begin(execution);
+    }
+
+    /** A new generation's first version is chosen by being in the founding. */
+    private void learnFounded() {
+        final Voters table = voter.voters();
+        if (table == null || voter.state() != Voter.State.VOTING || book.policy().version() >= table.firstNumber()) {
+            return;
+        }
+        final Register first = voter.registers().get(Versions.key(table.firstNumber()));
+        if (first != null && first.value() != null) {
+            follower.learn(table.firstNumber(), first.value());
+        }
+    }
+
+    private void policyMoved() {
+        if (!core) {
+            return;
+        }
+        final long version = book.policy().version();
+        final byte[] had = voter.own(POLICY);
+        final long kept = had == null ? 0 : Codec.record(had, Snapshot.class).version();
+        if (version - kept >= SNAPSHOT_EVERY) {
+            voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
+                if (ok) {
+                    policyFloor = Math.max(policyFloor, version - POLICY_KEPT);
+                }
+            });
+        }
+    }
+
+    private void tellNews(final long version) {
+        for (final Member m : view.members()) {
+            post.send(m.address(), new FeedNote.FeedNews(version));
+        }
+        for (final Present p : edges.values()) {
+            post.send(p.member.address(), new FeedNote.FeedNews(version));
+        }
+    }
+
+    private void tidy() {
+        edges.values().removeIf(p -> clock.nowMs() - p.heardMs > settings.part("leaveBoundMs", 2));
+        if (voter.state() != Voter.State.VOTING || !fleet.settled()) {
+            return;
+        }
+        final List<String> over = new ArrayList<>();
+        voter.registers().forEach((key, r) -> {
+            if (keeping.over(key, r.value())) {
+                over.add(key);
+            }
+        });
+        over.forEach(voter::drop);
+    }
+
+    private Remains remains() {
+        final List<BallotNote.Entry> registers = new ArrayList<>();
+        final boolean hasState = core && voter.hasState();
+        if (hasState) {
+            voter.registers().forEach((key, r) -> registers.add(new BallotNote.Entry(key, r)));
+        }
+        final long generation = voters() == null ? 0 : voters().generation();
+        return new Remains(name, generation, book.policy().version(),
+                book.policy().version() == 0 ? null : Codec.bytes(book.snapshot()), tokenSeen, hasState, registers);
+    }
+
+    /** Hears a note from another process. Example: {@code node.hear(Codec.note(frame));} */
+    public void hear(final Note note) {
+        if (stopped) {
+            return;
+        }
+        if (note instanceof ViewNote v) {
+            view.hear(v);
+        } else if (note instanceof BallotNote b) {
+            hear(b);
+        } else if (note instanceof FormNote.RemainsAsk ask) {
+            post.send(ask.from(), new FormNote.RemainsBack(remains()));
+        } else if (note instanceof FormNote f) {
+            if (core) {
+                formation.hear(f);
+            } else if (f instanceof FormNote.Standing s) {
+                standing(s);
+            }
+        } else if (note instanceof FeedNote.FeedAsk ask) {
+            if (core) {
+                feed(ask);
+            }
+        } else if (note instanceof FeedNote f) {
+            follower.hear(f);
+        } else if (note instanceof ListingNote.Push push) {
+            listing.merge(push.listed(), push.reports());
+        } else if (note instanceof UsageNote u) {
+            hear(u);
+        } else if (note instanceof HandNote h) {
+            hear(h);
+        }
+    }
+
+    private void standing(final FormNote.Standing s) {
+        if (s.table() != null && s.table().newerThan(voters())) {
+            proposer.adopt(s.table());
+        } else if (voters() != null && voters().newerThan(s.table())) {
+            post.send(s.address(), new BallotNote.Table(voters()));
+        }
+    }
+
+    private void hear(final BallotNote note) {
+        if (note instanceof BallotNote.Table table) {
+            adopt(table.voters());
+        } else if (note instanceof BallotNote.Promise || note instanceof BallotNote.Accepted) {
+            proposer.hear(note);
+        } else if (core) {
+            voter.hear(note, address);
+        }
+    }
+
+    private void hear(final UsageNote note) {
+        if (!core) {
+            return;
+        }
+        if (note instanceof UsageNote.Count count) {
+            usage.merge(count);
+        } else if (note instanceof UsageNote.CountAsk ask) {
+            post.send(ask.from(), new UsageNote.CountBack(name, ask.window(), usage.counts(ask.window())));
+        } else if (note instanceof UsageNote.CountBack back) {
+            back.counts().forEach(usage::merge);
+        }
+    }
+
+    private void hear(final HandNote note) {
+        if (note instanceof HandNote.Keep keep) {
+            shelf.keep(keep);
+        } else if (note instanceof HandNote.Ask ask) {
+            final HandNote.Keep found = shelf.find(ask.key(), ask.digest());
+            post.send(ask.from(), found == null ? new HandNote.Back(ask.askId(), ask.key(), 0, null, null)
+                    : new HandNote.Back(ask.askId(), ask.key(), found.status(), found.contentType(), found.body()));
+        } else if (note instanceof HandNote.Back back && edge != null) {
+            edge.hear(back);
+        }
+    }
+
+    private void feed(final FeedNote.FeedAsk ask) {
+        if (!ask.self().core()) {
+            edges.put(ask.self().name(), new Present(ask.self(), ask.fresh(), clock.nowMs()));
+        }
+        final boolean voting = voter.state() == Voter.State.VOTING;
+        final long applied = book.policy().version();
+        final long newest = voting ? Math.max(applied, Versions.newest(voter.registers())) : applied;
+        final List<FeedNote.Numbered> changes = new ArrayList<>();
+        Snapshot snapshot = null;
+        final boolean ready = voting && voter.voters().firstNumber() <= applied;
+        if (ask.news() && ready && ask.place() < applied) {
+            final Map<Long, Change> after = book.after(ask.place());
+            if (after == null) {
+                snapshot = book.snapshot();
+            } else {
+                after.forEach((version, change) -> changes.add(new FeedNote.Numbered(version, change)));
+            }
+        }
+        final long from = ask.listingLife() == listing.life() ? ask.listingPlace() : 0;
+        final boolean news = ask.news() && ready;
+        post.send(ask.from(), new FeedNote.FeedBack(name, voter.diskId(), ask.askId(), voter.voters(), voting,
+                ready ? applied : 0, newest, changes, snapshot, List.copyOf(freshEdges()),
+                news ? listing.life() : 0, listing.place(), news ? listing.listedAfter(from) : List.of(),
+                news ? listing.reportsAfter(from) : List.of()));
+    }
+
+    private Collection<Member> freshEdges() {
+        final List<Member> found = new ArrayList<>();
+        for (final Present p : edges.values()) {
+            if (p.fresh && !p.member.leaving()
+                    && clock.nowMs() - p.heardMs <= settings.part("leaveBoundMs", 0.3)) {
+                found.add(p.member);
+            }
+        }
+        return found;
+    }
+
+    private Collection<Member> edgesForClients() {
+        if (core) {
+            return freshEdges();
+        }
+        final Map<String, Member> found = new TreeMap<>();
+        for (final FeedNote.FeedBack back : follower.last().values()) {
+            if (follower.heardMs(back.name()) <= settings.part("leaveBoundMs", 0.3)) {
+                back.edges().forEach(e -> found.put(e.name(), e));
+            }
+        }
+        if (view.self().leaving()) {
+            found.remove(name);
+        }
+        return found.values();
+    }
+
+    private void calls() {
+        calls.on("where", this::where);
+        calls.on("policy.get", (p, done) -> {
+            final ObjectNode out = Book.JSON.createObjectNode().put("version", book.policy().version());
+            out.put("ageMs", follower.ageMs()).set("policy", book.policy().tree());
+            done.accept(Reply.of(Result.OK, out));
+        });
+        calls.on("status", (p, done) -> done.accept(Reply.of(Result.OK, status())));
+        calls.on("upstreams", (p, done) -> done.accept(Reply.of(Result.OK, upstreams())));
+        calls.on("usage.get", this::usageGet);
+        if (core) {
+            calls.on("policy.put", (p, done) -> change(Change.Kind.PUT, p, p.get("policy"), done));
+            calls.on("policy.patch", (p, done) -> change(Change.Kind.PATCH, p, p.get("patch"), done));
+            calls.on("key.add", (p, done) -> key(p, Book.JSON.createObjectNode()
+                    .put("sha256", KeyHash.of(p.get("key").asText())), done));
+            calls.on("key.withdraw", (p, done) -> key(p, Book.JSON.nullNode(), done));
+            calls.on("hold.set", (p, done) -> hold(p, Book.JSON.createObjectNode()
+                    .put("reason", p.path("reason").asText("")), done));
+            calls.on("hold.clear", (p, done) -> hold(p, Book.JSON.nullNode(), done));
+        }
+    }
+
+    private void change(final Change.Kind kind, final JsonNode p, final JsonNode json, final Consumer<Reply> done) {
+        acceptance.take(kind, p.get("base").asLong(), p.get("changeId").asText(), json, done);
+    }
+
+    private void key(final JsonNode p, final JsonNode value, final Consumer<Reply> done) {
+        final String cell = p.get("cell").asText();
+        final String tenant = p.get("tenant").asText();
+        final String keyId = p.get("keyId").asText();
+        final JsonNode keys = book.policy().tree().path("cells").path(cell).path("tenants").path(tenant);
+        final boolean known = book.versionOf(p.get("changeId").asText()) != null;
+        if (!known && (keys.isMissingNode() || value.isNull() && !keys.path("keys").has(keyId))) {
+            done.accept(Reply.of(Result.NOT_FOUND, Book.JSON.createObjectNode()
+                    .put("current", book.policy().version())));
+            return;
+        }
+        final ObjectNode patch = Book.JSON.createObjectNode();
+        patch.putObject("cells").putObject(cell).putObject("tenants").putObject(tenant).putObject("keys")
+                .set(keyId, value);
+        change(Change.Kind.PATCH, p, patch, done);
+    }
+
+    private void hold(final JsonNode p, final JsonNode value, final Consumer<Reply> done) {
+        final ObjectNode patch = Book.JSON.createObjectNode();
+        patch.putObject("holds").set(p.get("district").asText(), value);
+        change(Change.Kind.PATCH, p, patch, done);
+    }
+
+    private void where(final JsonNode p, final Consumer<Reply> done) {
+        if (!follower.fresh() || voters() == null) {
+            done.accept(Reply.of(Result.NOT_FRESH, null));
+            return;
+        }
+        final Tenant tenant = book.policy().tenantOf(KeyHash.of(p.get("key").asText()));
+        if (tenant == null) {
+            done.accept(Reply.of(Result.BAD_KEY, null));
+            return;
+        }
+        final List<Member> found = Where.elect(p.get("client").asText(), edgesForClients(), tenant.homeRegions(),
+                book.policy().holds(), 2);
+        if (found.isEmpty()) {
+            done.accept(Reply.of(Result.NO_UPSTREAM, null));
+            return;
+        }
+        final ObjectNode out = Book.JSON.createObjectNode();
+        final ArrayNode list = out.putArray("edges");
+        found.forEach(m -> list.addObject().put("name", m.name()).put("address", m.httpAddress())
+                .put("region", m.region()));
+        out.put("forMs", settings.part("leaveBoundMs", 0.4));
+        out.put("ticket", new Ticket(voters().generation(), fleet.nowMs()).text());
+        done.accept(Reply.of(Result.OK, out));
+    }
+
+    private void usageGet(final JsonNode p, final Consumer<Reply> done) {
+        proposer.read(Sealed.key(p.get("window").asLong()), settings.ms("policyBoundMs"), outcome -> {
+            if (outcome instanceof Outcome.Done d && d.value() != null) {
+                final Sealed sealed = Codec.record(d.value(), Sealed.class);
+                final ObjectNode out = Book.JSON.createObjectNode().put("window", sealed.window())
+                        .put("completed", sealed.completed()).put("token", sealed.token());
+                final ObjectNode counts = out.putObject("counts");
+                sealed.counts().forEach(counts::put);
+                done.accept(Reply.of(Result.OK, out));
+            } else {
+                done.accept(Reply.of(outcome instanceof Outcome.Done || outcome instanceof Outcome.Gone
+                        ? Result.NOT_FOUND : Result.NOT_READY, null));
+            }
+        });
+    }
+
+    private ObjectNode upstreams() {
+        final ObjectNode out = Book.JSON.createObjectNode();
+        final ArrayNode list = out.putArray("upstreams");
+        for (final Listed l : listing.listed()) {
+            final Report word = listing.word(l.instance(), fleet.nowMs());
+            list.addObject().put("instance", l.instance()).put("service", l.service()).put("address", l.address())
+                    .put("district", l.district()).put("listed", l.present()).put("leaving", l.leaving())
+                    .put("status", word == null ? "UNKNOWN" : word.status().name());
+        }
+        return out;
+    }
+
+    private ObjectNode status() {
+        final ObjectNode out = Book.JSON.createObjectNode();
+        out.put("node", name).put("role", core ? "core" : "edge").put("fleetMs", fleet.nowMs());
+        out.put("version", book.policy().version()).put("proofAgeMs", follower.ageMs())
+                .put("fresh", follower.fresh());
+        final ObjectNode nodes = out.putObject("nodes");
+        for (final Member m : view.members()) {
+            nodes.putObject(m.name()).put("role", m.core() ? "core" : "edge").put("address", m.address())
+                    .put("http", m.httpAddress()).put("district", m.district()).put("leaving", m.leaving())
+                    .put("heardMs", fleet.nowMs() - m.heardMs());
+        }
+        if (voters() != null) {
+            final ObjectNode table = out.putObject("voters").put("generation", voters().generation())
+                    .put("epoch", voters().epoch());
+            for (final Seat s : voters().seats()) {
+                final FeedNote.FeedBack back = follower.last().get(s.name());
+                final boolean heard = back != null && follower.heardMs(s.name()) < settings.ms("leaveBoundMs");
+                table.putObject(s.name()).put("state", !heard ? "unheard" : back.voting() ? "voting" : "blank")
+                        .put("applied", heard ? back.applied() : 0);
+            }
+        }
+        final ObjectNode holds = out.putObject("holds");
+        for (final String district : book.policy().holds()) {
+            final long left = edgesForClients().stream().filter(m -> m.district().equals(district)).count();
+            holds.putObject(district).put("edges", left);
+        }
+        if (core) {
+            out.put("voter", voter.state().name()).put("ring", ring.state().name()).put("ringFill", ring.fill())
+                    .put("registers", voter.registers().size());
+            final ObjectNode duty = out.putObject("duty").put("state", keeper.state().name());
+            if (keeper.seen() != null) {
+                duty.put("holder", keeper.seen().holder()).put("token", keeper.seen().token());
+            }
+            duty.put("lastSealed", reporter.lastSealed()).put("missed", reporter.missed());
+            final ObjectNode present = out.putObject("edges");
+            edges.forEach((n, p) -> present.putObject(n).put("fresh", p.fresh).put("leaving", p.member.leaving())
+                    .put("heardMs", clock.nowMs() - p.heardMs));
+        } else {
+            out.put("open", edge.open());
+            final ObjectNode told = out.putObject("told");
+            edge.told().forEach((result, n) -> told.put(result.number() + " " + result.name(), n));
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ballot/Guard.java
@@ -0,0 +1,10 @@
+package spokestall.ballot;
+
+/** Says which keys a voter still keeps, and which values it will never take. */
+public interface Guard {
+    /** Whether the key was let go and must not be made anew. Example: {@code guard.gone("usage/17")} */
+    boolean gone(String key);
+
+    /** Whether a value may still be accepted. Example: a claim with an old ticket may not. */
+    boolean takes(String key, byte[] value);
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ballot/Proposer.java
@@ -0,0 +1,304 @@
+package spokestall.ballot;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import spokestall.time.Clock;
+import spokestall.wire.Post;
+
+/**
+ * Changes one register at a time by rounds of ballots among the voters. Any node may propose; there is no leader.
+ * An edit may be asked again on a later round, and must know its own value when it sees it.
+ */
+public final class Proposer {
+    /** How a round waits and comes back, as told by the settings. */
+    public record Pace(long roundMs, long backoffMs, int goesMax) {
+    }
+
+    private enum Phase { PEEK, PREPARE, ACCEPT, ENDED }
+
+    private final String by;
+    private final String address;
+    private final Post post;
+    private final Clock clock;
+    private final Random random;
+    private final Pace pace;
+    private final Map<Long, Round> rounds = new HashMap<>();
+    private final Map<String, Long> counts;
+    private Voters voters;
+    private long nextGoId;
+
+    /** Example: {@code new Proposer("d1-edge#5f", "127.0.0.1:7201", post, clock, random, pace)} */
+    public Proposer(final String by, final String address, final Post post, final Clock clock, final Random random,
+            final Pace pace) {
+        this.by = by;
+        this.address = address;
+        this.post = post;
+        this.clock = clock;
+        this.random = random;
+        this.pace = pace;
+        this.nextGoId = random.nextLong() >>> 16;
+        this.counts = new java.util.LinkedHashMap<>(64, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(final Map.Entry<String, Long> eldest) {
+                return size() > 4096;
+            }
+        };
+    }
+
+    /** The table rounds are held by, or null. Example: {@code proposer.voters()} */
+    public Voters voters() {
+        return voters;
+    }
+
+    /** Takes a newer table; rounds under way are begun again with it. Example: {@code proposer.adopt(table);} */
+    public void adopt(final Voters table) {
+        if (table.newerThan(voters)) {
+            voters = table;
+        }
+    }
+
+    /** How many rounds are open. Example: {@code if (proposer.open() > bound) deny();} */
+    public int open() {
+        return rounds.size();
+    }
+
+    /** Changes a register. Example: {@code proposer.change("once/t/1", 2000, now -> now == null ? new Edit.Set(v)
+     * : Edit.LEAVE, outcome -> ...);} */
+    public void change(final String key, final long waitMs, final Function<byte[], Edit> edit,
+            final Consumer<Outcome> done) {
+        new Round(key, clock.nowMs() + waitMs, edit, done).begin(Phase.PREPARE);
+    }
+
+    /** Reads a register so that no earlier finished change is missed. Example: {@code proposer.read(key, 500, o -> ...);} */
+    public void read(final String key, final long waitMs, final Consumer<Outcome> done) {
+        new Round(key, clock.nowMs() + waitMs, now -> Edit.LEAVE, done).begin(Phase.PEEK);
+    }
+
+    /** Hears a voter's reply. Example: {@code proposer.hear(promise);} */
+    public void hear(final BallotNote note) {
+        if (note instanceof BallotNote.Promise promise) {
+            final Round round = rounds.get(promise.goId());
+            if (round != null) {
+                round.promise(promise);
+            }
+        } else if (note instanceof BallotNote.Accepted accepted) {
+            final Round round = rounds.get(accepted.goId());
+            if (round != null) {
+                round.accepted(accepted);
+            }
+        }
+    }
+
+    /** One change on its way through its rounds. */
+    private final class Round {
+        private final String key;
+        private final long deadlineMs;
+        private final Function<byte[], Edit> edit;
+        private final Consumer<Outcome> done;
+        private final Set<String> yes = new HashSet<>();
+        private final Set<String> no = new HashSet<>();
+        private final Set<Ballot> seen = new HashSet<>();
+        private Phase phase;
+        private long goId;
+        private int goes;
+        private boolean mayHold;
+        private boolean gone;
+        private Voters table;
+        private Ballot ballot;
+        private Ballot highest;
+        private byte[] highestValue;
+        private byte[] proposed;
+        private boolean wrote;
+        private boolean denied;
+
+        Round(final String key, final long deadlineMs, final Function<byte[], Edit> edit,
+                final Consumer<Outcome> done) {
+            this.key = key;
+            this.deadlineMs = deadlineMs;
+            this.edit = edit;
+            this.done = done;
+        }
+
+        void begin(final Phase first) {
+            if (phase == Phase.ENDED) {
+                return;
+            }
+            rounds.remove(goId);
+            final long nowMs = clock.nowMs();
+            if (nowMs >= deadlineMs || goes >= pace.goesMax()) {
+                end(giveUp("deadline"));
+                return;
+            }
+            goId = nextGoId++;
+            rounds.put(goId, this);
+            goes++;
+            phase = first;
+            table = voters;
+            clear();
+            highest = Ballot.NONE;
+            highestValue = null;
+            if (table == null) {
+                later(first);
+                return;
+            }
+            final long count = counts.merge(key, 1L, Long::sum);
+            ballot = new Ballot(count, by);
+            for (final Seat seat : table.seats()) {
+                post.send(seat.address(), new BallotNote.Prepare(goId, address, table.generation(), table.epoch(),
+                        key, ballot, first == Phase.PEEK));
+            }
+            expire();
+        }
+
+        private void clear() {
+            yes.clear();
+            no.clear();
+            seen.clear();
+        }
+
+        private void expire() {
+            final long id = goId;
+            final Phase in = phase;
+            clock.after(Math.min(pace.roundMs(), Math.max(1, deadlineMs - clock.nowMs())), () -> {
+                if (goId == id && phase == in) {
+                    later(Phase.PREPARE);
+                }
+            });
+        }
+
+        /** Comes back after a jittered wait, so that two proposers don't meet again. */
+        private void later(final Phase next) {
+            rounds.remove(goId);
+            if (phase == Phase.ENDED) {
+                return;
+            }
+            final long id = goId;
+            final long spanMs = pace.backoffMs() * Math.min(8, 1L << Math.min(goes, 3));
+            phase = next;
+            clock.after(1 + (long) (random.nextDouble() * spanMs), () -> {
+                if (goId == id) {
+                    begin(next);
+                }
+            });
+        }
+
+        private Outcome giveUp(final String why) {
+            return mayHold ? new Outcome.Undecided() : new Outcome.NotDone(why);
+        }
+
+        private void end(final Outcome outcome) {
+            rounds.remove(goId);
+            phase = Phase.ENDED;
+            done.accept(outcome);
+        }
+
+        private boolean counts(final String voter, final String diskId, final BallotNote.Reply reply) {
+            final Seat seat = table.seat(voter);
+            if (seat == null || voters != table) {
+                if (voters != table) {
+                    later(Phase.PREPARE);
+                }
+                return false;
+            }
+            final boolean good = reply == BallotNote.Reply.YES && seat.diskId().equals(diskId);
+            gone |= reply == BallotNote.Reply.GONE;
+            denied |= reply == BallotNote.Reply.DENIED;
+            (good ? yes : no).add(voter);
+            return true;
+        }
+
+        private boolean lost() {
+            return no.size() > table.seats().size() - table.majority();
+        }
+
+        void promise(final BallotNote.Promise promise) {
+            if (phase != Phase.PREPARE && phase != Phase.PEEK
+                    || !counts(promise.voter(), promise.diskId(), promise.reply())) {
+                return;
+            }
+            if (promise.reply() == BallotNote.Reply.LOWER) {
+                counts.merge(key, promise.promised().count() + 1, Math::max);
+            }
+            if (yes.contains(promise.voter()) && promise.reply() == BallotNote.Reply.YES) {
+                seen.add(promise.accepted());
+                if (promise.accepted().compareTo(highest) > 0) {
+                    highest = promise.accepted();
+                    highestValue = promise.value();
+                }
+            }
+            if (yes.size() >= table.majority()) {
+                promised();
+            } else if (lost()) {
+                if (gone) {
+                    end(mayHold ? new Outcome.Undecided() : new Outcome.Gone());
+                } else {
+                    later(Phase.PREPARE);
+                }
+            }
+        }
+
+        private void promised() {
+            if (phase == Phase.PEEK) {
+                if (seen.size() == 1) {
+                    end(new Outcome.Done(highestValue, false));
+                } else {
+                    begin(Phase.PREPARE);
+                }
+                return;
+            }
+            if (clock.nowMs() >= deadlineMs) {
+                end(giveUp("deadline"));
+                return;
+            }
+            final Edit wanted = edit.apply(highestValue);
+            if (wanted instanceof Edit.Set set) {
+                proposed = set.value();
+                wrote = true;
+            } else {
+                wrote = false;
+                proposed = highestValue;
+                if (seen.size() == 1) {
+                    end(new Outcome.Done(highestValue, false));
+                    return;
+                }
+            }
+            mayHold |= wrote;
+            phase = Phase.ACCEPT;
+            clear();
+            for (final Seat seat : table.seats()) {
+                post.send(seat.address(), new BallotNote.Accept(goId, address, table.generation(), table.epoch(), key,
+                        ballot, proposed));
+            }
+            expire();
+        }
+
+        void accepted(final BallotNote.Accepted accepted) {
+            if (phase != Phase.ACCEPT || !counts(accepted.voter(), accepted.diskId(), accepted.reply())) {
+                return;
+            }
+            if (accepted.reply() == BallotNote.Reply.LOWER) {
+                counts.merge(key, accepted.promised().count() + 1, Math::max);
+            }
+            if (yes.size() >= table.majority()) {
+                for (final Seat seat : table.seats()) {
+                    if (!yes.contains(seat.name())) {
+                        post.send(seat.address(), new BallotNote.Chosen(table.generation(), table.epoch(), key, ballot,
+                                proposed));
+                    }
+                }
+                end(new Outcome.Done(proposed, wrote));
+            } else if (lost()) {
+                if (denied || gone) {
+                    end(giveUp("denied"));
+                } else {
+                    later(Phase.PREPARE);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -0,0 +1,416 @@
+package spokestall.ballot;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import spokestall.ring.Ring;
+import spokestall.wire.Codec;
+import spokestall.wire.Post;
+
+/**
+ * A voter's registers. It answers only when what it answers is synced, and only for the table of voters it is in.
+ * Keys that start with a tilde are its own and are no registers.
+ */
+public final class Voter {
+    /** Explicit states of a voter. */
+    public enum State { BLANK, CATCHING_UP, VOTING, RESIGNED, STOPPED }
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String VOTERS = "~voters";
+    private static final String CAUGHT = "~caught";
+    private static final String DISK = "~disk";
+    private static final int PAGE_BYTES = 256 << 10;
+    private final String name;
+    private final Ring ring;
+    private final Post post;
+    private final Guard guard;
+    private final TreeMap<String, Register> registers = new TreeMap<>();
+    private final Map<String, String> catchUp = new HashMap<>();
+    private final Map<String, Boolean> caughtFrom = new HashMap<>();
+    private final List<BiConsumer<String, Register>> watchers = new ArrayList<>();
+    private final Map<String, Register> before = new HashMap<>();
+    private final Map<String, Integer> onTheWay = new HashMap<>();
+    private String diskId;
+    private Voters voters;
+    private State state = State.BLANK;
+    private long resignedFrom = -1;
+    private long tableEpochDown;
+
+    /** Example: {@code new Voter("d1-core", ring, post, guard, freshId)}; freshId is used only on a blank disk. */
+    public Voter(final String name, final Ring ring, final Post post, final Guard guard, final String freshId) {
+        this.name = name;
+        this.ring = ring;
+        this.post = post;
+        this.guard = guard;
+        final byte[] had = ring.table().get(DISK);
+        diskId = had == null ? freshId : new String(had, StandardCharsets.UTF_8);
+        if (had == null) {
+            ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), this::keep);
+        }
+        final byte[] table = ring.table().get(VOTERS);
+        voters = table == null ? null : Codec.record(table, Voters.class);
+        ring.table().forEach((key, value) -> {
+            if (!key.startsWith("~")) {
+                registers.put(key, Codec.record(value, Register.class));
+            }
+        });
+        final byte[] caught = ring.table().get(CAUGHT);
+        if (caught != null && voters != null && new String(caught, StandardCharsets.UTF_8).equals(caughtMark()) && seated()) {
+            change(State.VOTING, "opened");
+        } else if (seated()) {
+            change(State.CATCHING_UP, "opened");
+        }
+    }
+
+    /** Keeps a record of this node's own beside the registers. Example: {@code voter.keepOwn("~form", bytes, ok -> ...);} */
+    public void keepOwn(final String key, final byte[] value, final Consumer<Boolean> done) {
+        assert key.startsWith("~") : key;
+        ring.put(key, value, ok -> {
+            keep(ok);
+            done.accept(ok);
+        });
+    }
+
+    /** A record of this node's own, or null. Example: {@code voter.own("~form")} */
+    public byte[] own(final String key) {
+        return ring.table().get(key);
+    }
+
+    /** Whether this voter has its state, be it voting at this moment or not. Example: {@code voter.hasState()} */
+    public boolean hasState() {
+        final byte[] caught = ring.table().get(CAUGHT);
+        return ring.state() != Ring.State.BROKEN && state != State.RESIGNED && seated() && caught != null
+                && new String(caught, StandardCharsets.UTF_8).equals(caughtMark());
+    }
+
+    /** Whether this disk still takes writes. Example: {@code voter.canWrite()} */
+    public boolean canWrite() {
+        return ring.state() != Ring.State.BROKEN;
+    }
+
+    /** Called for each register change that is down. Example: {@code voter.watch((key, register) -> ...);} */
+    public void watch(final BiConsumer<String, Register> watcher) {
+        watchers.add(watcher);
+    }
+
+    /** Example: {@code if (voter.state() != Voter.State.VOTING) ...} */
+    public State state() {
+        return ring.state() == Ring.State.BROKEN ? State.STOPPED : state;
+    }
+
+    /** The table this voter knows, or null. Example: {@code voter.voters().epoch()} */
+    public Voters voters() {
+        return voters;
+    }
+
+    /** This disk's identity. Example: {@code new Seat(name, address, voter.diskId())} */
+    public String diskId() {
+        return diskId;
+    }
+
+    /** All registers by key. Example: {@code voter.registers().tailMap("policy/")} */
+    public TreeMap<String, Register> registers() {
+        return registers;
+    }
+
+    private String caughtMark() {
+        return diskId + "/" + voters.generation();
+    }
+
+    private boolean seated() {
+        final Seat seat = voters == null ? null : voters.seat(name);
+        return seat != null && seat.diskId().equals(diskId);
+    }
+
+    private void change(final State to, final String why) {
+        if (state != to) {
+            LOG.atInfo().log("event=voter node=%s from=%s to=%s why=%s epoch=%s", name, state, to, why,
+                    voters == null ? "none" : voters.generation() + "/" + voters.epoch());
+            state = to;
+        }
+    }
+
+    private void keep(final boolean ok) {
+        if (!ok && ring.state() == Ring.State.BROKEN) {
+            change(State.STOPPED, "disk");
+        }
+    }
+
+    /** Takes a newer table. Votes of older tables are denied from here on. Example: {@code voter.adopt(table);} */
+    public void adopt(final Voters table) {
+        if (!table.newerThan(voters) || ring.state() == Ring.State.BROKEN) {
+            return;
+        }
+        final boolean newGeneration = voters == null || voters.generation() != table.generation();
+        final State was = state;
+        voters = table;
+        final long mark = ++tableEpochDown;
+        // Until the table is down no vote is given, so a power loss can't bring the old table back under a new vote.
+        final boolean stays = was == State.VOTING && !newGeneration && seated();
+        change(State.CATCHING_UP, "table");
+        ring.put(VOTERS, Codec.bytes(table), ok -> {
+            keep(ok);
+            if (!ok || mark != tableEpochDown) {
+                return;
+            }
+            if (stays) {
+                change(State.VOTING, "table-down");
+            } else if (!seated()) {
+                change(State.BLANK, "not-seated");
+            } else {
+                restartCatchUp();
+            }
+        });
+        if (!stays && newGeneration) {
+            dropAll();
+        }
+    }
+
+    private void dropAll() {
+        for (final String key : List.copyOf(registers.keySet())) {
+            drop(key);
+        }
+        ring.put(CAUGHT, null, this::keep);
+    }
+
+    /** Lets a register go for good. Example: {@code voter.drop("usage/12");} */
+    public void drop(final String key) {
+        if (registers.remove(key) != null) {
+            ring.put(key, null, this::keep);
+        }
+    }
+
+    /** Stops voting for the sake of a new generation's ballot. Example: {@code voter.resign(voters.generation());} */
+    public void resign(final long generation) {
+        resignedFrom = Math.max(resignedFrom, generation);
+        if (voters == null || voters.generation() <= generation) {
+            change(State.RESIGNED, "new-generation");
+        }
+    }
+
+    /** Starts over as a blank voter with a fresh identity, after a resignation that came to nothing.
+     * Example: {@code voter.restart(freshId);} */
+    public void restart(final String freshId) {
+        diskId = freshId;
+        resignedFrom = -1;
+        ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), this::keep);
+        dropAll();
+        change(State.BLANK, "restarted");
+    }
+
+    /** Takes a new generation's first registers. Example: {@code voter.found(table, entries);} */
+    public void found(final Voters table, final List<BallotNote.Entry> entries) {
+        if (voters != null && !table.newerThan(voters)) {
+            return;
+        }
+        dropAll();
+        voters = table;
+        resignedFrom = -1;
+        final long mark = ++tableEpochDown;
+        change(State.CATCHING_UP, "founded");
+        ring.put(VOTERS, Codec.bytes(table), this::keep);
+        for (final BallotNote.Entry entry : entries) {
+            store(entry.key(), entry.register(), ok -> { });
+        }
+        finishCatchUp(mark);
+    }
+
+    private void finishCatchUp(final long mark) {
+        ring.put(CAUGHT, caughtMark().getBytes(StandardCharsets.UTF_8), ok -> {
+            keep(ok);
+            if (ok && mark == tableEpochDown && seated() && state == State.CATCHING_UP) {
+                change(State.VOTING, "caught-up");
+            }
+        });
+    }
+
+    private void restartCatchUp() {
+        catchUp.clear();
+        caughtFrom.clear();
+        change(State.CATCHING_UP, "seated");
+    }
+
+    /** Asks again for what is missing; called on every beat. Example: {@code voter.tick(address);} */
+    public void tick(final String address) {
+        if (state != State.CATCHING_UP || !seated()) {
+            return;
+        }
+        for (final Seat seat : voters.seats()) {
+            if (!seat.name().equals(name) && !caughtFrom.containsKey(seat.name())) {
+                askPage(address, seat);
+            }
+        }
+    }
+
+    private void askPage(final String address, final Seat seat) {
+        post.send(seat.address(), new BallotNote.CatchAsk(address, name, voters.generation(), voters.epoch(),
+                catchUp.getOrDefault(seat.name(), "")));
+    }
+
+    /** Hears a proposer or another voter. Example: {@code voter.hear(note, address);} */
+    public void hear(final BallotNote note, final String address) {
+        if (note instanceof BallotNote.Prepare prepare) {
+            prepare(prepare);
+        } else if (note instanceof BallotNote.Accept accept) {
+            accept(accept);
+        } else if (note instanceof BallotNote.Chosen chosen) {
+            chosen(chosen);
+        } else if (note instanceof BallotNote.CatchAsk ask) {
+            page(ask);
+        } else if (note instanceof BallotNote.CatchBack back) {
+            caught(back, address);
+        }
+    }
+
+    private BallotNote.Reply ready(final long generation, final long epoch, final String from) {
+        if (voters != null && new Voters(generation, epoch, List.of()).newerThan(voters) || voters == null) {
+            return BallotNote.Reply.BLANK;
+        }
+        if (!voters.same(generation, epoch)) {
+            post.send(from, new BallotNote.Table(voters));
+            return BallotNote.Reply.OLD_TABLE;
+        }
+        return state() == State.VOTING ? BallotNote.Reply.YES : BallotNote.Reply.BLANK;
+    }
+
+    private void prepare(final BallotNote.Prepare ask) {
+        BallotNote.Reply reply = ready(ask.generation(), ask.epoch(), ask.from());
+        if (reply == BallotNote.Reply.YES && guard.gone(ask.key())) {
+            reply = BallotNote.Reply.GONE;
+        }
+        final Register had = registers.getOrDefault(ask.key(), Register.EMPTY);
+        if (reply != BallotNote.Reply.YES || ask.peek()) {
+            // A look must not show what a power loss could still take away.
+            promise(ask, reply, before.getOrDefault(ask.key(), had));
+            return;
+        }
+        if (ask.ballot().compareTo(had.promised()) < 0) {
+            promise(ask, BallotNote.Reply.LOWER, had);
+            return;
+        }
+        final Register now = new Register(ask.ballot(), had.accepted(), had.value());
+        store(ask.key(), now, ok -> promise(ask, ok ? BallotNote.Reply.YES : BallotNote.Reply.DISK, now));
+    }
+
+    private void promise(final BallotNote.Prepare ask, final BallotNote.Reply reply, final Register r) {
+        post.send(ask.from(), new BallotNote.Promise(ask.goId(), name, diskId, reply, r.promised(), r.accepted(),
+                reply == BallotNote.Reply.YES ? r.value() : null));
+    }
+
+    private void accept(final BallotNote.Accept ask) {
+        BallotNote.Reply reply = ready(ask.generation(), ask.epoch(), ask.from());
+        if (reply == BallotNote.Reply.YES && guard.gone(ask.key())) {
+            reply = BallotNote.Reply.GONE;
+        } else if (reply == BallotNote.Reply.YES && !guard.takes(ask.key(), ask.value())) {
+            reply = BallotNote.Reply.DENIED;
+        }
+        final Register had = registers.getOrDefault(ask.key(), Register.EMPTY);
+        if (reply == BallotNote.Reply.YES && ask.ballot().compareTo(had.promised()) < 0) {
+            reply = BallotNote.Reply.LOWER;
+        }
+        if (reply != BallotNote.Reply.YES) {
+            accepted(ask, reply, had.promised());
+            return;
+        }
+        store(ask.key(), new Register(ask.ballot(), ask.ballot(), ask.value()),
+                ok -> accepted(ask, ok ? BallotNote.Reply.YES : BallotNote.Reply.DISK, ask.ballot()));
+    }
+
+    private void accepted(final BallotNote.Accept ask, final BallotNote.Reply reply, final Ballot promised) {
+        post.send(ask.from(), new BallotNote.Accepted(ask.goId(), name, diskId, reply, promised));
+    }
+
+    private void chosen(final BallotNote.Chosen chosen) {
+        if (voters == null || !voters.same(chosen.generation(), chosen.epoch()) || state() != State.VOTING
+                || guard.gone(chosen.key())) {
+            return;
+        }
+        final Register had = registers.getOrDefault(chosen.key(), Register.EMPTY);
+        if (chosen.ballot().compareTo(had.promised()) >= 0 && chosen.ballot().compareTo(had.accepted()) > 0) {
+            store(chosen.key(), new Register(chosen.ballot(), chosen.ballot(), chosen.value()), ok -> { });
+        }
+    }
+
+    /** Stores first and tells after the sync; what isn't down is not in the answer. */
+    private void store(final String key, final Register now, final Consumer<Boolean> done) {
+        final Register had = registers.put(key, now);
+        assert had == null || had.promised().compareTo(now.promised()) <= 0 : "a promise fell on " + key;
+        assert had == null || had.accepted().compareTo(now.accepted()) <= 0 : "an accepted rank fell on " + key;
+        before.putIfAbsent(key, had == null ? Register.EMPTY : had);
+        onTheWay.merge(key, 1, Integer::sum);
+        ring.put(key, Codec.bytes(now), ok -> {
+            keep(ok);
+            if (onTheWay.merge(key, -1, Integer::sum) == 0) {
+                onTheWay.remove(key);
+                before.remove(key);
+            } else if (ok) {
+                before.put(key, now);
+            }
+            if (ok) {
+                for (final BiConsumer<String, Register> watcher : watchers) {
+                    watcher.accept(key, now);
+                }
+            } else if (registers.get(key) == now && had != null) {
+                registers.put(key, had);
+            } else if (registers.get(key) == now) {
+                registers.remove(key);
+            }
+            done.accept(ok);
+        });
+    }
+
+    private void page(final BallotNote.CatchAsk ask) {
+        if (ready(ask.generation(), ask.epoch(), ask.from()) != BallotNote.Reply.YES) {
+            return;
+        }
+        final List<BallotNote.Entry> entries = new ArrayList<>();
+        int bytes = 0;
+        boolean last = true;
+        for (final Map.Entry<String, Register> e : registers.tailMap(ask.after(), false).entrySet()) {
+            if (bytes > PAGE_BYTES) {
+                last = false;
+                break;
+            }
+            entries.add(new BallotNote.Entry(e.getKey(), e.getValue()));
+            bytes += e.getKey().length() + 64 + (e.getValue().value() == null ? 0 : e.getValue().value().length);
+        }
+        post.send(ask.from(), new BallotNote.CatchBack(name, ask.generation(), ask.epoch(), ask.after(), entries, last));
+    }
+
+    private void caught(final BallotNote.CatchBack back, final String address) {
+        if (state != State.CATCHING_UP || !seated() || !voters.same(back.generation(), back.epoch())
+                || caughtFrom.containsKey(back.name())
+                || !catchUp.getOrDefault(back.name(), "").equals(back.after())) {
+            return;
+        }
+        for (final BallotNote.Entry entry : back.entries()) {
+            merge(entry.key(), entry.register());
+            catchUp.put(back.name(), entry.key());
+        }
+        if (!back.last()) {
+            askPage(address, voters.seat(back.name()));
+            return;
+        }
+        caughtFrom.put(back.name(), true);
+        if (caughtFrom.size() >= voters.majority()) {
+            finishCatchUp(tableEpochDown);
+        }
+    }
+
+    private void merge(final String key, final Register other) {
+        final Register had = registers.getOrDefault(key, Register.EMPTY);
+        final boolean later = other.accepted().compareTo(had.accepted()) > 0;
+        final Ballot promised = other.promised().compareTo(had.promised()) > 0 ? other.promised() : had.promised();
+        final Register now = new Register(promised, later ? other.accepted() : had.accepted(),
+                later ? other.value() : had.value());
+        if (later || promised != had.promised()) {
+            store(key, now, ok -> { });
+        }
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ballot/Voters.java
@@ -0,0 +1,48 @@
+package spokestall.ballot;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The table of voters. A generation starts from what was left after a loss; an epoch swaps one seat's disk. */
+public record Voters(long generation, long epoch, List<Seat> seats) {
+    /** How far the generation is shifted up in versions and tokens. */
+    public static final int GENERATION_SHIFT = 20;
+
+    /** The first number of this generation. Example: {@code long version = voters.firstNumber();} */
+    public long firstNumber() {
+        return generation << GENERATION_SHIFT;
+    }
+
+    /** Votes needed. Example: with six seats it is four. */
+    public int majority() {
+        return seats.size() / 2 + 1;
+    }
+
+    /** Whether this table replaces the other. Example: {@code if (heard.newerThan(mine)) adopt(heard);} */
+    public boolean newerThan(final Voters other) {
+        return other == null || generation > other.generation
+                || generation == other.generation && epoch > other.epoch;
+    }
+
+    /** Whether both stand for the same vote. Example: {@code if (!mine.same(ask.generation(), ask.epoch())) deny();} */
+    public boolean same(final long otherGeneration, final long otherEpoch) {
+        return generation == otherGeneration && epoch == otherEpoch;
+    }
+
+    /** A seat by its name, or null. Example: {@code voters.seat("d1-core").diskId()} */
+    public Seat seat(final String name) {
+        for (final Seat seat : seats) {
+            if (seat.name().equals(name)) {
+                return seat;
+            }
+        }
+        return null;
+    }
+
+    /** The next epoch, with one seat's disk swapped. Example: {@code voters.swap(new Seat("d1-core", at, disk))} */
+    public Voters swap(final Seat fresh) {
+        final List<Seat> next = new ArrayList<>(seats);
+        next.replaceAll(s -> s.name().equals(fresh.name()) ? fresh : s);
+        return new Voters(generation, epoch + 1, next);
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/duty/Execution.java
@@ -0,0 +1,70 @@
+package spokestall.duty;
+
+/** One acquisition and the work done under it. Once uncertain it stays so; nothing brings it back. */
+public final class Execution {
+    private final String executionId;
+    private final String owner;
+    private final long token;
+    private final long endMs;
+    private long deadlineMs;
+    private boolean uncertain;
+    private boolean cancelled;
+
+    Execution(final String executionId, final String owner, final long token, final long deadlineMs,
+            final long endMs) {
+        this.executionId = executionId;
+        this.owner = owner;
+        this.token = token;
+        this.deadlineMs = deadlineMs;
+        this.endMs = endMs;
+    }
+
+    /** Example: {@code log("executionId=" + execution.executionId())} */
+    public String executionId() {
+        return executionId;
+    }
+
+    /** The owner value of this acquisition alone. Example: {@code execution.owner()} */
+    public String owner() {
+        return owner;
+    }
+
+    /** The fence token of this acquisition. Example: {@code execution.token()} */
+    public long token() {
+        return token;
+    }
+
+    /** Until when work may be begun. Example: {@code execution.deadlineMs() - clock.nowMs()} */
+    public long deadlineMs() {
+        return deadlineMs;
+    }
+
+    /** Asked before each unit of work and before completion. Example: {@code if (!e.mayWork(clock.nowMs())) return;} */
+    public boolean mayWork(final long nowMs) {
+        return why(nowMs) == null;
+    }
+
+    /** Why no work may be begun, or null. Example: {@code log("why=" + execution.why(nowMs))} */
+    public String why(final long nowMs) {
+        return uncertain ? "uncertain" : cancelled ? "cancelled" : nowMs >= deadlineMs ? "deadline"
+                : nowMs >= endMs ? "runtime" : null;
+    }
+
+    void renewed(final long untilMs) {
+        assert !uncertain : "an uncertain execution was renewed";
+        deadlineMs = Math.max(deadlineMs, untilMs);
+    }
+
+    void doubt() {
+        uncertain = true;
+        cancelled = true;
+    }
+
+    void cancel() {
+        cancelled = true;
+    }
+
+    boolean over(final long nowMs) {
+        return nowMs >= endMs;
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -0,0 +1,234 @@
+package spokestall.duty;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Random;
+import spokestall.ballot.Edit;
+import spokestall.ballot.Outcome;
+import spokestall.ballot.Proposer;
+import spokestall.time.Clock;
+import spokestall.wire.Codec;
+
+/**
+ * Acquires, renews and releases the lease of one duty. With no clock in common, a rival takes an expired lease only
+ * after it saw the same owner and renewal unchanged for the whole span and a margin on its own monotonic clock.
+ */
+public final class LeaseKeeper {
+    /** Explicit states. */
+    public enum State { WATCHING, ACQUIRING, HOLDING, RELEASING, STOPPED }
+
+    /** Spans, from the settings. */
+    public record Pace(long leaseMs, long renewMs, long storeWaitMs, long marginMs, long maxRunMs) {
+    }
+
+    /** Told when an execution begins; it ends by itself when it may no longer work. */
+    public interface Work {
+        /** Example: {@code work.begin(execution)} */
+        void begin(Execution execution);
+    }
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private final String duty;
+    private final String name;
+    private final Proposer proposer;
+    private final Clock clock;
+    private final Random random;
+    private final Pace pace;
+    private final Work work;
+    private State state = State.WATCHING;
+    private Lease seen;
+    private long seenMs;
+    private boolean reading;
+    private boolean renewing;
+    private long renewAskedMs;
+    private Execution execution;
+
+    /** Example: {@code new LeaseKeeper("usage_report", "d1-core", proposer, clock, random, pace, reporter)} */
+    public LeaseKeeper(final String duty, final String name, final Proposer proposer, final Clock clock,
+            final Random random, final Pace pace, final Work work) {
+        this.duty = duty;
+        this.name = name;
+        this.proposer = proposer;
+        this.clock = clock;
+        this.random = random;
+        this.pace = pace;
+        this.work = work;
+    }
+
+    /** Example: {@code keeper.state() == LeaseKeeper.State.HOLDING} */
+    public State state() {
+        return state;
+    }
+
+    /** The lease as last seen in the store, or null. Example: {@code keeper.seen().holder()} */
+    public Lease seen() {
+        return seen;
+    }
+
+    /** The execution under way, or null. Example: {@code keeper.execution()} */
+    public Execution execution() {
+        return execution;
+    }
+
+    private void change(final State to, final String why) {
+        LOG.atInfo().log("event=lease node=%s duty=%s from=%s to=%s why=%s executionId=%s token=%s", name, duty, state,
+                to, why, execution == null ? "none" : execution.executionId(),
+                execution == null ? 0 : execution.token());
+        state = to;
+    }
+
+    /** One beat. Example: {@code keeper.tick();} */
+    public void tick() {
+        switch (state) {
+            case WATCHING -> watch();
+            case HOLDING -> hold();
+            default -> { }
+        }
+    }
+
+    private void watch() {
+        if (reading || proposer.voters() == null) {
+            return;
+        }
+        reading = true;
+        proposer.read(Lease.key(duty), pace.storeWaitMs(), outcome -> {
+            reading = false;
+            if (state == State.WATCHING && outcome instanceof Outcome.Done done) {
+                looked(done.value() == null ? null : Codec.record(done.value(), Lease.class));
+            }
+        });
+    }
+
+    private void looked(final Lease now) {
+        final long nowMs = clock.nowMs();
+        final boolean same = now != null && seen != null && now.owner().equals(seen.owner())
+                && now.renewal() == seen.renewal() && now.released() == seen.released();
+        if (!same) {
+            seen = now;
+            seenMs = nowMs;
+        }
+        if (now == null || now.released() || nowMs - seenMs >= Math.max(now.spanMs(), pace.leaseMs())
+                + pace.marginMs()) {
+            acquire();
+        }
+    }
+
+    private void acquire() {
+        final long askedMs = clock.nowMs();
+        final Lease expired = seen;
+        final String owner = name + "/" + Long.toHexString(random.nextLong());
+        final String executionId = Long.toHexString(random.nextLong());
+        execution = null;
+        change(State.ACQUIRING, expired == null ? "none" : expired.released() ? "released" : "expired");
+        proposer.change(Lease.key(duty), pace.storeWaitMs(), value -> {
+            final Lease now = value == null ? null : Codec.record(value, Lease.class);
+            if (now != null && now.owner().equals(owner)) {
+                return new Edit.Set(value);
+            }
+            final boolean free = now == null || now.released() || expired != null
+                    && now.owner().equals(expired.owner()) && now.renewal() == expired.renewal();
+            final long first = proposer.voters().firstNumber();
+            final long token = Math.max(now == null ? 0 : now.token(), first) + 1;
+            return free ? new Edit.Set(Codec.bytes(new Lease(owner, name, 0, token, pace.leaseMs(), false)))
+                    : Edit.LEAVE;
+        }, outcome -> acquired(outcome, owner, executionId, askedMs));
+    }
+
+    private void acquired(final Outcome outcome, final String owner, final String executionId, final long askedMs) {
+        final long nowMs = clock.nowMs();
+        seen = null;
+        if (outcome instanceof Outcome.Done done && done.value() != null) {
+            final Lease now = Codec.record(done.value(), Lease.class);
+            seen = now;
+            seenMs = nowMs;
+            if (done.wrote() && now.owner().equals(owner) && nowMs - askedMs <= pace.storeWaitMs()) {
+                execution = new Execution(executionId, owner, now.token(),
+                        askedMs + pace.leaseMs() - pace.marginMs(), askedMs + pace.maxRunMs());
+                renewAskedMs = nowMs;
+                change(State.HOLDING, "acquired");
+                work.begin(execution);
+                return;
+            }
+        }
+        // Denied, late or unclear: nothing is begun. If it took hold all the same, it runs out like any other.
+        change(State.WATCHING, outcome instanceof Outcome.Done ? "denied" : "unclear");
+    }
+
+    private void hold() {
+        final long nowMs = clock.nowMs();
+        final String why = execution.why(nowMs);
+        if (why != null) {
+            release(why);
+        } else if (!renewing && nowMs - renewAskedMs >= pace.renewMs()) {
+            renew(execution);
+        }
+    }
+
+    private void renew(final Execution mine) {
+        renewing = true;
+        final long askedMs = clock.nowMs();
+        renewAskedMs = askedMs;
+        proposer.change(Lease.key(duty), pace.storeWaitMs(), value -> {
+            final Lease now = value == null ? null : Codec.record(value, Lease.class);
+            final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
+            return own ? new Edit.Set(Codec.bytes(new Lease(now.owner(), name, now.renewal() + 1, now.token(),
+                    pace.leaseMs(), false))) : Edit.LEAVE;
+        }, outcome -> {
+            renewing = false;
+            renewed(mine, remainingMs(mine, outcome, askedMs), askedMs);
+        });
+    }
+
+    /** The milliseconds a renewal gained; zero is not renewed. */
+    private long remainingMs(final Execution mine, final Outcome outcome, final long askedMs) {
+        final long nowMs = clock.nowMs();
+        final boolean good = outcome instanceof Outcome.Done done && done.wrote()
+                && Codec.record(done.value(), Lease.class).owner().equals(mine.owner());
+        final boolean timely = nowMs - askedMs <= pace.storeWaitMs() && mine.mayWork(nowMs);
+        return good && timely ? Math.max(0, askedMs + pace.leaseMs() - pace.marginMs() - nowMs) : 0;
+    }
+
+    private void renewed(final Execution mine, final long remainingMs, final long askedMs) {
+        if (mine != execution || state != State.HOLDING) {
+            return;
+        }
+        if (remainingMs > 0) {
+            mine.renewed(askedMs + pace.leaseMs() - pace.marginMs());
+            return;
+        }
+        mine.doubt();
+        release("renewal");
+    }
+
+    private void release(final String why) {
+        final Execution mine = execution;
+        mine.cancel();
+        change(State.RELEASING, why);
+        proposer.change(Lease.key(duty), pace.storeWaitMs(), value -> {
+            final Lease now = value == null ? null : Codec.record(value, Lease.class);
+            final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
+            return own ? new Edit.Set(Codec.bytes(new Lease(now.owner(), now.holder(), now.renewal(), now.token(),
+                    now.spanMs(), true))) : Edit.LEAVE;
+        }, outcome -> {
+            seen = null;
+            final boolean stopping = stopped != null;
+            change(stopping ? State.STOPPED : State.WATCHING, outcome instanceof Outcome.Done ? "released" : "unclear");
+            execution = null;
+            if (stopping) {
+                stopped.run();
+            }
+        });
+    }
+
+    private Runnable stopped;
+
+    /** Gives the duty up for good, and tells when that is done. Example: {@code keeper.stop(exit);} */
+    public void stop(final Runnable done) {
+        stopped = done;
+        if (state == State.HOLDING) {
+            release("stop");
+        } else if (state != State.RELEASING) {
+            change(State.STOPPED, "stop");
+            done.run();
+        }
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -0,0 +1,208 @@
+package spokestall.duty;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import spokestall.ballot.Edit;
+import spokestall.ballot.Outcome;
+import spokestall.ballot.Proposer;
+import spokestall.time.Clock;
+import spokestall.time.FleetClock;
+import spokestall.wire.Codec;
+import spokestall.wire.Post;
+
+/**
+ * The holder's work: closes each window after a grace, seals its counts in a write-once register, sends them, and
+ * records that they were sent. Whoever sends a window sends the sealed counts. A window that can't be sent in time is
+ * not sent; its sealed counts stay readable.
+ */
+public final class Reporter implements LeaseKeeper.Work {
+    /** Spans, from the settings. */
+    public record Pace(long windowMs, long graceMs, long dueMs, long storeWaitMs, long sendWaitMs, double perS) {
+    }
+
+    /** Sends one report to the platform. */
+    public interface Platform {
+        /** {@code before} is asked in the moment the bytes are to leave. Example: see {@code Rim}. */
+        void report(String holder, long token, Sealed sealed, long waitMs, Supplier<Boolean> before,
+                Consumer<Boolean> done);
+    }
+
+    private enum Stage { GATHER, SEALING, SEND, SENDING, COMPLETING, OVER }
+
+    private static final class Unit {
+        private final long window;
+        private Stage stage = Stage.GATHER;
+        private boolean asked;
+        private Sealed sealed;
+
+        Unit(final long window) {
+            this.window = window;
+        }
+    }
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private final String name;
+    private final String address;
+    private final UsageBook book;
+    private final Proposer proposer;
+    private final Platform platform;
+    private final Post post;
+    private final Clock clock;
+    private final FleetClock fleet;
+    private final Pace pace;
+    private final Supplier<List<String>> cores;
+    private final LongSupplier floorMs;
+    private final TreeMap<Long, Unit> units = new TreeMap<>();
+    private Execution execution;
+    private long next;
+    private long sentMs;
+    private long lastSealed;
+    private long missed;
+
+    /** Example: see {@code Node}. */
+    public Reporter(final String name, final String address, final UsageBook book, final Proposer proposer,
+            final Platform platform, final Post post, final Clock clock, final FleetClock fleet, final Pace pace,
+            final Supplier<List<String>> cores, final LongSupplier floorMs) {
+        this.name = name;
+        this.address = address;
+        this.book = book;
+        this.proposer = proposer;
+        this.platform = platform;
+        this.post = post;
+        this.clock = clock;
+        this.fleet = fleet;
+        this.pace = pace;
+        this.cores = cores;
+        this.floorMs = floorMs;
+    }
+
+    /** The newest window this node sealed or saw sealed. Example: {@code reporter.lastSealed()} */
+    public long lastSealed() {
+        return lastSealed;
+    }
+
+    /** Windows that could not be sent in time. Example: {@code reporter.missed()} */
+    public long missed() {
+        return missed;
+    }
+
+    @Override
+    public void begin(final Execution begun) {
+        execution = begun;
+        units.clear();
+        sentMs = clock.nowMs();
+        next = Math.floorDiv(fleet.nowMs() - pace.dueMs(), pace.windowMs());
+        LOG.atInfo().log("event=duty_begin node=%s executionId=%s token=%s from=%s", name, begun.executionId(),
+                begun.token(), next);
+    }
+
+    /** One beat. Example: {@code reporter.tick();} */
+    public void tick() {
+        if (execution == null) {
+            return;
+        }
+        final String why = execution.why(clock.nowMs());
+        if (why != null) {
+            LOG.atInfo().log("event=duty_stop node=%s executionId=%s token=%s why=%s", name, execution.executionId(),
+                    execution.token(), why);
+            execution = null;
+            units.clear();
+            return;
+        }
+        while (endMs(next) <= fleet.nowMs()) {
+            if (next * pace.windowMs() >= floorMs.getAsLong()) {
+                units.put(next, new Unit(next));
+            }
+            next++;
+        }
+        for (final Unit unit : List.copyOf(units.values())) {
+            step(execution, unit);
+        }
+        units.values().removeIf(u -> u.stage == Stage.OVER);
+    }
+
+    private long endMs(final long window) {
+        return (window + 1) * pace.windowMs();
+    }
+
+    private void step(final Execution mine, final Unit unit) {
+        final long lateMs = fleet.nowMs() - endMs(unit.window);
+        if (unit.stage == Stage.GATHER) {
+            if (!unit.asked) {
+                unit.asked = true;
+                for (final String core : cores.get()) {
+                    post.send(core, new UsageNote.CountAsk(address, unit.window));
+                }
+            }
+            if (lateMs >= pace.graceMs()) {
+                seal(mine, unit);
+            } else if (lateMs >= pace.graceMs() / 2 && unit.sealed == null) {
+                for (final String core : cores.get()) {
+                    post.send(core, new UsageNote.CountAsk(address, unit.window));
+                }
+            }
+        } else if (unit.stage == Stage.SEND) {
+            if (lateMs + pace.sendWaitMs() > pace.dueMs()) {
+                missed++;
+                LOG.atWarning().log("event=window_missed node=%s window=%s executionId=%s lateMs=%s", name,
+                        unit.window, mine.executionId(), lateMs);
+                unit.stage = Stage.OVER;
+            } else if (clock.nowMs() - sentMs >= 1000 / pace.perS()) {
+                send(mine, unit);
+            }
+        }
+    }
+
+    private void seal(final Execution mine, final Unit unit) {
+        unit.stage = Stage.SEALING;
+        final Map<String, Long> counts = book.sum(unit.window);
+        final byte[] value = Codec.bytes(new Sealed(unit.window, counts, mine.owner(), mine.token(), false));
+        proposer.change(Sealed.key(unit.window), pace.storeWaitMs(),
+                now -> now == null && mine.mayWork(clock.nowMs()) ? new Edit.Set(value) : Edit.LEAVE, outcome -> {
+                    if (outcome instanceof Outcome.Done done && done.value() != null) {
+                        unit.sealed = Codec.record(done.value(), Sealed.class);
+                        lastSealed = Math.max(lastSealed, unit.window);
+                        unit.stage = unit.sealed.completed() ? Stage.OVER : Stage.SEND;
+                    } else {
+                        unit.stage = outcome instanceof Outcome.Gone ? Stage.OVER : Stage.GATHER;
+                    }
+                });
+    }
+
+    private void send(final Execution mine, final Unit unit) {
+        if (!mine.mayWork(clock.nowMs())) {
+            return;
+        }
+        unit.stage = Stage.SENDING;
+        sentMs = clock.nowMs();
+        platform.report(name, mine.token(), unit.sealed, pace.sendWaitMs(),
+                () -> mine == execution && mine.mayWork(clock.nowMs()), ok -> {
+                    LOG.atInfo().log("event=report node=%s executionId=%s token=%s window=%s ok=%s lateMs=%s", name,
+                            mine.executionId(), mine.token(), unit.window, ok, fleet.nowMs() - endMs(unit.window));
+                    if (ok) {
+                        complete(mine, unit);
+                    } else {
+                        unit.stage = Stage.SEND;
+                    }
+                });
+    }
+
+    private void complete(final Execution mine, final Unit unit) {
+        unit.stage = Stage.COMPLETING;
+        proposer.change(Sealed.key(unit.window), pace.storeWaitMs(), value -> {
+            final Sealed now = value == null ? null : Codec.record(value, Sealed.class);
+            return now == null || now.completed() ? Edit.LEAVE : new Edit.Set(Codec.bytes(now.complete()));
+        }, outcome -> {
+            unit.stage = Stage.OVER;
+            if (!(outcome instanceof Outcome.Done)) {
+                LOG.atWarning().log("event=completion_unclear node=%s window=%s executionId=%s", name, unit.window,
+                        mine.executionId());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/duty/UsageBook.java
@@ -0,0 +1,56 @@
+package spokestall.duty;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Begun asks by window, edge life and tenant. Merging takes the larger count, so order and repeats don't matter. */
+public final class UsageBook {
+    private static final int TENANTS_MAX = 4096;
+    private static final int LIVES_MAX = 1024;
+    private final int windowsKept;
+    private final TreeMap<Long, Map<String, Map<String, Long>>> windows = new TreeMap<>();
+
+    /** Example: {@code new UsageBook(12)} */
+    public UsageBook(final int windowsKept) {
+        this.windowsKept = windowsKept;
+    }
+
+    /** Merges one edge life's counts. Example: {@code book.merge(count);} */
+    public void merge(final UsageNote.Count count) {
+        if (!windows.isEmpty() && count.window() < windows.lastKey() - windowsKept) {
+            return;
+        }
+        final Map<String, Map<String, Long>> lives = windows.computeIfAbsent(count.window(), w -> new HashMap<>());
+        final String life = count.edge() + "#" + Long.toHexString(count.life());
+        if (lives.size() >= LIVES_MAX && !lives.containsKey(life) || count.begun().size() > TENANTS_MAX) {
+            return;
+        }
+        final Map<String, Long> begun = lives.computeIfAbsent(life, l -> new HashMap<>());
+        count.begun().forEach((tenant, n) -> begun.merge(tenant, n, Math::max));
+        while (windows.size() > windowsKept) {
+            windows.pollFirstEntry();
+        }
+    }
+
+    /** A window's sums by tenant. Example: {@code book.sum(345).get("tenant-1")} */
+    public Map<String, Long> sum(final long window) {
+        final Map<String, Long> sum = new TreeMap<>();
+        windows.getOrDefault(window, Map.of()).values()
+                .forEach(begun -> begun.forEach((tenant, n) -> sum.merge(tenant, n, Long::sum)));
+        return sum;
+    }
+
+    /** What is known of a window, to hand to another core. Example: {@code book.counts(345)} */
+    public List<UsageNote.Count> counts(final long window) {
+        final List<UsageNote.Count> found = new ArrayList<>();
+        windows.getOrDefault(window, Map.of()).forEach((life, begun) -> {
+            final int at = life.lastIndexOf('#');
+            found.add(new UsageNote.Count(life.substring(0, at), Long.parseUnsignedLong(life.substring(at + 1), 16),
+                    window, begun));
+        });
+        return found;
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/duty/UsageNote.java
@@ -0,0 +1,20 @@
+package spokestall.duty;
+
+import java.util.List;
+import java.util.Map;
+import spokestall.wire.Note;
+
+/** How counts reach whoever reports them. */
+public sealed interface UsageNote extends Note {
+    /** One edge life's begun asks by tenant in one window; it only grows. */
+    record Count(String edge, long life, long window, Map<String, Long> begun) implements UsageNote {
+    }
+
+    /** Asks a core for all it has of a window. */
+    record CountAsk(String from, long window) implements UsageNote {
+    }
+
+    /** The reply to {@link CountAsk}. */
+    record CountBack(String name, long window, List<Count> counts) implements UsageNote {
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/edge/Warmth.java
@@ -0,0 +1,22 @@
+package spokestall.edge;
+
+/** How fast this edge may send to one cold upstream: its part of the upstream's ramp, a few in advance at most. */
+final class Warmth {
+    private double tokens;
+    private long filledMs;
+
+    Warmth(final long nowMs) {
+        this.filledMs = nowMs;
+    }
+
+    /** perS is this edge's part of the ramp at this age. */
+    boolean spend(final long nowMs, final double perS, final double burst) {
+        tokens = Math.min(burst, tokens + perS * Math.max(0, nowMs - filledMs) / 1000.0);
+        filledMs = nowMs;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/edge/Where.java
@@ -0,0 +1,38 @@
+package spokestall.edge;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import spokestall.view.Member;
+
+/** Elects the edges a client is to use: the same ones for the same client, spread over all edges. */
+public final class Where {
+    private Where() {
+    }
+
+    /** Example: {@code Where.elect("client-7", edges, tenant.homeRegions(), policy.holds(), 2)} */
+    public static List<Member> elect(final String client, final Collection<Member> edges,
+            final Set<String> homeRegions, final Set<String> holds, final int most) {
+        final List<Member> fit = new ArrayList<>();
+        for (final Member edge : edges) {
+            if (!edge.leaving() && homeRegions.contains(edge.region()) && !holds.contains(edge.district())) {
+                fit.add(edge);
+            }
+        }
+        fit.sort(Comparator.comparingLong((Member e) -> weight(client, e.name())).thenComparing(Member::name));
+        return fit.subList(0, Math.min(most, fit.size()));
+    }
+
+    private static long weight(final String client, final String edge) {
+        long h = 0xcbf29ce484222325L;
+        final String both = client + "\0" + edge;
+        for (int i = 0; i < both.length(); i++) {
+            h = (h ^ both.charAt(i)) * 0x100000001b3L;
+        }
+        h ^= h >>> 32;
+        h *= 0xd6e8feb86659fd93L;
+        return h ^ h >>> 32;
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/hand/HandNote.java
@@ -0,0 +1,18 @@
+package spokestall.hand;
+
+import spokestall.wire.Note;
+
+/** What nodes keep for one another and hand over. */
+public sealed interface HandNote extends Note {
+    /** A run-once ask's answer, for cores of the tenant's home regions only. */
+    record Keep(String key, String digest, int status, String contentType, byte[] body) implements HandNote {
+    }
+
+    /** Asks for a kept answer. */
+    record Ask(String from, long askId, String key, String digest) implements HandNote {
+    }
+
+    /** The reply to {@link Ask}; body is null when there is none. */
+    record Back(long askId, String key, int status, String contentType, byte[] body) implements HandNote {
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/hand/Shelf.java
@@ -0,0 +1,26 @@
+package spokestall.hand;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+
+/** Answers kept in memory, bounded by their bytes; the oldest used go first. */
+public final class Shelf {
+    private final Cache<String, HandNote.Keep> kept;
+
+    /** Example: {@code new Shelf(16 << 20)} */
+    public Shelf(final long bytesMax) {
+        kept = Caffeine.newBuilder().maximumWeight(bytesMax).executor(Runnable::run)
+                .weigher((String k, HandNote.Keep v) -> 256 + k.length() + v.body().length).build();
+    }
+
+    /** Example: {@code shelf.keep(note);} */
+    public void keep(final HandNote.Keep answer) {
+        kept.put(answer.key(), answer);
+    }
+
+    /** The answer if it is the one with this digest, else null. Example: {@code shelf.find(key, digest)} */
+    public HandNote.Keep find(final String key, final String digest) {
+        final HandNote.Keep found = kept.getIfPresent(key);
+        return found != null && found.digest().equals(digest) ? found : null;
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/listing/Listing.java
@@ -0,0 +1,162 @@
+package spokestall.listing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Upstreams as mergeable state: for each instance the newest word of the platform, and of each core that probes it.
+ * Merging is by newest stamp, so order and repeats don't matter.
+ */
+public final class Listing {
+    private record Heard(long life, long place) {
+    }
+
+    private record Numbered<T>(long place, T value) {
+    }
+
+    private final long life;
+    private final int entriesMax;
+    private final long freshMs;
+    private final Map<String, Numbered<Listed>> listed = new TreeMap<>();
+    private final Map<String, Map<String, Numbered<Report>>> reports = new TreeMap<>();
+    private final Map<String, Heard> heard = new HashMap<>();
+    private long place;
+
+    /** Example: {@code new Listing(life, 4096, 4000)} */
+    public Listing(final long life, final int entriesMax, final long freshMs) {
+        this.life = life;
+        this.entriesMax = entriesMax;
+        this.freshMs = freshMs;
+    }
+
+    /** Example: {@code listing.life()} names this process's own numbering. */
+    public long life() {
+        return life;
+    }
+
+    /** The place of the newest entry. Example: {@code listing.place()} */
+    public long place() {
+        return place;
+    }
+
+    /** The numbering last heard from a core. Example: {@code listing.lifeHeard(address)} */
+    public long lifeHeard(final String core) {
+        final Heard h = heard.get(core);
+        return h == null ? 0 : h.life;
+    }
+
+    /** How far that numbering was heard. Example: {@code listing.placeHeard(address)} */
+    public long placeHeard(final String core) {
+        final Heard h = heard.get(core);
+        return h == null ? 0 : h.place;
+    }
+
+    /** Merges what a core sent from a place on. Example: {@code listing.take(core, life, place, listed, reports);} */
+    public void take(final String core, final long coreLife, final long corePlace, final List<Listed> entries,
+            final List<Report> words) {
+        if (coreLife != 0) {
+            heard.put(core, new Heard(coreLife, corePlace));
+            merge(entries, words);
+        }
+    }
+
+    /** Merges entries from anywhere. Example: {@code listing.merge(push.listed(), push.reports());} */
+    public void merge(final Collection<Listed> entries, final Collection<Report> words) {
+        entries.forEach(this::merge);
+        words.forEach(this::merge);
+    }
+
+    private void merge(final Listed entry) {
+        final Numbered<Listed> had = listed.get(entry.instance());
+        if (had == null ? listed.size() < entriesMax : entry.stampMs() > had.value.stampMs()) {
+            listed.put(entry.instance(), new Numbered<>(++place, entry));
+        }
+    }
+
+    private void merge(final Report word) {
+        final Map<String, Numbered<Report>> of = reports.computeIfAbsent(word.instance(), i -> new TreeMap<>());
+        final Numbered<Report> had = of.get(word.by());
+        if (had == null || word.stampMs() > had.value.stampMs()) {
+            of.put(word.by(), new Numbered<>(++place, word));
+        }
+    }
+
+    /** Lets go what has been absent for long. Example: {@code listing.prune(fleet.nowMs() - keepMs);} */
+    public void prune(final long beforeMs) {
+        listed.values().removeIf(l -> !l.value.present() && l.value.stampMs() < beforeMs);
+        reports.keySet().removeIf(i -> !listed.containsKey(i));
+        reports.values().forEach(of -> of.values().removeIf(r -> r.value.stampMs() < beforeMs));
+    }
+
+    /** Entries after a place. Example: {@code listing.listedAfter(12)} */
+    public List<Listed> listedAfter(final long after) {
+        final List<Listed> found = new ArrayList<>();
+        listed.values().forEach(l -> {
+            if (l.place > after) {
+                found.add(l.value);
+            }
+        });
+        return found;
+    }
+
+    /** Reports after a place. Example: {@code listing.reportsAfter(12)} */
+    public List<Report> reportsAfter(final long after) {
+        final List<Report> found = new ArrayList<>();
+        reports.values().forEach(of -> of.values().forEach(r -> {
+            if (r.place > after) {
+                found.add(r.value);
+            }
+        }));
+        return found;
+    }
+
+    /** Everything the platform lists or listed of late. Example: {@code listing.listed()} */
+    public List<Listed> listed() {
+        return listedAfter(0);
+    }
+
+    /** The upstreams of a service that may take asks now. Example: {@code listing.ready("transfers", fleet.nowMs())} */
+    public List<Upstream> ready(final String service, final long nowMs) {
+        final List<Upstream> found = new ArrayList<>();
+        for (final Numbered<Listed> n : listed.values()) {
+            final Listed l = n.value;
+            if (l.present() && !l.leaving() && l.service().equals(service)) {
+                final Report word = word(l.instance(), nowMs);
+                if (word != null && word.status() == Status.READY) {
+                    found.add(new Upstream(l.instance(), service, l.address(), l.district(), l.region(),
+                            word.readySinceMs()));
+                }
+            }
+        }
+        return found;
+    }
+
+    /** What the cores together say now: leaving or foreign from any one holds; ready from any one beats down. */
+    public Report word(final String instance, final long nowMs) {
+        Report best = null;
+        for (final Numbered<Report> n : reports.getOrDefault(instance, Map.of()).values()) {
+            final Report r = n.value;
+            if (nowMs - r.stampMs() > freshMs) {
+                continue;
+            }
+            if (best == null || rank(r.status()) > rank(best.status())
+                    || r.status() == best.status() && r.stampMs() > best.stampMs()) {
+                best = r;
+            }
+        }
+        return best;
+    }
+
+    private static int rank(final Status status) {
+        return switch (status) {
+            case DOWN -> 0;
+            case READY -> 1;
+            case LEAVING -> 2;
+            case FOREIGN -> 3;
+        };
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -0,0 +1,99 @@
+package spokestall.policy;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The policy a node has applied, with the newest changes for those who follow from a place on. */
+public final class Book {
+    /** The one reader of JSON. */
+    public static final ObjectMapper JSON = new ObjectMapper();
+    private static final int IDS_KEPT = 512;
+    private final int changesKept;
+    private final TreeMap<Long, Change> changes = new TreeMap<>();
+    private final Map<String, Long> changeIds = new LinkedHashMap<>();
+    private Policy policy = new Policy(0, JSON.createObjectNode(), null);
+
+    /** Example: {@code new Book(1024)} keeps that many changes for followers. */
+    public Book(final int changesKept) {
+        this.changesKept = changesKept;
+    }
+
+    /** The version in force here. Example: {@code book.policy().version()} */
+    public Policy policy() {
+        return policy;
+    }
+
+    /** The version a change id was accepted as, or null. Example: {@code book.versionOf("chg-1")} */
+    public Long versionOf(final String changeId) {
+        return changeIds.get(changeId);
+    }
+
+    /** The tree after a change, not yet applied. Example: {@code book.preview(change)} */
+    public JsonNode preview(final Change change) {
+        try {
+            final JsonNode json = JSON.readTree(change.json());
+            return change.kind() == Change.Kind.PUT ? json : Patch.apply(policy.tree(), json);
+        } catch (final IOException e) {
+            throw new IllegalArgumentException("a change that is no JSON was accepted", e);
+        }
+    }
+
+    /** Applies the next change. Example: {@code book.apply(book.policy().version() + 1, change);} */
+    public void apply(final long version, final Change change) {
+        assert version > policy.version() : version + " after " + policy.version();
+        policy = new Policy(version, preview(change), policy);
+        changes.put(version, change);
+        while (changes.size() > changesKept) {
+            changes.pollFirstEntry();
+        }
+        remember(change.changeId(), version);
+    }
+
+    private void remember(final String changeId, final long version) {
+        changeIds.put(changeId, version);
+        if (changeIds.size() > IDS_KEPT) {
+            changeIds.remove(changeIds.keySet().iterator().next());
+        }
+    }
+
+    /** Starts from a snapshot if it is newer. Example: {@code book.load(snapshot);} */
+    public boolean load(final Snapshot snapshot) {
+        if (snapshot.version() <= policy.version()) {
+            return false;
+        }
+        try {
+            policy = new Policy(snapshot.version(), JSON.readTree(snapshot.json()), null);
+        } catch (final IOException e) {
+            throw new IllegalArgumentException("bad snapshot", e);
+        }
+        changes.clear();
+        changeIds.clear();
+        snapshot.changeIds().forEach(this::remember);
+        return true;
+    }
+
+    /** This version whole. Example: {@code post.send(to, book.snapshot());} */
+    public Snapshot snapshot() {
+        try {
+            return new Snapshot(policy.version(), JSON.writeValueAsBytes(policy.tree()), Map.copyOf(changeIds));
+        } catch (final JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The changes after a place, or null when they don't reach back that far. Example: {@code book.after(17)} */
+    public Map<Long, Change> after(final long place) {
+        if (place == policy.version()) {
+            return Map.of();
+        }
+        if (changes.isEmpty() || !changes.containsKey(place + 1)) {
+            return null;
+        }
+        return changes.tailMap(place, false);
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -0,0 +1,123 @@
+package spokestall.rim;
+
+import com.google.common.flogger.FluentLogger;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import spokestall.Node;
+import spokestall.ring.FileSegments;
+import spokestall.settings.Settings;
+import spokestall.time.Clock;
+
+/** A node as a process: the rim around it, from its start to a clean stop. */
+public final class Daemon {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int STAGE_BOUND = 8192;
+    private final Settings settings;
+    private final boolean core;
+    private Node node;
+
+    /** Example: {@code new Daemon(settings, true).run()} */
+    public Daemon(final Settings settings, final boolean core) {
+        this.settings = settings;
+        this.core = core;
+    }
+
+    /** Runs until the process is told to stop; the exit code is 0 after a clean stop, 2 if it could not start. */
+    public int run() throws IOException {
+        final ExecutorService workers = Executors.newFixedThreadPool((int) settings.ms("workers"));
+        final ExecutorService disk = Executors.newSingleThreadExecutor();
+        final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        final Stage stage = new Stage(workers, STAGE_BOUND);
+        final FileLock lock = core ? lock() : null;
+        if (core && lock == null) {
+            return refused("data: " + settings.text("data") + " is in use by another process");
+        }
+        final FileSegments segments = core ? FileSegments.open(Path.of(settings.text("data"), "ring"),
+                (int) settings.ms("ringSegments"), (int) settings.ms("ringSegmentBytes"), new Stage(disk, 1 << 16),
+                stage) : null;
+        final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 2).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 2).set(Options.TCP_NODELAY, true).getMap());
+        final Clock clock = new SystemClock(timer, stage);
+        final Wires wires = new Wires(worker, note -> stage.offer(() -> node.hear(note)));
+        final Outside outside = new Outside(new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10)), stage,
+                settings.text("platform"));
+        final CountDownLatch made = new CountDownLatch(1);
+        stage.execute(() -> {
+            try {
+                node = new Node(settings, core, new Node.Rim(clock, new Random(new SecureRandom().nextLong()), wires,
+                        segments, outside, outside, outside));
+            } finally {
+                made.countDown();
+            }
+        });
+        await(made);
+        if (node == null) {
+            return refused("the node could not be made; see the log");
+        }
+        if (node.foreignDisk() != null) {
+            return refused("data: " + node.foreignDisk());
+        }
+        final HttpServer server = new HttpServer(node, stage, worker, Addresses.of(settings.text("http")),
+                2 * (int) settings.ms("policyMaxBytes"));
+        try {
+            wires.listen(Addresses.of(settings.text("address")));
+            server.start();
+        } catch (final IOException | RuntimeException e) {
+            return refused("address: can't listen on " + settings.text("address") + " or " + settings.text("http")
+                    + ": " + e.getMessage());
+        }
+        stage.execute(node::start);
+        final CountDownLatch stopped = new CountDownLatch(1);
+        final CountDownLatch gone = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            stage.execute(() -> node.leave(stopped::countDown));
+            try {
+                stopped.await(2 * settings.ms("stopWaitMs") + 2000, TimeUnit.MILLISECONDS);
+            } catch (final InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            server.stop();
+            wires.close();
+            gone.countDown();
+        }));
+        await(gone);
+        return 0;
+    }
+
+    private FileLock lock() throws IOException {
+        final Path folder = Path.of(settings.text("data"));
+        Files.createDirectories(folder);
+        return FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE).tryLock();
+    }
+
+    private static int refused(final String why) {
+        System.err.println(why);
+        LOG.atSevere().log("event=refused why=\"%s\"", why);
+        return 2;
+    }
+
+    private static void await(final CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -0,0 +1,281 @@
+package spokestall.rim;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * HTTP to upstreams and the platform by Undertow's client. A wire carries one exchange at a time; one that timed out,
+ * broke off or was framed oddly is closed, never used again.
+ */
+public final class HttpClient {
+    private static final int IDLE_PER_ADDRESS = 16;
+    private static final int ADDRESSES_MAX = 4096;
+    private static final long IDLE_MS = 1000;
+
+    private record Idle(ClientConnection wire, long sinceMs) {
+    }
+
+    private final XnioWorker worker;
+    private final ByteBufferPool pool;
+    private final Map<String, ArrayDeque<Idle>> idle = new ConcurrentHashMap<>();
+
+    /** Example: {@code new HttpClient(worker, new DefaultByteBufferPool(true, 16384))} */
+    public HttpClient(final XnioWorker worker, final ByteBufferPool pool) {
+        this.worker = worker;
+        this.pool = pool;
+    }
+
+    /** Has the exchange; done is run once, on an I/O thread. Example: {@code client.call(call, result -> ...);} */
+    public void call(final HttpCall call, final Consumer<HttpResult> done) {
+        new Exchange(call, done).begin();
+    }
+
+    private ClientConnection takeIdle(final String address) {
+        final ArrayDeque<Idle> of = idle.get(address);
+        if (of == null) {
+            return null;
+        }
+        synchronized (of) {
+            final long nowMs = System.nanoTime() / 1_000_000;
+            while (!of.isEmpty()) {
+                final Idle one = of.pollLast();
+                if (one.wire.isOpen() && nowMs - one.sinceMs < IDLE_MS) {
+                    return one.wire;
+                }
+                IoUtils.safeClose(one.wire);
+            }
+        }
+        return null;
+    }
+
+    private void keepIdle(final String address, final ClientConnection wire) {
+        if (idle.size() >= ADDRESSES_MAX && !idle.containsKey(address)) {
+            IoUtils.safeClose(wire);
+            return;
+        }
+        final ArrayDeque<Idle> of = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
+        synchronized (of) {
+            of.addLast(new Idle(wire, System.nanoTime() / 1_000_000));
+            while (of.size() > IDLE_PER_ADDRESS) {
+                IoUtils.safeClose(of.pollFirst().wire);
+            }
+        }
+    }
+
+    /** One exchange. */
+    private final class Exchange implements ClientCallback<ClientExchange> {
+        private final HttpCall call;
+        private final Consumer<HttpResult> done;
+        private final AtomicBoolean over = new AtomicBoolean();
+        private final ByteArrayOutputStream read = new ByteArrayOutputStream();
+        private volatile boolean sent;
+        private volatile ClientConnection wire;
+        private volatile XnioExecutor.Key timer;
+
+        Exchange(final HttpCall call, final Consumer<HttpResult> done) {
+            this.call = call;
+            this.done = done;
+        }
+
+        void begin() {
+            final ClientConnection had = call.freshWire() ? null : takeIdle(call.address());
+            final XnioIoThread io = had != null ? had.getIoThread() : worker.getIoThread();
+            timer = io.executeAfter(() -> trouble("timeout"), Math.max(1, call.waitMs()),
+                    java.util.concurrent.TimeUnit.MILLISECONDS);
+            if (had != null) {
+                io.execute(() -> opened(had));
+                return;
+            }
+            UndertowClient.getInstance().connect(new ClientCallback<>() {
+                @Override
+                public void completed(final ClientConnection made) {
+                    opened(made);
+                }
+
+                @Override
+                public void failed(final IOException e) {
+                    trouble("connect: " + e.getMessage());
+                }
+            }, URI.create("http://" + call.address()), io, pool, OptionMap.create(Options.TCP_NODELAY, true));
+        }
+
+        private void opened(final ClientConnection made) {
+            wire = made;
+            if (over.get()) {
+                IoUtils.safeClose(made);
+                return;
+            }
+            if (!made.isOpen()) {
+                trouble("closed");
+                return;
+            }
+            final ClientRequest request = new ClientRequest().setMethod(new HttpString(call.method()))
+                    .setPath(call.target());
+            request.getRequestHeaders().put(Headers.HOST, call.address());
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(call.body().length));
+            call.headers().forEach((name, value) -> {
+                if (value != null) {
+                    request.getRequestHeaders().put(new HttpString(name), value);
+                }
+            });
+            if (!call.may().get()) {
+                keepIdle(call.address(), made);
+                end(new HttpResult.NotSent("barred"));
+                return;
+            }
+            sent = true;
+            made.sendRequest(request, this);
+        }
+
+        @Override
+        public void completed(final ClientExchange exchange) {
+            exchange.setResponseListener(new ClientCallback<>() {
+                @Override
+                public void completed(final ClientExchange answered) {
+                    answered(answered);
+                }
+
+                @Override
+                public void failed(final IOException e) {
+                    trouble("answer: " + e.getMessage());
+                }
+            });
+            if (call.body().length > 0) {
+                write(exchange.getRequestChannel(), ByteBuffer.wrap(call.body()));
+            }
+        }
+
+        @Override
+        public void failed(final IOException e) {
+            trouble("send: " + e.getMessage());
+        }
+
+        private void write(final StreamSinkChannel channel, final ByteBuffer left) {
+            try {
+                while (left.hasRemaining()) {
+                    if (channel.write(left) == 0) {
+                        channel.getWriteSetter().set(c -> write(channel, left));
+                        channel.resumeWrites();
+                        return;
+                    }
+                }
+                channel.shutdownWrites();
+                if (!channel.flush()) {
+                    channel.getWriteSetter().set(c -> flush(channel));
+                    channel.resumeWrites();
+                } else {
+                    channel.suspendWrites();
+                }
+            } catch (final IOException e) {
+                trouble("body: " + e.getMessage());
+            }
+        }
+
+        private void flush(final StreamSinkChannel channel) {
+            try {
+                if (channel.flush()) {
+                    channel.suspendWrites();
+                }
+            } catch (final IOException e) {
+                trouble("body: " + e.getMessage());
+            }
+        }
+
+        private void answered(final ClientExchange exchange) {
+            final var headers = exchange.getResponse().getResponseHeaders();
+            final boolean length = headers.contains(Headers.CONTENT_LENGTH);
+            final String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
+            final boolean chunked = coding != null && coding.equalsIgnoreCase("chunked");
+            final int status = exchange.getResponse().getResponseCode();
+            if (length == chunked && status != 204 && status != 304 || coding != null && !chunked
+                    || status < 200 || status > 599) {
+                trouble("framing");
+                return;
+            }
+            read(exchange, exchange.getResponseChannel());
+        }
+
+        private void read(final ClientExchange exchange, final StreamSourceChannel channel) {
+            final ByteBuffer buffer = ByteBuffer.allocate(8192);
+            try {
+                while (true) {
+                    final int n = channel.read(buffer.clear());
+                    if (n < 0) {
+                        whole(exchange);
+                        return;
+                    }
+                    if (n == 0) {
+                        channel.getReadSetter().set(c -> read(exchange, channel));
+                        channel.resumeReads();
+                        return;
+                    }
+                    if (read.size() + n > call.answerMaxBytes()) {
+                        trouble("answer over " + call.answerMaxBytes() + " bytes");
+                        return;
+                    }
+                    read.write(buffer.array(), 0, n);
+                }
+            } catch (final IOException e) {
+                trouble("answer: " + e.getMessage());
+            }
+        }
+
+        private void whole(final ClientExchange exchange) {
+            final var response = exchange.getResponse();
+            final ClientConnection used = wire;
+            if (over.get()) {
+                return;
+            }
+            if (used.isOpen() && !"close".equalsIgnoreCase(response.getResponseHeaders()
+                    .getFirst(Headers.CONNECTION))) {
+                used.getIoThread().execute(() -> keepIdle(call.address(), used));
+            } else {
+                IoUtils.safeClose(used);
+            }
+            end(new HttpResult.Whole(response.getResponseCode(), response.getResponseHeaders(), read.toByteArray()));
+        }
+
+        private void trouble(final String why) {
+            if (over.get()) {
+                return;
+            }
+            final ClientConnection used = wire;
+            if (used != null) {
+                IoUtils.safeClose(used);
+            }
+            end(sent ? new HttpResult.Lost(why) : new HttpResult.NotSent(why));
+        }
+
+        private void end(final HttpResult result) {
+            if (over.compareAndSet(false, true)) {
+                if (timer != null) {
+                    timer.remove();
+                }
+                done.accept(result);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/HttpResult.java
@@ -0,0 +1,22 @@
+package spokestall.rim;
+
+import io.undertow.util.HeaderMap;
+
+/** How an HTTP exchange with an outside system ended. */
+public sealed interface HttpResult {
+    /** A whole, framed answer. */
+    record Whole(int status, HeaderMap headers, byte[] body) implements HttpResult {
+        /** A header, or null. Example: {@code whole.header("Spokestall-Instance")} */
+        public String header(final String name) {
+            return headers.getFirst(name);
+        }
+    }
+
+    /** No byte left. */
+    record NotSent(String why) implements HttpResult {
+    }
+
+    /** Bytes may have left. */
+    record Lost(String why) implements HttpResult {
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/HttpServer.java
@@ -0,0 +1,201 @@
+package spokestall.rim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.xnio.XnioWorker;
+import spokestall.Node;
+import spokestall.edge.Admitted;
+import spokestall.edge.Answer;
+import spokestall.edge.AskHead;
+import spokestall.edge.Edge;
+import spokestall.edge.Opened;
+import spokestall.edge.Ran;
+import spokestall.policy.Book;
+import spokestall.rpc.Reply;
+import spokestall.rpc.Result;
+
+/** HTTP for callers and operators: {@code POST /rpc/<method>} on every node, all else is an ask, for edges only. */
+public final class HttpServer {
+    private static final String RPC = "/rpc/";
+    private final Node node;
+    private final Stage stage;
+    private final int rpcMaxBytes;
+    private final Undertow server;
+
+    /** Example: {@code new HttpServer(node, stage, worker, Addresses.of("127.0.0.1:7200"), 8 << 20).start();} */
+    public HttpServer(final Node node, final Stage stage, final XnioWorker worker, final InetSocketAddress at,
+            final int rpcMaxBytes) {
+        this.node = node;
+        this.stage = stage;
+        this.rpcMaxBytes = rpcMaxBytes;
+        this.server = Undertow.builder().setWorker(worker).addHttpListener(at.getPort(), at.getAddress()
+                .getHostAddress()).setHandler(this::handle)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 << 10)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).build();
+    }
+
+    /** Example: {@code server.start();} */
+    public void start() {
+        server.start();
+    }
+
+    /** Example: {@code server.stop();} */
+    public void stop() {
+        server.stop();
+    }
+
+    private void handle(final HttpServerExchange exchange) {
+        final long cameMs = System.nanoTime() / 1_000_000;
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            if (exchange.getRequestPath().startsWith(RPC)) {
+                rpc(exchange);
+            } else {
+                ask(exchange, cameMs);
+            }
+        });
+    }
+
+    private void rpc(final HttpServerExchange exchange) {
+        if (!exchange.getRequestMethod().equals(Methods.POST)) {
+            reply(exchange, Reply.of(Result.UNKNOWN_METHOD, null));
+            return;
+        }
+        exchange.setMaxEntitySize(rpcMaxBytes);
+        exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
+            JsonNode read;
+            try {
+                read = body.length == 0 ? Book.JSON.createObjectNode() : Book.JSON.readTree(body);
+            } catch (final IOException bad) {
+                read = null;
+            }
+            final JsonNode params = read;
+            if (params == null) {
+                reply(e, Reply.of(Result.BAD_PARAMS, Book.JSON.createObjectNode().put("reason", "not JSON")));
+                return;
+            }
+            final String method = e.getRequestPath().substring(RPC.length());
+            e.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                if (!stage.offer(() -> call(e, method, params))) {
+                    reply(e, Reply.of(Result.BUSY, null));
+                }
+            });
+        }, (e, trouble) -> reply(e, Reply.of(Result.TOO_LARGE, null)));
+    }
+
+    private void call(final HttpServerExchange exchange, final String method, final JsonNode params) {
+        try {
+            node.call(method, params, r -> exchange.getIoThread().execute(() -> reply(exchange, r)));
+        } catch (final RuntimeException e) {
+            exchange.getIoThread().execute(() -> reply(exchange, Reply.of(Result.FAULT, null)));
+            throw e;
+        }
+    }
+
+    private void reply(final HttpServerExchange exchange, final Reply reply) {
+        if (reply.result().httpStatus() == 503) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, 1);
+        }
+        send(exchange, reply.result().httpStatus(), "application/json",
+                reply.json().toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void send(final HttpServerExchange exchange, final int status, final String type,
+            final byte[] body) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(status);
+        if (!exchange.isRequestComplete()) {
+            exchange.setPersistent(false);
+        }
+        if (type != null) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+
+    private static long span(final HttpServerExchange exchange) {
+        try {
+            return Long.parseLong(exchange.getRequestHeaders().getFirst("Spokestall-Deadline-Ms"));
+        } catch (final NumberFormatException e) {
+            return Long.MIN_VALUE;
+        }
+    }
+
+    private void ask(final HttpServerExchange exchange, final long cameMs) {
+        final Edge edge = node.edge();
+        if (edge == null) {
+            answer(exchange, new Answer(Result.NO_BINDING, Ran.NOT_RUN, 404, null, null, null, 0, 0));
+            return;
+        }
+        if (!stage.offer(() -> open(exchange, edge, cameMs))) {
+            final boolean once = exchange.getRequestHeaders().contains("Spokestall-Ticket");
+            answer(exchange, new Answer(Result.BUSY, once ? Ran.UNDECIDED : Ran.NOT_RUN, 503, null, null, null, 0,
+                    1000));
+        }
+    }
+
+    private void open(final HttpServerExchange exchange, final Edge edge, final long cameMs) {
+        final long span = span(exchange);
+        final long waitedMs = System.nanoTime() / 1_000_000 - cameMs;
+        final var headers = exchange.getRequestHeaders();
+        final AskHead head = new AskHead(exchange.getRequestMethod().toString(), exchange.getRequestPath(),
+                exchange.getQueryString(), headers.getFirst("Spokestall-Key"), headers.getFirst("Spokestall-Ask-Id"),
+                span == Long.MIN_VALUE ? span : span - waitedMs, headers.getFirst("Spokestall-Ticket"),
+                exchange.getRequestContentLength(), headers.getFirst(Headers.CONTENT_TYPE));
+        final Opened opened = edge.open(head);
+        if (opened instanceof Opened.Deny deny) {
+            exchange.getIoThread().execute(() -> answer(exchange, deny.answer()));
+        } else {
+            final Admitted ask = ((Opened.Admit) opened).ask();
+            exchange.getIoThread().execute(() -> body(exchange, edge, ask));
+        }
+    }
+
+    private void body(final HttpServerExchange exchange, final Edge edge, final Admitted ask) {
+        exchange.setMaxEntitySize(Math.max(1, ask.rule().askMaxBytes()));
+        exchange.getRequestReceiver().receiveFullBytes((e, body) -> e.dispatch(SameThreadExecutor.INSTANCE,
+                () -> stage.execute(() -> edge.run(ask, body, a -> e.getIoThread().execute(() -> answer(e, a))))),
+                (e, trouble) -> stage.execute(() -> {
+                    final boolean large = trouble instanceof io.undertow.server.RequestTooBigException;
+                    final Answer a = edge.drop(ask, large ? Result.TOO_LARGE : Result.MALFORMED);
+                    e.getIoThread().execute(() -> answer(e, a));
+                }));
+    }
+
+    private void answer(final HttpServerExchange exchange, final Answer a) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        final var headers = exchange.getResponseHeaders();
+        headers.put(new HttpString("Spokestall-Code"), a.result().number());
+        headers.put(new HttpString("Spokestall-Outcome"), a.ran().word());
+        headers.put(new HttpString("Spokestall-Goes"), a.goes());
+        if (a.instance() != null) {
+            headers.put(new HttpString("Spokestall-Instance"), a.instance());
+        }
+        if (a.retryAfterMs() > 0) {
+            headers.put(Headers.RETRY_AFTER, (a.retryAfterMs() + 999) / 1000);
+        }
+        if (a.result() == Result.OK || a.result() == Result.REPEATED) {
+            send(exchange, a.status(), a.contentType(), a.body());
+            return;
+        }
+        final ObjectNode out = Book.JSON.createObjectNode().put("code", a.result().number())
+                .put("text", a.result().text()).put("outcome", a.ran().word());
+        send(exchange, a.status(), "application/json", out.toString().getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/LogLine.java
@@ -0,0 +1,45 @@
+package spokestall.rim;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Instant;
+import java.util.List;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** One line of key=value pairs for each event. */
+public final class LogLine extends Formatter {
+    private static final List<Logger> QUIET = List.of(Logger.getLogger("io.undertow"), Logger.getLogger("org.xnio"),
+            Logger.getLogger("org.jboss"));
+
+    /** Sends all logs through this form. Example: {@code LogLine.install();} */
+    public static void install() {
+        final Logger root = Logger.getLogger("");
+        for (final Handler had : root.getHandlers()) {
+            root.removeHandler(had);
+        }
+        final Handler handler = new ConsoleHandler();
+        handler.setFormatter(new LogLine());
+        root.addHandler(handler);
+        QUIET.forEach(l -> l.setLevel(Level.WARNING));
+    }
+
+    @Override
+    public String format(final LogRecord record) {
+        final String text = record.getMessage();
+        final StringBuilder line = new StringBuilder("time=").append(Instant.ofEpochMilli(record.getMillis()))
+                .append(" level=").append(record.getLevel()).append(' ');
+        line.append(text != null && text.startsWith("event=") ? text : "event=library text=\"" + text + "\"");
+        if (record.getThrown() != null) {
+            final StringWriter out = new StringWriter();
+            record.getThrown().printStackTrace(new PrintWriter(out));
+            line.append(" trace=\"").append(out.toString().trim().replace("\"", "'").replace("\n", " | ")
+                    .replace("\t", "")).append('"');
+        }
+        return line.append('\n').toString();
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ring/Ring.java
@@ -0,0 +1,359 @@
+package spokestall.ring;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.zip.CRC32;
+
+/**
+ * A table of keys kept in a ring of preallocated files. Puts that come while a commit is under way go down together
+ * in the next one. The oldest file is freed by writing its live records again at the head. A torn tail is cut; a hole
+ * in what had been synced makes the ring blank rather than wrong. After a disk error nothing is written any more.
+ */
+public final class Ring {
+    /** Explicit states of a ring. */
+    public enum State { OPEN, FULL, BROKEN }
+
+    private static final int MAGIC = 0x53504b31;
+    private static final int HEAD_BYTES = 4 + 8 + 8 + 8 + 4 + 4;
+    private static final int SPARE_SEGMENTS = 2;
+
+    private record Place(int segment, int bytes) {
+    }
+
+    private record Put(String key, byte[] value, Consumer<Boolean> done) {
+    }
+
+    private record Found(long seq, long batch, long floor, int next, String key, byte[] value) {
+    }
+
+    private final Segments segments;
+    private final Map<String, byte[]> table = new HashMap<>();
+    private final Map<String, Place> places = new HashMap<>();
+    private final List<Set<String>> keysIn = new ArrayList<>();
+    private final long[] firstSeq;
+    private final long[] liveIn;
+    private final ArrayDeque<Put> waiting = new ArrayDeque<>();
+    private State state = State.OPEN;
+    private boolean blank = true;
+    private boolean committing;
+    private long nextSeq = 1;
+    private long floorSeq = 1;
+    private int head;
+    private int at;
+    private long liveBytes;
+    private long commits;
+
+    /** Opens the files and reads what is live. Example: {@code Ring ring = new Ring(segments); if (ring.blank()) ...} */
+    public Ring(final Segments segments) {
+        this.segments = segments;
+        this.firstSeq = new long[segments.count()];
+        this.liveIn = new long[segments.count()];
+        for (int i = 0; i < segments.count(); i++) {
+            keysIn.add(new HashSet<>());
+        }
+        open();
+    }
+
+    /** True when nothing valid was found. Example: {@code if (ring.blank()) identity = fresh();} */
+    public boolean blank() {
+        return blank;
+    }
+
+    /** The ring's state. Example: {@code if (ring.state() == Ring.State.BROKEN) stopVoting();} */
+    public State state() {
+        return state;
+    }
+
+    /** How many commits went down. Example: {@code syncs = ring.commits() - before;} */
+    public long commits() {
+        return commits;
+    }
+
+    /** Bytes of live records as a share of what fits. Example: {@code ring.fill() > 0.8} */
+    public double fill() {
+        return (double) liveBytes / limitBytes();
+    }
+
+    /** All live entries. Example: {@code ring.table().forEach(this::load);} */
+    public Map<String, byte[]> table() {
+        return table;
+    }
+
+    /** Puts a value, or drops the key when it is null; done tells whether it is synced.
+     * Example: {@code ring.put("duty/usage_report", bytes, ok -> answer(ok));} */
+    public void put(final String key, final byte[] value, final Consumer<Boolean> done) {
+        if (state == State.BROKEN || value != null && oversize(key, value)) {
+            done.accept(false);
+            return;
+        }
+        waiting.add(new Put(key, value, done));
+        if (!committing) {
+            commit();
+        }
+    }
+
+    private boolean oversize(final String key, final byte[] value) {
+        final int bytes = recordBytes(key, value);
+        final boolean full = liveBytes + bytes > limitBytes() || bytes > segments.sizeBytes();
+        change(full ? State.FULL : State.OPEN);
+        return full;
+    }
+
+    private void change(final State to) {
+        if (state != State.BROKEN) {
+            state = to;
+        }
+    }
+
+    private long limitBytes() {
+        return (long) (segments.count() - SPARE_SEGMENTS - 1) * segments.sizeBytes() * 3 / 4;
+    }
+
+    private static int recordBytes(final String key, final byte[] value) {
+        return HEAD_BYTES + 2 + key.getBytes(StandardCharsets.UTF_8).length + 1 + (value == null ? 0 : value.length);
+    }
+
+    private void commit() {
+        final List<Put> batch = new ArrayList<>();
+        final List<Segments.Piece> pieces = new ArrayList<>();
+        final long batchSeq = nextSeq;
+        int batchBytes = 0;
+        while (!waiting.isEmpty() && batchBytes < segments.sizeBytes() / 2) {
+            final Put put = waiting.poll();
+            batch.add(put);
+            batchBytes += recordBytes(put.key, put.value);
+            write(put.key, put.value, batchSeq, pieces);
+        }
+        reclaim(batchSeq, pieces);
+        committing = true;
+        segments.commit(pieces, ok -> {
+            committing = false;
+            commits++;
+            if (!ok) {
+                change(State.BROKEN);
+            }
+            for (final Put put : batch) {
+                put.done.accept(ok);
+            }
+            if (state == State.BROKEN) {
+                while (!waiting.isEmpty()) {
+                    waiting.poll().done.accept(false);
+                }
+            } else if (!committing && !waiting.isEmpty()) {
+                commit();
+            }
+        });
+    }
+
+    private void write(final String key, final byte[] value, final long batchSeq, final List<Segments.Piece> pieces) {
+        final int bytes = recordBytes(key, value);
+        if (at + bytes > segments.sizeBytes()) {
+            head = (head + 1) % segments.count();
+            at = 0;
+            firstSeq[head] = nextSeq;
+        }
+        pieces.add(new Segments.Piece(head, at, encode(nextSeq++, batchSeq, key, value)));
+        at += bytes;
+        index(key, value, head, bytes);
+    }
+
+    /** Keeps the spare files ahead of the head free by writing what lives in the oldest one again. */
+    private void reclaim(final long batchSeq, final List<Segments.Piece> pieces) {
+        int turns = 0;
+        while (usedSegments() > segments.count() - SPARE_SEGMENTS && turns++ < segments.count()) {
+            final int oldest = oldest();
+            for (final String key : List.copyOf(keysIn.get(oldest))) {
+                write(key, table.get(key), batchSeq, pieces);
+            }
+            firstSeq[oldest] = 0;
+            floorSeq = firstSeq[oldest()];
+        }
+    }
+
+    private int usedSegments() {
+        int used = 0;
+        for (final long first : firstSeq) {
+            used += first > 0 ? 1 : 0;
+        }
+        return used;
+    }
+
+    private int oldest() {
+        int oldest = head;
+        for (int i = 0; i < firstSeq.length; i++) {
+            if (firstSeq[i] > 0 && firstSeq[i] < firstSeq[oldest]) {
+                oldest = i;
+            }
+        }
+        return oldest;
+    }
+
+    private void index(final String key, final byte[] value, final int segment, final int bytes) {
+        final Place had = places.remove(key);
+        if (had != null) {
+            keysIn.get(had.segment).remove(key);
+            liveIn[had.segment] -= had.bytes;
+            liveBytes -= had.bytes;
+        }
+        if (value == null) {
+            // The record of the drop lies behind every older record of the key, so it may go when its file is freed.
+            table.remove(key);
+            return;
+        }
+        table.put(key, value);
+        places.put(key, new Place(segment, bytes));
+        keysIn.get(segment).add(key);
+        liveIn[segment] += bytes;
+        liveBytes += bytes;
+    }
+
+    private byte[] encode(final long seq, final long batchSeq, final String key, final byte[] value) {
+        try {
+            final ByteArrayOutputStream payload = new ByteArrayOutputStream();
+            final DataOutputStream out = new DataOutputStream(payload);
+            out.writeUTF(key);
+            out.writeBoolean(value != null);
+            if (value != null) {
+                out.write(value);
+            }
+            final byte[] body = payload.toByteArray();
+            final ByteBuffer all = ByteBuffer.allocate(HEAD_BYTES + body.length);
+            all.putInt(MAGIC).putLong(seq).putLong(batchSeq).putLong(floorSeq).putInt(body.length);
+            all.putInt(crc(seq, batchSeq, floorSeq, body, 0, body.length)).put(body);
+            return all.array();
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static int crc(final long seq, final long batch, final long floor, final byte[] in, final int from,
+            final int length) {
+        final CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(24).putLong(seq).putLong(batch).putLong(floor).flip());
+        crc.update(in, from, length);
+        return (int) crc.getValue();
+    }
+
+    private static Found record(final byte[] in, final int from) {
+        if (from + HEAD_BYTES > in.length) {
+            return null;
+        }
+        final ByteBuffer b = ByteBuffer.wrap(in, from, in.length - from);
+        if (b.getInt() != MAGIC) {
+            return null;
+        }
+        final long seq = b.getLong();
+        final long batch = b.getLong();
+        final long floor = b.getLong();
+        final int length = b.getInt();
+        final int crc = b.getInt();
+        final int body = from + HEAD_BYTES;
+        if (length < 3 || length > in.length - body || crc(seq, batch, floor, in, body, length) != crc) {
+            return null;
+        }
+        final int keyBytes = b.getShort() & 0xffff;
+        final String key = new String(in, body + 2, keyBytes, StandardCharsets.UTF_8);
+        final int valueAt = body + 2 + keyBytes + 1;
+        final byte[] value = in[valueAt - 1] == 0 ? null : java.util.Arrays.copyOfRange(in, valueAt, body + length);
+        return new Found(seq, batch, floor, body + length, key, value);
+    }
+
+    private void open() {
+        final List<List<Found>> chains = new ArrayList<>();
+        long newestBatch = 0;
+        for (int i = 0; i < segments.count(); i++) {
+            final byte[] in = segments.read(i);
+            if (in == null) {
+                change(State.BROKEN);
+                return;
+            }
+            final List<Found> chain = new ArrayList<>();
+            Found found = record(in, 0);
+            while (found != null && (chain.isEmpty() || found.seq == chain.get(chain.size() - 1).seq + 1)) {
+                chain.add(found);
+                found = record(in, found.next);
+            }
+            chains.add(chain);
+            newestBatch = Math.max(newestBatch, newestBatchAfter(in, chain));
+        }
+        final List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < chains.size(); i++) {
+            if (!chains.get(i).isEmpty()) {
+                order.add(i);
+            }
+        }
+        order.sort(Comparator.comparingLong(i -> chains.get(i).get(0).seq));
+        if (!order.isEmpty()) {
+            replay(chains, order, newestBatch);
+        }
+    }
+
+    /** The newest batch mark anywhere in a file, also behind a hole. */
+    private static long newestBatchAfter(final byte[] in, final List<Found> chain) {
+        long newest = 0;
+        int from = 0;
+        while (from + HEAD_BYTES <= in.length) {
+            if (in[from] != 0x53) {
+                from++;
+                continue;
+            }
+            final Found found = record(in, from);
+            if (found == null) {
+                from++;
+            } else {
+                newest = Math.max(newest, found.batch);
+                from = found.next;
+            }
+        }
+        return newest;
+    }
+
+    private void replay(final List<List<Found>> chains, final List<Integer> order, final long newestBatch) {
+        final List<Found> lastChain = chains.get(order.get(order.size() - 1));
+        final Found last = lastChain.get(lastChain.size() - 1);
+        // Files before the floor are leftovers of an earlier lap; from the floor on there must be no hole.
+        long expect = -1;
+        boolean whole = true;
+        final List<Integer> live = new ArrayList<>();
+        for (final int i : order) {
+            final List<Found> chain = chains.get(i);
+            if (chain.get(chain.size() - 1).seq < last.floor) {
+                continue;
+            }
+            final long first = chain.get(0).seq;
+            whole &= expect < 0 ? first <= last.floor : first == expect;
+            expect = chain.get(chain.size() - 1).seq + 1;
+            live.add(i);
+        }
+        // A later batch than the cut means that what is missing had been synced.
+        whole &= newestBatch <= last.seq + 1;
+        if (!whole) {
+            return;
+        }
+        blank = false;
+        for (final int i : live) {
+            firstSeq[i] = chains.get(i).get(0).seq;
+            int from = 0;
+            for (final Found found : chains.get(i)) {
+                index(found.key, found.value, i, found.next - from);
+                from = found.next;
+            }
+            head = i;
+            at = from;
+        }
+        nextSeq = last.seq + 1;
+        floorSeq = last.floor;
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rpc/Calls.java
@@ -0,0 +1,75 @@
+package spokestall.rpc;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The calls of the one schema file, each checked against it before it is carried out. */
+public final class Calls {
+    /** Carries one call out. */
+    public interface Call {
+        /** Example: {@code calls.on("status", (params, done) -> done.accept(reply));} */
+        void run(JsonNode params, Consumer<Reply> done);
+    }
+
+    private final JsonNode file;
+    private final Map<String, JsonSchema> schemas = new LinkedHashMap<>();
+    private final Map<String, Call> calls = new TreeMap<>();
+
+    /** Reads the schema file in the program. Example: {@code Calls calls = new Calls();} */
+    public Calls() {
+        try (InputStream in = Calls.class.getResourceAsStream("/spokestall.schema.json")) {
+            file = new ObjectMapper().readTree(in);
+        } catch (final IOException e) {
+            throw new IllegalStateException("the schema file can't be read", e);
+        }
+        file.path("methods").fields().forEachRemaining(e -> schemas.put(e.getKey(),
+                JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                        .getSchema(e.getValue().path("params"))));
+    }
+
+    /** The schema file. Example: {@code calls.file().at("/$defs/policy")} */
+    public JsonNode file() {
+        return file;
+    }
+
+    /** Example: {@code calls.on("status", this::status);} */
+    public void on(final String method, final Call call) {
+        if (!schemas.containsKey(method)) {
+            throw new IllegalStateException(method + " is not in the schema file");
+        }
+        calls.put(method, call);
+    }
+
+    /** Checks and runs a call. Example: {@code calls.run("policy.get", params, reply -> ...);} */
+    public void run(final String method, final JsonNode params, final Consumer<Reply> done) {
+        final Call call = calls.get(method);
+        if (call == null) {
+            final Result why = schemas.containsKey(method) ? Result.NOT_READY : Result.UNKNOWN_METHOD;
+            done.accept(Reply.of(why, null));
+            return;
+        }
+        final Set<ValidationMessage> troubles = schemas.get(method).validate(params);
+        if (!troubles.isEmpty()) {
+            final ObjectNode out = file.isObject() ? ((ObjectNode) file).objectNode() : null;
+            final ArrayNode list = out.putArray("troubles");
+            troubles.forEach(t -> list.addObject().put("pointer", t.getInstanceLocation().toString())
+                    .put("reason", t.getMessage()));
+            done.accept(Reply.of(Result.BAD_PARAMS, out));
+            return;
+        }
+        call.run(params, done);
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -0,0 +1,270 @@
+package spokestall.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * A node's settings: defaults, then the file, then flags. Spans inside the code are ratios to the bounds given here.
+ */
+public final class Settings {
+    /** One thing wrong with the settings. */
+    public record Trouble(String key, String reason) {
+        @Override
+        public String toString() {
+            return key + ": " + reason;
+        }
+    }
+
+    /** Either settings that may be used, or all that is wrong with them. */
+    public sealed interface Read {
+        /** Usable settings. */
+        record Good(Settings settings) implements Read {
+        }
+
+        /** Every trouble found. */
+        record Bad(List<Trouble> troubles) implements Read {
+        }
+    }
+
+    private record Key(String fallback, String what, Kind kind, double least, double most) {
+    }
+
+    private enum Kind { TEXT, NUMBER, ADDRESS, ADDRESSES, DISTRICTS }
+
+    private static final Map<String, Key> KEYS = new LinkedHashMap<>();
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    static {
+        text("name", null, "this node's name, unique in the fleet");
+        add("address", null, "IP and port that other nodes reach", Kind.ADDRESS, 0, 0);
+        add("http", null, "IP and port that callers and operators reach", Kind.ADDRESS, 0, 0);
+        text("district", null, "the district this node is in");
+        add("districts", null, "all districts with their regions, as d1=r1,d2=r1", Kind.DISTRICTS, 0, 0);
+        add("seeds", null, "three addresses of other nodes, comma between", Kind.ADDRESSES, 0, 0);
+        text("data", "", "the data folder; needed by a core");
+        add("platform", null, "IP and port of the platform", Kind.ADDRESS, 0, 0);
+        number("cores", 6, "cores in the fleet", 1, 63);
+        number("edges", 6, "edges in the fleet; shared bounds are divided by it", 1, 1024);
+        number("keyBoundMs", 5000, "a withdrawn key must stop within this", 500, 60_000);
+        number("policyBoundMs", 3500, "an accepted policy must be in force within this", 500, 60_000);
+        number("leaveBoundMs", 4000, "a leaving upstream or held district must be empty within this", 500, 60_000);
+        number("reportWindowS", 5, "length of a usage window", 1, 3600);
+        number("reportDueMs", 10_000, "a window's counts must be in within this after its end", 1000, 600_000);
+        number("dutiesPerS", 2, "calls a second that the platform takes for duties", 0.1, 1000);
+        number("leaseMs", 2500, "the lease on a duty", 200, 600_000);
+        number("maxRunMs", 600_000, "the longest one acquisition may work", 1000, 86_400_000);
+        number("farMs", 110, "the longest round trip between two nodes that is not trouble", 1, 5000);
+        number("claimKeepMs", 600_000, "how long run-once claims are kept", 10_000, 86_400_000);
+        number("retryShare", 0.2, "retries as a share of a service's asks", 0, 1);
+        number("retryAllowance", 12, "retries the whole fleet may begin beyond that share", 0, 1000);
+        number("warmRatio", 1.2, "what a cold upstream gets, over its ramp", 0.1, 1.5);
+        number("askOpenMax", 2000, "asks in flight at one edge", 1, 1_000_000);
+        number("askSpanMaxMs", 30_000, "the longest an ask may take", 100, 600_000);
+        number("policyMaxBytes", 8 << 20, "the largest policy", 1024, 30 << 20);
+        number("ringSegments", 8, "files in the ring", 6, 1024);
+        number("ringSegmentBytes", 8 << 20, "size of each", 1 << 16, 1 << 30);
+        number("workers", 4, "worker threads", 1, 256);
+        number("stopWaitMs", 3000, "how long a clean stop lets go what is in flight", 0, 600_000);
+    }
+
+    private final Map<String, String> values;
+
+    private Settings(final Map<String, String> values) {
+        this.values = values;
+    }
+
+    private static void add(final String key, final String fallback, final String what, final Kind kind,
+            final double least, final double most) {
+        KEYS.put(key, new Key(fallback, what, kind, least, most));
+    }
+
+    private static void text(final String key, final String fallback, final String what) {
+        add(key, fallback, what, Kind.TEXT, 0, 0);
+    }
+
+    private static void number(final String key, final double fallback, final String what, final double least,
+            final double most) {
+        final String text = fallback == Math.rint(fallback) ? Long.toString((long) fallback) : "" + fallback;
+        add(key, text, what, Kind.NUMBER, least, most);
+    }
+
+    /** The settings page of the help. Example: {@code System.out.print(Settings.help());} */
+    public static String help() {
+        final StringBuilder out = new StringBuilder();
+        KEYS.forEach((key, k) -> out.append(String.format("  %-17s %s%s%n", key, k.what,
+                k.fallback == null ? " (must be given)" : k.fallback.isEmpty() ? "" : " [" + k.fallback + "]")));
+        return out.toString();
+    }
+
+    /** Reads a file and flags, which win over it. Example: {@code Settings.read(path, Map.of("name", "d1-core"), true)} */
+    public static Read read(final Path file, final Map<String, String> flags, final boolean core) {
+        final List<Trouble> troubles = new ArrayList<>();
+        final Map<String, String> values = new TreeMap<>();
+        KEYS.forEach((key, k) -> values.put(key, k.fallback));
+        if (file != null) {
+            readFile(file, values, troubles);
+        }
+        flags.forEach((key, value) -> put(key, value, values, troubles));
+        KEYS.forEach((key, k) -> check(key, k, values.get(key), troubles));
+        if (troubles.isEmpty()) {
+            checkTogether(values, core, troubles);
+        }
+        return troubles.isEmpty() ? new Read.Good(new Settings(values)) : new Read.Bad(troubles);
+    }
+
+    private static void readFile(final Path file, final Map<String, String> values, final List<Trouble> troubles) {
+        try {
+            final JsonNode tree = JSON.readTree(Files.readAllBytes(file));
+            if (tree == null || !tree.isObject()) {
+                troubles.add(new Trouble("settings", file + " is not a JSON object"));
+                return;
+            }
+            tree.fields().forEachRemaining(e -> {
+                if (e.getValue().isContainerNode()) {
+                    troubles.add(new Trouble(e.getKey(), "must be a text or a number"));
+                } else {
+                    put(e.getKey(), e.getValue().asText(), values, troubles);
+                }
+            });
+        } catch (final IOException e) {
+            troubles.add(new Trouble("settings", "can't read " + file + " as JSON: " + e.getMessage().split("\n")[0]));
+        }
+    }
+
+    private static void put(final String key, final String value, final Map<String, String> values,
+            final List<Trouble> troubles) {
+        if (KEYS.containsKey(key)) {
+            values.put(key, value);
+        } else {
+            troubles.add(new Trouble(key, "no such setting"));
+        }
+    }
+
+    private static void check(final String key, final Key k, final String value, final List<Trouble> troubles) {
+        if (value == null) {
+            troubles.add(new Trouble(key, "must be given: " + k.what));
+            return;
+        }
+        switch (k.kind) {
+            case NUMBER -> {
+                try {
+                    final double n = Double.parseDouble(value);
+                    if (!(n >= k.least && n <= k.most)) {
+                        troubles.add(new Trouble(key, value + " is not between " + k.least + " and " + k.most));
+                    }
+                } catch (final NumberFormatException e) {
+                    troubles.add(new Trouble(key, "'" + value + "' is not a number"));
+                }
+            }
+            case ADDRESS -> address(key, value, troubles);
+            case ADDRESSES -> {
+                final String[] all = value.split(",", -1);
+                if (all.length != 3) {
+                    troubles.add(new Trouble(key, "needs three addresses, has " + all.length));
+                }
+                for (final String one : all) {
+                    address(key, one, troubles);
+                }
+            }
+            case DISTRICTS -> {
+                if (!value.matches("[^=,]+=[^=,]+(,[^=,]+=[^=,]+)*")) {
+                    troubles.add(new Trouble(key, "'" + value + "' is not of the form d1=r1,d2=r1"));
+                }
+            }
+            default -> {
+                if (key.equals("name") && !value.matches("[A-Za-z0-9._-]{1,64}")) {
+                    troubles.add(new Trouble(key, "'" + value + "' has other than letters, digits, . _ -"));
+                }
+            }
+        }
+    }
+
+    private static void address(final String key, final String value, final List<Trouble> troubles) {
+        final boolean four = value.matches("(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}");
+        boolean good = four;
+        if (four) {
+            for (final String part : value.substring(0, value.indexOf(':')).split("\\.")) {
+                good &= Integer.parseInt(part) < 256;
+            }
+            final int port = Integer.parseInt(value.substring(value.indexOf(':') + 1));
+            good &= port > 0 && port < 65536;
+        }
+        if (!good) {
+            troubles.add(new Trouble(key, "'" + value + "' is not an IP number and port like 10.0.0.1:7100"));
+        }
+    }
+
+    private static void checkTogether(final Map<String, String> values, final boolean core,
+            final List<Trouble> troubles) {
+        final Settings s = new Settings(values);
+        if (!s.districts().containsKey(s.text("district"))) {
+            troubles.add(new Trouble("district", "'" + s.text("district") + "' is not among districts"));
+        }
+        if (core && s.text("data").isEmpty()) {
+            troubles.add(new Trouble("data", "a core needs a data folder"));
+        }
+        if (s.text("address").equals(s.text("http"))) {
+            troubles.add(new Trouble("http", "is the same as address"));
+        }
+        if (s.ms("leaseMs") < 8 * s.ms("farMs")) {
+            troubles.add(new Trouble("leaseMs", "must be at least 8 x farMs, to be renewed in time"));
+        }
+        if (s.ms("reportDueMs") < 3 * s.ms("leaseMs")) {
+            troubles.add(new Trouble("reportDueMs", "must be at least 3 x leaseMs, for a takeover to fit in"));
+        }
+    }
+
+    /** A text. Example: {@code settings.text("name")} */
+    public String text(final String key) {
+        return values.get(key);
+    }
+
+    /** A span or count. Example: {@code settings.ms("leaseMs")} */
+    public long ms(final String key) {
+        return (long) number(key);
+    }
+
+    /** A number. Example: {@code settings.number("retryShare")} */
+    public double number(final String key) {
+        return Double.parseDouble(values.get(key));
+    }
+
+    /** A share of a span. Example: {@code settings.part("keyBoundMs", 0.5)} */
+    public long part(final String key, final double ratio) {
+        return Math.max(1, Math.round(number(key) * ratio));
+    }
+
+    /** The seeds. Example: {@code settings.seeds().get(0)} */
+    public List<String> seeds() {
+        return List.of(text("seeds").split(","));
+    }
+
+    /** Every district with its region. Example: {@code settings.districts().get("d1")} */
+    public Map<String, String> districts() {
+        final Map<String, String> found = new TreeMap<>();
+        for (final String one : text("districts").split(",")) {
+            found.put(one.substring(0, one.indexOf('=')), one.substring(one.indexOf('=') + 1));
+        }
+        return found;
+    }
+
+    /** Every region. Example: {@code settings.regions().contains("r1")} */
+    public Set<String> regions() {
+        return new TreeSet<>(districts().values());
+    }
+
+    /** This node's region. Example: {@code settings.region()} */
+    public String region() {
+        return districts().get(text("district"));
+    }
+}
