--- /dev/null
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -0,0 +1,252 @@
+package spokestall.wire;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.lang.reflect.Constructor;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Writes records as {@code DataOutputStream} fields in the order they are declared, and reads them back. */
+public final class Codec {
+    /** No list, text or byte field may say it is longer than this. */
+    public static final int FIELD_MAX = 32 << 20;
+    private static final Map<Integer, Class<? extends Record>> BY_NUMBER = new HashMap<>();
+    private static final Map<Class<?>, Integer> BY_CLASS = new HashMap<>();
+    private static final ClassValue<Shape> SHAPES = new ClassValue<>() {
+        @Override
+        protected Shape computeValue(final Class<?> type) {
+            return new Shape(type);
+        }
+    };
+
+    private Codec() {
+    }
+
+    /** Gives a kind of note its number. Example: {@code Codec.number(7, Beat.class);} */
+    public static synchronized void number(final int number, final Class<? extends Record> type) {
+        final Class<? extends Record> had = BY_NUMBER.put(number, type);
+        if (had != null && had != type) {
+            throw new IllegalStateException("number " + number + " given twice");
+        }
+        BY_CLASS.put(type, number);
+    }
+
+    /** A numbered note as bytes. Example: {@code byte[] frame = Codec.note(beat);} */
+    public static byte[] note(final Note note) {
+        final Integer number = BY_CLASS.get(note.getClass());
+        if (number == null) {
+            throw new IllegalStateException("no number for " + note.getClass());
+        }
+        return bytes(number, note);
+    }
+
+    /** Reads a numbered note; throws on anything odd. Example: {@code Note note = Codec.note(frame);} */
+    public static Note note(final byte[] frame) throws IOException {
+        final DataInputStream in = new DataInputStream(new ByteArrayInputStream(frame));
+        final Class<? extends Record> type = BY_NUMBER.get((int) in.readShort());
+        if (type == null) {
+            throw new IOException("unknown note");
+        }
+        final Note note = (Note) read(in, type);
+        if (in.available() > 0) {
+            throw new IOException("bytes left over after " + type.getSimpleName());
+        }
+        return note;
+    }
+
+    /** A record alone as bytes. Example: {@code byte[] value = Codec.bytes(lease);} */
+    public static byte[] bytes(final Record record) {
+        return bytes(-1, record);
+    }
+
+    /** Reads a record alone. Example: {@code Lease lease = Codec.record(value, Lease.class);} */
+    public static <T extends Record> T record(final byte[] bytes, final Class<T> type) {
+        try {
+            return type.cast(read(new DataInputStream(new ByteArrayInputStream(bytes)), type));
+        } catch (final IOException e) {
+            throw new IllegalArgumentException("not a " + type.getSimpleName(), e);
+        }
+    }
+
+    private static byte[] bytes(final int number, final Object record) {
+        try {
+            final ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+            final DataOutputStream out = new DataOutputStream(bytes);
+            if (number >= 0) {
+                out.writeShort(number);
+            }
+            write(out, record.getClass(), record);
+            return bytes.toByteArray();
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void write(final DataOutputStream out, final Type type, final Object value) throws IOException {
+        if (type == long.class) {
+            out.writeLong((Long) value);
+        } else if (type == int.class) {
+            out.writeInt((Integer) value);
+        } else if (type == double.class) {
+            out.writeDouble((Double) value);
+        } else if (type == boolean.class) {
+            out.writeBoolean((Boolean) value);
+        } else if (type instanceof ParameterizedType p) {
+            writeMany(out, p, value);
+        } else {
+            out.writeBoolean(value != null);
+            if (value != null) {
+                writePresent(out, (Class<?>) type, value);
+            }
+        }
+    }
+
+    private static void writeMany(final DataOutputStream out, final ParameterizedType p, final Object value)
+            throws IOException {
+        if (p.getRawType() == List.class) {
+            final List<?> list = (List<?>) value;
+            out.writeInt(list.size());
+            for (final Object o : list) {
+                write(out, boxed(p.getActualTypeArguments()[0]), o);
+            }
+        } else {
+            final Map<?, ?> map = (Map<?, ?>) value;
+            out.writeInt(map.size());
+            for (final Map.Entry<?, ?> e : map.entrySet()) {
+                write(out, boxed(p.getActualTypeArguments()[0]), e.getKey());
+                write(out, boxed(p.getActualTypeArguments()[1]), e.getValue());
+            }
+        }
+    }
+
+    private static Type boxed(final Type type) {
+        return type == Long.class ? long.class : type == Integer.class ? int.class : type;
+    }
+
+    private static void writePresent(final DataOutputStream out, final Class<?> type, final Object value)
+            throws IOException {
+        if (type == String.class) {
+            final byte[] utf = ((String) value).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            out.writeInt(utf.length);
+            out.write(utf);
+        } else if (type == byte[].class) {
+            out.writeInt(((byte[]) value).length);
+            out.write((byte[]) value);
+        } else if (type.isEnum()) {
+            out.writeByte(((Enum<?>) value).ordinal());
+        } else {
+            SHAPES.get(type).write(out, value);
+        }
+    }
+
+    private static Object read(final DataInputStream in, final Type type) throws IOException {
+        if (type == long.class) {
+            return in.readLong();
+        } else if (type == int.class) {
+            return in.readInt();
+        } else if (type == double.class) {
+            return in.readDouble();
+        } else if (type == boolean.class) {
+            return in.readBoolean();
+        } else if (type instanceof ParameterizedType p) {
+            return readMany(in, p);
+        }
+        return in.readBoolean() ? readPresent(in, (Class<?>) type) : null;
+    }
+
+    private static Object readMany(final DataInputStream in, final ParameterizedType p) throws IOException {
+        final int size = size(in);
+        if (p.getRawType() == List.class) {
+            final List<Object> list = new ArrayList<>(Math.min(size, 1024));
+            for (int i = 0; i < size; i++) {
+                list.add(read(in, boxed(p.getActualTypeArguments()[0])));
+            }
+            return list;
+        }
+        final Map<Object, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < size; i++) {
+            final Object key = read(in, boxed(p.getActualTypeArguments()[0]));
+            map.put(key, read(in, boxed(p.getActualTypeArguments()[1])));
+        }
+        return map;
+    }
+
+    private static int size(final DataInputStream in) throws IOException {
+        final int size = in.readInt();
+        if (size < 0 || size > FIELD_MAX || size > in.available()) {
+            throw new IOException("field of " + size + " bytes or entries");
+        }
+        return size;
+    }
+
+    private static Object readPresent(final DataInputStream in, final Class<?> type) throws IOException {
+        if (type == String.class || type == byte[].class) {
+            final byte[] bytes = new byte[size(in)];
+            in.readFully(bytes);
+            return type == byte[].class ? bytes : new String(bytes, java.nio.charset.StandardCharsets.UTF_8);
+        } else if (type.isEnum()) {
+            final int at = in.readUnsignedByte();
+            final Object[] values = type.getEnumConstants();
+            if (at >= values.length) {
+                throw new IOException("no such " + type.getSimpleName());
+            }
+            return values[at];
+        }
+        return SHAPES.get(type).read(in);
+    }
+
+    /** How a record's fields lie one after another. */
+    private static final class Shape {
+        private final RecordComponent[] parts;
+        private final Constructor<?> make;
+
+        Shape(final Class<?> type) {
+            parts = type.getRecordComponents();
+            if (parts == null) {
+                throw new IllegalStateException(type + " is no record");
+            }
+            final Class<?>[] types = new Class<?>[parts.length];
+            for (int i = 0; i < parts.length; i++) {
+                types[i] = parts[i].getType();
+                parts[i].getAccessor().setAccessible(true);
+            }
+            try {
+                make = type.getDeclaredConstructor(types);
+                make.setAccessible(true);
+            } catch (final NoSuchMethodException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        void write(final DataOutputStream out, final Object value) throws IOException {
+            try {
+                for (final RecordComponent part : parts) {
+                    Codec.write(out, part.getGenericType(), part.getAccessor().invoke(value));
+                }
+            } catch (final ReflectiveOperationException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        Object read(final DataInputStream in) throws IOException {
+            final Object[] values = new Object[parts.length];
+            for (int i = 0; i < parts.length; i++) {
+                values[i] = Codec.read(in, parts[i].getGenericType());
+            }
+            try {
+                return make.newInstance(values);
+            } catch (final ReflectiveOperationException e) {
+                throw new IOException("bad " + make.getDeclaringClass().getSimpleName(), e);
+            }
+        }
+    }
+}
