--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Judge.java
@@ -0,0 +1,210 @@
+package spokestall.proof;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Judges a run from outside, from what callers, upstreams and the platform saw. */
+final class Judge {
+    /** What came of one rule: how often it was looked at, how often broken, and the closest it came (1 = at the bound). */
+    static final class Tally {
+        long checks;
+        long broken;
+        double worst;
+        String worstWhat = "";
+        String first = "";
+    }
+
+    private final Sim sim;
+    private final Map<Rule, Tally> tallies = new EnumMap<>(Rule.class);
+
+    Judge(final Sim sim) {
+        this.sim = sim;
+        for (final Rule rule : Rule.values()) {
+            tallies.put(rule, new Tally());
+        }
+    }
+
+    Map<Rule, Tally> tallies() {
+        return tallies;
+    }
+
+    void violated(final Rule rule, final String what) {
+        check(rule, 2, what);
+    }
+
+    /** One look at a rule: share is how much of the bound was used up; above 1 it is broken. */
+    void check(final Rule rule, final double share, final String what) {
+        final Tally t = tallies.get(rule);
+        t.checks++;
+        if (share > t.worst) {
+            t.worst = share;
+            t.worstWhat = what;
+        }
+        if (share > 1) {
+            t.broken++;
+            if (t.first.isEmpty()) {
+                t.first = "at " + sim.nowMs() + ": " + what;
+            }
+            sim.trace("VIOLATION " + rule + " " + what);
+        }
+    }
+
+    /** Judges the whole ledger at the end of a run. */
+    void end(final World world) {
+        once(world);
+        told(world);
+        begun(world);
+        cold(world);
+        retries(world);
+        reports(world);
+    }
+
+    private void once(final World w) {
+        final Map<String, Integer> runs = new HashMap<>();
+        for (final World.Begun b : w.begun) {
+            final World.Asked asked = w.asked.get(b.askId());
+            if (asked != null && asked.kind.runOnce()) {
+                runs.merge(b.askId(), 1, Integer::sum);
+            }
+        }
+        runs.forEach((id, n) -> check(Rule.ONCE, n > 1 ? n : 0.5, id + " ran " + n + " times"));
+    }
+
+    private void told(final World w) {
+        final Map<String, List<Long>> begins = new HashMap<>();
+        for (final World.Begun b : w.begun) {
+            begins.computeIfAbsent(b.askId(), i -> new ArrayList<>()).add(b.atMs());
+        }
+        for (final World.Told t : w.told) {
+            final World.Asked asked = w.asked.get(t.askId());
+            if (t.ran() == spokestall.edge.Ran.NOT_RUN) {
+                boolean broken = false;
+                for (final long at : begins.getOrDefault(t.askId(), List.of())) {
+                    // A begin after the answer is the caller's own later go at it, if there was one before that begin.
+                    final boolean later = asked.sentMs.stream().anyMatch(s -> s >= t.atMs() && s <= at);
+                    broken |= !(at > t.atMs() && later);
+                }
+                check(Rule.NOT_RUN, broken ? 2 : 0, t.askId() + " told not run at " + t.atMs() + " begun at "
+                        + begins.get(t.askId()));
+            } else if (t.ran() == spokestall.edge.Ran.RAN) {
+                final boolean ran = begins.containsKey(t.askId());
+                final String want = "answer to " + t.askId() + " by " + t.instance();
+                final boolean own = ran && (t.body() == null && t.code() == 1002
+                        || t.body() != null && t.body().startsWith(want) && t.body().endsWith("whole"));
+                check(Rule.OWN_ANSWER, own ? 0 : 2, t.askId() + " got '" + t.body() + "'");
+            }
+        }
+    }
+
+    private void begun(final World w) {
+        for (final World.Begun b : w.begun) {
+            final World.Asked asked = w.asked.get(b.askId());
+            final List<String> home = Deployment.home(asked.tenantNumber());
+            check(Rule.HOME, home.contains(b.region()) && home.contains(b.edgeRegion()) ? 0 : 2,
+                    b.askId() + " of " + asked.kind.tenant() + " in " + b.edgeRegion() + " and " + b.region());
+            for (final World.Span span : w.withdrawn) {
+                if (span.what().equals(asked.kind.key()) && b.atMs() > span.fromMs() && b.atMs() < span.untilMs()) {
+                    check(Rule.KEY, (b.atMs() - span.fromMs()) / 5000.0, b.askId() + " with " + span.what() + " "
+                            + (b.atMs() - span.fromMs()) + " ms after");
+                }
+            }
+            for (final World.Span span : w.emptied) {
+                final boolean there = span.what().equals(b.instance()) || span.what().equals(b.district())
+                        || span.what().equals(b.edgeDistrict());
+                if (there && b.atMs() > span.fromMs() && b.atMs() < span.untilMs()) {
+                    check(Rule.LEAVING, (b.atMs() - span.fromMs()) / 5000.0, b.askId() + " to " + span.what() + " "
+                            + (b.atMs() - span.fromMs()) + " ms after");
+                }
+            }
+        }
+        for (final World.Span span : w.withdrawn) {
+            check(Rule.KEY, 0, span.what());
+        }
+        for (final World.Span span : w.emptied) {
+            check(Rule.LEAVING, 0, span.what());
+        }
+    }
+
+    /** In each second of its warm-up, at most one and a half times the ramp, plus a few. */
+    private void cold(final World w) {
+        final Map<String, Map<Long, Integer>> perSecond = new HashMap<>();
+        for (final World.Begun b : w.begun) {
+            if (b.ageMs() < World.WARMUP_MS) {
+                perSecond.computeIfAbsent(b.instance() + "@" + (b.atMs() - b.ageMs()), i -> new TreeMap<>())
+                        .merge(b.ageMs() / 1000, 1, Integer::sum);
+            }
+        }
+        perSecond.forEach((life, seconds) -> seconds.forEach((second, n) -> {
+            final double most = 1.5 * World.WARM_PER_S * (second + 1) * 1000 / World.WARMUP_MS + 6;
+            check(Rule.COLD, n / most, life + " got " + n + " in second " + second + ", most " + most);
+        }));
+    }
+
+    private void retries(final World w) {
+        final Map<String, List<World.Gone>> byService = new TreeMap<>();
+        w.goes.forEach(g -> byService.computeIfAbsent(g.service(), s -> new ArrayList<>()).add(g));
+        byService.forEach((service, goes) -> {
+            int from = 0;
+            int first = 0;
+            int again = 0;
+            for (int to = 0; to < goes.size(); to++) {
+                final World.Gone g = goes.get(to);
+                first += g.turn() == 1 ? 1 : 0;
+                again += g.turn() > 1 ? 1 : 0;
+                while (g.atMs() - goes.get(from).atMs() > 10_000) {
+                    first -= goes.get(from).turn() == 1 ? 1 : 0;
+                    again -= goes.get(from).turn() > 1 ? 1 : 0;
+                    from++;
+                }
+                check(Rule.RETRIES, again / (0.2 * first + 20), again + " retries on " + first + " asks of " + service
+                        + " until " + g.atMs());
+            }
+        });
+    }
+
+    private void reports(final World w) {
+        final Map<Long, Map<String, Long>> counts = new HashMap<>();
+        final Map<Long, String> holderOf = new HashMap<>();
+        long newest = 0;
+        final Map<Long, Long> firstOf = new TreeMap<>();
+        for (final Ledger.Reported r : w.reported) {
+            final Map<String, Long> had = counts.putIfAbsent(r.window(), r.counts());
+            check(Rule.SAME_COUNTS, had == null || had.equals(r.counts()) ? 0 : 2, "window " + r.window() + " "
+                    + had + " and " + r.counts());
+            final String other = holderOf.putIfAbsent(r.token(), r.holder());
+            check(Rule.TOKEN, other == null || other.equals(r.holder()) ? 0 : 2, "token " + r.token() + " of " + other
+                    + " and " + r.holder());
+            check(Rule.TOKEN, r.token() >= newest ? 0 : 2, r.holder() + " with " + r.token() + " at " + r.atMs()
+                    + " after " + newest);
+            newest = Math.max(newest, r.token());
+            final long endMs = (r.window() + 1) * World.WINDOW_MS - World.EPOCH_MS;
+            if (firstOf.putIfAbsent(r.window(), r.atMs()) == null) {
+                check(Rule.IN_TIME, (r.atMs() - endMs) / 10_000.0, "window " + r.window() + " came "
+                        + (r.atMs() - endMs) + " ms after its end");
+            }
+        }
+        final Map<Long, Map<String, Long>> truth = new TreeMap<>();
+        w.begun.forEach(b -> truth.computeIfAbsent((World.EPOCH_MS + b.atMs()) / World.WINDOW_MS, x -> new TreeMap<>())
+                .merge(w.asked.get(b.askId()).kind.tenant(), 1L, Long::sum));
+        truth.forEach((window, real) -> {
+            final long endMs = (window + 1) * World.WINDOW_MS - World.EPOCH_MS;
+            if (endMs + 10_000 > sim.nowMs() || w.outage(endMs - 5000, endMs + 10_000)) {
+                return;
+            }
+            final Map<String, Long> said = counts.get(window);
+            if (said == null) {
+                violated(Rule.IN_TIME, "window " + window + " ended at " + endMs + " and never came");
+                return;
+            }
+            final long sum = real.values().stream().mapToLong(Long::longValue).sum();
+            final long told = said.values().stream().mapToLong(Long::longValue).sum();
+            // A handful at the window's edges may fall to the neighbour window.
+            check(Rule.IN_TIME, Math.max(0, Math.abs(sum - told) - 3) / (0.05 * sum + 1), "window " + window
+                    + " has " + sum + ", told " + told);
+        });
+    }
+}
--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -2,7 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -24,6 +28,22 @@
         private boolean help;
     }
 
+    /** Flags of the simulator. */
+    static final class SimFlags {
+        @Option(name = "--scenario", usage = "one of the scenarios, or all")
+        private String scenario = "all";
+        @Option(name = "--deployment", usage = "padma, verde or both")
+        private String deployment = "both";
+        @Option(name = "--seeds", usage = "from-until")
+        private String seeds = "1-3";
+        @Option(name = "--threads", usage = "runs at the same time")
+        private int threads = 6;
+        @Option(name = "--trace", usage = "print the trace of the one run")
+        private boolean trace;
+        @Option(name = "--help", help = true, usage = "this page")
+        private boolean help;
+    }
+
     private Main() {
     }
 
@@ -34,8 +54,9 @@
         final String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
         final int code = switch (what) {
             case "fleet" -> fleet(rest);
+            case "sim" -> sim(rest);
             default -> {
-                System.err.println("proof fleet [--help]");
+                System.err.println("proof fleet|sim [--help]");
                 yield 2;
             }
         };
@@ -81,4 +102,39 @@
             return verdict == 0 && clean ? 0 : 1;
         }
     }
+
+    private static int sim(final String[] args) throws Exception {
+        final SimFlags flags = new SimFlags();
+        final CmdLineParser parser = new CmdLineParser(flags);
+        final List<Scenario> scenarios;
+        final List<Deployment> deployments;
+        final long from;
+        final long until;
+        try {
+            parser.parseArgument(args);
+            scenarios = flags.scenario.equals("all") ? List.of(Scenario.values())
+                    : List.of(Scenario.valueOf(flags.scenario.toUpperCase(Locale.ROOT)));
+            deployments = flags.deployment.equals("both") ? List.of(Deployment.values())
+                    : List.of(Deployment.valueOf(flags.deployment.toUpperCase(Locale.ROOT)));
+            from = Long.parseLong(flags.seeds.split("-")[0]);
+            until = Long.parseLong(flags.seeds.split("-")[1]);
+        } catch (final CmdLineException | IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            return 2;
+        }
+        if (flags.help) {
+            parser.printUsage(System.out);
+            System.out.println("scenarios: " + List.of(Scenario.values()));
+            return 0;
+        }
+        if (flags.trace) {
+            final SimRun run = new SimRun(from, deployments.get(0), scenarios.get(0), true, Map.of());
+            run.play();
+            System.out.print(run.world.sim.traced());
+            return 0;
+        }
+        Logger.getLogger("").setLevel(Level.OFF);
+        return Sweep.run(scenarios, deployments, from, until, flags.threads) == 0 ? 0 : 1;
+    }
 }
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -0,0 +1,252 @@
+package spokestall.proof;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** The brief's failures, each as a script that is played while asks flow; MIXED plays several at random. */
+enum Scenario {
+    CALM {
+        @Override
+        void play(final SimRun run) {
+            run.operator.bind();
+        }
+    },
+    UPSTREAM_CRASH {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 6; i++) {
+                run.later(i * 3000, () -> run.world.outside.stop(run.any(run.world.outside.running())));
+            }
+        }
+    },
+    ROLLING {
+        @Override
+        void play(final SimRun run) {
+            final List<SimOutside.Up> all = run.world.outside.running();
+            for (int i = 0; i < 12; i++) {
+                final SimOutside.Up old = all.get(i * 3);
+                run.later(i * 2000, () -> run.drain(old, true));
+            }
+        }
+    },
+    ADDRESS_PASSED {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 6; i++) {
+                run.later(i * 3000, () -> run.pass(run.any(run.world.outside.running())));
+            }
+        }
+    },
+    COLD_RETURN {
+        @Override
+        void play(final SimRun run) {
+            final List<SimOutside.Up> all = new ArrayList<>(run.world.outside.running());
+            for (int i = 0; i < all.size(); i += 2) {
+                final SimOutside.Up old = all.get(i);
+                run.world.outside.stop(old);
+                old.listed = false;
+                run.later(4000, () -> run.world.outside.replace(old));
+            }
+        }
+    },
+    BAD_ANSWERS {
+        @Override
+        void play(final SimRun run) {
+            final UpstreamStand.Manner[] all = UpstreamStand.Manner.values();
+            for (int i = 0; i < 8; i++) {
+                run.later(i * 2500, () -> {
+                    final SimOutside.Up up = run.any(run.world.outside.running());
+                    up.manner = all[1 + run.random.nextInt(all.length - 1)];
+                    run.later(5000, () -> up.manner = UpstreamStand.Manner.WELL);
+                });
+            }
+        }
+    },
+    NODE_KILLS {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 6; i++) {
+                run.later(i * 4000, () -> run.bounce(run.any(run.nodes()), 3000, false));
+            }
+        }
+    },
+    HOLDER_KILLS {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 4; i++) {
+                run.later(i * 8000 + run.random.nextInt(2000), () -> {
+                    final SimNode holder = run.world.holder();
+                    if (holder != null) {
+                        run.bounce(holder, 5000, false);
+                    }
+                });
+            }
+        }
+    },
+    DISTRICT_POWER {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 3; i++) {
+                run.later(i * 10_000, () -> {
+                    final String district = Deployment.district(run.random.nextInt(6));
+                    run.world.inDistrict(district).forEach(n -> run.bounce(n, 6000, true));
+                });
+            }
+        }
+    },
+    REGION_KILL {
+        @Override
+        void play(final SimRun run) {
+            final String region = Deployment.region(run.random.nextInt(6));
+            run.world.inRegion(region).forEach(n -> run.bounce(n, 15_000, true));
+            run.operator.bind();
+        }
+    },
+    RESTART_IN_TURN {
+        @Override
+        void play(final SimRun run) {
+            int i = 0;
+            for (final SimNode node : run.nodes()) {
+                run.later(i++ * 2500, () -> run.bounce(node, 1000, false));
+            }
+        }
+    },
+    RESTART_ALL {
+        @Override
+        void play(final SimRun run) {
+            run.outage(20_000);
+            run.nodes().forEach(n -> run.bounce(n, 2000, true));
+        }
+    },
+    DISK_LOST {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 3; i++) {
+                run.later(i * 9000, () -> run.loseDisk(run.any(run.world.cores()), 2000));
+            }
+        }
+    },
+    DISKS_LOST {
+        @Override
+        void play(final SimRun run) {
+            run.wiped = true;
+            run.outage(30_000);
+            final int many = 3 + run.random.nextInt(4);
+            final List<SimNode> cores = new ArrayList<>(run.world.cores());
+            java.util.Collections.shuffle(cores, run.random);
+            cores.subList(0, many).forEach(c -> run.loseDisk(c, 1000 + run.random.nextInt(1000)));
+        }
+    },
+    FREEZE {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 8; i++) {
+                run.later(i * 3500, () -> {
+                    final SimNode holder = run.world.holder();
+                    final SimNode node = holder != null && run.random.nextBoolean() ? holder : run.any(run.nodes());
+                    run.freeze(node, 500 + run.random.nextInt(9000));
+                });
+            }
+            run.operator.withdraw(5, 15_000);
+        }
+    },
+    DISK_STALLS {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 6; i++) {
+                run.later(i * 4000, () -> {
+                    final SimNode core = run.any(run.world.cores());
+                    core.disk.slow(100);
+                    core.disk.stall(1000 + run.random.nextInt(5000));
+                    run.later(8000, () -> core.disk.slow(2));
+                });
+            }
+            run.operator.bind();
+        }
+    },
+    DISK_FAILS {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 2; i++) {
+                run.later(i * 6000, () -> run.any(run.world.cores()).disk.fail(true));
+            }
+        }
+    },
+    CLOCK_JUMPS {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 6; i++) {
+                run.later(i * 4000, () -> {
+                    final SimNode node = run.any(run.nodes());
+                    node.jump((run.random.nextBoolean() ? 1 : -1) * 3_600_000L * (1 + run.random.nextInt(5)));
+                    if (run.random.nextBoolean()) {
+                        run.bounce(node, 1000, false);
+                    }
+                });
+            }
+        }
+    },
+    CUTS {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 4; i++) {
+                run.later(i * 7000, () -> run.cut(5000));
+            }
+            run.operator.withdraw(4, 20_000);
+            run.operator.bind();
+        }
+    },
+    SPLIT {
+        @Override
+        void play(final SimRun run) {
+            run.outage(20_000);
+            final List<SimNode> all = new ArrayList<>(run.nodes());
+            java.util.Collections.shuffle(all, run.random);
+            final int at = 3 + run.random.nextInt(7);
+            run.disturb(all, 12_000);
+            run.world.part(all.subList(0, at), all.subList(at, all.size()), true);
+            run.later(10_000, () -> run.world.net.heal());
+            run.operator.race();
+        }
+    },
+    LOSSY {
+        @Override
+        void play(final SimRun run) {
+            run.outage(30_000);
+            for (final SimNode node : run.nodes()) {
+                run.world.net.loss(node.address, 0.05 + 0.1 * run.random.nextDouble());
+                run.world.net.slow(node.address, run.random.nextInt(30));
+            }
+            run.disturb(run.nodes(), 22_000);
+            run.later(20_000, () -> run.world.net.heal());
+            run.operator.race();
+        }
+    },
+    OPERATORS {
+        @Override
+        void play(final SimRun run) {
+            for (int i = 0; i < 10; i++) {
+                run.later(i * 2000, () -> {
+                    run.operator.race();
+                    run.operator.wrong();
+                });
+            }
+            run.operator.grow(3000);
+            run.operator.withdraw(3, 8000);
+            run.operator.hold(Deployment.district(run.random.nextInt(6)), 10_000);
+            run.later(2000, () -> run.world.inDistrict("d3").forEach(n -> run.bounce(n, 5000, true)));
+        }
+    },
+    MIXED {
+        @Override
+        void play(final SimRun run) {
+            run.outage(run.playMs());
+            for (long at = 0; at < run.playMs(); at += 1500 + run.random.nextInt(2500)) {
+                run.later(at, () -> run.anything());
+            }
+        }
+    };
+
+    abstract void play(SimRun run);
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Sim.java
@@ -0,0 +1,73 @@
+package spokestall.proof;
+
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.zip.CRC32;
+
+/** Virtual time: events in the order of their time, and of their making when the time is the same. */
+final class Sim {
+    private record Event(long atMs, long number, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(final Event other) {
+            final int byTime = Long.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    private final long seed;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final CRC32 digest = new CRC32();
+    private final StringBuilder trace;
+    private long nowMs;
+    private long made;
+    private long ran;
+
+    Sim(final long seed, final boolean traced) {
+        this.seed = seed;
+        this.trace = traced ? new StringBuilder() : null;
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    /** A source of chance of its own for each part, so that a change in one leaves the others as they were. */
+    Random random(final String part) {
+        return new Random(seed * 0x9e3779b97f4a7c15L ^ (long) part.hashCode() << 17);
+    }
+
+    void at(final long atMs, final Runnable what) {
+        events.add(new Event(Math.max(atMs, nowMs), made++, what));
+    }
+
+    void after(final long waitMs, final Runnable what) {
+        at(nowMs + waitMs, what);
+    }
+
+    void run(final long untilMs) {
+        while (!events.isEmpty() && events.peek().atMs <= untilMs) {
+            final Event event = events.poll();
+            nowMs = event.atMs;
+            ran++;
+            event.what.run();
+        }
+        nowMs = untilMs;
+    }
+
+    /** Every line counts in the digest; it is kept only when the run is traced. */
+    void trace(final String line) {
+        final String whole = nowMs + " " + line + "\n";
+        digest.update(whole.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        if (trace != null) {
+            trace.append(whole);
+        }
+    }
+
+    String traced() {
+        return trace == null ? "" : trace.toString();
+    }
+
+    long digest() {
+        return digest.getValue() ^ ran << 32;
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/SimCallers.java
@@ -0,0 +1,179 @@
+package spokestall.proof;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import spokestall.edge.Answer;
+import spokestall.edge.AskHead;
+import spokestall.edge.Opened;
+import spokestall.edge.Ran;
+
+/** Callers that ask where to go, then ask, ask again when they may, and keep what they were told. */
+final class SimCallers {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long SPAN_MS = 5000;
+
+    private record Place(List<SimNode> edges, String ticket, long untilMs) {
+    }
+
+    private final World world;
+    private final Random random;
+    private final List<Deployment.Kind> kinds = new ArrayList<>();
+    private final Map<String, Place> places = new HashMap<>();
+    private int made;
+    private boolean asking;
+    private double rate;
+
+    SimCallers(final World world) {
+        this.world = world;
+        this.random = world.sim.random("callers");
+        this.rate = world.deployment.rate;
+        for (final Deployment.Kind k : world.deployment.kinds()) {
+            for (int i = 0; i < k.weight(); i++) {
+                kinds.add(k);
+            }
+        }
+    }
+
+    void start() {
+        asking = true;
+        next();
+    }
+
+    void stop() {
+        asking = false;
+    }
+
+    void rate(final double perS) {
+        rate = perS;
+    }
+
+    private void next() {
+        if (!asking) {
+            return;
+        }
+        world.sim.after((long) Math.max(1, -Math.log(1 - random.nextDouble()) * 1000 / rate), () -> {
+            final Deployment.Kind kind = world.any(kinds, random);
+            ask(kind, "client-" + random.nextInt(100), "a" + made++, 0, world.sim.nowMs());
+            next();
+        });
+    }
+
+    private void ask(final Deployment.Kind kind, final String who, final String id, final int turn,
+            final long begunMs) {
+        final String place = who + "/" + kind.key();
+        final Place known = places.get(place);
+        if (known != null && world.sim.nowMs() < known.untilMs) {
+            send(kind, who, id, turn, begunMs, known);
+            return;
+        }
+        final List<SimNode> up = world.nodes.values().stream().filter(SimNode::running).toList();
+        if (up.isEmpty()) {
+            return;
+        }
+        final SimNode node = world.any(up, random);
+        final boolean[] back = {false};
+        world.sim.after(1000, () -> {
+            if (!back[0]) {
+                back[0] = true;
+                again(kind, who, id, turn, begunMs, 50);
+            }
+        });
+        world.call(node, "where", JSON.createObjectNode().put("client", who).put("key", kind.key()), reply -> {
+            if (back[0]) {
+                return;
+            }
+            back[0] = true;
+            final JsonNode r = reply.fields();
+            if (reply.result().number() != 1000) {
+                again(kind, who, id, turn, begunMs, 300);
+                return;
+            }
+            final List<SimNode> edges = new ArrayList<>();
+            r.path("edges").forEach(e -> edges.add(world.nodes.get(e.path("name").asText())));
+            final Place found = new Place(edges, r.path("ticket").asText(), world.sim.nowMs() + r.path("forMs")
+                    .asLong());
+            places.put(place, found);
+            send(kind, who, id, turn, begunMs, found);
+        });
+    }
+
+    private void again(final Deployment.Kind kind, final String who, final String id, final int turn,
+            final long begunMs, final long waitMs) {
+        if (turn < 6 && world.sim.nowMs() + waitMs - begunMs < SPAN_MS) {
+            world.sim.after(waitMs, () -> ask(kind, who, id, turn + 1, begunMs));
+        }
+    }
+
+    private void send(final Deployment.Kind kind, final String who, final String id, final int turn,
+            final long begunMs, final Place place) {
+        final String askId = kind.runOnce() ? id : id + "." + turn;
+        final World.Asked asked = world.asked.computeIfAbsent(askId, i -> new World.Asked(askId, kind));
+        asked.sentMs.add(world.sim.nowMs());
+        final SimNode edge = place.edges.get(turn % place.edges.size());
+        final byte[] body = kind.runOnce() ? ("do " + id).getBytes(StandardCharsets.UTF_8) : new byte[0];
+        final long spanMs = SPAN_MS - (world.sim.nowMs() - begunMs);
+        final AskHead head = new AskHead(kind.runOnce() ? "POST" : "GET", kind.path(), "", kind.key(), askId, spanMs,
+                kind.runOnce() ? place.ticket : null, body.length, "text/plain");
+        final boolean[] back = {false};
+        final Runnable nothing = () -> {
+            if (!back[0]) {
+                back[0] = true;
+                places.remove(who + "/" + kind.key());
+                again(kind, who, id, turn, begunMs, 50);
+            }
+        };
+        world.sim.after(Math.min(spanMs, 2500), nothing);
+        world.sim.after(1 + random.nextInt(20), () -> {
+            if (!edge.up()) {
+                nothing.run();
+                return;
+            }
+            final long life = edge.life();
+            edge.run(life, () -> take(edge, life, head, body, answer -> {
+                if (!back[0]) {
+                    back[0] = true;
+                    told(kind, who, id, asked, turn, begunMs, answer);
+                }
+            }));
+        });
+    }
+
+    private void take(final SimNode edge, final long life, final AskHead head, final byte[] body,
+            final java.util.function.Consumer<Answer> done) {
+        final Opened opened = edge.node().edge().open(head);
+        if (opened instanceof Opened.Deny deny) {
+            world.sim.after(1 + random.nextInt(20), () -> done.accept(deny.answer()));
+            return;
+        }
+        final World.Asked asked = world.asked.get(head.askId());
+        world.judge.check(Rule.HOME, Deployment.home(asked.tenantNumber()).contains(edge.region) ? 0 : 2,
+                "body of " + head.askId() + " carried to " + edge.region);
+        // The body comes a little later than the head.
+        world.sim.after(1 + random.nextInt(5), () -> edge.run(life, () -> edge.node().edge().run(
+                ((Opened.Admit) opened).ask(), body, answer -> world.sim.after(1 + random.nextInt(20),
+                        () -> done.accept(answer)))));
+    }
+
+    private void told(final Deployment.Kind kind, final String who, final String id, final World.Asked asked,
+            final int turn, final long begunMs, final Answer answer) {
+        world.told.add(new World.Told(asked.askId, answer.result().number(), answer.ran(), answer.instance(),
+                answer.body() == null ? null : new String(answer.body(), StandardCharsets.UTF_8),
+                world.sim.nowMs()));
+        asked.ran |= answer.ran() == Ran.RAN;
+        asked.ended = true;
+        if (answer.ran() != Ran.RAN) {
+            places.remove(who + "/" + kind.key());
+            asked.undecided |= answer.ran() == Ran.UNDECIDED;
+            // A run-once ask is repeated too: the claim must keep it from running twice.
+            again(kind, who, id, turn, begunMs, Math.max(100, answer.retryAfterMs()));
+        } else if (kind.runOnce() && random.nextInt(50) == 0) {
+            again(kind, who, id, turn + 1, begunMs, 100);
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/SimDisk.java
@@ -0,0 +1,142 @@
+package spokestall.proof;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import spokestall.ring.Segments;
+
+/** A disk that keeps what was synced, may lose or tear what was not, stalls, fails and can be wiped. */
+final class SimDisk implements Segments {
+    private final Sim sim;
+    private final Random random;
+    private final int size;
+    private final byte[][] down;
+    private final List<Piece> flying = new ArrayList<>();
+    private long stalledUntilMs;
+    private long slowMs = 2;
+    private boolean failing;
+    private boolean full;
+    private long commits;
+
+    SimDisk(final Sim sim, final Random random, final int count, final int size) {
+        this.sim = sim;
+        this.random = random;
+        this.size = size;
+        this.down = new byte[count][size];
+    }
+
+    @Override
+    public int count() {
+        return down.length;
+    }
+
+    @Override
+    public int sizeBytes() {
+        return size;
+    }
+
+    @Override
+    public byte[] read(final int segment) {
+        return failing ? null : down[segment].clone();
+    }
+
+    @Override
+    public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+        throw new IllegalStateException("through a life only");
+    }
+
+    /** The same disk as seen by one life of a node: what comes back after its death is dropped. */
+    Segments life(final BooleanSupplier alive, final Consumer<Runnable> back) {
+        final SimDisk disk = this;
+        return new Segments() {
+            @Override
+            public int count() {
+                return disk.count();
+            }
+
+            @Override
+            public int sizeBytes() {
+                return disk.sizeBytes();
+            }
+
+            @Override
+            public byte[] read(final int segment) {
+                return disk.read(segment);
+            }
+
+            @Override
+            public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+                disk.commit(pieces, done, alive, back);
+            }
+        };
+    }
+
+    private void commit(final List<Piece> pieces, final Consumer<Boolean> done, final BooleanSupplier alive,
+            final Consumer<Runnable> back) {
+        commits++;
+        flying.addAll(pieces);
+        final long waitMs = Math.max(0, stalledUntilMs - sim.nowMs()) + 1 + random.nextInt((int) slowMs);
+        sim.after(waitMs, () -> {
+            if (!alive.getAsBoolean()) {
+                return;
+            }
+            final boolean ok = !failing && !full;
+            flying.removeAll(pieces);
+            if (ok) {
+                pieces.forEach(p -> System.arraycopy(p.bytes(), 0, down[p.segment()], p.at(), p.bytes().length));
+            }
+            back.accept(() -> done.accept(ok));
+        });
+    }
+
+    /** The power goes: each write that was not synced is there whole, in part, or not at all. */
+    void losePower() {
+        for (final Piece p : flying) {
+            final int kept = switch (random.nextInt(3)) {
+                case 0 -> 0;
+                case 1 -> random.nextInt(p.bytes().length + 1);
+                default -> p.bytes().length;
+            };
+            System.arraycopy(p.bytes(), 0, down[p.segment()], p.at(), kept);
+        }
+        flying.clear();
+    }
+
+    /** The process alone goes: what it had written is in the machine's memory and gets down. */
+    void loseProcess() {
+        flying.forEach(p -> System.arraycopy(p.bytes(), 0, down[p.segment()], p.at(), p.bytes().length));
+        flying.clear();
+    }
+
+    void wipe() {
+        flying.clear();
+        for (int i = 0; i < down.length; i++) {
+            down[i] = new byte[size];
+        }
+        failing = false;
+        full = false;
+    }
+
+    void stall(final long spanMs) {
+        stalledUntilMs = sim.nowMs() + spanMs;
+    }
+
+    void slow(final long ms) {
+        slowMs = Math.max(1, ms);
+    }
+
+    void fail(final boolean now) {
+        failing = now;
+    }
+
+    /** Turns a byte of what had been synced, as a bad sector would. */
+    void rot(final int segment, final int at) {
+        down[segment][at] ^= 0x55;
+    }
+
+    long commits() {
+        return commits;
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/SimNet.java
@@ -0,0 +1,105 @@
+package spokestall.proof;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import spokestall.wire.Codec;
+import spokestall.wire.Note;
+
+/** The network between places: distance between regions, cuts in one or both directions, loss and slowness. */
+final class SimNet {
+    private final Sim sim;
+    private final Random random;
+    private final long apartMs;
+    private final Map<String, String> regions = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Map<String, Double> lossy = new HashMap<>();
+    private final Map<String, Long> slowMs = new HashMap<>();
+    private long notes;
+    private long bytes;
+
+    SimNet(final Sim sim, final long apartMs) {
+        this.sim = sim;
+        this.random = sim.random("net");
+        this.apartMs = apartMs;
+    }
+
+    void place(final String who, final String region) {
+        regions.put(who, region);
+    }
+
+    void cut(final String from, final String to, final boolean now) {
+        if (now) {
+            cuts.add(from + ">" + to);
+        } else {
+            cuts.remove(from + ">" + to);
+        }
+    }
+
+    void cutBoth(final String one, final String two, final boolean now) {
+        cut(one, two, now);
+        cut(two, one, now);
+    }
+
+    void loss(final String who, final double share) {
+        lossy.put(who, share);
+    }
+
+    void slow(final String who, final long ms) {
+        slowMs.put(who, ms);
+    }
+
+    void heal() {
+        cuts.clear();
+        lossy.clear();
+        slowMs.clear();
+    }
+
+    boolean open(final String from, final String to) {
+        return !cuts.contains(from + ">" + to);
+    }
+
+    /** One way's time, or -1 when it is lost. TCP hides loss: what is lost on a lossy wire comes late. */
+    long wayMs(final String from, final String to) {
+        if (!open(from, to)) {
+            return -1;
+        }
+        final boolean far = !regions.getOrDefault(from, "?").equals(regions.getOrDefault(to, "?"));
+        long ms = (far ? apartMs / 2 : 0) + random.nextInt(3);
+        ms += slowMs.getOrDefault(from, 0L) + slowMs.getOrDefault(to, 0L);
+        final double loss = Math.max(lossy.getOrDefault(from, 0.0), lossy.getOrDefault(to, 0.0));
+        if (loss > 0 && random.nextDouble() < loss) {
+            return random.nextInt(4) == 0 ? -1 : ms + 200 + random.nextInt(400);
+        }
+        return ms;
+    }
+
+    /** Carries a note as the bytes it would be. */
+    void carry(final String from, final String to, final Note note, final java.util.function.Consumer<Note> arrive) {
+        final long ms = wayMs(from, to);
+        final byte[] frame = Codec.note(note);
+        notes++;
+        bytes += frame.length;
+        if (ms < 0) {
+            return;
+        }
+        sim.after(ms, () -> {
+            try {
+                arrive.accept(Codec.note(frame));
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    long notes() {
+        return notes;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/SimNode.java
@@ -0,0 +1,184 @@
+package spokestall.proof;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import spokestall.Node;
+import spokestall.settings.Settings;
+import spokestall.time.Clock;
+import spokestall.wire.Note;
+
+/** A machine that runs the real node: it can be killed, lose power or its disk, freeze, and have its clock jump. */
+final class SimNode {
+    final String name;
+    final boolean core;
+    final String district;
+    final String region;
+    final String address;
+    final String http;
+    final SimDisk disk;
+    private final World world;
+    private final Settings settings;
+    private final ArrayDeque<Runnable> held = new ArrayDeque<>();
+    private final long monotonicMs;
+    private Node node;
+    private long life;
+    private boolean frozen;
+    private long wallJumpMs;
+    private long versionSeen;
+
+    SimNode(final World world, final String name, final boolean core, final int i, final Map<String, String> more) {
+        this.world = world;
+        this.name = name;
+        this.core = core;
+        this.district = Deployment.district(i);
+        this.region = Deployment.region(i);
+        this.address = "10.0." + (core ? 1 : 2) + "." + (i + 1) + ":7100";
+        this.http = "10.0." + (core ? 1 : 2) + "." + (i + 1) + ":7200";
+        this.monotonicMs = 1000 + world.sim.random(name + "/mono").nextInt(1_000_000);
+        this.disk = core ? new SimDisk(world.sim, world.sim.random(name + "/disk"), 8, World.SEGMENT_BYTES) : null;
+        final Map<String, String> flags = new HashMap<>(more);
+        flags.put("name", name);
+        flags.put("address", address);
+        flags.put("http", http);
+        flags.put("district", district);
+        flags.put("districts", Deployment.districts());
+        flags.put("seeds", "10.0.1.1:7100,10.0.1.3:7100,10.0.1.5:7100");
+        flags.put("platform", "10.0.9.1:80");
+        flags.put("data", "/sim/" + name);
+        final Settings.Read read = Settings.read(null, flags, core);
+        if (read instanceof Settings.Read.Bad bad) {
+            throw new IllegalStateException(bad.troubles().toString());
+        }
+        this.settings = ((Settings.Read.Good) read).settings();
+        world.net.place(address, region);
+    }
+
+    Node node() {
+        return node;
+    }
+
+    boolean up() {
+        return node != null;
+    }
+
+    boolean running() {
+        return node != null && !frozen;
+    }
+
+    long wallMs() {
+        return World.EPOCH_MS + world.sim.nowMs() + wallJumpMs;
+    }
+
+    void start() {
+        if (node != null) {
+            return;
+        }
+        life++;
+        final long mine = life;
+        final Clock clock = new Clock() {
+            @Override
+            public long nowMs() {
+                return monotonicMs + world.sim.nowMs();
+            }
+
+            @Override
+            public long wallMs() {
+                return SimNode.this.wallMs();
+            }
+
+            @Override
+            public void after(final long waitMs, final Runnable event) {
+                world.sim.after(Math.max(0, waitMs), () -> run(mine, event));
+            }
+        };
+        final Random random = world.sim.random(name + "/" + life);
+        world.sim.trace("start " + name + " life " + life);
+        final Node.Rim rim = new Node.Rim(clock, random, (to, note) -> world.send(this, mine, to, note),
+                core ? disk.life(() -> life == mine && node != null, e -> run(mine, e)) : null,
+                world.outside.of(this, mine), world.outside.of(this, mine), world.outside.of(this, mine));
+        node = new Node(settings, core, rim);
+        node.start();
+        versionSeen = 0;
+    }
+
+    /** Runs an event of one life: not after its end, and not while frozen. */
+    void run(final long ofLife, final Runnable event) {
+        if (life != ofLife || node == null) {
+            return;
+        }
+        if (frozen) {
+            held.add(() -> run(ofLife, event));
+            return;
+        }
+        event.run();
+        watch();
+    }
+
+    /** Invariants that hold at every step of a life. */
+    private void watch() {
+        if (node == null) {
+            return;
+        }
+        final long version = node.book().policy().version();
+        if (version < versionSeen) {
+            world.judge.violated(Rule.POLICY, name + " went from " + versionSeen + " back to " + version);
+        }
+        versionSeen = version;
+    }
+
+    long life() {
+        return life;
+    }
+
+    void hear(final long ofLife, final Note note) {
+        run(ofLife, () -> node.hear(note));
+    }
+
+    void kill() {
+        if (node != null) {
+            world.sim.trace("kill " + name);
+            node = null;
+            life++;
+            held.clear();
+            frozen = false;
+            if (disk != null) {
+                disk.loseProcess();
+            }
+        }
+    }
+
+    void losePower() {
+        if (node != null) {
+            world.sim.trace("power " + name);
+            node = null;
+            life++;
+            held.clear();
+            frozen = false;
+            if (disk != null) {
+                disk.losePower();
+            }
+        }
+    }
+
+    void freeze() {
+        world.sim.trace("freeze " + name);
+        frozen = node != null;
+    }
+
+    void thaw() {
+        if (frozen) {
+            world.sim.trace("thaw " + name);
+            frozen = false;
+            while (!held.isEmpty() && !frozen && node != null) {
+                held.poll().run();
+            }
+        }
+    }
+
+    void jump(final long ms) {
+        world.sim.trace("jump " + name + " " + ms);
+        wallJumpMs += ms;
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/SimOutside.java
@@ -0,0 +1,237 @@
+package spokestall.proof;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import spokestall.duty.Reporter;
+import spokestall.duty.Sealed;
+import spokestall.edge.Go;
+import spokestall.edge.GoResult;
+import spokestall.edge.Upstreams;
+import spokestall.listing.Listed;
+import spokestall.listing.Prober;
+
+/** The upstreams and the platform of a simulated run. */
+final class SimOutside {
+    /** One upstream process. */
+    static final class Up {
+        final String instance;
+        final String service;
+        final String address;
+        final String district;
+        final String region;
+        final long readyAtMs;
+        boolean running = true;
+        boolean leaving;
+        boolean listed = true;
+        UpstreamStand.Manner manner = UpstreamStand.Manner.WELL;
+
+        Up(final String instance, final String service, final String address, final String district,
+                final String region, final long readyAtMs) {
+            this.instance = instance;
+            this.service = service;
+            this.address = address;
+            this.district = district;
+            this.region = region;
+            this.readyAtMs = readyAtMs;
+        }
+    }
+
+    private final World world;
+    private final Random random;
+    private final Map<String, Up> byAddress = new TreeMap<>();
+    private final Map<String, Up> byInstance = new LinkedHashMap<>();
+    private final Map<String, Integer> turns = new TreeMap<>();
+    private List<Listed> list = new ArrayList<>();
+    private int made;
+
+    SimOutside(final World world) {
+        this.world = world;
+        this.random = world.sim.random("outside");
+        for (final Deployment.Place p : world.deployment.upstreams()) {
+            add(p.service(), address(made), p.district(), p.region(), -60_000);
+        }
+        refresh();
+    }
+
+    private static String address(final int i) {
+        return "10.1." + (i / 200) + "." + (i % 200 + 1) + ":80";
+    }
+
+    Up add(final String service, final String address, final String district, final String region,
+            final long readyAtMs) {
+        final Up up = new Up(service + "-" + made++, service, address, district, region, readyAtMs);
+        byAddress.put(address, up);
+        byInstance.put(up.instance, up);
+        world.net.place(address, region);
+        return up;
+    }
+
+    /** A new instance at a fresh address in the place of one. */
+    Up replace(final Up old) {
+        return add(old.service, address(made), old.district, old.region, world.sim.nowMs());
+    }
+
+    List<Up> running() {
+        return byInstance.values().stream().filter(u -> u.running && !u.leaving).toList();
+    }
+
+    void stop(final Up up) {
+        world.sim.trace("upstream " + up.instance + " stops");
+        up.running = false;
+        if (byAddress.get(up.address) == up) {
+            byAddress.remove(up.address);
+        }
+    }
+
+    /** The platform's list is made anew now and then, so it lags. */
+    private void refresh() {
+        final List<Listed> now = new ArrayList<>();
+        byInstance.values().forEach(u -> {
+            if (u.listed) {
+                now.add(new Listed(u.instance, u.service, u.address, u.district, u.region, true, u.leaving, 0));
+            }
+        });
+        list = now;
+        world.sim.after(500 + random.nextInt(1000), this::refresh);
+    }
+
+    /** What one life of a node reaches the outside by. */
+    Rim of(final SimNode node, final long life) {
+        return new Rim(node, life);
+    }
+
+    /** The rim of one life. */
+    final class Rim implements Upstreams, Prober.Reach, Reporter.Platform {
+        private final SimNode node;
+        private final long life;
+
+        Rim(final SimNode node, final long life) {
+            this.node = node;
+            this.life = life;
+        }
+
+        private void back(final long waitMs, final Runnable event) {
+            world.sim.after(waitMs, () -> node.run(life, event));
+        }
+
+        @Override
+        public void list(final long waitMs, final Consumer<List<Listed>> done) {
+            final List<Listed> now = list;
+            back(10 + random.nextInt(40), () -> done.accept(now));
+        }
+
+        @Override
+        public void probe(final String address, final long waitMs, final Consumer<Prober.Probe> done) {
+            final Up up = byAddress.get(address);
+            final long way = world.net.wayMs(node.address, address);
+            if (up == null || way < 0 || !up.running) {
+                back(way < 0 ? waitMs : 2 * way, () -> done.accept(null));
+                return;
+            }
+            back(2 * way + 1, () -> done.accept(!up.running ? null : new Prober.Probe(up.instance, up.service,
+                    up.leaving, world.sim.nowMs() - up.readyAtMs)));
+        }
+
+        @Override
+        public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
+                final Supplier<Boolean> before, final Consumer<Boolean> done) {
+            final long way = 5 + random.nextInt(20);
+            // Connecting takes a round trip; the check is made when the bytes are about to leave.
+            back(2 * way, () -> {
+                if (!before.get()) {
+                    done.accept(false);
+                    return;
+                }
+                world.sim.after(way, () -> world.reported.add(new Ledger.Reported(holder, token, sealed.window(),
+                        new TreeMap<>(sealed.counts()), world.sim.nowMs())));
+                final boolean lost = random.nextInt(50) == 0;
+                back(lost ? waitMs : 2 * way, () -> done.accept(!lost));
+            });
+        }
+
+        @Override
+        public void go(final Go go, final Supplier<Boolean> may, final Consumer<GoResult> done) {
+            final int turn = turns.merge(go.askId(), 1, Integer::sum);
+            final World.Asked asked = world.asked.get(go.askId());
+            world.goes.add(new World.Gone(go.askId(), go.service(), asked.kind.runOnce() ? 1 : turn,
+                    world.sim.nowMs()));
+            final long way = world.net.wayMs(node.address, go.address());
+            final boolean[] over = {false};
+            final boolean[] sent = {false};
+            back(go.waitMs(), () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    done.accept(sent[0] ? new GoResult.Lost("timeout") : new GoResult.NotSent("timeout"));
+                }
+            });
+            final Consumer<GoResult> once = r -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    done.accept(r);
+                }
+            };
+            if (way < 0) {
+                return;
+            }
+            back(2 * way, () -> {
+                final Up up = byAddress.get(go.address());
+                if (over[0]) {
+                    return;
+                }
+                if (up == null) {
+                    once.accept(new GoResult.NotSent("refused"));
+                } else if (!may.get()) {
+                    once.accept(new GoResult.NotSent("barred"));
+                } else {
+                    sent[0] = true;
+                    travel(go, up, once);
+                }
+            });
+        }
+
+        private void travel(final Go go, final Up up, final Consumer<GoResult> once) {
+            final long way = world.net.wayMs(node.address, go.address());
+            if (way < 0) {
+                return;
+            }
+            world.sim.after(way, () -> {
+                if (!up.running) {
+                    back(way, () -> once.accept(new GoResult.Lost("reset")));
+                } else if (!up.instance.equals(go.instance())) {
+                    back(way, () -> once.accept(new GoResult.NotRun("not the instance that was meant")));
+                } else {
+                    work(go, up, once);
+                }
+            });
+        }
+
+        private void work(final Go go, final Up up, final Consumer<GoResult> once) {
+            world.begun.add(new World.Begun(go.askId(), up.instance, up.district, up.region, node.district,
+                    node.region, world.sim.nowMs() - up.readyAtMs, world.sim.nowMs()));
+            final boolean cold = world.sim.nowMs() - up.readyAtMs < World.WARMUP_MS;
+            final long workMs = (cold ? 20 : 3) + random.nextInt(10)
+                    + (up.manner == UpstreamStand.Manner.SLOW ? 1500 : 0);
+            world.sim.after(workMs, () -> {
+                final long way = world.net.wayMs(go.address(), node.address);
+                if (way < 0) {
+                    return;
+                }
+                final String whole = "answer to " + go.askId() + " by " + up.instance + " whole";
+                final GoResult result = !up.running ? new GoResult.Lost("reset") : switch (up.manner) {
+                    case LOSE -> new GoResult.Lost("closed");
+                    case GARBAGE -> new GoResult.Lost("answer of another instance");
+                    case TRUNCATE -> new GoResult.Lost("answer: truncated");
+                    default -> new GoResult.Whole(200, "text/plain", whole.getBytes(StandardCharsets.UTF_8));
+                };
+                back(way, () -> once.accept(result));
+            });
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -0,0 +1,220 @@
+package spokestall.proof;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** One run: a fleet comes up, asks flow, a scenario is played, all is mended, and the ledger is judged. */
+final class SimRun {
+    private static final long PLAY_MS = 30_000;
+    private static final long MEND_MS = 15_000;
+    private static final long LAST_MS = 10_000;
+    final World world;
+    final SimOperator operator;
+    final Random random;
+    boolean wiped;
+    private final Scenario scenario;
+    private long begunMs = -1;
+    private long endMs = -1;
+    private double lastShare;
+
+    SimRun(final long seed, final Deployment deployment, final Scenario scenario, final boolean traced,
+            final Map<String, String> settings) {
+        this.world = new World(seed, deployment, traced, settings);
+        this.operator = new SimOperator(world);
+        this.random = world.sim.random("scenario");
+        this.scenario = scenario;
+    }
+
+    long playMs() {
+        return PLAY_MS;
+    }
+
+    /** Plays the whole run; false if the fleet never came up. */
+    boolean play() {
+        for (final SimNode node : world.nodes.values()) {
+            world.sim.after(random.nextInt(1500), node::start);
+        }
+        world.sim.after(2000, () -> operator.first(() -> world.sim.after(2500, this::begin)));
+        world.sim.run(30_000);
+        if (begunMs < 0) {
+            return false;
+        }
+        endMs = begunMs + 3000 + PLAY_MS + MEND_MS + LAST_MS;
+        world.sim.run(endMs);
+        world.callers.stop();
+        world.sim.run(endMs + 12_000);
+        lastShare = share(endMs - LAST_MS, endMs - 3000);
+        operator.end(wiped);
+        world.judge.end(world);
+        return true;
+    }
+
+    private void begin() {
+        begunMs = world.sim.nowMs();
+        world.callers.start();
+        world.sim.after(3000, () -> scenario.play(this));
+        world.sim.after(3000 + PLAY_MS, this::mend);
+    }
+
+    private void mend() {
+        world.sim.trace("mend");
+        world.net.heal();
+        for (final SimNode node : nodes()) {
+            node.thaw();
+            if (node.core) {
+                if (node.node() != null && node.node().voter().state() == spokestall.ballot.Voter.State.STOPPED) {
+                    // What an operator does about a failed disk: a new one.
+                    node.kill();
+                    node.disk.wipe();
+                }
+                node.disk.fail(false);
+                node.disk.slow(2);
+            }
+            node.start();
+        }
+    }
+
+    /** The share of asks first sent in a span that ran. */
+    double share(final long fromMs, final long untilMs) {
+        long all = 0;
+        long ran = 0;
+        final Map<String, Boolean> ids = new java.util.HashMap<>();
+        for (final World.Asked a : world.asked.values()) {
+            final String id = a.askId.contains(".") ? a.askId.substring(0, a.askId.indexOf('.')) : a.askId;
+            if (a.sentMs.get(0) >= fromMs && a.sentMs.get(0) < untilMs) {
+                ids.merge(id, a.ran, Boolean::logicalOr);
+            }
+        }
+        for (final boolean one : ids.values()) {
+            all++;
+            ran += one ? 1 : 0;
+        }
+        return all == 0 ? 0 : (double) ran / all;
+    }
+
+    double playShare() {
+        return share(begunMs + 3000, begunMs + 3000 + PLAY_MS);
+    }
+
+    double lastShare() {
+        return lastShare;
+    }
+
+    void later(final long waitMs, final Runnable what) {
+        world.sim.after(waitMs, what);
+    }
+
+    List<SimNode> nodes() {
+        return List.copyOf(world.nodes.values());
+    }
+
+    <T> T any(final List<T> of) {
+        return of.get(random.nextInt(of.size()));
+    }
+
+    void outage(final long spanMs) {
+        world.outage(new World.Span("fleet", world.sim.nowMs(), world.sim.nowMs() + spanMs));
+    }
+
+    void disturb(final List<SimNode> nodes, final long spanMs) {
+        nodes.forEach(n -> world.disturb(n, world.sim.nowMs() + spanMs));
+    }
+
+    void bounce(final SimNode node, final long downMs, final boolean power) {
+        disturb(List.of(node), downMs + 8000);
+        if (power) {
+            node.losePower();
+        } else {
+            node.kill();
+        }
+        later(downMs + random.nextInt(500), node::start);
+    }
+
+    void loseDisk(final SimNode core, final long downMs) {
+        disturb(List.of(core), downMs + 10_000);
+        core.losePower();
+        core.disk.wipe();
+        world.sim.trace("wiped " + core.name);
+        later(downMs, core::start);
+    }
+
+    void freeze(final SimNode node, final long spanMs) {
+        disturb(List.of(node), spanMs + 6000);
+        node.freeze();
+        later(spanMs, node::thaw);
+    }
+
+    /** Leaves, is emptied, goes, and is replaced. */
+    void drain(final SimOutside.Up up, final boolean replace) {
+        up.leaving = true;
+        world.emptied.add(new World.Span(up.instance, world.sim.nowMs(), Long.MAX_VALUE));
+        if (replace) {
+            world.outside.replace(up);
+        }
+        later(9000, () -> {
+            up.listed = false;
+            world.outside.stop(up);
+        });
+    }
+
+    /** Stops, and its address passes at once to an upstream of the other service. */
+    void pass(final SimOutside.Up up) {
+        world.outside.stop(up);
+        final String other = up.service.equals(world.deployment.big) ? world.deployment.small
+                : world.deployment.big;
+        world.outside.add(other, up.address, up.district, up.region, world.sim.nowMs());
+        later(2000, () -> up.listed = false);
+    }
+
+    /** One random cut: a machine alone, one way only, or the core from some edges. */
+    void cut(final long spanMs) {
+        final List<SimNode> one = new ArrayList<>();
+        final List<SimNode> rest = new ArrayList<>(nodes());
+        switch (random.nextInt(3)) {
+            case 0 -> one.add(any(rest));
+            case 1 -> one.addAll(world.edges().subList(0, 1 + random.nextInt(3)));
+            default -> {
+                final SimNode lone = any(rest);
+                disturb(List.of(lone), spanMs + 6000);
+                rest.forEach(r -> world.net.cut(lone.address, r.address, true));
+                later(spanMs, () -> rest.forEach(r -> world.net.cut(lone.address, r.address, false)));
+                return;
+            }
+        }
+        rest.removeAll(one);
+        disturb(one, spanMs + 6000);
+        world.part(one, rest, true);
+        later(spanMs, () -> world.part(one, rest, false));
+    }
+
+    /** One random failure. */
+    void anything() {
+        switch (random.nextInt(16)) {
+            case 0 -> world.outside.stop(any(world.outside.running()));
+            case 1 -> drain(any(world.outside.running()), true);
+            case 2 -> pass(any(world.outside.running()));
+            case 3 -> {
+                final SimOutside.Up up = any(world.outside.running());
+                up.manner = any(List.of(UpstreamStand.Manner.values()));
+            }
+            case 4 -> bounce(any(nodes()), 1000 + random.nextInt(4000), random.nextBoolean());
+            case 5 -> {
+                final SimNode holder = world.holder();
+                if (holder != null) {
+                    bounce(holder, 1000 + random.nextInt(6000), true);
+                }
+            }
+            case 6 -> loseDisk(any(world.cores()), 1000 + random.nextInt(2000));
+            case 7, 8 -> freeze(any(nodes()), 500 + random.nextInt(8000));
+            case 9 -> any(world.cores()).disk.stall(500 + random.nextInt(5000));
+            case 10 -> any(nodes()).jump((random.nextBoolean() ? 1 : -1) * 3_600_000L);
+            case 11 -> cut(1000 + random.nextInt(5000));
+            case 12 -> operator.race();
+            case 13 -> operator.wrong();
+            case 14 -> operator.withdraw(2 + random.nextInt(4), 8000);
+            default -> operator.hold(Deployment.district(random.nextInt(6)), 6000);
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Sweep.java
@@ -0,0 +1,103 @@
+package spokestall.proof;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/** Runs scenarios over a range of seeds and prints, for each rule, checks, violations and the worst margin. */
+final class Sweep {
+    /** What came of one run. */
+    record Outcome(Scenario scenario, Deployment deployment, long seed, boolean up, long digest, double playShare,
+            double lastShare, long commits, Map<Rule, Judge.Tally> tallies) {
+    }
+
+    private static final class Sum {
+        private long checks;
+        private long broken;
+        private double worst = -1;
+        private String worstRun = "";
+        private String worstWhat = "";
+    }
+
+    private Sweep() {
+    }
+
+    static Outcome one(final long seed, final Deployment deployment, final Scenario scenario) {
+        final SimRun run = new SimRun(seed, deployment, scenario, false, Map.of());
+        final boolean up = run.play();
+        return new Outcome(scenario, deployment, seed, up, run.world.sim.digest(), run.playShare(), run.lastShare(),
+                run.world.cores().stream().mapToLong(c -> c.disk.commits()).sum(), run.world.judge.tallies());
+    }
+
+    /** The number of violations and of runs that did not come back. */
+    static int run(final List<Scenario> scenarios, final List<Deployment> deployments, final long from,
+            final long until, final int threads) throws InterruptedException {
+        final ExecutorService pool = Executors.newFixedThreadPool(threads);
+        final Map<Rule, Sum> sums = new EnumMap<>(Rule.class);
+        for (final Rule rule : Rule.values()) {
+            sums.put(rule, new Sum());
+        }
+        final int[] bad = {0};
+        for (final Scenario scenario : scenarios) {
+            for (final Deployment deployment : deployments) {
+                for (long seed = from; seed <= until; seed++) {
+                    final long s = seed;
+                    pool.execute(() -> {
+                        try {
+                            final Outcome o = one(s, deployment, scenario);
+                            synchronized (sums) {
+                                bad[0] += add(o, sums);
+                            }
+                        } catch (final RuntimeException | AssertionError e) {
+                            synchronized (sums) {
+                                bad[0]++;
+                                System.out.println("FAULT " + again(scenario, deployment, s) + " " + e);
+                                e.printStackTrace(System.out);
+                            }
+                        }
+                    });
+                }
+            }
+        }
+        pool.shutdown();
+        pool.awaitTermination(10, TimeUnit.HOURS);
+        sums.forEach((rule, sum) -> System.out.printf("rule=%s verdict=%s checks=%d violations=%d worst=%.2f run=\"%s\""
+                + " what=\"%s\"%n", rule, sum.checks == 0 ? "unproven" : sum.broken > 0 ? "broken" : "kept", sum.checks,
+                sum.broken, sum.worst, sum.worstRun, sum.worstWhat));
+        return bad[0];
+    }
+
+    static String again(final Scenario scenario, final Deployment deployment, final long seed) {
+        return "bin/proof sim --scenario " + scenario + " --deployment " + deployment + " --seeds " + seed + "-" + seed;
+    }
+
+    private static int add(final Outcome o, final Map<Rule, Sum> sums) {
+        final String again = again(o.scenario, o.deployment, o.seed);
+        int bad = 0;
+        if (!o.up || o.lastShare < 0.95) {
+            System.out.printf("NOT BACK %s up=%s lastShare=%.3f%n", again, o.up, o.lastShare);
+            bad++;
+        }
+        for (final Map.Entry<Rule, Judge.Tally> e : o.tallies.entrySet()) {
+            final Sum sum = sums.get(e.getKey());
+            final Judge.Tally t = e.getValue();
+            sum.checks += t.checks;
+            sum.broken += t.broken;
+            if (t.worst > sum.worst) {
+                sum.worst = t.worst;
+                sum.worstRun = again;
+                sum.worstWhat = t.worstWhat;
+            }
+            if (t.broken > 0) {
+                System.out.println("BROKEN " + e.getKey() + " x" + t.broken + " " + again + " first " + t.first);
+                bad++;
+            }
+        }
+        System.out.printf("run scenario=%s deployment=%s seed=%d digest=%x served=%.3f last=%.3f commits=%d%n", o.scenario,
+                o.deployment, o.seed, o.digest, o.playShare, o.lastShare, o.commits);
+        return bad;
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -0,0 +1,167 @@
+package spokestall.proof;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import spokestall.edge.Ran;
+import spokestall.wire.Note;
+
+/** One simulated run's whole world: machines, network, upstreams, platform, callers, operators, and what they saw. */
+final class World {
+    static final long EPOCH_MS = 1_800_000_000_000L;
+    static final long WINDOW_MS = 5000;
+    static final long WARMUP_MS = 10_000;
+    static final double WARM_PER_S = 20;
+    static final int SEGMENT_BYTES = 1 << 20;
+
+    /** One ask that an upstream began, and through which edge. */
+    record Begun(String askId, String instance, String district, String region, String edgeDistrict,
+            String edgeRegion, long ageMs, long atMs) {
+    }
+
+    /** One go that an edge sent out. */
+    record Gone(String askId, String service, int turn, long atMs) {
+    }
+
+    /** One final answer that a caller got. */
+    record Told(String askId, int code, Ran ran, String instance, String body, long atMs) {
+    }
+
+    /** Something held from one time to another. */
+    record Span(String what, long fromMs, long untilMs) {
+    }
+
+    /** One ask as its caller knows it. */
+    static final class Asked {
+        final String askId;
+        final Deployment.Kind kind;
+        final List<Long> sentMs = new ArrayList<>();
+        boolean ran;
+        boolean ended;
+        boolean undecided;
+
+        Asked(final String askId, final Deployment.Kind kind) {
+            this.askId = askId;
+            this.kind = kind;
+        }
+
+        int tenantNumber() {
+            return Integer.parseInt(kind.tenant().substring(kind.tenant().indexOf('-') + 1));
+        }
+    }
+
+    final Sim sim;
+    final Deployment deployment;
+    final SimNet net;
+    final Judge judge;
+    final SimOutside outside;
+    final SimCallers callers;
+    final Map<String, SimNode> nodes = new LinkedHashMap<>();
+    final Map<String, SimNode> byAddress = new TreeMap<>();
+    final List<Begun> begun = new ArrayList<>();
+    final List<Gone> goes = new ArrayList<>();
+    final List<Told> told = new ArrayList<>();
+    final Map<String, Asked> asked = new LinkedHashMap<>();
+    final List<Ledger.Reported> reported = new ArrayList<>();
+    final List<Span> withdrawn = new ArrayList<>();
+    final List<Span> emptied = new ArrayList<>();
+    private final Map<String, Long> disturbedMs = new TreeMap<>();
+    private final List<Span> outages = new ArrayList<>();
+
+    World(final long seed, final Deployment deployment, final boolean traced, final Map<String, String> settings) {
+        this.sim = new Sim(seed, traced);
+        this.deployment = deployment;
+        this.net = new SimNet(sim, deployment.apartMs);
+        this.judge = new Judge(sim);
+        this.outside = new SimOutside(this);
+        this.callers = new SimCallers(this);
+        for (int i = 0; i < Deployment.DISTRICTS; i++) {
+            add(new SimNode(this, Deployment.district(i) + "-core", true, i, settings));
+            add(new SimNode(this, Deployment.district(i) + "-edge", false, i, settings));
+        }
+    }
+
+    private void add(final SimNode node) {
+        nodes.put(node.name, node);
+        byAddress.put(node.address, node);
+    }
+
+    List<SimNode> cores() {
+        return nodes.values().stream().filter(n -> n.core).toList();
+    }
+
+    List<SimNode> edges() {
+        return nodes.values().stream().filter(n -> !n.core).toList();
+    }
+
+    List<SimNode> inRegion(final String region) {
+        return nodes.values().stream().filter(n -> n.region.equals(region)).toList();
+    }
+
+    List<SimNode> inDistrict(final String district) {
+        return nodes.values().stream().filter(n -> n.district.equals(district)).toList();
+    }
+
+    <T> T any(final List<T> of, final Random random) {
+        return of.get(random.nextInt(of.size()));
+    }
+
+    void send(final SimNode from, final long life, final String to, final Note note) {
+        final SimNode target = byAddress.get(to);
+        if (target == null || from.life() != life) {
+            return;
+        }
+        final long targetLife = target.life();
+        net.carry(from.address, to, note, arrived -> target.hear(targetLife, arrived));
+    }
+
+    /** Cuts two groups of nodes off from each other, or joins them again. */
+    void part(final List<SimNode> ones, final List<SimNode> others, final boolean now) {
+        for (final SimNode one : ones) {
+            for (final SimNode other : others) {
+                if (one != other) {
+                    net.cutBoth(one.address, other.address, now);
+                }
+            }
+        }
+    }
+
+    /** Says that from here on the fleet could not be expected to report. */
+    void outage(final Span span) {
+        outages.add(span);
+    }
+
+    boolean outage(final long fromMs, final long untilMs) {
+        return outages.stream().anyMatch(o -> o.fromMs() <= untilMs && o.untilMs() >= fromMs);
+    }
+
+    /** Says that a node is being meddled with until then. */
+    void disturb(final SimNode node, final long untilMs) {
+        disturbedMs.merge(node.name, untilMs, Math::max);
+    }
+
+    boolean undisturbed(final SimNode node, final long sinceMs) {
+        return disturbedMs.getOrDefault(node.name, -1L) < sinceMs && !outage(sinceMs, sim.nowMs());
+    }
+
+    /** The core that holds the duty now, or null. */
+    SimNode holder() {
+        for (final SimNode core : cores()) {
+            if (core.up() && core.node().keeper().execution() != null) {
+                return core;
+            }
+        }
+        return null;
+    }
+
+    void call(final SimNode to, final String method, final JsonNode params,
+            final java.util.function.Consumer<spokestall.rpc.Reply> done) {
+        if (to.running()) {
+            to.run(to.life(), () -> to.node().call(method, params, done));
+        }
+    }
+}
--- a/spokestall/src/main/java/spokestall/duty/UsageCounter.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageCounter.java
@@ -41,7 +41,7 @@
         final long now = fleet.nowMs() / windowMs;
         begun.headMap(now - windowsKept).clear();
         begun.forEach((window, counts) -> {
-            final UsageNote.Count count = new UsageNote.Count(edge, life, window, Map.copyOf(counts));
+            final UsageNote.Count count = new UsageNote.Count(edge, life, window, new TreeMap<>(counts));
             for (final String core : cores.get()) {
                 post.send(core, count);
             }
--- a/spokestall/src/main/java/spokestall/policy/Book.java
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -80,7 +80,7 @@
     /** This version whole. Example: {@code post.send(to, book.snapshot());} */
     public Snapshot snapshot() {
         try {
-            return new Snapshot(policy.version(), JSON.writeValueAsBytes(policy.tree()), Map.copyOf(changeIds));
+            return new Snapshot(policy.version(), JSON.writeValueAsBytes(policy.tree()), new LinkedHashMap<>(changeIds));
         } catch (final JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
