The fleet clock settles though only one peer has settled before it

Cause: a node that had heard one settled peer threw away and then ignored all unsettled ones, but needs two; if all first heard the same one, none settled, and cores whose clock is not settled don't probe upstreams. Excluded: election and home regions (the other tenants found upstreams), the platform's list (entries were there, reports were not). Conclusion: unsettled words count until there are two settled ones.

--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -132,6 +132,7 @@
             final SimRun run = new SimRun(from, deployments.get(0), scenarios.get(0), true, Map.of());
             run.play();
             System.out.print(run.world.sim.traced());
+            System.out.println(run.results());
             return 0;
         }
         Logger.getLogger("").setLevel(Level.OFF);
--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -94,6 +94,16 @@
         return all == 0 ? 0 : (double) ran / all;
     }
 
+    /** How often each result was told, by tenant for those that did not run. */
+    Map<String, Integer> results() {
+        final Map<String, Integer> found = new java.util.TreeMap<>();
+        for (final World.Told t : world.told) {
+            final String of = t.ran() == spokestall.edge.Ran.RAN ? "" : " " + world.asked.get(t.askId()).kind.tenant();
+            found.merge(t.code() + " " + t.ran() + of, 1, Integer::sum);
+        }
+        return found;
+    }
+
     double playShare() {
         return share(begunMs + 3000, begunMs + 3000 + PLAY_MS);
     }
--- a/spokestall/src/main/java/spokestall/time/FleetClock.java
+++ b/spokestall/src/main/java/spokestall/time/FleetClock.java
@@ -1,7 +1,9 @@
 package spokestall.time;
 
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -13,10 +15,10 @@
     private static final int PEERS_MAX = 64;
     private final Clock clock;
     private final long stepMs;
-    private final Map<String, Long> offsetMs = new HashMap<>();
+    private final Map<String, Long> settledPeers = new HashMap<>();
+    private final Map<String, Long> freshPeers = new HashMap<>();
     private long ownOffsetMs;
     private boolean settled;
-    private boolean heardSettled;
 
     /** Example: {@code new FleetClock(clock, 250)} steps at once when the median is more than 250 ms away. */
     public FleetClock(final Clock clock, final long stepMs) {
@@ -38,33 +40,26 @@
     /** Takes a peer's reading. Example: {@code fleet.heard("d1-core", peerMs, true, askedMs);} */
     public void heard(final String peer, final long peerMs, final boolean peerSettled, final long askedMs) {
         final long nowMs = clock.nowMs();
-        if (offsetMs.size() >= PEERS_MAX && !offsetMs.containsKey(peer)) {
-            return;
-        }
-        if (peerSettled && !heardSettled) {
-            offsetMs.clear();
-            heardSettled = true;
-        }
-        if ((settled || heardSettled) && !peerSettled) {
-            return;
+        final Map<String, Long> of = peerSettled ? settledPeers : freshPeers;
+        if (of.size() < PEERS_MAX || of.containsKey(peer)) {
+            of.put(peer, peerMs + (nowMs - askedMs) / 2 - nowMs);
+            (peerSettled ? freshPeers : settledPeers).remove(peer);
+            move();
         }
-        offsetMs.put(peer, peerMs + (nowMs - askedMs) / 2 - nowMs);
-        move();
     }
 
+    /** Settled peers are followed alone once there are enough; until then, at the start, everyone's word counts. */
     private void move() {
-        if (offsetMs.size() < SAMPLES_MIN) {
-            return;
+        final List<Long> offsets = new ArrayList<>(settledPeers.values());
+        if (offsets.size() < SAMPLES_MIN && !settled) {
+            offsets.addAll(freshPeers.values());
         }
-        final long[] all = new long[offsetMs.size() + 1];
-        int i = 0;
-        for (final long o : offsetMs.values()) {
-            all[i++] = o;
+        if (offsets.size() < SAMPLES_MIN) {
+            return;
         }
-        all[i] = ownOffsetMs;
-        Arrays.sort(all);
-        final long medianMs = all[all.length / 2];
-        final long awayMs = medianMs - ownOffsetMs;
+        offsets.add(ownOffsetMs);
+        Collections.sort(offsets);
+        final long awayMs = offsets.get(offsets.size() / 2) - ownOffsetMs;
         ownOffsetMs += Math.abs(awayMs) > stepMs ? awayMs : Long.signum(awayMs) * Math.min(1, Math.abs(awayMs));
         settled = true;
     }
