A run-once ask is named by its ticket, so a repeat can't bring a fresh one

Cause: the ticket was a header of its own. A caller that repeated an order with a newer ticket after its claim was lost with four or more disks was let in as new, in the new generation. Found by making callers repeat orders seconds later. Excluded: the claim register (with three disks lost a survivor always has it), the voters' catch-up (no double run without a new generation). Conclusion: the ask's id begins with the ticket; one identity, one ticket.

--- a/proof/src/main/java/spokestall/proof/SimCallers.java
+++ b/proof/src/main/java/spokestall/proof/SimCallers.java
@@ -25,6 +25,7 @@
     private final Random random;
     private final List<Deployment.Kind> kinds = new ArrayList<>();
     private final Map<String, Place> places = new HashMap<>();
+    private final Map<String, String> named = new HashMap<>();
     private int made;
     private boolean asking;
     private double rate;
@@ -112,14 +113,15 @@
 
     private void send(final Deployment.Kind kind, final String who, final String id, final int turn,
             final long begunMs, final Place place) {
-        final String askId = kind.runOnce() ? id : id + "." + turn;
+        final String askId = kind.runOnce() ? named.computeIfAbsent(id, i -> place.ticket + "." + i)
+                : id + "." + turn;
         final World.Asked asked = world.asked.computeIfAbsent(askId, i -> new World.Asked(askId, kind));
         asked.sentMs.add(world.sim.nowMs());
         final SimNode edge = place.edges.get(turn % place.edges.size());
         final byte[] body = kind.runOnce() ? ("do " + id).getBytes(StandardCharsets.UTF_8) : new byte[0];
         final long spanMs = SPAN_MS - (world.sim.nowMs() - begunMs);
         final AskHead head = new AskHead(kind.runOnce() ? "POST" : "GET", kind.path(), "", kind.key(), askId, spanMs,
-                kind.runOnce() ? place.ticket : null, body.length, "text/plain");
+                body.length, "text/plain");
         final boolean[] back = {false};
         final Runnable nothing = () -> {
             if (!back[0]) {
@@ -172,8 +174,10 @@
             asked.undecided |= answer.ran() == Ran.UNDECIDED;
             // A run-once ask is repeated too: the claim must keep it from running twice.
             again(kind, who, id, turn, begunMs, Math.max(100, answer.retryAfterMs()));
-        } else if (kind.runOnce() && random.nextInt(50) == 0) {
-            again(kind, who, id, turn + 1, begunMs, 100);
+        } else if (kind.runOnce() && turn == 0 && random.nextInt(10) == 0) {
+            // A person who saw no answer, or doubts it, sends the same order again, at once or much later.
+            world.sim.after(random.nextBoolean() ? 100 : 3000 + random.nextInt(15_000),
+                    () -> ask(kind, who, id, 1, world.sim.nowMs()));
         }
     }
 }
--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -82,7 +82,7 @@
         long ran = 0;
         final Map<String, Boolean> ids = new java.util.HashMap<>();
         for (final World.Asked a : world.asked.values()) {
-            final String id = a.askId.contains(".") ? a.askId.substring(0, a.askId.indexOf('.')) : a.askId;
+            final String id = a.kind.runOnce() ? a.askId : a.askId.substring(0, a.askId.indexOf('.'));
             if (a.sentMs.get(0) >= fromMs && a.sentMs.get(0) < untilMs) {
                 ids.merge(id, a.ran, Boolean::logicalOr);
             }
--- a/spokestall/src/main/java/spokestall/Demand.java
+++ b/spokestall/src/main/java/spokestall/Demand.java
@@ -69,6 +69,7 @@
     private final Map<String, AtomicInteger> told = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> byEdge = new ConcurrentHashMap<>();
     private final List<Long> spentMs = Collections.synchronizedList(new ArrayList<>());
+    private final Map<String, String> named = new ConcurrentHashMap<>();
     private final AtomicInteger again = new AtomicInteger();
     private final CountDownLatch left;
     private final int total;
@@ -186,9 +187,10 @@
         final String edge = place.edges.get(turn % place.edges.size());
         final Map<String, String> headers = new TreeMap<>();
         headers.put("Spokestall-Key", kind.key);
-        headers.put("Spokestall-Ask-Id", askId);
+        // A run-once ask is named by the ticket of its first go, and keeps that name.
+        final String name = kind.runOnce ? named.computeIfAbsent(askId, a -> place.ticket + "." + a) : askId;
+        headers.put("Spokestall-Ask-Id", name);
         headers.put("Spokestall-Deadline-Ms", Long.toString(spanMs));
-        headers.put("Spokestall-Ticket", kind.runOnce ? place.ticket : null);
         final byte[] body = kind.runOnce ? ("{\"do\":\"" + askId + "\"}").getBytes(StandardCharsets.UTF_8) : new byte[0];
         client.call(new HttpCall(edge, kind.runOnce ? "POST" : "GET", kind.path, headers, body, spanMs + 500, ANSWER_MAX,
                 false, () -> true), r -> {
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -109,9 +109,10 @@
 
     /** Admission, before the body is read. Example: {@code edge.open(head) instanceof Opened.Admit} */
     public Opened open(final AskHead head) {
-        final Ran doubt = head.ticket() != null ? Ran.UNDECIDED : Ran.NOT_RUN;
+        final Ticket ticket = Ticket.of(head.askId());
+        final Ran doubt = ticket != null ? Ran.UNDECIDED : Ran.NOT_RUN;
         if (head.key() == null || head.askId() == null || !head.askId().matches("[A-Za-z0-9._:-]{1,128}")
-                || head.spanMs() == Long.MIN_VALUE || head.ticket() != null && Ticket.of(head.ticket()) == null) {
+                || head.spanMs() == Long.MIN_VALUE) {
             return denied(Result.MALFORMED, doubt);
         }
         if (!follower.fresh()) {
@@ -135,7 +136,7 @@
             return denied(Result.NO_BINDING, doubt);
         }
         final Ran unproven = binding.runOnce() ? Ran.UNDECIDED : doubt;
-        if (binding.runOnce() && head.ticket() == null) {
+        if (binding.runOnce() && ticket == null) {
             return denied(Result.TICKET_MISSING, unproven);
         }
         if (head.spanMs() <= 0) {
@@ -167,7 +168,7 @@
     public Answer drop(final Admitted ask, final Result why) {
         open--;
         told.merge(why, 1L, Long::sum);
-        return deny(why, ask.head().ticket() != null || ask.binding().runOnce() ? Ran.UNDECIDED : Ran.NOT_RUN, 0);
+        return deny(why, Ticket.of(ask.head().askId()) != null || ask.binding().runOnce() ? Ran.UNDECIDED : Ran.NOT_RUN, 0);
     }
 
     /** Runs an admitted ask to its final answer. Example: {@code edge.run(ask, body, answer -> ...);} */
@@ -296,7 +297,7 @@
         }
 
         private void claim() {
-            final Ticket ticket = Ticket.of(ask.head().ticket());
+            final Ticket ticket = Ticket.of(ask.head().askId());
             final long nowMs = fleet.nowMs();
             final String digest = KeyHash.hex(body);
             final boolean old = proposer.voters() == null || ticket.generation() != proposer.voters().generation()
--- a/spokestall/src/main/java/spokestall/edge/Ticket.java
+++ b/spokestall/src/main/java/spokestall/edge/Ticket.java
@@ -7,12 +7,16 @@
         return "t1-" + generation + "-" + issuedMs;
     }
 
-    /** Reads a ticket, or null when it is none. Example: {@code Ticket.of("t1-17-1000").generation() == 17} */
-    public static Ticket of(final String text) {
-        if (text == null || !text.matches("t1-\\d{1,15}-\\d{1,15}")) {
+    /**
+     * The ticket that a run-once ask's id begins with, or null when it has none. A repeat has the same id and so the
+     * same ticket: with a fresh one it could run again after its claim was lost or let go.
+     * Example: {@code Ticket.of("t1-17-1000.pay-4").generation() == 17}
+     */
+    public static Ticket of(final String askId) {
+        if (askId == null || !askId.matches("t1-\\d{1,15}-\\d{1,15}\\..+")) {
             return null;
         }
-        final String[] parts = text.split("-");
+        final String[] parts = askId.substring(0, askId.indexOf('.')).split("-");
         return new Ticket(Long.parseLong(parts[1]), Long.parseLong(parts[2]));
     }
 }
--- a/spokestall/src/main/java/spokestall/rim/HttpServer.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpServer.java
@@ -21,6 +21,7 @@
 import spokestall.edge.Edge;
 import spokestall.edge.Opened;
 import spokestall.edge.Ran;
+import spokestall.edge.Ticket;
 import spokestall.policy.Book;
 import spokestall.rpc.Reply;
 import spokestall.rpc.Result;
@@ -142,8 +143,8 @@
             return;
         }
         if (!stage.offer(() -> open(exchange, edge, cameMs))) {
-            final boolean once = exchange.getRequestHeaders().contains("Spokestall-Ticket");
-            answer(exchange, new Answer(Result.BUSY, once ? Ran.UNDECIDED : Ran.NOT_RUN, 503, null, null, null, 0,
+            final Ticket ticket = Ticket.of(exchange.getRequestHeaders().getFirst("Spokestall-Ask-Id"));
+            answer(exchange, new Answer(Result.BUSY, ticket != null ? Ran.UNDECIDED : Ran.NOT_RUN, 503, null, null, null, 0,
                     1000));
         }
     }
@@ -154,8 +155,7 @@
         final var headers = exchange.getRequestHeaders();
         final AskHead head = new AskHead(exchange.getRequestMethod().toString(), exchange.getRequestPath(),
                 exchange.getQueryString(), headers.getFirst("Spokestall-Key"), headers.getFirst("Spokestall-Ask-Id"),
-                span == Long.MIN_VALUE ? span : span - waitedMs, headers.getFirst("Spokestall-Ticket"),
-                exchange.getRequestContentLength(), headers.getFirst(Headers.CONTENT_TYPE));
+                span == Long.MIN_VALUE ? span : span - waitedMs, exchange.getRequestContentLength(), headers.getFirst(Headers.CONTENT_TYPE));
         final Opened opened = edge.open(head);
         if (opened instanceof Opened.Deny deny) {
             exchange.getIoThread().execute(() -> answer(exchange, deny.answer()));
--- a/spokestall/src/main/java/spokestall/rpc/Result.java
+++ b/spokestall/src/main/java/spokestall/rpc/Result.java
@@ -15,7 +15,7 @@
     MALFORMED(2008, 400, "a header or field is missing or malformed"),
     BUSY(2009, 503, "too much is in flight here"),
     NO_UPSTREAM(2010, 503, "no upstream may take this ask now"),
-    TICKET_MISSING(2011, 400, "a run-once ask needs a ticket from where"),
+    TICKET_MISSING(2011, 400, "a run-once ask's id must begin with a ticket from where, and a dot"),
     TICKET_OLD(2012, 409, "the ticket is older than the claims that are kept"),
     LOST(3001, 502, "the answer was lost or unfit to be passed on"),
     CLAIMED(3002, 409, "the ask was claimed before and its end is not known"),
