A window is sealed after the other cores were heard and its edges closed it

Cause: a holder that took over late asked the others for their counts and sealed in the same step, with only what it had heard since its own start; and a window was sealed after a fixed grace though a cut-off edge's counts were under way. Excluded: edges' pushes (other cores had the counts), the fleet clock, the seal. Conclusion: ask, hear, then seal; wait for open edges up to half the due time.

--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -133,6 +133,9 @@
             run.play();
             System.out.print(run.world.sim.traced());
             System.out.println(run.results());
+            for (long w = World.EPOCH_MS / World.WINDOW_MS; w < World.EPOCH_MS / World.WINDOW_MS + 15; w++) {
+                System.out.println("window " + w + " " + run.byEdge(w));
+            }
             return 0;
         }
         Logger.getLogger("").setLevel(Level.OFF);
--- a/proof/src/main/java/spokestall/proof/Sim.java
+++ b/proof/src/main/java/spokestall/proof/Sim.java
@@ -63,6 +63,11 @@
         }
     }
 
+    /** What goes over the wires counts in the digest too. */
+    void carried(final byte[] frame) {
+        digest.update(frame);
+    }
+
     String traced() {
         return trace == null ? "" : trace.toString();
     }
--- a/proof/src/main/java/spokestall/proof/SimNet.java
+++ b/proof/src/main/java/spokestall/proof/SimNet.java
@@ -81,6 +81,7 @@
     void carry(final String from, final String to, final Note note, final java.util.function.Consumer<Note> arrive) {
         final long ms = wayMs(from, to);
         final byte[] frame = Codec.note(note);
+        sim.carried(frame);
         notes++;
         bytes += frame.length;
         if (ms < 0) {
--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -104,6 +104,14 @@
         return found;
     }
 
+    /** Begun asks of one window by the district of the edge they came through. */
+    Map<String, Integer> byEdge(final long window) {
+        final Map<String, Integer> found = new java.util.TreeMap<>();
+        world.begun.stream().filter(b -> (World.EPOCH_MS + b.atMs()) / World.WINDOW_MS == window)
+                .forEach(b -> found.merge(b.edgeDistrict(), 1, Integer::sum));
+        return found;
+    }
+
     double playShare() {
         return share(begunMs + 3000, begunMs + 3000 + PLAY_MS);
     }
--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/SimTest.java
@@ -0,0 +1,67 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** A handful of fixed seeds of every scenario; the wide sweep is {@code bin/proof sim}. */
+class SimTest {
+    @BeforeAll
+    static void quiet() {
+        Logger.getLogger("").setLevel(Level.OFF);
+    }
+
+    @Test
+    void noRuleIsBrokenAndServiceComesBackInEveryScenario() throws Exception {
+        final ExecutorService pool = Executors.newFixedThreadPool(Math.max(2,
+                Runtime.getRuntime().availableProcessors() - 1));
+        final List<Future<Sweep.Outcome>> runs = new ArrayList<>();
+        for (final Scenario scenario : Scenario.values()) {
+            for (final Deployment deployment : Deployment.values()) {
+                runs.add(pool.submit(() -> Sweep.one(4 + scenario.ordinal() % 3, deployment, scenario)));
+            }
+        }
+        final Map<Rule, Long> checks = new EnumMap<>(Rule.class);
+        final List<String> bad = new ArrayList<>();
+        for (final Future<Sweep.Outcome> run : runs) {
+            final Sweep.Outcome o = run.get();
+            final String again = Sweep.again(o.scenario(), o.deployment(), o.seed());
+            if (!o.up() || o.lastShare() < 0.95) {
+                bad.add("not back, " + o.lastShare() + ": " + again);
+            }
+            o.tallies().forEach((rule, t) -> {
+                checks.merge(rule, t.checks, Long::sum);
+                if (t.broken > 0) {
+                    bad.add(rule + " " + t.first + ": " + again);
+                }
+            });
+        }
+        pool.shutdown();
+        assertThat(bad).isEmpty();
+        assertThat(checks).as("every rule was looked at").allSatisfy((rule, n) -> assertThat(n).isPositive());
+    }
+
+    @Test
+    void aSeedReproducesARunByteForByte() {
+        final String[] traces = new String[2];
+        final long[] digests = new long[2];
+        for (int i = 0; i < 2; i++) {
+            final SimRun run = new SimRun(11, Deployment.VERDE, Scenario.MIXED, true, Map.of());
+            assertThat(run.play()).isTrue();
+            traces[i] = run.world.sim.traced();
+            digests[i] = run.world.sim.digest();
+        }
+        assertThat(traces[0]).isNotEmpty().isEqualTo(traces[1]);
+        assertThat(digests[0]).isEqualTo(digests[1]);
+    }
+}
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -158,7 +158,8 @@
         this.elector = core ? null : new Elector(settings.region(), s -> listing.ready(s, fleet.nowMs()), clock, fleet,
                 random, new Elector.Pace((int) settings.ms("edges"), settings.number("warmRatio"), 1,
                 settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 2)));
-        this.counter = core ? null : new UsageCounter(name, life, windowMs, 3, fleet, post, this::coreAddresses);
+        this.counter = core ? null : new UsageCounter(name, life, windowMs,
+                settings.part("reportDueMs", 0.1), 3, fleet, post, this::coreAddresses);
         this.edge = core ? null : edge(rim);
         this.ring = core ? new Ring(rim.segments()) : null;
         this.keeping = core ? new Keeping(fleet, settings.ms("claimKeepMs"), settings.part("claimKeepMs", 0.2),
@@ -172,7 +173,8 @@
                 settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2),
                 this::otherCores) : null;
         this.reporter = core ? new Reporter(name, address, usage, proposer, rim.platform(), post, clock, fleet,
-                new Reporter.Pace(windowMs, settings.part("reportDueMs", 0.15), settings.ms("reportDueMs"),
+                new Reporter.Pace(windowMs, settings.part("reportDueMs", 0.15), settings.part("reportDueMs", 0.5),
+                        settings.part("reportDueMs", 0.03), settings.ms("reportDueMs"),
                         settings.part("leaseMs", 0.4), settings.part("leaseMs", 0.4), settings.number("dutiesPerS")),
                 this::coreAddresses, this::floorMs) : null;
         this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
@@ -329,7 +331,7 @@
 
     private void drained(final long untilMs, final Runnable done) {
         if (edge.open() == 0 || clock.nowMs() >= untilMs) {
-            counter.tick();
+            counter.stop();
             clock.after(50, () -> stop(done));
         } else {
             clock.after(20, () -> drained(untilMs, done));
@@ -514,7 +516,7 @@
         } else if (note instanceof UsageNote.CountAsk ask) {
             post.send(ask.from(), new UsageNote.CountBack(name, ask.window(), usage.counts(ask.window())));
         } else if (note instanceof UsageNote.CountBack back) {
-            back.counts().forEach(usage::merge);
+            reporter.hear(back);
         }
     }
 
--- a/spokestall/src/main/java/spokestall/duty/Reporter.java
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -1,8 +1,10 @@
 package spokestall.duty;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -22,7 +24,7 @@
  */
 public final class Reporter implements LeaseKeeper.Work {
     /** Spans, from the settings. */
-    public record Pace(long windowMs, long graceMs, long dueMs, long storeWaitMs, long sendWaitMs, double perS) {
+    public record Pace(long windowMs, long graceMs, long waitMaxMs, long gatherMs, long dueMs, long storeWaitMs, long sendWaitMs, double perS) {
     }
 
     /** Sends one report to the platform. */
@@ -37,7 +39,8 @@
     private static final class Unit {
         private final long window;
         private Stage stage = Stage.GATHER;
-        private boolean asked;
+        private final Set<String> answered = new HashSet<>();
+        private long askedMs = -1;
         private Sealed sealed;
 
         Unit(final long window) {
@@ -133,19 +136,7 @@
     private void step(final Execution mine, final Unit unit) {
         final long lateMs = fleet.nowMs() - endMs(unit.window);
         if (unit.stage == Stage.GATHER) {
-            if (!unit.asked) {
-                unit.asked = true;
-                for (final String core : cores.get()) {
-                    post.send(core, new UsageNote.CountAsk(address, unit.window));
-                }
-            }
-            if (lateMs >= pace.graceMs()) {
-                seal(mine, unit);
-            } else if (lateMs >= pace.graceMs() / 2 && unit.sealed == null) {
-                for (final String core : cores.get()) {
-                    post.send(core, new UsageNote.CountAsk(address, unit.window));
-                }
-            }
+            gather(mine, unit, lateMs);
         } else if (unit.stage == Stage.SEND) {
             if (lateMs + pace.sendWaitMs() > pace.dueMs()) {
                 missed++;
@@ -158,6 +149,33 @@
         }
     }
 
+    /** Seals once the others were asked and could answer, and every edge has closed the window or the wait is over. */
+    private void gather(final Execution mine, final Unit unit, final long lateMs) {
+        final long nowMs = clock.nowMs();
+        if (unit.askedMs < 0 || nowMs - unit.askedMs >= pace.gatherMs() && !book.closed(unit.window)) {
+            if (unit.askedMs < 0 || lateMs < pace.waitMaxMs()) {
+                unit.askedMs = nowMs;
+                for (final String core : cores.get()) {
+                    post.send(core, new UsageNote.CountAsk(address, unit.window));
+                }
+            }
+        }
+        final boolean heard = unit.answered.size() >= cores.get().size() || nowMs - unit.askedMs >= pace.gatherMs();
+        final boolean whole = book.closed(unit.window) && lateMs >= pace.graceMs();
+        if (heard && (whole || lateMs >= pace.waitMaxMs())) {
+            seal(mine, unit);
+        }
+    }
+
+    /** Hears what another core has of a window. Example: {@code reporter.hear(back);} */
+    public void hear(final UsageNote.CountBack back) {
+        back.counts().forEach(book::merge);
+        final Unit unit = units.get(back.window());
+        if (unit != null) {
+            unit.answered.add(back.name());
+        }
+    }
+
     private void seal(final Execution mine, final Unit unit) {
         unit.stage = Stage.SEALING;
         final Map<String, Long> counts = book.sum(unit.window);
--- a/spokestall/src/main/java/spokestall/duty/UsageBook.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageBook.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** Begun asks by window, edge life and tenant. Merging takes the larger count, so order and repeats don't matter. */
@@ -12,6 +14,7 @@
     private static final int LIVES_MAX = 1024;
     private final int windowsKept;
     private final TreeMap<Long, Map<String, Map<String, Long>>> windows = new TreeMap<>();
+    private final TreeMap<Long, Set<String>> closed = new TreeMap<>();
 
     /** Example: {@code new UsageBook(12)} */
     public UsageBook(final int windowsKept) {
@@ -30,11 +33,23 @@
         }
         final Map<String, Long> begun = lives.computeIfAbsent(life, l -> new HashMap<>());
         count.begun().forEach((tenant, n) -> begun.merge(tenant, n, Math::max));
+        if (count.closed()) {
+            closed.computeIfAbsent(count.window(), w -> new HashSet<>()).add(life);
+        }
         while (windows.size() > windowsKept) {
-            windows.pollFirstEntry();
+            closed.remove(windows.pollFirstEntry().getKey());
         }
     }
 
+    /** Whether every edge life that was heard in this window or the one before has closed it.
+     * Example: {@code if (!book.closed(345) && early) waitForMore();} */
+    public boolean closed(final long window) {
+        final Set<String> open = new HashSet<>(windows.getOrDefault(window, Map.of()).keySet());
+        open.addAll(windows.getOrDefault(window - 1, Map.of()).keySet());
+        open.removeAll(closed.getOrDefault(window, Set.of()));
+        return open.isEmpty();
+    }
+
     /** A window's sums by tenant. Example: {@code book.sum(345).get("tenant-1")} */
     public Map<String, Long> sum(final long window) {
         final Map<String, Long> sum = new TreeMap<>();
@@ -49,7 +64,7 @@
         windows.getOrDefault(window, Map.of()).forEach((life, begun) -> {
             final int at = life.lastIndexOf('#');
             found.add(new UsageNote.Count(life.substring(0, at), Long.parseUnsignedLong(life.substring(at + 1), 16),
-                    window, begun));
+                    window, begun, closed.getOrDefault(window, Set.of()).contains(life)));
         });
         return found;
     }
--- a/spokestall/src/main/java/spokestall/duty/UsageCounter.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageCounter.java
@@ -18,9 +18,11 @@
     private final Post post;
     private final Supplier<List<String>> cores;
     private final TreeMap<Long, Map<String, Long>> begun = new TreeMap<>();
+    private final long closeMs;
+    private boolean stopped;
 
-    /** Example: {@code new UsageCounter("d1-edge", life, 5000, 4, fleet, post, cores)} */
-    public UsageCounter(final String edge, final long life, final long windowMs, final int windowsKept,
+    /** Example: {@code new UsageCounter("d1-edge", life, 5000, 2000, 4, fleet, post, cores)} */
+    public UsageCounter(final String edge, final long life, final long windowMs, final long closeMs, final int windowsKept,
             final FleetClock fleet, final Post post, final Supplier<List<String>> cores) {
         this.edge = edge;
         this.life = life;
@@ -28,6 +30,7 @@
         this.windowsKept = windowsKept;
         this.fleet = fleet;
         this.post = post;
+        this.closeMs = closeMs;
         this.cores = cores;
     }
 
@@ -36,12 +39,21 @@
         begun.computeIfAbsent(atMs / windowMs, w -> new HashMap<>()).merge(tenant, 1L, Long::sum);
     }
 
+    /** Nothing more will be counted here. Example: {@code counter.stop();} */
+    public void stop() {
+        stopped = true;
+        tick();
+    }
+
     /** One beat: sends the counts of the windows that are not long over. Example: {@code counter.tick();} */
     public void tick() {
         final long now = fleet.nowMs() / windowMs;
         begun.headMap(now - windowsKept).clear();
+        begun.computeIfAbsent(now, w -> new HashMap<>());
+        begun.computeIfAbsent(now - 1, w -> new HashMap<>());
         begun.forEach((window, counts) -> {
-            final UsageNote.Count count = new UsageNote.Count(edge, life, window, new TreeMap<>(counts));
+            final UsageNote.Count count = new UsageNote.Count(edge, life, window, new TreeMap<>(counts),
+                    stopped || (window + 1) * windowMs + closeMs < fleet.nowMs());
             for (final String core : cores.get()) {
                 post.send(core, count);
             }
--- a/spokestall/src/main/java/spokestall/duty/UsageNote.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageNote.java
@@ -6,8 +6,8 @@
 
 /** How counts reach whoever reports them. */
 public sealed interface UsageNote extends Note {
-    /** One edge life's begun asks by tenant in one window; it only grows. */
-    record Count(String edge, long life, long window, Map<String, Long> begun) implements UsageNote {
+    /** One edge life's begun asks by tenant in one window; it only grows, until the edge says that it is closed. */
+    record Count(String edge, long life, long window, Map<String, Long> begun, boolean closed) implements UsageNote {
     }
 
     /** Asks a core for all it has of a window. */
