Nothing that needs the fleet's time is done before the fleet clock has settled

Cause: an edge restarted with its calendar hours ahead pushed counts of a window hours ahead before it had heard any peer; the cores' books then took that window as newest and let the real ones go. Excluded: the holder's own clock (settled), sealing (sums were of what was left). Also gated, by the same reasoning: admission, voters' answers, a new generation, the lease. Windows far from a core's own time are not taken at all.

--- a/spokestall/src/main/java/spokestall/Keeping.java
+++ b/spokestall/src/main/java/spokestall/Keeping.java
@@ -29,6 +29,11 @@
         this.policyFloor = policyFloor;
     }
 
+    @Override
+    public boolean ready() {
+        return fleet.settled();
+    }
+
     @Override
     public boolean gone(final String key) {
         final long version = Versions.of(key);
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -110,7 +110,7 @@
     private final Keeping keeping;
     private final Formation formation;
     private final Prober prober;
-    private final UsageBook usage = new UsageBook(WINDOWS_KEPT);
+    private final UsageBook usage;
     private final LeaseKeeper keeper;
     private final Reporter reporter;
     private final UsageCounter counter;
@@ -143,6 +143,7 @@
             }
         };
         this.windowMs = settings.ms("reportWindowS") * 1000;
+        this.usage = new UsageBook(() -> fleet.nowMs() / windowMs, WINDOWS_KEPT);
         final Member self = new Member(name, address, settings.text("http"), core, settings.text("district"),
                 settings.region(), life, 0, false);
         final long farMs = settings.ms("farMs");
@@ -168,7 +169,7 @@
         this.formation = core ? new Formation(name, address, name + "#" + Long.toHexString(life), voter, proposer,
                 post, clock, new Formation.Pace((int) settings.ms("cores"), settings.part("leaveBoundMs", 0.4),
                 settings.part("leaveBoundMs", 0.15), settings.part("leaveBoundMs", 0.75), 8 * farMs),
-                new Merge(fleet), this::remains, this::coreAndEdgeAddresses, this::freshId) : null;
+                new Merge(fleet), this::remains, this::coreAndEdgeAddresses, this::freshId, fleet::settled) : null;
         this.prober = core ? new Prober(self, listing, rim.reach(), post, fleet, new Prober.Pace(
                 settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2),
                 this::otherCores) : null;
@@ -249,7 +250,11 @@
         if (core) {
             every(settings.part("leaveBoundMs", 0.0625), formation::tick);
             every(settings.part("leaveBoundMs", 0.125), prober::tick);
-            every(settings.part("leaseMs", 0.1), keeper::tick);
+            every(settings.part("leaseMs", 0.1), () -> {
+                if (fleet.settled()) {
+                    keeper.tick();
+                }
+            });
             every(settings.part("reportDueMs", 0.01), reporter::tick);
             every(settings.part("keyBoundMs", 0.2), this::tidy);
             every(settings.part("keyBoundMs", 0.02), this::learnFounded);
--- a/spokestall/src/main/java/spokestall/ballot/Formation.java
+++ b/spokestall/src/main/java/spokestall/ballot/Formation.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
@@ -52,6 +53,7 @@
     private final Supplier<Remains> own;
     private final Supplier<List<String>> others;
     private final Supplier<String> freshId;
+    private final BooleanSupplier ready;
     private final Map<String, Heard> heard = new TreeMap<>();
     private final Map<String, Remains> remains = new TreeMap<>();
     private final Map<String, FormNote.FormPromise> promises = new TreeMap<>();
@@ -70,7 +72,8 @@
     /** Example: see {@code Node}, which joins it to the voter, the proposer and the view. */
     public Formation(final String name, final String address, final String by, final Voter voter,
             final Proposer proposer, final Post post, final Clock clock, final Pace pace, final Merger merger,
-            final Supplier<Remains> own, final Supplier<List<String>> others, final Supplier<String> freshId) {
+            final Supplier<Remains> own, final Supplier<List<String>> others, final Supplier<String> freshId,
+            final BooleanSupplier ready) {
         this.name = name;
         this.address = address;
         this.by = by;
@@ -83,6 +86,7 @@
         this.own = own;
         this.others = others;
         this.freshId = freshId;
+        this.ready = ready;
         final byte[] had = voter.own(FORM);
         kept = had == null ? null : Codec.record(had, Kept.class);
         if (kept != null && kept.base == generation()) {
@@ -159,7 +163,7 @@
 
     /** True when no majority with state can be put together from the cores there are. */
     private boolean wanted(final Map<String, FormNote.Standing> fresh) {
-        if (!voter.canWrite()) {
+        if (!voter.canWrite() || !ready.getAsBoolean()) {
             return false;
         }
         int canWrite = 0;
--- a/spokestall/src/main/java/spokestall/ballot/Guard.java
+++ b/spokestall/src/main/java/spokestall/ballot/Guard.java
@@ -2,6 +2,9 @@
 
 /** Says which keys a voter still keeps, and which values it will never take. */
 public interface Guard {
+    /** Whether the answers below can be relied on yet. Example: {@code if (!guard.ready()) stayBlank();} */
+    boolean ready();
+
     /** Whether the key was let go and must not be made anew. Example: {@code guard.gone("usage/17")} */
     boolean gone(String key);
 
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -276,7 +276,7 @@
             post.send(from, new BallotNote.Table(voters));
             return BallotNote.Reply.OLD_TABLE;
         }
-        return state() == State.VOTING ? BallotNote.Reply.YES : BallotNote.Reply.BLANK;
+        return state() == State.VOTING && guard.ready() ? BallotNote.Reply.YES : BallotNote.Reply.BLANK;
     }
 
     private void prepare(final BallotNote.Prepare ask) {
--- a/spokestall/src/main/java/spokestall/duty/UsageBook.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageBook.java
@@ -7,23 +7,27 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 /** Begun asks by window, edge life and tenant. Merging takes the larger count, so order and repeats don't matter. */
 public final class UsageBook {
     private static final int TENANTS_MAX = 4096;
     private static final int LIVES_MAX = 1024;
+    private final LongSupplier window;
     private final int windowsKept;
     private final TreeMap<Long, Map<String, Map<String, Long>>> windows = new TreeMap<>();
     private final TreeMap<Long, Set<String>> closed = new TreeMap<>();
 
-    /** Example: {@code new UsageBook(12)} */
-    public UsageBook(final int windowsKept) {
+    /** Example: {@code new UsageBook(() -> fleet.nowMs() / windowMs, 12)}; windows far from now are not taken. */
+    public UsageBook(final LongSupplier window, final int windowsKept) {
+        this.window = window;
         this.windowsKept = windowsKept;
     }
 
     /** Merges one edge life's counts. Example: {@code book.merge(count);} */
     public void merge(final UsageNote.Count count) {
-        if (!windows.isEmpty() && count.window() < windows.lastKey() - windowsKept) {
+        final long now = window.getAsLong();
+        if (count.window() < now - windowsKept || count.window() > now + 1) {
             return;
         }
         final Map<String, Map<String, Long>> lives = windows.computeIfAbsent(count.window(), w -> new HashMap<>());
@@ -36,35 +40,35 @@
         if (count.closed()) {
             closed.computeIfAbsent(count.window(), w -> new HashSet<>()).add(life);
         }
-        while (windows.size() > windowsKept) {
+        while (windows.firstKey() < now - windowsKept) {
             closed.remove(windows.pollFirstEntry().getKey());
         }
     }
 
     /** Whether every edge life that was heard in this window or the one before has closed it.
      * Example: {@code if (!book.closed(345) && early) waitForMore();} */
-    public boolean closed(final long window) {
-        final Set<String> open = new HashSet<>(windows.getOrDefault(window, Map.of()).keySet());
-        open.addAll(windows.getOrDefault(window - 1, Map.of()).keySet());
-        open.removeAll(closed.getOrDefault(window, Set.of()));
+    public boolean closed(final long of) {
+        final Set<String> open = new HashSet<>(windows.getOrDefault(of, Map.of()).keySet());
+        open.addAll(windows.getOrDefault(of - 1, Map.of()).keySet());
+        open.removeAll(closed.getOrDefault(of, Set.of()));
         return open.isEmpty();
     }
 
     /** A window's sums by tenant. Example: {@code book.sum(345).get("tenant-1")} */
-    public Map<String, Long> sum(final long window) {
+    public Map<String, Long> sum(final long of) {
         final Map<String, Long> sum = new TreeMap<>();
-        windows.getOrDefault(window, Map.of()).values()
+        windows.getOrDefault(of, Map.of()).values()
                 .forEach(begun -> begun.forEach((tenant, n) -> sum.merge(tenant, n, Long::sum)));
         return sum;
     }
 
     /** What is known of a window, to hand to another core. Example: {@code book.counts(345)} */
-    public List<UsageNote.Count> counts(final long window) {
+    public List<UsageNote.Count> counts(final long of) {
         final List<UsageNote.Count> found = new ArrayList<>();
-        windows.getOrDefault(window, Map.of()).forEach((life, begun) -> {
+        windows.getOrDefault(of, Map.of()).forEach((life, begun) -> {
             final int at = life.lastIndexOf('#');
             found.add(new UsageNote.Count(life.substring(0, at), Long.parseUnsignedLong(life.substring(at + 1), 16),
-                    window, begun, closed.getOrDefault(window, Set.of()).contains(life)));
+                    of, begun, closed.getOrDefault(of, Set.of()).contains(life)));
         });
         return found;
     }
--- a/spokestall/src/main/java/spokestall/duty/UsageCounter.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageCounter.java
@@ -47,6 +47,9 @@
 
     /** One beat: sends the counts of the windows that are not long over. Example: {@code counter.tick();} */
     public void tick() {
+        if (!fleet.settled()) {
+            return;
+        }
         final long now = fleet.nowMs() / windowMs;
         begun.headMap(now - windowsKept).clear();
         begun.computeIfAbsent(now, w -> new HashMap<>());
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -115,7 +115,7 @@
                 || head.spanMs() == Long.MIN_VALUE) {
             return denied(Result.MALFORMED, doubt);
         }
-        if (!follower.fresh()) {
+        if (!follower.fresh() || !fleet.settled()) {
             return denied(Result.NOT_FRESH, doubt);
         }
         final Policy policy = book.policy();
