Rivals for an expired lease come one after another

Cause: after a holder's death every other core tried to acquire at once; their ballots on one register pushed each other back, and one that took hold after the store timeout counts as unclear and must run out before anyone may hold again. Excluded: the watch span (all saw it run out within 100 ms), voters' syncs. Conclusion: an order drawn from the lease itself, two round trips apart.

--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -180,7 +180,7 @@
                 this::coreAddresses, this::floorMs) : null;
         this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
                 settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
-                settings.part("leaseMs", 0.1), settings.ms("maxRunMs")), this::holds) : null;
+                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), this::holds) : null;
         this.acceptance = core ? new Acceptance(name, book, new Rules(calls.file().at("/$defs/policy"),
                 settings.regions(), settings.districts().keySet()), proposer, follower,
                 settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), this::tellNews) : null;
--- a/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -5,6 +5,7 @@
 import spokestall.ballot.Edit;
 import spokestall.ballot.Outcome;
 import spokestall.ballot.Proposer;
+import spokestall.ballot.Seat;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
 
@@ -17,7 +18,7 @@
     public enum State { WATCHING, ACQUIRING, HOLDING, RELEASING, STOPPED }
 
     /** Spans, from the settings. */
-    public record Pace(long leaseMs, long renewMs, long storeWaitMs, long marginMs, long maxRunMs) {
+    public record Pace(long leaseMs, long renewMs, long storeWaitMs, long marginMs, long turnMs, long maxRunMs) {
     }
 
     /** Told when an execution begins; it ends by itself when it may no longer work. */
@@ -106,12 +107,30 @@
             seen = now;
             seenMs = nowMs;
         }
-        if (now == null || now.released() || nowMs - seenMs >= Math.max(now.spanMs(), pace.leaseMs())
-                + pace.marginMs()) {
+        final long runsOutMs = now == null || now.released() ? 0
+                : Math.max(now.spanMs(), pace.leaseMs()) + pace.marginMs();
+        if (nowMs - seenMs >= runsOutMs + turnMs(now)) {
             acquire();
         }
     }
 
+    /**
+     * Rivals that saw the same lease run out come one after another, in an order drawn from the lease itself, so that
+     * the first is done before the next begins; all at once would spend the store's time on each other's ballots.
+     */
+    private long turnMs(final Lease expired) {
+        if (expired == null) {
+            return 0;
+        }
+        final String salt = expired.owner() + expired.renewal();
+        int before = 0;
+        for (final Seat seat : proposer.voters().seats()) {
+            before += !seat.name().equals(expired.holder())
+                    && (seat.name() + salt).hashCode() < (name + salt).hashCode() ? 1 : 0;
+        }
+        return before * pace.turnMs();
+    }
+
     private void acquire() {
         final long askedMs = clock.nowMs();
         final Lease expired = seen;
