A ticket's generation is looked at in every round of a claim, not only at its start

Cause: whether a ticket was too old was settled before the ballot; a claim whose rounds went on while a new generation began was then written into it, though the claim under which the order had run was lost with the old one. Excluded: the merge (all six disks were wiped, nothing was left to merge), the naming by ticket (both goes had the same id).

--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -40,6 +40,8 @@
         private int threads = 6;
         @Option(name = "--trace", usage = "print the trace of the one run")
         private boolean trace;
+        @Option(name = "--story", usage = "with --trace: print all that is known of this ask")
+        private String story;
         @Option(name = "--help", help = true, usage = "this page")
         private boolean help;
     }
@@ -133,6 +135,9 @@
             run.play();
             System.out.print(run.world.sim.traced());
             System.out.println(run.results());
+            if (flags.story != null) {
+                System.out.println(run.story(flags.story));
+            }
             for (long w = World.EPOCH_MS / World.WINDOW_MS; w < World.EPOCH_MS / World.WINDOW_MS + 15; w++) {
                 System.out.println("window " + w + " " + run.byEdge(w));
             }
--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -112,6 +112,15 @@
         return found;
     }
 
+    /** All that is known of one ask. */
+    String story(final String askId) {
+        final StringBuilder out = new StringBuilder(askId + " sent " + world.asked.get(askId).sentMs);
+        world.goes.stream().filter(g -> g.askId().equals(askId)).forEach(g -> out.append("\n  ").append(g));
+        world.begun.stream().filter(g -> g.askId().equals(askId)).forEach(g -> out.append("\n  ").append(g));
+        world.told.stream().filter(g -> g.askId().equals(askId)).forEach(g -> out.append("\n  ").append(g));
+        return out.toString();
+    }
+
     double playShare() {
         return share(begunMs + 3000, begunMs + 3000 + PLAY_MS);
     }
--- a/proof/src/test/java/spokestall/proof/SimTest.java
+++ b/proof/src/test/java/spokestall/proof/SimTest.java
@@ -31,6 +31,10 @@
                 runs.add(pool.submit(() -> Sweep.one(4 + scenario.ordinal() % 3, deployment, scenario)));
             }
         }
+        // Seeds that once broke a rule.
+        runs.add(pool.submit(() -> Sweep.one(26, Deployment.PADMA, Scenario.DISKS_LOST)));
+        runs.add(pool.submit(() -> Sweep.one(5, Deployment.VERDE, Scenario.RESTART_IN_TURN)));
+        runs.add(pool.submit(() -> Sweep.one(26, Deployment.PADMA, Scenario.REGION_KILL)));
         final Map<Rule, Long> checks = new EnumMap<>(Rule.class);
         final List<String> bad = new ArrayList<>();
         for (final Future<Sweep.Outcome> run : runs) {
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -300,9 +300,6 @@
             final Ticket ticket = Ticket.of(ask.head().askId());
             final long nowMs = fleet.nowMs();
             final String digest = KeyHash.hex(body);
-            final boolean old = proposer.voters() == null || ticket.generation() != proposer.voters().generation()
-                    || nowMs - ticket.issuedMs() > pace.claimKeepMs()
-                    || ticket.issuedMs() - nowMs > pace.ticketAheadMs();
             final String claimId = name + "/" + Long.toHexString(random.nextLong());
             final Claim mine = new Claim(claimId, digest, ticket.issuedMs(), nowMs, Claim.State.OPEN, 0, "", "");
             final byte[] value = Codec.bytes(mine);
@@ -313,11 +310,19 @@
                 }
                 final boolean free = now == null
                         || now.state() == Claim.State.NOT_RUN && now.digest().equals(digest);
-                return free && !old && barred() == null ? new Edit.Set(value) : Edit.LEAVE;
-            }, outcome -> claimed(outcome, claimId, digest, old));
+                return free && !old(ticket) && barred() == null ? new Edit.Set(value) : Edit.LEAVE;
+            }, outcome -> claimed(outcome, claimId, digest, ticket));
         }
 
-        private void claimed(final Outcome outcome, final String claimId, final String digest, final boolean old) {
+        /** Asked anew in each round: a generation may begin between two of them. */
+        private boolean old(final Ticket ticket) {
+            final long ageMs = fleet.nowMs() - ticket.issuedMs();
+            return proposer.voters() == null || ticket.generation() != proposer.voters().generation()
+                    || ageMs > pace.claimKeepMs() || -ageMs > pace.ticketAheadMs();
+        }
+
+        private void claimed(final Outcome outcome, final String claimId, final String digest,
+                final Ticket ticket) {
             if (!(outcome instanceof Outcome.Done done)) {
                 give(outcome instanceof Outcome.Gone ? Result.TICKET_OLD : Result.UNCLEAR);
                 return;
@@ -333,7 +338,7 @@
                 go();
             } else if (now == null || now.state() == Claim.State.NOT_RUN) {
                 final Result barred = barred();
-                give(old ? Result.TICKET_OLD : barred != null ? barred : Result.UNCLEAR);
+                give(old(ticket) ? Result.TICKET_OLD : barred != null ? barred : Result.UNCLEAR);
             } else if (!now.digest().equals(digest)) {
                 give(Result.CONFLICT);
             } else if (now.state() == Claim.State.OPEN) {
