The last check before bytes leave is made on the stage and again where they leave

Cause: the check ran on an I/O thread while the stage changed what it reads (a data race found by reading), and counting at the answer lost what a killed edge had under way, with pushes every half second. Now the stage gives a time until which bytes may leave and the I/O thread looks at it once more; begun asks are counted there and pushed every 200 ms. The simulator changes threads in the same place, so a freeze can fall between. Excluded: holder's gathering (other cores had no more than it).

--- a/proof/src/main/java/spokestall/proof/SimNode.java
+++ b/proof/src/main/java/spokestall/proof/SimNode.java
@@ -71,6 +71,10 @@
         return World.EPOCH_MS + world.sim.nowMs() + wallJumpMs;
     }
 
+    long nowMs() {
+        return monotonicMs + world.sim.nowMs();
+    }
+
     void start() {
         if (node != null) {
             return;
@@ -80,7 +84,7 @@
         final Clock clock = new Clock() {
             @Override
             public long nowMs() {
-                return monotonicMs + world.sim.nowMs();
+                return SimNode.this.nowMs();
             }
 
             @Override
--- a/proof/src/main/java/spokestall/proof/SimOutside.java
+++ b/proof/src/main/java/spokestall/proof/SimOutside.java
@@ -8,7 +8,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.LongSupplier;
 import spokestall.duty.Reporter;
 import spokestall.duty.Sealed;
 import spokestall.edge.Go;
@@ -141,14 +141,10 @@
 
         @Override
         public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
-                final Supplier<Boolean> before, final Consumer<Boolean> done) {
+                final LongSupplier until, final Consumer<Boolean> done) {
             final long way = 5 + random.nextInt(20);
             // Connecting takes a round trip; the check is made when the bytes are about to leave.
-            back(2 * way, () -> {
-                if (!before.get()) {
-                    done.accept(false);
-                    return;
-                }
+            leave(2 * way, until, () -> done.accept(false), () -> {
                 world.sim.after(way, () -> world.reported.add(new Ledger.Reported(holder, token, sealed.window(),
                         new TreeMap<>(sealed.counts()), world.sim.nowMs())));
                 final boolean lost = random.nextInt(50) == 0;
@@ -157,7 +153,7 @@
         }
 
         @Override
-        public void go(final Go go, final Supplier<Boolean> may, final Consumer<GoResult> done) {
+        public void go(final Go go, final LongSupplier until, final Consumer<GoResult> done) {
             final int turn = turns.merge(go.askId(), 1, Integer::sum);
             final World.Asked asked = world.asked.get(go.askId());
             world.goes.add(new World.Gone(go.askId(), go.service(), asked.kind.runOnce() ? 1 : turn,
@@ -181,28 +177,44 @@
                 return;
             }
             back(2 * way, () -> {
-                final Up up = byAddress.get(go.address());
                 if (over[0]) {
                     return;
                 }
-                if (up == null) {
+                if (byAddress.get(go.address()) == null) {
                     once.accept(new GoResult.NotSent("refused"));
-                } else if (!may.get()) {
-                    once.accept(new GoResult.NotSent("barred"));
-                } else {
-                    sent[0] = true;
-                    travel(go, up, once);
+                    return;
                 }
+                leave(0, until, () -> once.accept(new GoResult.NotSent("barred")), () -> {
+                    if (!over[0]) {
+                        sent[0] = true;
+                        travel(go, once);
+                    }
+                });
             });
         }
 
-        private void travel(final Go go, final Up up, final Consumer<GoResult> once) {
+        /** Asks, changes threads, looks once more, and lets the bytes go; a freeze may come between. */
+        private void leave(final long waitMs, final LongSupplier until, final Runnable barred, final Runnable go) {
+            back(waitMs, () -> {
+                final long untilMs = until.getAsLong();
+                back(random.nextInt(2), () -> {
+                    if (node.nowMs() >= untilMs) {
+                        barred.run();
+                    } else {
+                        go.run();
+                    }
+                });
+            });
+        }
+
+        private void travel(final Go go, final Consumer<GoResult> once) {
             final long way = world.net.wayMs(node.address, go.address());
             if (way < 0) {
                 return;
             }
             world.sim.after(way, () -> {
-                if (!up.running) {
+                final Up up = byAddress.get(go.address());
+                if (up == null || !up.running) {
                     back(way, () -> once.accept(new GoResult.Lost("reset")));
                 } else if (!up.instance.equals(go.instance())) {
                     back(way, () -> once.accept(new GoResult.NotRun("not the instance that was meant")));
--- a/spokestall/src/main/java/spokestall/Demand.java
+++ b/spokestall/src/main/java/spokestall/Demand.java
@@ -151,8 +151,8 @@
         final String[] nodes = flags.to.split(",");
         final String node = nodes[Math.floorMod(askId.hashCode() + turn, nodes.length)];
         final ObjectNode params = Book.JSON.createObjectNode().put("client", who).put("key", kind.key);
-        client.call(new HttpCall(node, "POST", "/rpc/where", Map.of("Content-Type", "application/json"),
-                params.toString().getBytes(StandardCharsets.UTF_8), 1000, ANSWER_MAX, false, () -> true), r -> {
+        client.call(HttpCall.plain(node, "POST", "/rpc/where", Map.of("Content-Type", "application/json"),
+                params.toString().getBytes(StandardCharsets.UTF_8), 1000, ANSWER_MAX), r -> {
                     final Place found = place(r);
                     if (found != null) {
                         places.put(place, found);
@@ -192,8 +192,7 @@
         headers.put("Spokestall-Ask-Id", name);
         headers.put("Spokestall-Deadline-Ms", Long.toString(spanMs));
         final byte[] body = kind.runOnce ? ("{\"do\":\"" + askId + "\"}").getBytes(StandardCharsets.UTF_8) : new byte[0];
-        client.call(new HttpCall(edge, kind.runOnce ? "POST" : "GET", kind.path, headers, body, spanMs + 500, ANSWER_MAX,
-                false, () -> true), r -> {
+        client.call(HttpCall.plain(edge, kind.runOnce ? "POST" : "GET", kind.path, headers, body, spanMs + 500, ANSWER_MAX), r -> {
                     if (r instanceof HttpResult.Whole whole) {
                         final String outcome = whole.header("Spokestall-Outcome");
                         if ("ran".equals(outcome)) {
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -259,7 +259,7 @@
             every(settings.part("keyBoundMs", 0.2), this::tidy);
             every(settings.part("keyBoundMs", 0.02), this::learnFounded);
         } else {
-            every(windowMs / 10, counter::tick);
+            every(windowMs / 25, counter::tick);
             every(settings.part("leaveBoundMs", 1), () -> elector.retain(Set.copyOf(
                     listing.listed().stream().map(Listed::instance).toList())));
         }
--- a/spokestall/src/main/java/spokestall/Operator.java
+++ b/spokestall/src/main/java/spokestall/Operator.java
@@ -95,8 +95,8 @@
         final HttpClient client = Demand.client(1);
         final AtomicReference<HttpResult> got = new AtomicReference<>();
         final CountDownLatch done = new CountDownLatch(1);
-        client.call(new HttpCall(to, "POST", "/rpc/" + method, Map.of("Content-Type", "application/json"),
-                params.toString().getBytes(StandardCharsets.UTF_8), waitMs, ANSWER_MAX, true, () -> true), r -> {
+        client.call(HttpCall.plain(to, "POST", "/rpc/" + method, Map.of("Content-Type", "application/json"),
+                params.toString().getBytes(StandardCharsets.UTF_8), waitMs, ANSWER_MAX), r -> {
                     got.set(r);
                     done.countDown();
                 });
--- a/spokestall/src/main/java/spokestall/duty/Reporter.java
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -29,8 +29,8 @@
 
     /** Sends one report to the platform. */
     public interface Platform {
-        /** {@code before} is asked in the moment the bytes are to leave. Example: see {@code Rim}. */
-        void report(String holder, long token, Sealed sealed, long waitMs, Supplier<Boolean> before,
+        /** {@code until} tells, on the monotonic clock, until when the bytes may leave. Example: see {@code Outside}. */
+        void report(String holder, long token, Sealed sealed, long waitMs, LongSupplier until,
                 Consumer<Boolean> done);
     }
 
@@ -199,7 +199,7 @@
         unit.stage = Stage.SENDING;
         sentMs = clock.nowMs();
         platform.report(name, mine.token(), unit.sealed, pace.sendWaitMs(),
-                () -> mine == execution && mine.mayWork(clock.nowMs()), ok -> {
+                () -> mine == execution && mine.mayWork(clock.nowMs()) ? mine.deadlineMs() : Long.MIN_VALUE, ok -> {
                     LOG.atInfo().log("event=report node=%s executionId=%s token=%s window=%s ok=%s lateMs=%s", name,
                             mine.executionId(), mine.token(), unit.window, ok, fleet.nowMs() - endMs(unit.window));
                     if (ok) {
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Supplier;
+import java.util.function.LongSupplier;
 import spokestall.ballot.Edit;
 import spokestall.ballot.Outcome;
 import spokestall.ballot.Proposer;
@@ -405,20 +405,20 @@
                     : head.path() + "?" + head.query(), head.contentType(), body, waitMs,
                     ask.rule().answerMaxBytes());
             elector.begun(to.instance());
-            final long[] sentMs = {-1};
-            final Supplier<Boolean> may = () -> {
-                final boolean yes = barred() == null;
-                sentMs[0] = yes ? fleet.nowMs() : -1;
-                return yes;
+            final LongSupplier until = () -> {
+                if (barred() != null) {
+                    return Long.MIN_VALUE;
+                }
+                counter.begun(ask.tenant().name(), fleet.nowMs());
+                return Math.min(ask.deadlineMs(), follower.freshUntilMs());
             };
-            upstreams.go(go, may, result -> went(to, result, sentMs[0]));
+            upstreams.go(go, until, result -> went(to, result));
         }
 
-        private void went(final Upstream to, final GoResult result, final long sentMs) {
+        private void went(final Upstream to, final GoResult result) {
             final boolean begun = result instanceof GoResult.Whole || result instanceof GoResult.Lost;
             if (begun) {
                 mayHaveRun = true;
-                counter.begun(ask.tenant().name(), sentMs < 0 ? fleet.nowMs() : sentMs);
             }
             final boolean barredHere = result instanceof GoResult.NotSent n && n.why().equals("barred");
             elector.ended(to.instance(), !barredHere && !(result instanceof GoResult.Whole));
--- a/spokestall/src/main/java/spokestall/edge/Upstreams.java
+++ b/spokestall/src/main/java/spokestall/edge/Upstreams.java
@@ -1,11 +1,12 @@
 package spokestall.edge;
 
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.LongSupplier;
 
 /** How an edge reaches upstreams, at the rim. */
 public interface Upstreams {
-    /** {@code may} is asked in the moment the first bytes are to leave.
-     * Example: {@code upstreams.go(go, () -> mayGo(ask), result -> ...);} */
-    void go(Go go, Supplier<Boolean> may, Consumer<GoResult> done);
+    /** {@code until} is asked on the stage when the wire is open, and tells until when, on the monotonic clock, the
+     * first bytes may leave; it is looked at once more in the moment they do. A time gone by is "not at all".
+     * Example: {@code upstreams.go(go, () -> untilMs(ask), result -> ...);} */
+    void go(Go go, LongSupplier until, Consumer<GoResult> done);
 }
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -88,6 +88,11 @@
         return ageMs() <= pace.freshMs();
     }
 
+    /** When the present proof is too old. Example: {@code Math.min(deadlineMs, follower.freshUntilMs())} */
+    public long freshUntilMs() {
+        return provedMs + pace.freshMs();
+    }
+
     /** What the cores last said, by name. Example: {@code follower.last().values()} */
     public Map<String, FeedNote.FeedBack> last() {
         return last;
--- a/spokestall/src/main/java/spokestall/rim/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -132,6 +132,16 @@
                 trouble("closed");
                 return;
             }
+            call.gate().execute(() -> {
+                final long untilMs = call.until().getAsLong();
+                made.getIoThread().execute(() -> send(made, untilMs));
+            });
+        }
+
+        private void send(final ClientConnection made, final long untilMs) {
+            if (over.get()) {
+                return;
+            }
             final ClientRequest request = new ClientRequest().setMethod(new HttpString(call.method()))
                     .setPath(call.target());
             request.getRequestHeaders().put(Headers.HOST, call.address());
@@ -141,7 +151,7 @@
                     request.getRequestHeaders().put(new HttpString(name), value);
                 }
             });
-            if (!call.may().get()) {
+            if (System.nanoTime() / 1_000_000 >= untilMs) {
                 keepIdle(call.address(), made);
                 end(new HttpResult.NotSent("barred"));
                 return;
--- a/spokestall/src/main/java/spokestall/rim/Outside.java
+++ b/spokestall/src/main/java/spokestall/rim/Outside.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.LongSupplier;
 import spokestall.duty.Reporter;
 import spokestall.duty.Sealed;
 import spokestall.edge.Go;
@@ -35,7 +35,7 @@
     }
 
     @Override
-    public void go(final Go go, final Supplier<Boolean> may, final Consumer<GoResult> done) {
+    public void go(final Go go, final LongSupplier until, final Consumer<GoResult> done) {
         final Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Spokestall-Ask-Id", go.askId());
         headers.put("Spokestall-Tenant", go.tenant());
@@ -44,7 +44,7 @@
         headers.put("Spokestall-Deadline-Ms", Long.toString(go.waitMs()));
         headers.put("Content-Type", go.contentType());
         client.call(new HttpCall(go.address(), go.method(), go.target(), headers, go.body(), go.waitMs(),
-                go.answerMaxBytes(), false, may), result -> {
+                go.answerMaxBytes(), false, stage, until), result -> {
                     final GoResult judged = judge(go, result);
                     stage.execute(() -> done.accept(judged));
                 });
@@ -75,7 +75,7 @@
     }
 
     private void get(final String address, final String target, final long waitMs, final Consumer<JsonNode> done) {
-        client.call(new HttpCall(address, "GET", target, Map.of(), new byte[0], waitMs, LIST_MAX, false, () -> true),
+        client.call(HttpCall.plain(address, "GET", target, Map.of(), new byte[0], waitMs, LIST_MAX),
                 result -> {
                     JsonNode found = null;
                     if (result instanceof HttpResult.Whole whole && whole.status() == 200) {
@@ -119,13 +119,13 @@
 
     @Override
     public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
-            final Supplier<Boolean> before, final Consumer<Boolean> done) {
+            final LongSupplier until, final Consumer<Boolean> done) {
         final ObjectNode out = Book.JSON.createObjectNode().put("window", sealed.window());
         final ObjectNode counts = out.putObject("counts");
         sealed.counts().forEach(counts::put);
         client.call(new HttpCall(platform, "POST", "/usage", Map.of("Spokestall-Duty-Holder", holder,
                 "Spokestall-Fence-Token", Long.toString(token), "Content-Type", "application/json"),
-                out.toString().getBytes(StandardCharsets.UTF_8), waitMs, LIST_MAX, true, before), result -> {
+                out.toString().getBytes(StandardCharsets.UTF_8), waitMs, LIST_MAX, true, stage, until), result -> {
                     final boolean ok = result instanceof HttpResult.Whole whole && whole.status() / 100 == 2;
                     stage.execute(() -> done.accept(ok));
                 });
