A planted fault for each rule, which the judge must find

Callers left cut-off edges by themselves, cold upstreams were never pressed, no freeze fell between last check and bytes, and upstreams failed too seldom to need retries. Now one client in ten stays with its edge, and COLD_RETURN, BROWNOUT, FREEZE_AT_SEND and BLINK press harder.

--- a/proof/src/main/java/spokestall/proof/Deployment.java
+++ b/proof/src/main/java/spokestall/proof/Deployment.java
@@ -122,8 +122,8 @@
             bindings.putObject("other").put("path", other).put("service", small);
         }
         final ObjectNode services = policy.putObject("services");
-        services.putObject(big).put("warmPerS", 20).put("warmupMs", 10_000).put("goMs", 2000);
-        services.putObject(small).put("warmPerS", 20).put("warmupMs", 10_000).put("goMs", 2000);
+        services.putObject(big).put("warmPerS", World.WARM_PER_S).put("warmupMs", 10_000).put("goMs", 2000);
+        services.putObject(small).put("warmPerS", World.WARM_PER_S).put("warmupMs", 10_000).put("goMs", 2000);
         return policy;
     }
 }
--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.kohsuke.args4j.CmdLineException;
@@ -38,6 +37,8 @@
         private String seeds = "1-3";
         @Option(name = "--threads", usage = "runs at the same time")
         private int threads = 6;
+        @Option(name = "--plant", usage = "a fault to plant, to see that the rules' judge finds it")
+        private Plant plant = Plant.NONE;
         @Option(name = "--trace", usage = "print the trace of the one run")
         private boolean trace;
         @Option(name = "--story", usage = "with --trace: print all that is known of this ask")
@@ -131,7 +132,7 @@
             return 0;
         }
         if (flags.trace) {
-            final SimRun run = new SimRun(from, deployments.get(0), scenarios.get(0), true, Map.of());
+            final SimRun run = new SimRun(from, deployments.get(0), scenarios.get(0), true, flags.plant);
             run.play();
             System.out.print(run.world.sim.traced());
             System.out.println(run.results());
@@ -144,6 +145,6 @@
             return 0;
         }
         Logger.getLogger("").setLevel(Level.OFF);
-        return Sweep.run(scenarios, deployments, from, until, flags.threads) == 0 ? 0 : 1;
+        return Sweep.run(scenarios, deployments, from, until, flags.threads, flags.plant) == 0 ? 0 : 1;
     }
 }
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Plant.java
@@ -0,0 +1,38 @@
+package spokestall.proof;
+
+import java.util.Map;
+
+/** Faults that are planted to see that the judge finds them: a guard widened by settings, or the world made to lie. */
+enum Plant {
+    NONE(Map.of()),
+    /** Proofs of the policy count twelve times as long and are asked for as seldom; words on upstreams five times. */
+    OLD_PROOFS(Map.of("keyBoundMs", "60000", "leaveBoundMs", "20000")),
+    /** Upstreams are probed and views shuffled fifteen times as seldom. */
+    SELDOM_PROBES(Map.of("leaveBoundMs", "60000")),
+    /** Nodes believe that their districts lie in other regions. */
+    WRONG_REGIONS(Map.of("districts", "d1=r2,d2=r2,d3=r1,d4=r1,d5=r3,d6=r3")),
+    /** Each edge takes a shared bound as its own. */
+    UNDIVIDED(Map.of("edges", "1")),
+    /** Retries are not held to their share. */
+    FREE_RETRIES(Map.of("retryShare", "1", "retryAllowance", "1000")),
+    /** Reports are thought to have half a minute. */
+    LATE_REPORTS(Map.of("reportDueMs", "30000")),
+    /** Disks say that a write is down seconds before it is. */
+    LYING_DISK(Map.of()),
+    /** Bytes leave without a last look at the time, however long the machine froze before. */
+    NO_LAST_LOOK(Map.of()),
+    /** A garbled answer is passed on. */
+    GARBAGE_PASSED(Map.of()),
+    /** A wire that broke after the work counts as never used. */
+    LOST_AS_NOT_SENT(Map.of());
+
+    private final Map<String, String> settings;
+
+    Plant(final Map<String, String> settings) {
+        this.settings = settings;
+    }
+
+    Map<String, String> settings() {
+        return settings;
+    }
+}
--- a/proof/src/main/java/spokestall/proof/Scenario.java
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -41,13 +41,15 @@
     COLD_RETURN {
         @Override
         void play(final SimRun run) {
-            final List<SimOutside.Up> all = new ArrayList<>(run.world.outside.running());
-            for (int i = 0; i < all.size(); i += 2) {
-                final SimOutside.Up old = all.get(i);
-                run.world.outside.stop(old);
-                old.listed = false;
-                run.later(4000, () -> run.world.outside.replace(old));
+            run.world.callers.rate(3 * run.world.deployment.rate);
+            for (final SimOutside.Up old : run.world.outside.running()) {
+                if (old.service.equals(run.world.deployment.big)) {
+                    run.world.outside.stop(old);
+                    old.listed = false;
+                    run.later(4000, () -> run.world.outside.replace(old));
+                }
             }
+            run.later(16_000, () -> run.world.callers.rate(run.world.deployment.rate));
         }
     },
     BAD_ANSWERS {
@@ -63,6 +65,20 @@
             }
         }
     },
+    BROWNOUT {
+        @Override
+        void play(final SimRun run) {
+            for (final SimOutside.Up up : run.world.outside.running()) {
+                if (up.service.equals(run.world.deployment.small)) {
+                    up.manner = UpstreamStand.Manner.FLAKY;
+                    run.later(12_000, () -> up.manner = UpstreamStand.Manner.WELL);
+                } else if (run.random.nextInt(3) == 0) {
+                    up.manner = run.random.nextBoolean() ? UpstreamStand.Manner.LOSE : UpstreamStand.Manner.SLOW;
+                    run.later(12_000, () -> up.manner = UpstreamStand.Manner.WELL);
+                }
+            }
+        }
+    },
     NODE_KILLS {
         @Override
         void play(final SimRun run) {
@@ -119,6 +135,18 @@
             run.nodes().forEach(n -> run.bounce(n, 2000, true));
         }
     },
+    BLINK {
+        @Override
+        void play(final SimRun run) {
+            // All power goes for a moment just after a window was reported.
+            final long nowMs = run.world.sim.nowMs();
+            final long waitMs = 2 * World.WINDOW_MS - nowMs % World.WINDOW_MS + 2000 + run.random.nextInt(500);
+            run.later(waitMs, () -> {
+                run.outage(12_000);
+                run.nodes().forEach(n -> run.bounce(n, 300, true));
+            });
+        }
+    },
     DISK_LOST {
         @Override
         void play(final SimRun run) {
@@ -151,6 +179,16 @@
             run.operator.withdraw(5, 15_000);
         }
     },
+    FREEZE_AT_SEND {
+        @Override
+        void play(final SimRun run) {
+            run.outage(run.playMs());
+            run.world.gapShare = 0.001;
+            run.world.gapMs = 6500;
+            run.operator.withdraw(5, 15_000);
+            run.later(run.playMs() - 1000, () -> run.world.gapShare = 0);
+        }
+    },
     DISK_STALLS {
         @Override
         void play(final SimRun run) {
@@ -193,7 +231,11 @@
             for (int i = 0; i < 4; i++) {
                 run.later(i * 7000, () -> run.cut(5000));
             }
-            run.operator.withdraw(4, 20_000);
+            final List<SimNode> lone = List.of(run.any(run.world.edges()));
+            run.disturb(lone, 18_000);
+            run.world.part(lone, run.nodes(), true);
+            run.later(12_000, () -> run.world.part(lone, run.nodes(), false));
+            run.operator.withdraw(1, 20_000);
             run.operator.bind();
         }
     },
--- a/proof/src/main/java/spokestall/proof/SimCallers.java
+++ b/proof/src/main/java/spokestall/proof/SimCallers.java
@@ -69,7 +69,9 @@
             final long begunMs) {
         final String place = who + "/" + kind.key();
         final Place known = places.get(place);
-        if (known != null && world.sim.nowMs() < known.untilMs) {
+        // One client in ten is connected to an edge and stays with it, whatever where would say by now.
+        final boolean stays = who.endsWith("7") && turn == 0;
+        if (known != null && (stays || world.sim.nowMs() < known.untilMs)) {
             send(kind, who, id, turn, begunMs, known);
             return;
         }
@@ -99,7 +101,9 @@
             r.path("edges").forEach(e -> edges.add(world.nodes.get(e.path("name").asText())));
             final Place found = new Place(edges, r.path("ticket").asText(), world.sim.nowMs() + r.path("forMs")
                     .asLong());
-            places.put(place, found);
+            if (!who.endsWith("7") || !places.containsKey(place)) {
+                places.put(place, found);
+            }
             send(kind, who, id, turn, begunMs, found);
         });
     }
@@ -126,7 +130,9 @@
         final Runnable nothing = () -> {
             if (!back[0]) {
                 back[0] = true;
-                places.remove(who + "/" + kind.key());
+                if (!who.endsWith("7") || turn > 0) {
+                    places.remove(who + "/" + kind.key());
+                }
                 again(kind, who, id, turn, begunMs, 50);
             }
         };
@@ -170,7 +176,9 @@
         asked.ran |= answer.ran() == Ran.RAN;
         asked.ended = true;
         if (answer.ran() != Ran.RAN) {
-            places.remove(who + "/" + kind.key());
+            if (!who.endsWith("7") || turn > 0) {
+                places.remove(who + "/" + kind.key());
+            }
             asked.undecided |= answer.ran() == Ran.UNDECIDED;
             // A run-once ask is repeated too: the claim must keep it from running twice.
             again(kind, who, id, turn, begunMs, Math.max(100, answer.retryAfterMs()));
--- a/proof/src/main/java/spokestall/proof/SimDisk.java
+++ b/proof/src/main/java/spokestall/proof/SimDisk.java
@@ -18,6 +18,7 @@
     private long slowMs = 2;
     private boolean failing;
     private boolean full;
+    private boolean lied;
     private long commits;
 
     SimDisk(final Sim sim, final Random random, final int count, final int size) {
@@ -48,7 +49,7 @@
     }
 
     /** The same disk as seen by one life of a node: what comes back after its death is dropped. */
-    Segments life(final BooleanSupplier alive, final Consumer<Runnable> back) {
+    Segments life(final BooleanSupplier alive, final Consumer<Runnable> back, final boolean lies) {
         final SimDisk disk = this;
         return new Segments() {
             @Override
@@ -68,14 +69,27 @@
 
             @Override
             public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-                disk.commit(pieces, done, alive, back);
+                disk.commit(pieces, done, alive, back, lies);
             }
         };
     }
 
     private void commit(final List<Piece> pieces, final Consumer<Boolean> done, final BooleanSupplier alive,
-            final Consumer<Runnable> back) {
+            final Consumer<Runnable> back, final boolean lies) {
         commits++;
+        lied = lies;
+        if (lies) {
+            // Says at once that all is down, and gets it down seconds later, as a cache without a battery would.
+            flying.addAll(pieces);
+            sim.after(4000, () -> {
+                if (alive.getAsBoolean()) {
+                    flying.removeAll(pieces);
+                    pieces.forEach(p -> System.arraycopy(p.bytes(), 0, down[p.segment()], p.at(), p.bytes().length));
+                }
+            });
+            sim.after(1, () -> back.accept(() -> done.accept(true)));
+            return;
+        }
         flying.addAll(pieces);
         final long waitMs = Math.max(0, stalledUntilMs - sim.nowMs()) + 1 + random.nextInt((int) slowMs);
         sim.after(waitMs, () -> {
@@ -93,6 +107,9 @@
 
     /** The power goes: each write that was not synced is there whole, in part, or not at all. */
     void losePower() {
+        if (lied) {
+            flying.clear();
+        }
         for (final Piece p : flying) {
             final int kept = switch (random.nextInt(3)) {
                 case 0 -> 0;
--- a/proof/src/main/java/spokestall/proof/SimNode.java
+++ b/proof/src/main/java/spokestall/proof/SimNode.java
@@ -38,7 +38,7 @@
         this.http = "10.0." + (core ? 1 : 2) + "." + (i + 1) + ":7200";
         this.monotonicMs = 1000 + world.sim.random(name + "/mono").nextInt(1_000_000);
         this.disk = core ? new SimDisk(world.sim, world.sim.random(name + "/disk"), 8, World.SEGMENT_BYTES) : null;
-        final Map<String, String> flags = new HashMap<>(more);
+        final Map<String, String> flags = new HashMap<>();
         flags.put("name", name);
         flags.put("address", address);
         flags.put("http", http);
@@ -47,6 +47,7 @@
         flags.put("seeds", "10.0.1.1:7100,10.0.1.3:7100,10.0.1.5:7100");
         flags.put("platform", "10.0.9.1:80");
         flags.put("data", "/sim/" + name);
+        flags.putAll(more);
         final Settings.Read read = Settings.read(null, flags, core);
         if (read instanceof Settings.Read.Bad bad) {
             throw new IllegalStateException(bad.troubles().toString());
@@ -100,7 +101,8 @@
         final Random random = world.sim.random(name + "/" + life);
         world.sim.trace("start " + name + " life " + life);
         final Node.Rim rim = new Node.Rim(clock, random, (to, note) -> world.send(this, mine, to, note),
-                core ? disk.life(() -> life == mine && node != null, e -> run(mine, e)) : null,
+                core ? disk.life(() -> life == mine && node != null, e -> run(mine, e), world.plant == Plant.LYING_DISK)
+                : null,
                 world.outside.of(this, mine), world.outside.of(this, mine), world.outside.of(this, mine));
         node = new Node(settings, core, rim);
         node.start();
--- a/proof/src/main/java/spokestall/proof/SimOutside.java
+++ b/proof/src/main/java/spokestall/proof/SimOutside.java
@@ -197,8 +197,13 @@
         private void leave(final long waitMs, final LongSupplier until, final Runnable barred, final Runnable go) {
             back(waitMs, () -> {
                 final long untilMs = until.getAsLong();
+                if (random.nextDouble() < (waitMs > 0 ? 300 : 1) * world.gapShare) {
+                    node.freeze();
+                    world.disturb(node, world.sim.nowMs() + world.gapMs + 6000);
+                    world.sim.after(world.gapMs, node::thaw);
+                }
                 back(random.nextInt(2), () -> {
-                    if (node.nowMs() >= untilMs) {
+                    if (node.nowMs() >= untilMs && world.plant != Plant.NO_LAST_LOOK) {
                         barred.run();
                     } else {
                         go.run();
@@ -237,8 +242,12 @@
                 }
                 final String whole = "answer to " + go.askId() + " by " + up.instance + " whole";
                 final GoResult result = !up.running ? new GoResult.Lost("reset") : switch (up.manner) {
-                    case LOSE -> new GoResult.Lost("closed");
-                    case GARBAGE -> new GoResult.Lost("answer of another instance");
+                    case LOSE -> world.plant == Plant.LOST_AS_NOT_SENT ? new GoResult.NotSent("closed")
+                            : new GoResult.Lost("closed");
+                    case FLAKY -> random.nextBoolean() ? new GoResult.Lost("closed")
+                            : new GoResult.Whole(200, "text/plain", whole.getBytes(StandardCharsets.UTF_8));
+                    case GARBAGE -> world.plant == Plant.GARBAGE_PASSED ? new GoResult.Whole(200, "text/plain",
+                            "garbage".getBytes(StandardCharsets.UTF_8)) : new GoResult.Lost("answer of another instance");
                     case TRUNCATE -> new GoResult.Lost("answer: truncated");
                     default -> new GoResult.Whole(200, "text/plain", whole.getBytes(StandardCharsets.UTF_8));
                 };
--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -20,8 +20,8 @@
     private double lastShare;
 
     SimRun(final long seed, final Deployment deployment, final Scenario scenario, final boolean traced,
-            final Map<String, String> settings) {
-        this.world = new World(seed, deployment, traced, settings);
+            final Plant plant) {
+        this.world = new World(seed, deployment, traced, plant);
         this.operator = new SimOperator(world);
         this.random = world.sim.random("scenario");
         this.scenario = scenario;
@@ -37,7 +37,7 @@
             world.sim.after(random.nextInt(1500), node::start);
         }
         world.sim.after(2000, () -> operator.first(() -> world.sim.after(2500, this::begin)));
-        world.sim.run(30_000);
+        world.sim.run(45_000);
         if (begunMs < 0) {
             return false;
         }
--- a/proof/src/main/java/spokestall/proof/Sweep.java
+++ b/proof/src/main/java/spokestall/proof/Sweep.java
@@ -25,8 +25,8 @@
     private Sweep() {
     }
 
-    static Outcome one(final long seed, final Deployment deployment, final Scenario scenario) {
-        final SimRun run = new SimRun(seed, deployment, scenario, false, Map.of());
+    static Outcome one(final long seed, final Deployment deployment, final Scenario scenario, final Plant plant) {
+        final SimRun run = new SimRun(seed, deployment, scenario, false, plant);
         final boolean up = run.play();
         return new Outcome(scenario, deployment, seed, up, run.world.sim.digest(), run.playShare(), run.lastShare(),
                 run.world.cores().stream().mapToLong(c -> c.disk.commits()).sum(), run.world.judge.tallies());
@@ -34,7 +34,7 @@
 
     /** The number of violations and of runs that did not come back. */
     static int run(final List<Scenario> scenarios, final List<Deployment> deployments, final long from,
-            final long until, final int threads) throws InterruptedException {
+            final long until, final int threads, final Plant plant) throws InterruptedException {
         final ExecutorService pool = Executors.newFixedThreadPool(threads);
         final Map<Rule, Sum> sums = new EnumMap<>(Rule.class);
         for (final Rule rule : Rule.values()) {
@@ -47,7 +47,7 @@
                     final long s = seed;
                     pool.execute(() -> {
                         try {
-                            final Outcome o = one(s, deployment, scenario);
+                            final Outcome o = one(s, deployment, scenario, plant);
                             synchronized (sums) {
                                 bad[0] += add(o, sums);
                             }
--- a/proof/src/main/java/spokestall/proof/UpstreamStand.java
+++ b/proof/src/main/java/spokestall/proof/UpstreamStand.java
@@ -14,7 +14,7 @@
 /** A stand-in upstream: warms up slowly, keeps a ledger, and misbehaves when told to. */
 final class UpstreamStand {
     /** How it behaves. */
-    enum Manner { WELL, LOSE, GARBAGE, TRUNCATE, SLOW }
+    enum Manner { WELL, LOSE, GARBAGE, TRUNCATE, SLOW, FLAKY }
 
     private static final HttpString INSTANCE = new HttpString("Spokestall-Instance");
     private static final HttpString ASK = new HttpString("Spokestall-Ask-Id");
@@ -92,7 +92,7 @@
 
     private void answer(final HttpServerExchange e, final String askId) {
         final Manner how = manner;
-        if (how == Manner.LOSE) {
+        if (how == Manner.LOSE || how == Manner.FLAKY && askId.hashCode() % 2 == 0) {
             IoUtils.safeClose(e.getConnection());
             return;
         }
--- a/proof/src/main/java/spokestall/proof/World.java
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -15,7 +15,7 @@
     static final long EPOCH_MS = 1_800_000_000_000L;
     static final long WINDOW_MS = 5000;
     static final long WARMUP_MS = 10_000;
-    static final double WARM_PER_S = 20;
+    static final double WARM_PER_S = 5;
     static final int SEGMENT_BYTES = 1 << 20;
 
     /** One ask that an upstream began, and through which edge. */
@@ -54,6 +54,10 @@
         }
     }
 
+    final Plant plant;
+    /** How often, and for how long, a machine freezes just between its last check and its bytes leaving. */
+    double gapShare;
+    long gapMs;
     final Sim sim;
     final Deployment deployment;
     final SimNet net;
@@ -72,7 +76,9 @@
     private final Map<String, Long> disturbedMs = new TreeMap<>();
     private final List<Span> outages = new ArrayList<>();
 
-    World(final long seed, final Deployment deployment, final boolean traced, final Map<String, String> settings) {
+    World(final long seed, final Deployment deployment, final boolean traced, final Plant plant) {
+        final Map<String, String> settings = plant.settings();
+        this.plant = plant;
         this.sim = new Sim(seed, traced);
         this.deployment = deployment;
         this.net = new SimNet(sim, deployment.apartMs);
--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/PlantTest.java
@@ -0,0 +1,66 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.Test;
+
+/** A judge that can't find anything is worth nothing: with a fault planted, each rule must be seen to break. */
+class PlantTest {
+    private record Case(Rule rule, Plant plant, Scenario scenario, long seeds) {
+    }
+
+    private static final List<Case> CASES = List.of(
+            new Case(Rule.ONCE, Plant.LYING_DISK, Scenario.RESTART_ALL, 1),
+            new Case(Rule.NOT_RUN, Plant.LOST_AS_NOT_SENT, Scenario.BROWNOUT, 8),
+            new Case(Rule.OWN_ANSWER, Plant.GARBAGE_PASSED, Scenario.BAD_ANSWERS, 1),
+            new Case(Rule.KEY, Plant.OLD_PROOFS, Scenario.CUTS, 8),
+            new Case(Rule.POLICY, Plant.OLD_PROOFS, Scenario.CUTS, 1),
+            new Case(Rule.LEAVING, Plant.SELDOM_PROBES, Scenario.ROLLING, 8),
+            new Case(Rule.HOME, Plant.WRONG_REGIONS, Scenario.CALM, 1),
+            new Case(Rule.COLD, Plant.UNDIVIDED, Scenario.COLD_RETURN, 1),
+            new Case(Rule.RETRIES, Plant.FREE_RETRIES, Scenario.BROWNOUT, 1),
+            new Case(Rule.SAME_COUNTS, Plant.LYING_DISK, Scenario.BLINK, 1),
+            new Case(Rule.TOKEN, Plant.NO_LAST_LOOK, Scenario.FREEZE_AT_SEND, 4),
+            new Case(Rule.IN_TIME, Plant.LATE_REPORTS, Scenario.NODE_KILLS, 2));
+
+    @Test
+    void eachRuleIsSeenToBreakUnderItsPlantedFault() throws Exception {
+        Logger.getLogger("").setLevel(Level.OFF);
+        final ExecutorService pool = Executors.newFixedThreadPool(Math.max(2,
+                Runtime.getRuntime().availableProcessors() - 1));
+        final List<Future<Set<Rule>>> runs = new ArrayList<>();
+        final List<Case> of = new ArrayList<>();
+        for (final Case c : CASES) {
+            for (long seed = 1; seed <= c.seeds; seed++) {
+                final long s = seed;
+                of.add(c);
+                runs.add(pool.submit(() -> {
+                    final Set<Rule> broken = EnumSet.noneOf(Rule.class);
+                    Sweep.one(s, Deployment.PADMA, c.scenario, c.plant).tallies().forEach((rule, t) -> {
+                        if (t.broken > 0) {
+                            broken.add(rule);
+                        }
+                    });
+                    return broken;
+                }));
+            }
+        }
+        final Set<Rule> found = EnumSet.noneOf(Rule.class);
+        for (int i = 0; i < runs.size(); i++) {
+            if (runs.get(i).get().contains(of.get(i).rule)) {
+                found.add(of.get(i).rule);
+            }
+        }
+        pool.shutdown();
+        assertThat(found).containsExactlyInAnyOrder(Rule.values());
+    }
+}
--- a/proof/src/test/java/spokestall/proof/SimTest.java
+++ b/proof/src/test/java/spokestall/proof/SimTest.java
@@ -28,13 +28,13 @@
         final List<Future<Sweep.Outcome>> runs = new ArrayList<>();
         for (final Scenario scenario : Scenario.values()) {
             for (final Deployment deployment : Deployment.values()) {
-                runs.add(pool.submit(() -> Sweep.one(4 + scenario.ordinal() % 3, deployment, scenario)));
+                runs.add(pool.submit(() -> Sweep.one(4 + scenario.ordinal() % 3, deployment, scenario, Plant.NONE)));
             }
         }
         // Seeds that once broke a rule.
-        runs.add(pool.submit(() -> Sweep.one(26, Deployment.PADMA, Scenario.DISKS_LOST)));
-        runs.add(pool.submit(() -> Sweep.one(5, Deployment.VERDE, Scenario.RESTART_IN_TURN)));
-        runs.add(pool.submit(() -> Sweep.one(26, Deployment.PADMA, Scenario.REGION_KILL)));
+        runs.add(pool.submit(() -> Sweep.one(26, Deployment.PADMA, Scenario.DISKS_LOST, Plant.NONE)));
+        runs.add(pool.submit(() -> Sweep.one(5, Deployment.VERDE, Scenario.RESTART_IN_TURN, Plant.NONE)));
+        runs.add(pool.submit(() -> Sweep.one(26, Deployment.PADMA, Scenario.REGION_KILL, Plant.NONE)));
         final Map<Rule, Long> checks = new EnumMap<>(Rule.class);
         final List<String> bad = new ArrayList<>();
         for (final Future<Sweep.Outcome> run : runs) {
@@ -60,7 +60,7 @@
         final String[] traces = new String[2];
         final long[] digests = new long[2];
         for (int i = 0; i < 2; i++) {
-            final SimRun run = new SimRun(11, Deployment.VERDE, Scenario.MIXED, true, Map.of());
+            final SimRun run = new SimRun(11, Deployment.VERDE, Scenario.MIXED, true, Plant.NONE);
             assertThat(run.play()).isTrue();
             traces[i] = run.world.sim.traced();
             digests[i] = run.world.sim.digest();
