A missing lease is watched for its span; a folder's owner is a file of its own

Cause, read in the code: a new generation whose lease register was lost let any core hold at once, while the old holder could still be inside its deadline; and a window could be sealed anew after the floor had moved under an open unit. Also: the owner was kept inside the ring, so a ring of a newer format, which reads as blank, would have been written over. Excluded: three lost disks (a survivor has the register). Before: LeaseKeeperTest's second test failed (taken at once). Cost: the first holder of a new fleet begins a lease span later.

--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -81,8 +81,6 @@
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String POLICY = "~policy";
-    private static final String OWNER = "~owner";
-    private static final int FORMAT = 1;
     private static final int POLICY_KEPT = 1024;
     private static final int SNAPSHOT_EVERY = 32;
     private static final int WINDOWS_KEPT = 16;
@@ -204,24 +202,7 @@
         return name + "/" + Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
     }
 
-    /** Why the data folder can't be used, or null. Example: {@code if (node.foreignDisk() != null) exit(2);} */
-    public String foreignDisk() {
-        final byte[] owner = core ? ring.table().get(OWNER) : null;
-        final String mine = FORMAT + " " + name;
-        if (owner == null) {
-            return null;
-        }
-        final String had = new String(owner, StandardCharsets.UTF_8);
-        return had.equals(mine) ? null : "the data folder is of '" + had + "' (format and node), not of '" + mine + "'";
-    }
-
     private void openDisk() {
-        if (foreignDisk() != null) {
-            return;
-        }
-        if (ring.state() != Ring.State.BROKEN && ring.table().get(OWNER) == null) {
-            voter.keepOwn(OWNER, (FORMAT + " " + name).getBytes(StandardCharsets.UTF_8), ok -> { });
-        }
         final byte[] had = voter.own(POLICY);
         if (had != null) {
             final Snapshot snapshot = Codec.record(had, Snapshot.class);
--- a/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -38,6 +38,7 @@
     private State state = State.WATCHING;
     private Lease seen;
     private long seenMs;
+    private boolean looked;
     private boolean reading;
     private boolean renewing;
     private long renewAskedMs;
@@ -101,14 +102,16 @@
 
     private void looked(final Lease now) {
         final long nowMs = clock.nowMs();
-        final boolean same = now != null && seen != null && now.owner().equals(seen.owner())
-                && now.renewal() == seen.renewal() && now.released() == seen.released();
+        final boolean same = looked && (now == null ? seen == null : seen != null && now.owner().equals(seen.owner())
+                && now.renewal() == seen.renewal() && now.released() == seen.released());
         if (!same) {
             seen = now;
             seenMs = nowMs;
+            looked = true;
         }
-        final long runsOutMs = now == null || now.released() ? 0
-                : Math.max(now.spanMs(), pace.leaseMs()) + pace.marginMs();
+        // No lease at all may mean that one was lost with its disks while its holder still works.
+        final long spanMs = now == null ? pace.leaseMs() : Math.max(now.spanMs(), pace.leaseMs());
+        final long runsOutMs = now != null && now.released() ? 0 : spanMs + pace.marginMs();
         if (nowMs - seenMs >= runsOutMs + turnMs(now)) {
             acquire();
         }
@@ -119,13 +122,10 @@
      * the first is done before the next begins; all at once would spend the store's time on each other's ballots.
      */
     private long turnMs(final Lease expired) {
-        if (expired == null) {
-            return 0;
-        }
-        final String salt = expired.owner() + expired.renewal();
+        final String salt = expired == null ? "" : expired.owner() + expired.renewal();
         int before = 0;
         for (final Seat seat : proposer.voters().seats()) {
-            before += !seat.name().equals(expired.holder())
+            before += (expired == null || !seat.name().equals(expired.holder()))
                     && (seat.name() + salt).hashCode() < (name + salt).hashCode() ? 1 : 0;
         }
         return before * pace.turnMs();
@@ -155,10 +155,12 @@
     private void acquired(final Outcome outcome, final String owner, final String executionId, final long askedMs) {
         final long nowMs = clock.nowMs();
         seen = null;
+        looked = false;
         if (outcome instanceof Outcome.Done done && done.value() != null) {
             final Lease now = Codec.record(done.value(), Lease.class);
             seen = now;
             seenMs = nowMs;
+            looked = true;
             if (done.wrote() && now.owner().equals(owner) && nowMs - askedMs <= pace.storeWaitMs()) {
                 execution = new Execution(executionId, owner, now.token(),
                         askedMs + pace.leaseMs() - pace.marginMs(), askedMs + pace.maxRunMs());
@@ -229,6 +231,7 @@
                     now.spanMs(), true))) : Edit.LEAVE;
         }, outcome -> {
             seen = null;
+            looked = false;
             final boolean stopping = stopped != null;
             change(stopping ? State.STOPPED : State.WATCHING, outcome instanceof Outcome.Done ? "released" : "unclear");
             execution = null;
--- a/spokestall/src/main/java/spokestall/duty/Reporter.java
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -118,7 +118,7 @@
             return;
         }
         while (endMs(next) <= fleet.nowMs()) {
-            if (next * pace.windowMs() >= floorMs.getAsLong()) {
+            if (reportable(next)) {
                 units.put(next, new Unit(next));
             }
             next++;
@@ -129,6 +129,11 @@
         units.values().removeIf(u -> u.stage == Stage.OVER);
     }
 
+    /** A window that began before this generation may have been reported with counts that were lost since. */
+    private boolean reportable(final long window) {
+        return window * pace.windowMs() >= floorMs.getAsLong();
+    }
+
     private long endMs(final long window) {
         return (window + 1) * pace.windowMs();
     }
@@ -181,13 +186,14 @@
         final Map<String, Long> counts = book.sum(unit.window);
         final byte[] value = Codec.bytes(new Sealed(unit.window, counts, mine.owner(), mine.token(), false));
         proposer.change(Sealed.key(unit.window), pace.storeWaitMs(),
-                now -> now == null && mine.mayWork(clock.nowMs()) ? new Edit.Set(value) : Edit.LEAVE, outcome -> {
+                now -> now == null && mine.mayWork(clock.nowMs()) && reportable(unit.window) ? new Edit.Set(value) : Edit.LEAVE, outcome -> {
                     if (outcome instanceof Outcome.Done done && done.value() != null) {
                         unit.sealed = Codec.record(done.value(), Sealed.class);
                         lastSealed = Math.max(lastSealed, unit.window);
                         unit.stage = unit.sealed.completed() ? Stage.OVER : Stage.SEND;
                     } else {
-                        unit.stage = outcome instanceof Outcome.Gone ? Stage.OVER : Stage.GATHER;
+                        final boolean over = outcome instanceof Outcome.Gone || !reportable(unit.window);
+                        unit.stage = over ? Stage.OVER : Stage.GATHER;
                     }
                 });
     }
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -3,11 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -44,9 +40,11 @@
         final ExecutorService disk = Executors.newSingleThreadExecutor();
         final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
         final Stage stage = new Stage(workers, STAGE_BOUND);
-        final FileLock lock = core ? lock() : null;
-        if (core && lock == null) {
-            return refused("data: " + settings.text("data") + " is in use by another process");
+        if (core) {
+            final String why = DataFolder.open(Path.of(settings.text("data")), settings.text("name"));
+            if (why != null) {
+                return refused("data: " + why);
+            }
         }
         final FileSegments segments = core ? FileSegments.open(Path.of(settings.text("data"), "ring"),
                 (int) settings.ms("ringSegments"), (int) settings.ms("ringSegmentBytes"), new Stage(disk, 1 << 16),
@@ -71,9 +69,6 @@
         if (node == null) {
             return refused("the node could not be made; see the log");
         }
-        if (node.foreignDisk() != null) {
-            return refused("data: " + node.foreignDisk());
-        }
         final HttpServer server = new HttpServer(node, stage, worker, Addresses.of(settings.text("http")),
                 2 * (int) settings.ms("policyMaxBytes"));
         try {
@@ -101,12 +96,6 @@
         return 0;
     }
 
-    private FileLock lock() throws IOException {
-        final Path folder = Path.of(settings.text("data"));
-        Files.createDirectories(folder);
-        return FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE).tryLock();
-    }
-
     private static int refused(final String why) {
         System.err.println(why);
         LOG.atSevere().log("event=refused why=\"%s\"", why);
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/settings/SettingsTest.java
@@ -0,0 +1,46 @@
+package spokestall.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsTest {
+    private static Map<String, String> good() {
+        return new HashMap<>(Map.of("name", "d1-core", "address", "10.0.0.1:7100", "http", "10.0.0.1:7200", "district",
+                "d1", "districts", "d1=r1,d2=r2", "seeds", "10.0.0.1:7100,10.0.0.2:7100,10.0.0.3:7100", "platform",
+                "10.0.9.1:80", "data", "data"));
+    }
+
+    @Test
+    void allTroublesAreNamedAtOnceByTheirKey(@TempDir final Path folder) throws Exception {
+        final Path file = folder.resolve("s.json");
+        Files.writeString(file, "{\"name\":\"a b\",\"address\":\"localhost:7100\",\"leaseMs\":\"soon\",\"cores\":-1,"
+                + "\"colour\":\"red\",\"seeds\":\"10.0.0.1:7100\"}");
+        final Settings.Read read = Settings.read(file, Map.of(), true);
+        assertThat(read).isInstanceOf(Settings.Read.Bad.class);
+        assertThat(((Settings.Read.Bad) read).troubles()).extracting(Settings.Trouble::key).contains("name", "address",
+                "leaseMs", "cores", "colour", "seeds", "district", "districts", "platform", "http");
+        assertThat(((Settings.Read.Bad) read).troubles()).extracting(Settings.Trouble::reason)
+                .allSatisfy(r -> assertThat(r).isNotBlank());
+    }
+
+    @Test
+    void flagsWinOverTheFileAndTogetherTheyMustFit(@TempDir final Path folder) throws Exception {
+        final Path file = folder.resolve("s.json");
+        Files.writeString(file, "{\"leaseMs\":3000}");
+        final Map<String, String> flags = good();
+        assertThat(((Settings.Read.Good) Settings.read(file, flags, true)).settings().ms("leaseMs")).isEqualTo(3000);
+        flags.put("leaseMs", "2100");
+        assertThat(((Settings.Read.Good) Settings.read(file, flags, true)).settings().ms("leaseMs")).isEqualTo(2100);
+        flags.put("leaseMs", "500");
+        flags.put("district", "d9");
+        flags.put("data", "");
+        assertThat(((Settings.Read.Bad) Settings.read(file, flags, true)).troubles()).extracting(
+                Settings.Trouble::key).containsExactlyInAnyOrder("leaseMs", "district", "data");
+    }
+}
