A wire that nobody hears is given up and opened anew

Cause: a wire whose other end was gone without a word (a relay that kept it open before a dead node) took frames for ever; the node behind it, back after a kill, got no answer from peers and never became fresh. A dropped link does the same. Now a reader owes a byte for what it read, and a wire without one for a quarter of the leave bound is closed. Before: faults KILL on real processes: d2-core not fresh within 20 s. WiresTest timed out before and passes after. Also new: faults on real processes through the proof's relay, and hold status.

--- a/proof/src/main/java/spokestall/proof/Fleet.java
+++ b/proof/src/main/java/spokestall/proof/Fleet.java
@@ -34,14 +34,17 @@
         final String http;
         final Path settings;
         final Path data;
+        final Relay relay;
         Process process;
 
-        Member(final String name, final boolean core, final String http, final Path settings, final Path data) {
+        Member(final String name, final boolean core, final String http, final Path settings, final Path data,
+                final Relay relay) {
             this.name = name;
             this.core = core;
             this.http = http;
             this.settings = settings;
             this.data = data;
+            this.relay = relay;
         }
     }
 
@@ -55,12 +58,12 @@
     private final PlatformStand platform;
     private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
 
-    Fleet(final Deployment deployment, final Path folder, final int districts) throws IOException {
+    Fleet(final Deployment deployment, final Path folder, final int districts, final long delayMs) throws IOException {
         this.deployment = deployment;
         this.folder = folder;
         Files.createDirectories(folder);
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 2));
-        final List<Integer> ports = freePorts(1 + Deployment.UPSTREAMS + 4 * districts);
+        final List<Integer> ports = freePorts(1 + Deployment.UPSTREAMS + 6 * districts);
         int next = 0;
         platform = new PlatformStand(ports.get(next++), worker, ledger, () -> upstreams, 1000);
         for (final Deployment.Place place : deployment.upstreams()) {
@@ -68,13 +71,15 @@
         }
         final List<String> seeds = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            seeds.add("127.0.0.1:" + ports.get(next + 4 * (i % districts)));
+            seeds.add("127.0.0.1:" + ports.get(next + 6 * (i % districts)));
         }
         for (int i = 0; i < districts; i++) {
             for (final boolean core : new boolean[] {true, false}) {
                 final String name = Deployment.district(i) + (core ? "-core" : "-edge");
                 final ObjectNode s = JSON.createObjectNode();
-                s.put("name", name).put("address", "127.0.0.1:" + ports.get(next++));
+                final int outside = ports.get(next++);
+                final int inside = ports.get(next++);
+                s.put("name", name).put("address", "127.0.0.1:" + outside).put("listen", "127.0.0.1:" + inside);
                 s.put("http", "127.0.0.1:" + ports.get(next++)).put("district", Deployment.district(i));
                 s.put("districts", Deployment.districts()).put("seeds", String.join(",", seeds));
                 s.put("platform", "127.0.0.1:" + ports.get(0)).put("cores", districts).put("edges", districts);
@@ -84,7 +89,8 @@
                 }
                 final Path file = folder.resolve(name + ".json");
                 Files.writeString(file, s.toPrettyString());
-                members.put(name, new Member(name, core, s.get("http").asText(), file, data));
+                members.put(name, new Member(name, core, s.get("http").asText(), file, data,
+                        new Relay(outside, inside, delayMs)));
             }
         }
     }
@@ -157,6 +163,48 @@
                 .orElseThrow();
     }
 
+    /** The core that holds the duty, as the cores see it. */
+    Member holder() {
+        final String[] name = {""};
+        until("someone holds the duty", 20_000, () -> {
+            name[0] = status(anyCore()).path("duty").path("holder").asText();
+            return members.containsKey(name[0]) && members.get(name[0]).process.isAlive();
+        });
+        return members.get(name[0]);
+    }
+
+    void freshAgain(final Member m) {
+        until(m.name + " is fresh", 20_000, () -> status(m).path("fresh").asBoolean());
+    }
+
+    /** What the ledger shows to be broken; every look is counted. */
+    List<String> broken() {
+        final List<String> found = new ArrayList<>();
+        final Map<Long, Map<String, Long>> counts = new LinkedHashMap<>();
+        final Map<Long, String> holders = new LinkedHashMap<>();
+        long newest = 0;
+        ledger.timesBegun().forEach((id, n) -> {
+            if (id.startsWith("t1-") && n > 1) {
+                found.add("ONCE " + id + " ran " + n + " times");
+            }
+        });
+        for (final Ledger.Reported r : ledger.reported()) {
+            final Map<String, Long> had = counts.putIfAbsent(r.window(), r.counts());
+            if (had != null && !had.equals(r.counts())) {
+                found.add("SAME_COUNTS window " + r.window());
+            }
+            final String other = holders.putIfAbsent(r.token(), r.holder());
+            if (other != null && !other.equals(r.holder()) || r.token() < newest) {
+                found.add("TOKEN " + r.token() + " of " + r.holder());
+            }
+            newest = Math.max(newest, r.token());
+            if (had == null && r.atMs() - (r.window() + 1) * 5000 > 10_000) {
+                found.add("IN_TIME window " + r.window() + " came late");
+            }
+        }
+        return found;
+    }
+
     /** Puts the deployment's policy, asking again with the same change id until the outcome is known. */
     long putPolicy() {
         final ObjectNode params = JSON.createObjectNode().put("changeId", "first-policy");
@@ -238,6 +286,11 @@
             if (m.process != null) {
                 m.process.destroyForcibly();
             }
+            try {
+                m.relay.close();
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
         }
         upstreams.forEach(UpstreamStand::stop);
         platform.stop();
--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -19,6 +19,10 @@
         private String deployment = "padma";
         @Option(name = "--seconds", usage = "how long demand runs")
         private int seconds = 20;
+        @Option(name = "--distant", usage = "put half the deployment's distance on every wire between nodes")
+        private boolean distant;
+        @Option(name = "--fault", usage = "faults only: one of the faults, or all")
+        private String fault = "all";
         @Option(name = "--keep", usage = "no demand: keep the fleet up until Ctrl-C")
         private boolean keep;
         @Option(name = "--folder", usage = "where settings, data and logs go")
@@ -57,9 +61,10 @@
         final String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
         final int code = switch (what) {
             case "fleet" -> fleet(rest);
+            case "faults" -> faults(rest);
             case "sim" -> sim(rest);
             default -> {
-                System.err.println("proof fleet|sim [--help]");
+                System.err.println("proof fleet|faults|sim [--help]");
                 yield 2;
             }
         };
@@ -87,7 +92,8 @@
             System.err.println("--deployment: padma or verde, not " + flags.deployment);
             return 2;
         }
-        try (Fleet fleet = new Fleet(deployment, flags.folder.resolve(flags.deployment), Deployment.DISTRICTS)) {
+        try (Fleet fleet = new Fleet(deployment, flags.folder.resolve(flags.deployment), Deployment.DISTRICTS,
+                flags.distant ? deployment.apartMs / 2 : 0)) {
             fleet.start();
             final long version = fleet.putPolicy();
             fleet.ready(version);
@@ -106,6 +112,53 @@
         }
     }
 
+    /** Each fault on a fleet of its own, while asks flow. */
+    private static int faults(final String[] args) throws Exception {
+        final FleetFlags flags = new FleetFlags();
+        final CmdLineParser parser = new CmdLineParser(flags);
+        final Deployment deployment;
+        final List<Fault> faults;
+        try {
+            parser.parseArgument(args);
+            deployment = Deployment.valueOf(flags.deployment.toUpperCase(Locale.ROOT));
+            faults = flags.fault.equals("all") ? List.of(Fault.values())
+                    : List.of(Fault.valueOf(flags.fault.toUpperCase(Locale.ROOT)));
+        } catch (final CmdLineException | IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            return 2;
+        }
+        if (flags.help) {
+            parser.printUsage(System.out);
+            System.out.println("faults: " + List.of(Fault.values()));
+            return 0;
+        }
+        int bad = 0;
+        for (final Fault fault : faults) {
+            try (Fleet fleet = new Fleet(deployment, flags.folder.resolve("fault-" + fault + "-"
+                    + System.currentTimeMillis()), Deployment.DISTRICTS, flags.distant ? deployment.apartMs / 2 : 0)) {
+                fleet.start();
+                final long version = fleet.putPolicy();
+                fleet.ready(version);
+                final Process demand = fleet.demand(flags.seconds, 0.95);
+                Fleet.until("asks flow", 10_000, () -> fleet.ledger().began().size() > 200);
+                fault.bring(fleet);
+                final int verdict = demand.waitFor();
+                for (final Fleet.Member m : fleet.members().values()) {
+                    fleet.freshAgain(m);
+                }
+                final List<String> broken = fleet.broken();
+                final boolean clean = fleet.stopAll();
+                System.out.println("fault=" + fault + " demand=" + (verdict == 0 ? "good" : "bad") + " orders="
+                        + fleet.ledger().timesBegun().keySet().stream().filter(id -> id.startsWith("t1-")).count()
+                        + " reports=" + fleet.ledger().reported().size() + " broken=" + broken + " stopped="
+                        + (clean ? "clean" : "unclean"));
+                bad += verdict == 0 && broken.isEmpty() && clean ? 0 : 1;
+            }
+        }
+        return bad == 0 ? 0 : 1;
+    }
+
     private static int sim(final String[] args) throws Exception {
         final SimFlags flags = new SimFlags();
         final CmdLineParser parser = new CmdLineParser(flags);
--- a/proof/src/test/java/spokestall/proof/FleetTest.java
+++ b/proof/src/test/java/spokestall/proof/FleetTest.java
@@ -11,7 +11,7 @@
 class FleetTest {
     @Test
     void servesWhileACoreAndAnEdgeAreKilledAndStopsCleanly(@TempDir final Path folder) throws Exception {
-        try (Fleet fleet = new Fleet(Deployment.PADMA, folder, Deployment.DISTRICTS)) {
+        try (Fleet fleet = new Fleet(Deployment.PADMA, folder, Deployment.DISTRICTS, 2)) {
             fleet.start();
             final long version = fleet.putPolicy();
             fleet.ready(version);
@@ -29,6 +29,7 @@
                 return s.path("voter").asText().equals("VOTING");
             });
             Fleet.until("a window is reported", 20_000, () -> !fleet.ledger().reported().isEmpty());
+            assertThat(fleet.broken()).isEmpty();
             assertThat(fleet.stopAll()).as("stopped cleanly").isTrue();
         }
     }
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -76,7 +76,7 @@
             Upstreams upstreams, Reporter.Platform platform) {
     }
 
-    private record Present(Member member, boolean fresh, long heardMs) {
+    private record Present(Member member, boolean fresh, int open, long heardMs) {
     }
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
@@ -152,7 +152,7 @@
                 new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64));
         this.follower = new Follower(view::self, book, listing, proposer, post, clock,
                 new Follower.Pace(settings.part("keyBoundMs", 0.5), 32), this::coreAddresses, this::adopt,
-                this::policyMoved);
+                this::policyMoved, this::openAsks);
         this.shelf = new Shelf(core ? 16 << 20 : 8 << 20);
         this.elector = core ? null : new Elector(settings.region(), s -> listing.ready(s, fleet.nowMs()), clock, fleet,
                 random, new Elector.Pace((int) settings.ms("edges"), settings.number("warmRatio"), 1,
@@ -342,6 +342,10 @@
         }
     }
 
+    private int openAsks() {
+        return edge == null ? 0 : edge.open();
+    }
+
     private List<Member> otherCores() {
         return view.members().stream().filter(Member::core).toList();
     }
@@ -520,7 +524,7 @@
 
     private void feed(final FeedNote.FeedAsk ask) {
         if (!ask.self().core()) {
-            edges.put(ask.self().name(), new Present(ask.self(), ask.fresh(), clock.nowMs()));
+            edges.put(ask.self().name(), new Present(ask.self(), ask.fresh(), ask.open(), clock.nowMs()));
         }
         final boolean voting = voter.state() == Voter.State.VOTING;
         final long applied = book.policy().version();
@@ -696,8 +700,15 @@
         }
         final ObjectNode holds = out.putObject("holds");
         for (final String district : book.policy().holds()) {
-            final long left = edgesForClients().stream().filter(m -> m.district().equals(district)).count();
-            holds.putObject(district).put("edges", left);
+            final ObjectNode hold = holds.putObject(district).put("reason",
+                    book.policy().tree().path("holds").path(district).path("reason").asText());
+            if (core) {
+                int open = 0;
+                for (final Present p : edges.values()) {
+                    open += p.member.district().equals(district) ? p.open : 0;
+                }
+                hold.put("open", open).put("empty", open == 0);
+            }
         }
         if (core) {
             out.put("voter", voter.state().name()).put("ring", ring.state().name()).put("ringFill", ring.fill())
@@ -708,7 +719,7 @@
             }
             duty.put("lastSealed", reporter.lastSealed()).put("missed", reporter.missed());
             final ObjectNode present = out.putObject("edges");
-            edges.forEach((n, p) -> present.putObject(n).put("fresh", p.fresh).put("leaving", p.member.leaving())
+            edges.forEach((n, p) -> present.putObject(n).put("fresh", p.fresh).put("open", p.open).put("leaving", p.member.leaving())
                     .put("heardMs", clock.nowMs() - p.heardMs));
         } else {
             out.put("open", edge.open());
--- a/spokestall/src/main/java/spokestall/feed/FeedNote.java
+++ b/spokestall/src/main/java/spokestall/feed/FeedNote.java
@@ -12,7 +12,7 @@
 /** What followers and cores say to each other. */
 public sealed interface FeedNote extends Note {
     /** Asks what is newest, and, of one core, for the news from two places on. */
-    record FeedAsk(String from, Member self, boolean fresh, long askId, boolean news, long place, long listingLife,
+    record FeedAsk(String from, Member self, boolean fresh, int open, long askId, boolean news, long place, long listingLife,
             long listingPlace) implements FeedNote {
     }
 
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import spokestall.ballot.Proposer;
 import spokestall.ballot.Seat;
@@ -54,7 +55,8 @@
     private final Supplier<List<String>> strangers;
     private final Consumer<Voters> adopt;
     private final Runnable applied;
-    private final TreeMap<Long, Open> open = new TreeMap<>();
+    private final IntSupplier open;
+    private final TreeMap<Long, Open> asks = new TreeMap<>();
     private final Map<String, FeedNote.FeedBack> last = new TreeMap<>();
     private final Map<String, Long> lastMs = new HashMap<>();
     private long provedMs = Long.MIN_VALUE / 2;
@@ -64,7 +66,7 @@
     /** Example: see {@code Node}. */
     public Follower(final Supplier<Member> self, final Book book, final Listing listing, final Proposer proposer,
             final Post post, final Clock clock, final Pace pace, final Supplier<List<String>> strangers,
-            final Consumer<Voters> adopt, final Runnable applied) {
+            final Consumer<Voters> adopt, final Runnable applied, final IntSupplier open) {
         this.self = self;
         this.address = self.get().address();
         this.book = book;
@@ -76,6 +78,7 @@
         this.strangers = strangers;
         this.adopt = adopt;
         this.applied = applied;
+        this.open = open;
     }
 
     /** The age of the newest proof. Example: {@code if (follower.ageMs() > bound) deny();} */
@@ -119,19 +122,19 @@
             return;
         }
         final long askId = nextAskId++;
-        open.put(askId, new Open(clock.nowMs(), table));
-        while (open.size() > pace.asksOpenMax()) {
-            open.pollFirstEntry();
+        asks.put(askId, new Open(clock.nowMs(), table));
+        while (asks.size() > pace.asksOpenMax()) {
+            asks.pollFirstEntry();
         }
         final int newsFrom = turn++ % cores.size();
         for (int i = 0; i < cores.size(); i++) {
-            post.send(cores.get(i), new FeedNote.FeedAsk(address, self.get(), fresh(), askId, i == newsFrom,
+            post.send(cores.get(i), new FeedNote.FeedAsk(address, self.get(), fresh(), open.getAsInt(), askId, i == newsFrom,
                     book.policy().version(), listing.lifeHeard(cores.get(i)), listing.placeHeard(cores.get(i))));
         }
     }
 
     private void news(final String core) {
-        post.send(core, new FeedNote.FeedAsk(address, self.get(), fresh(), 0, true, book.policy().version(),
+        post.send(core, new FeedNote.FeedAsk(address, self.get(), fresh(), open.getAsInt(), 0, true, book.policy().version(),
                 listing.lifeHeard(core), listing.placeHeard(core)));
     }
 
@@ -161,7 +164,7 @@
             return;
         }
         take(back);
-        final Open ask = open.get(back.askId());
+        final Open ask = asks.get(back.askId());
         if (ask != null && ask.table == table && back.voting() && seat != null
                 && seat.diskId().equals(back.diskId())) {
             ask.newest.put(back.name(), back.newest());
@@ -193,7 +196,7 @@
 
     /** Finds the newest ask whose majority's newest version is in force here. */
     private void prove(final Voters table) {
-        final Iterator<Map.Entry<Long, Open>> it = open.descendingMap().entrySet().iterator();
+        final Iterator<Map.Entry<Long, Open>> it = asks.descendingMap().entrySet().iterator();
         while (it.hasNext()) {
             final Open ask = it.next().getValue();
             if (ask.table == table && ask.newest.size() >= table.majority()
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -53,7 +53,8 @@
                 .set(Options.WORKER_IO_THREADS, 2).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 2).set(Options.TCP_NODELAY, true).getMap());
         final Clock clock = new SystemClock(timer, stage);
-        final Wires wires = new Wires(worker, note -> stage.offer(() -> node.hear(note)));
+        final Wires wires = new Wires(worker, note -> stage.offer(() -> node.hear(note)),
+                settings.part("leaveBoundMs", 0.25));
         final Outside outside = new Outside(new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10)), stage,
                 settings.text("platform"));
         final CountDownLatch made = new CountDownLatch(1);
@@ -72,10 +73,10 @@
         final HttpServer server = new HttpServer(node, stage, worker, Addresses.of(settings.text("http")),
                 2 * (int) settings.ms("policyMaxBytes"));
         try {
-            wires.listen(Addresses.of(settings.text("address")));
+            wires.listen(Addresses.of(settings.listen()));
             server.start();
         } catch (final IOException | RuntimeException e) {
-            return refused("address: can't listen on " + settings.text("address") + " or " + settings.text("http")
+            return refused("address: can't listen on " + settings.listen() + " or " + settings.text("http")
                     + ": " + e.getMessage());
         }
         stage.execute(node::start);
--- a/spokestall/src/main/java/spokestall/rim/Wires.java
+++ b/spokestall/src/main/java/spokestall/rim/Wires.java
@@ -31,11 +31,14 @@
     private static final long AGAIN_MS = 200;
     private final XnioWorker worker;
     private final Consumer<Note> heard;
+    private final long silentMs;
     private final Map<String, Out> outs = new ConcurrentHashMap<>();
     private AcceptingChannel<StreamConnection> server;
 
-    /** Example: {@code new Wires(worker, note -> stage.offer(() -> node.hear(note)))} */
-    public Wires(final XnioWorker worker, final Consumer<Note> heard) {
+    /** A wire out that gives no sign of being heard for so long is given up and opened anew.
+     * Example: {@code new Wires(worker, note -> stage.offer(() -> node.hear(note)), 1000)} */
+    public Wires(final XnioWorker worker, final Consumer<Note> heard, final long silentMs) {
+        this.silentMs = silentMs;
         this.worker = worker;
         this.heard = heard;
     }
@@ -78,6 +81,7 @@
         private final StreamConnection wire;
         private ByteBuffer frame = ByteBuffer.allocate(4);
         private boolean head = true;
+        private boolean owed;
 
         In(final StreamConnection wire) {
             this.wire = wire;
@@ -87,10 +91,14 @@
             try {
                 while (true) {
                     final int n = channel.read(frame);
+                    if (n <= 0) {
+                        echo();
+                    }
                     if (n < 0) {
                         IoUtils.safeClose(wire);
                         return;
                     }
+                    owed |= n > 0;
                     if (frame.hasRemaining()) {
                         if (n == 0) {
                             return;
@@ -105,6 +113,14 @@
             }
         }
 
+        /** One byte back for any that were heard, so that a long note on a slow wire counts too: the other side sees that someone is there. */
+        private void echo() throws IOException {
+            if (owed) {
+                owed = wire.getSinkChannel().write(ByteBuffer.allocate(1)) == 0;
+                wire.getSinkChannel().flush();
+            }
+        }
+
         private void next() throws IOException {
             if (head) {
                 final int length = frame.flip().getInt();
@@ -127,7 +143,10 @@
         private long queuedBytes;
         private long againMs;
         private boolean opening;
+        private long openedMs;
+        private long unheardMs = -1;
         private StreamConnection wire;
+        private IoFuture<StreamConnection> coming;
 
         Out(final String address) {
             this.address = address;
@@ -137,8 +156,14 @@
             if (queue.size() >= QUEUE_FRAMES || queuedBytes + note.length > QUEUE_BYTES) {
                 return;
             }
+            final long nowMs = System.nanoTime() / 1_000_000;
+            if (wire != null && unheardMs >= 0 && nowMs - unheardMs > silentMs) {
+                closed(wire);
+            } else if (opening && nowMs - openedMs > 2 * silentMs) {
+                coming.cancel();
+                closed(null);
+            }
             if (wire == null) {
-                final long nowMs = System.nanoTime() / 1_000_000;
                 if (!opening && nowMs < againMs) {
                     return;
                 }
@@ -148,6 +173,9 @@
             }
             queue.add(ByteBuffer.allocate(4 + note.length).putInt(note.length).put(note).flip());
             queuedBytes += note.length;
+            if (wire != null && unheardMs < 0) {
+                unheardMs = nowMs;
+            }
             if (wire != null && queue.size() == 1) {
                 final StreamConnection to = wire;
                 to.getIoThread().execute(() -> write(to.getSinkChannel()));
@@ -156,22 +184,38 @@
 
         private void open() {
             opening = true;
-            worker.openStreamConnection(Addresses.of(address), (ChannelListener<StreamConnection>) this::opened,
-                    OptionMap.create(Options.TCP_NODELAY, true)).addNotifier((future, a) -> {
-                        if (future.getStatus() != IoFuture.Status.DONE) {
-                            closed(null);
-                        }
-                    }, null);
+            openedMs = System.nanoTime() / 1_000_000;
+            coming = worker.openStreamConnection(Addresses.of(address), (ChannelListener<StreamConnection>) this::opened,
+                    OptionMap.create(Options.TCP_NODELAY, true));
+            final IoFuture<StreamConnection> mine = coming;
+            mine.addNotifier((future, a) -> failed(mine), null);
+        }
+
+        private synchronized void failed(final IoFuture<StreamConnection> of) {
+            if (of == coming && opening && of.getStatus() != IoFuture.Status.DONE) {
+                closed(null);
+            }
         }
 
         private void opened(final StreamConnection to) {
             synchronized (this) {
+                if (wire != null || !opening) {
+                    IoUtils.safeClose(to);
+                    return;
+                }
                 opening = false;
                 wire = to;
+                unheardMs = queue.isEmpty() ? -1 : System.nanoTime() / 1_000_000;
             }
             to.getSourceChannel().setReadListener(c -> {
                 try {
-                    if (c.read(ByteBuffer.allocate(16)) < 0) {
+                    final ByteBuffer echoes = ByteBuffer.allocate(64);
+                    int n = c.read(echoes);
+                    while (n > 0) {
+                        heardBack(to);
+                        n = c.read(echoes.clear());
+                    }
+                    if (n < 0) {
                         closed(to);
                     }
                 } catch (final IOException e) {
@@ -183,10 +227,17 @@
             write(to.getSinkChannel());
         }
 
+        private synchronized void heardBack(final StreamConnection from) {
+            if (from == wire) {
+                unheardMs = -1;
+            }
+        }
+
         private synchronized void closed(final StreamConnection was) {
-            opening = false;
             IoUtils.safeClose(was);
             if (was == wire) {
+                opening = false;
+                unheardMs = -1;
                 wire = null;
                 queue.clear();
                 queuedBytes = 0;
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -39,7 +39,7 @@
     private record Key(String fallback, String what, Kind kind, double least, double most) {
     }
 
-    private enum Kind { TEXT, NUMBER, ADDRESS, ADDRESSES, DISTRICTS }
+    private enum Kind { TEXT, NUMBER, ADDRESS, MAYBE_ADDRESS, ADDRESSES, DISTRICTS }
 
     private static final Map<String, Key> KEYS = new LinkedHashMap<>();
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -47,6 +47,7 @@
     static {
         text("name", null, "this node's name, unique in the fleet");
         add("address", null, "IP and port that other nodes reach", Kind.ADDRESS, 0, 0);
+        add("listen", "", "IP and port to listen on, where it isn't address (behind a relay)", Kind.MAYBE_ADDRESS, 0, 0);
         add("http", null, "IP and port that callers and operators reach", Kind.ADDRESS, 0, 0);
         text("district", null, "the district this node is in");
         add("districts", null, "all districts with their regions, as d1=r1,d2=r1", Kind.DISTRICTS, 0, 0);
@@ -167,6 +168,11 @@
                 }
             }
             case ADDRESS -> address(key, value, troubles);
+            case MAYBE_ADDRESS -> {
+                if (!value.isEmpty()) {
+                    address(key, value, troubles);
+                }
+            }
             case ADDRESSES -> {
                 final String[] all = value.split(",", -1);
                 if (all.length != 3) {
@@ -244,6 +250,11 @@
         return Math.max(1, Math.round(number(key) * ratio));
     }
 
+    /** Where to listen for other nodes. Example: {@code Addresses.of(settings.listen())} */
+    public String listen() {
+        return text("listen").isEmpty() ? text("address") : text("listen");
+    }
+
     /** The seeds. Example: {@code settings.seeds().get(0)} */
     public List<String> seeds() {
         return List.of(text("seeds").split(","));
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/rim/WiresTest.java
@@ -0,0 +1,70 @@
+package spokestall.rim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.DataInputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import spokestall.wire.Codec;
+import spokestall.wire.Note;
+
+class WiresTest {
+    record Hello(long number, String text) implements Note {
+    }
+
+    @Test
+    void aWireThatNobodyHearsIsGivenUpAndOpenedAgain() throws Exception {
+        Codec.number(9000, Hello.class);
+        final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        final ScheduledExecutorService beat = Executors.newSingleThreadScheduledExecutor();
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout(20_000);
+            final Wires wires = new Wires(worker, note -> { }, 300);
+            final String to = "127.0.0.1:" + server.getLocalPort();
+            beat.scheduleAtFixedRate(() -> wires.send(to, new Hello(1, "x")), 0, 20, TimeUnit.MILLISECONDS);
+            final Socket deaf = server.accept();
+            final Socket again = server.accept();
+            assertThat(deaf.isClosed()).isFalse();
+            final DataInputStream in = new DataInputStream(again.getInputStream());
+            final byte[] frame = new byte[in.readInt()];
+            in.readFully(frame);
+            assertThat(Codec.note(frame)).isEqualTo(new Hello(1, "x"));
+        } finally {
+            beat.shutdownNow();
+            worker.shutdownNow();
+        }
+    }
+
+    @Test
+    void notesArriveWholeAndInOrderOverOneWireThatIsHeard() throws Exception {
+        Codec.number(9000, Hello.class);
+        final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 2));
+        final LinkedBlockingQueue<Note> heard = new LinkedBlockingQueue<>();
+        final int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        final Wires there = new Wires(worker, heard::add, 300);
+        there.listen(Addresses.of("127.0.0.1:" + port));
+        final Wires here = new Wires(worker, note -> { }, 300);
+        for (int i = 0; i < 2000; i++) {
+            here.send("127.0.0.1:" + port, new Hello(i, "n".repeat(i % 700)));
+        }
+        for (int i = 0; i < 2000; i++) {
+            assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo(new Hello(i, "n".repeat(i % 700)));
+        }
+        here.close();
+        there.close();
+        worker.shutdownNow();
+    }
+}
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/rpc/ResultTest.java
@@ -0,0 +1,19 @@
+package spokestall.rpc;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+
+class ResultTest {
+    @Test
+    void theTableInTheDocsIsTheTableInTheCode() throws Exception {
+        final String doc = Files.readString(Path.of("..", "docs", "result-codes.md"));
+        assertThat(doc.lines().filter(l -> l.matches("\\| \\d+ .*"))).containsExactlyElementsOf(
+                Arrays.stream(Result.values()).map(r -> "| " + r.number() + " | " + r + " | " + r.httpStatus() + " | "
+                        + r.text() + " |").toList());
+        assertThat(Arrays.stream(Result.values()).map(Result::number)).doesNotHaveDuplicates();
+    }
+}
