Others keep the names of what a missing voter should have had, and hand it over

Cause: a core that was away lacked the registers changed meanwhile until someone touched each again; a second loss then met fewer copies than there could be. Now the proposer waits a round for the rest, a core keeps the key (an edge asks two cores to), and hands over its own copy when the voter says it votes again. Excluded: catch-up (only for a lost disk), safety (a late word of an accepted value is what any voter may hear).

--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -125,6 +125,28 @@
         return share(begunMs + 3000, begunMs + 3000 + PLAY_MS);
     }
 
+    /** The largest share of any core's registers that a voting core lacks, or has older, at the end. */
+    double lacking() {
+        final Map<String, spokestall.ballot.Ballot> newest = new java.util.HashMap<>();
+        for (final SimNode c : world.cores()) {
+            if (c.running()) {
+                c.node().voter().registers().forEach((k, r) -> newest.merge(k, r.accepted(),
+                        (a, o) -> a.compareTo(o) >= 0 ? a : o));
+            }
+        }
+        double worst = 0;
+        for (final SimNode c : world.cores()) {
+            if (c.running() && !newest.isEmpty()) {
+                final long lacks = newest.entrySet().stream().filter(e -> {
+                    final var r = c.node().voter().registers().get(e.getKey());
+                    return r == null || r.accepted().compareTo(e.getValue()) < 0;
+                }).count();
+                worst = Math.max(worst, (double) lacks / newest.size());
+            }
+        }
+        return worst;
+    }
+
     double lastShare() {
         return lastShare;
     }
--- a/proof/src/main/java/spokestall/proof/Sweep.java
+++ b/proof/src/main/java/spokestall/proof/Sweep.java
@@ -11,7 +11,7 @@
 final class Sweep {
     /** What came of one run. */
     record Outcome(Scenario scenario, Deployment deployment, long seed, boolean up, long digest, double playShare,
-            double lastShare, long commits, Map<Rule, Judge.Tally> tallies) {
+            double lastShare, double lacking, long commits, Map<Rule, Judge.Tally> tallies) {
     }
 
     private static final class Sum {
@@ -28,7 +28,7 @@
     static Outcome one(final long seed, final Deployment deployment, final Scenario scenario, final Plant plant) {
         final SimRun run = new SimRun(seed, deployment, scenario, false, plant);
         final boolean up = run.play();
-        return new Outcome(scenario, deployment, seed, up, run.world.sim.digest(), run.playShare(), run.lastShare(),
+        return new Outcome(scenario, deployment, seed, up, run.world.sim.digest(), run.playShare(), run.lastShare(), run.lacking(),
                 run.world.cores().stream().mapToLong(c -> c.disk.commits()).sum(), run.world.judge.tallies());
     }
 
@@ -96,8 +96,8 @@
                 bad++;
             }
         }
-        System.out.printf("run scenario=%s deployment=%s seed=%d digest=%x served=%.3f last=%.3f commits=%d%n", o.scenario,
-                o.deployment, o.seed, o.digest, o.playShare, o.lastShare, o.commits);
+        System.out.printf("run scenario=%s deployment=%s seed=%d digest=%x served=%.3f last=%.3f lacking=%.4f commits=%d%n", o.scenario,
+                o.deployment, o.seed, o.digest, o.playShare, o.lastShare, o.lacking, o.commits);
         return bad;
     }
 }
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -38,6 +38,7 @@
 import spokestall.feed.Follower;
 import spokestall.feed.Versions;
 import spokestall.hand.HandNote;
+import spokestall.hand.Hints;
 import spokestall.hand.Shelf;
 import spokestall.listing.Listed;
 import spokestall.listing.Listing;
@@ -84,6 +85,8 @@
     private static final int POLICY_KEPT = 1024;
     private static final int SNAPSHOT_EVERY = 32;
     private static final int WINDOWS_KEPT = 16;
+    private static final int HINTS_KEPT = 16_384;
+    private static final int HANDED_AT_ONCE = 128;
 
     static {
         Notes.number();
@@ -115,6 +118,7 @@
     private final Elector elector;
     private final Edge edge;
     private final Shelf shelf;
+    private final Hints hints = new Hints(HINTS_KEPT);
     private final Acceptance acceptance;
     private final Calls calls = new Calls();
     private final Map<String, Present> edges = new TreeMap<>();
@@ -149,7 +153,7 @@
                 2 * (int) (settings.ms("cores") + settings.ms("edges")), 6, settings.part("leaveBoundMs", 4)));
         this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"));
         this.proposer = new Proposer(name + "#" + Long.toHexString(life), address, post, clock, random,
-                new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64));
+                new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64), this::missed);
         this.follower = new Follower(view::self, book, listing, proposer, post, clock,
                 new Follower.Pace(settings.part("keyBoundMs", 0.5), 32), this::coreAddresses, this::adopt,
                 this::policyMoved, this::openAsks);
@@ -461,6 +465,9 @@
         } else if (note instanceof FormNote f) {
             if (core) {
                 formation.hear(f);
+                if (f instanceof FormNote.Standing s && s.voting()) {
+                    hand(s);
+                }
             } else if (f instanceof FormNote.Standing s) {
                 standing(s);
             }
@@ -497,6 +504,36 @@
         }
     }
 
+    /** A voter missed a change: this core keeps the name for it, or an edge has two cores keep it. */
+    private void missed(final String seat, final String key) {
+        if (core) {
+            hints.keep(seat, key);
+            return;
+        }
+        int told = 0;
+        for (final Seat other : voters().seats()) {
+            if (told < 2 && !other.name().equals(seat)
+                    && follower.heardMs(other.name()) < settings.part("leaveBoundMs", 0.3)) {
+                post.send(other.address(), new HandNote.Hint(seat, key));
+                told++;
+            }
+        }
+    }
+
+    /** Hands over what a voter that is back should have had. It takes it like any late word of a chosen value. */
+    private void hand(final FormNote.Standing back) {
+        if (voter.state() != Voter.State.VOTING || !back.table().same(voters().generation(), voters().epoch())) {
+            return;
+        }
+        for (final String key : hints.take(back.name(), HANDED_AT_ONCE)) {
+            final Register r = voter.registers().get(key);
+            if (r != null && r.value() != null) {
+                post.send(back.address(), new BallotNote.Chosen(voters().generation(), voters().epoch(), key,
+                        r.accepted(), r.value()));
+            }
+        }
+    }
+
     private void hear(final UsageNote note) {
         if (!core) {
             return;
@@ -511,7 +548,9 @@
     }
 
     private void hear(final HandNote note) {
-        if (note instanceof HandNote.Keep keep) {
+        if (note instanceof HandNote.Hint hint) {
+            hints.keep(hint.missing(), hint.key());
+        } else if (note instanceof HandNote.Keep keep) {
             shelf.keep(keep);
         } else if (note instanceof HandNote.Ask ask) {
             final HandNote.Keep found = shelf.find(ask.key(), ask.digest());
@@ -717,6 +756,8 @@
             if (keeper.seen() != null) {
                 duty.put("holder", keeper.seen().holder()).put("token", keeper.seen().token());
             }
+            final ObjectNode kept = out.putObject("hints");
+            hints.sizes().forEach(kept::put);
             duty.put("lastSealed", reporter.lastSealed()).put("missed", reporter.missed());
             final ObjectNode present = out.putObject("edges");
             edges.forEach((n, p) -> present.putObject(n).put("fresh", p.fresh).put("open", p.open).put("leaving", p.member.leaving())
--- a/spokestall/src/main/java/spokestall/Notes.java
+++ b/spokestall/src/main/java/spokestall/Notes.java
@@ -42,5 +42,6 @@
         Codec.number(60, HandNote.Keep.class);
         Codec.number(61, HandNote.Ask.class);
         Codec.number(62, HandNote.Back.class);
+        Codec.number(63, HandNote.Hint.class);
     }
 }
--- a/spokestall/src/main/java/spokestall/ballot/Proposer.java
+++ b/spokestall/src/main/java/spokestall/ballot/Proposer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import spokestall.time.Clock;
@@ -29,12 +30,15 @@
     private final Pace pace;
     private final Map<Long, Round> rounds = new HashMap<>();
     private final Map<String, Long> counts;
+    private final BiConsumer<String, String> missed;
     private Voters voters;
     private long nextGoId;
 
-    /** Example: {@code new Proposer("d1-edge#5f", "127.0.0.1:7201", post, clock, random, pace)} */
+    /** {@code missed} is told which voter did not take part in a change of which key in time.
+     * Example: {@code new Proposer("d1-edge#5f", "127.0.0.1:7201", post, clock, random, pace, (seat, key) -> { })} */
     public Proposer(final String by, final String address, final Post post, final Clock clock, final Random random,
-            final Pace pace) {
+            final Pace pace, final BiConsumer<String, String> missed) {
+        this.missed = missed;
         this.by = by;
         this.address = address;
         this.post = post;
@@ -187,6 +191,22 @@
             });
         }
 
+        /** Whoever has not taken the value one more round later is missing it. */
+        private void awaitTheRest() {
+            if (yes.size() == table.seats().size()) {
+                return;
+            }
+            rounds.put(goId, this);
+            clock.after(pace.roundMs(), () -> {
+                rounds.remove(goId);
+                for (final Seat seat : table.seats()) {
+                    if (!yes.contains(seat.name())) {
+                        missed.accept(seat.name(), key);
+                    }
+                }
+            });
+        }
+
         private Outcome giveUp(final String why) {
             return mayHold ? new Outcome.Undecided() : new Outcome.NotDone(why);
         }
@@ -278,6 +298,9 @@
         }
 
         void accepted(final BallotNote.Accepted accepted) {
+            if (phase == Phase.ENDED && accepted.reply() == BallotNote.Reply.YES) {
+                yes.add(accepted.voter());
+            }
             if (phase != Phase.ACCEPT || !counts(accepted.voter(), accepted.diskId(), accepted.reply())) {
                 return;
             }
@@ -292,6 +315,7 @@
                     }
                 }
                 end(new Outcome.Done(proposed, wrote));
+                awaitTheRest();
             } else if (lost()) {
                 if (denied || gone) {
                     end(giveUp("denied"));
--- a/spokestall/src/main/java/spokestall/hand/HandNote.java
+++ b/spokestall/src/main/java/spokestall/hand/HandNote.java
@@ -12,6 +12,10 @@
     record Ask(String from, long askId, String key, String digest) implements HandNote {
     }
 
+    /** Asks a core to keep the name of a register for a voter that missed it. */
+    record Hint(String missing, String key) implements HandNote {
+    }
+
     /** The reply to {@link Ask}; body is null when there is none. */
     record Back(long askId, String key, int status, String contentType, byte[] body) implements HandNote {
     }
--- a/spokestall/src/test/java/spokestall/ballot/BallotBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/BallotBench.java
@@ -129,7 +129,7 @@
     /** A proposer of its own name. */
     public Proposer proposer(final String name) {
         final Proposer made = new Proposer(name + "#1", name, this::send, clock, random,
-                new Proposer.Pace(150, 30, 1000));
+                new Proposer.Pace(150, 30, 1000), (seat, key) -> { });
         made.adopt(table);
         ears.put(name, note -> {
             if (note instanceof BallotNote b) {
