Claims leave room on the disk for what keeps the fleet itself going

Cause: a ring filled with claims turned away every write, so the lease and the policy stood still until claims ran out; read in the code, then brought about. Now a voter begins no new claim above seven tenths, a register's new value is weighed against its old one, and an ask whose claim is denied is told at once. Excluded: expiry (claims of 10 s were let go in time once the rate fell).

--- a/proof/src/main/java/spokestall/proof/Fault.java
+++ b/proof/src/main/java/spokestall/proof/Fault.java
@@ -77,6 +77,11 @@
 
     abstract void bring(Fleet fleet) throws Exception;
 
+    /** The share of asks that must run: with a majority of disks lost all stand still until a new generation is agreed. */
+    double least() {
+        return this == WIPE_FOUR ? 0.6 : 0.95;
+    }
+
     private static void pause(final long ms) {
         final long endNs = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < endNs) {
--- a/proof/src/main/java/spokestall/proof/Scenario.java
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
+import java.util.Map;
 
 /** The brief's failures, each as a script that is played while asks flow; MIXED plays several at random. */
 enum Scenario {
@@ -189,6 +189,25 @@
             run.later(run.playMs() - 1000, () -> run.world.gapShare = 0);
         }
     },
+    CLAIMS_FULL {
+        @Override
+        void play(final SimRun run) {
+            run.world.callers.rate(4 * run.world.deployment.rate);
+            run.later(15_000, () -> run.world.callers.rate(run.world.deployment.rate));
+            run.later(6000, run.operator::bind);
+            run.later(12_000, run.operator::bind);
+        }
+
+        @Override
+        Map<String, String> settings() {
+            return Map.of("claimKeepMs", "10000");
+        }
+
+        @Override
+        int segmentBytes() {
+            return 128 << 10;
+        }
+    },
     DISK_STALLS {
         @Override
         void play(final SimRun run) {
@@ -291,4 +310,14 @@
     };
 
     abstract void play(SimRun run);
+
+    /** Settings that this scenario needs. */
+    Map<String, String> settings() {
+        return Map.of();
+    }
+
+    /** The size of the disks' files. */
+    int segmentBytes() {
+        return 1 << 20;
+    }
 }
--- a/spokestall/src/main/java/spokestall/Keeping.java
+++ b/spokestall/src/main/java/spokestall/Keeping.java
@@ -1,5 +1,6 @@
 package spokestall;
 
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import spokestall.ballot.Guard;
@@ -12,7 +13,9 @@
 
 /** Which register keys the voters keep, and for how long; what was let go can't be made anew. */
 final class Keeping implements Guard {
+    private static final double CLAIMS_SHARE = 0.7;
     private final FleetClock fleet;
+    private final DoubleSupplier fill;
     private final long claimKeepMs;
     private final long marginMs;
     private final long windowMs;
@@ -20,7 +23,9 @@
     private final LongSupplier policyFloor;
 
     Keeping(final FleetClock fleet, final long claimKeepMs, final long marginMs, final long windowMs,
-            final Supplier<Voters> voters, final LongSupplier policyFloor) {
+            final Supplier<Voters> voters, final LongSupplier policyFloor,
+            final DoubleSupplier fill) {
+        this.fill = fill;
         this.fleet = fleet;
         this.claimKeepMs = claimKeepMs;
         this.marginMs = marginMs;
@@ -48,6 +53,12 @@
                 && !key.equals("voters/" + voters.get().generation() + "/" + (voters.get().epoch() + 1));
     }
 
+    /** Claims come by the thousand; what keeps the fleet itself going must still fit when they don't. */
+    @Override
+    public boolean room(final String key) {
+        return !Claim.isKey(key) || fill.getAsDouble() < CLAIMS_SHARE;
+    }
+
     @Override
     public boolean takes(final String key, final byte[] value) {
         if (!Claim.isKey(key) || value == null) {
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -166,7 +166,7 @@
         this.edge = core ? null : edge(rim);
         this.ring = core ? new Ring(rim.segments()) : null;
         this.keeping = core ? new Keeping(fleet, settings.ms("claimKeepMs"), settings.part("claimKeepMs", 0.2),
-                windowMs, this::voters, () -> policyFloor) : null;
+                windowMs, this::voters, () -> policyFloor, ring::fill) : null;
         this.voter = core ? new Voter(name, ring, post, keeping, freshId()) : null;
         this.formation = core ? new Formation(name, address, name + "#" + Long.toHexString(life), voter, proposer,
                 post, clock, new Formation.Pace((int) settings.ms("cores"), settings.part("leaveBoundMs", 0.4),
--- a/spokestall/src/main/java/spokestall/ballot/Guard.java
+++ b/spokestall/src/main/java/spokestall/ballot/Guard.java
@@ -8,6 +8,9 @@
     /** Whether the key was let go and must not be made anew. Example: {@code guard.gone("usage/17")} */
     boolean gone(String key);
 
+    /** Whether there is room to begin a register that is not there yet. Example: claims leave room for the rest. */
+    boolean room(String key);
+
     /** Whether a value may still be accepted. Example: a claim with an old ticket may not. */
     boolean takes(String key, byte[] value);
 }
--- a/spokestall/src/main/java/spokestall/ballot/Proposer.java
+++ b/spokestall/src/main/java/spokestall/ballot/Proposer.java
@@ -20,6 +20,9 @@
     public record Pace(long roundMs, long backoffMs, int goesMax) {
     }
 
+    /** Why a change was not done when the voters would not take it. */
+    public static final String DENIED = "denied";
+
     private enum Phase { PEEK, PREPARE, ACCEPT, ENDED }
 
     private final String by;
@@ -256,6 +259,8 @@
             } else if (lost()) {
                 if (gone) {
                     end(mayHold ? new Outcome.Undecided() : new Outcome.Gone());
+                } else if (denied) {
+                    end(giveUp(DENIED));
                 } else {
                     later(Phase.PREPARE);
                 }
@@ -318,7 +323,7 @@
                 awaitTheRest();
             } else if (lost()) {
                 if (denied || gone) {
-                    end(giveUp("denied"));
+                    end(giveUp(DENIED));
                 } else {
                     later(Phase.PREPARE);
                 }
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -284,6 +284,10 @@
         if (reply == BallotNote.Reply.YES && guard.gone(ask.key())) {
             reply = BallotNote.Reply.GONE;
         }
+        if (reply == BallotNote.Reply.YES && !ask.peek() && !registers.containsKey(ask.key())
+                && !guard.room(ask.key())) {
+            reply = BallotNote.Reply.DENIED;
+        }
         final Register had = registers.getOrDefault(ask.key(), Register.EMPTY);
         if (reply != BallotNote.Reply.YES || ask.peek()) {
             // A look must not show what a power loss could still take away.
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -324,7 +324,8 @@
         private void claimed(final Outcome outcome, final String claimId, final String digest,
                 final Ticket ticket) {
             if (!(outcome instanceof Outcome.Done done)) {
-                give(outcome instanceof Outcome.Gone ? Result.TICKET_OLD : Result.UNCLEAR);
+                final boolean full = outcome instanceof Outcome.NotDone n && n.why().equals(Proposer.DENIED);
+                give(outcome instanceof Outcome.Gone ? Result.TICKET_OLD : full ? Result.CLAIMS_FULL : Result.UNCLEAR);
                 return;
             }
             final Claim now = done.value() == null ? null : Codec.record(done.value(), Claim.class);
--- a/spokestall/src/main/java/spokestall/ring/Ring.java
+++ b/spokestall/src/main/java/spokestall/ring/Ring.java
@@ -108,7 +108,8 @@
 
     private boolean oversize(final String key, final byte[] value) {
         final int bytes = recordBytes(key, value);
-        final boolean full = liveBytes + bytes > limitBytes() || bytes > segments.sizeBytes();
+        final Place had = places.get(key);
+        final boolean full = liveBytes - (had == null ? 0 : had.bytes) + bytes > limitBytes() || bytes > segments.sizeBytes();
         change(full ? State.FULL : State.OPEN);
         return full;
     }
--- a/spokestall/src/test/java/spokestall/ballot/BallotBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/BallotBench.java
@@ -24,6 +24,11 @@
             return true;
         }
 
+        @Override
+        public boolean room(final String key) {
+            return true;
+        }
+
         @Override
         public boolean gone(final String key) {
             return false;
