--- a/proof/src/main/java/spokestall/proof/Fleet.java
+++ b/proof/src/main/java/spokestall/proof/Fleet.java
@@ -110,6 +110,10 @@
         return ports;
     }
 
+    Path folder() {
+        return folder;
+    }
+
     Ledger ledger() {
         return ledger;
     }
--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -92,12 +92,13 @@
             System.err.println("--deployment: padma or verde, not " + flags.deployment);
             return 2;
         }
-        try (Fleet fleet = new Fleet(deployment, flags.folder.resolve(flags.deployment), Deployment.DISTRICTS,
+        try (Fleet fleet = new Fleet(deployment, flags.folder.resolve(flags.deployment + "-"
+                + System.currentTimeMillis()), Deployment.DISTRICTS,
                 flags.distant ? deployment.apartMs / 2 : 0)) {
             fleet.start();
             final long version = fleet.putPolicy();
             fleet.ready(version);
-            System.out.println("fleet=up nodes=" + fleet.members().size() + " version=" + version);
+            System.out.println("fleet=up folder=" + fleet.folder() + " nodes=" + fleet.members().size() + " version=" + version);
             if (flags.keep) {
                 fleet.members().forEach((name, m) -> System.out.println("  " + name + " http=" + m.http));
                 Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
