A proposer's next change of a key needs no first phase

Cause: an order cost two whole rounds, each synced by all six cores: the claim, and its end, though the same edge makes both with none between as a rule; a lease's renewal likewise. Now a voter that accepts a value promises the same proposer's next rank with it, in one write. Excluded: group commit (already on), reads (they sync nothing). Safe because no rank between can be promised by a majority; a newer table of voters, or any denial, leads back to both phases. ProposerTest runs over it.

--- a/spokestall/src/main/java/spokestall/ballot/Proposer.java
+++ b/spokestall/src/main/java/spokestall/ballot/Proposer.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -23,8 +24,13 @@
     /** Why a change was not done when the voters would not take it. */
     public static final String DENIED = "denied";
 
+    /** What this proposer had accepted last for a key: the rank it may use next, and the value that stands. */
+    private record Held(Voters table, Ballot next, byte[] value) {
+    }
+
     private enum Phase { PEEK, PREPARE, ACCEPT, ENDED }
 
+    private static final int KEYS_KEPT = 4096;
     private final String by;
     private final String address;
     private final Post post;
@@ -33,6 +39,7 @@
     private final Pace pace;
     private final Map<Long, Round> rounds = new HashMap<>();
     private final Map<String, Long> counts;
+    private final Map<String, Held> held;
     private final BiConsumer<String, String> missed;
     private Voters voters;
     private long nextGoId;
@@ -49,10 +56,15 @@
         this.random = random;
         this.pace = pace;
         this.nextGoId = random.nextLong() >>> 16;
-        this.counts = new java.util.LinkedHashMap<>(64, 0.75f, true) {
+        this.counts = newest();
+        this.held = newest();
+    }
+
+    private static <T> Map<String, T> newest() {
+        return new LinkedHashMap<>(64, 0.75f, true) {
             @Override
-            protected boolean removeEldestEntry(final Map.Entry<String, Long> eldest) {
-                return size() > 4096;
+            protected boolean removeEldestEntry(final Map.Entry<String, T> eldest) {
+                return size() > KEYS_KEPT;
             }
         };
     }
@@ -78,7 +90,7 @@
      * : Edit.LEAVE, outcome -> ...);} */
     public void change(final String key, final long waitMs, final Function<byte[], Edit> edit,
             final Consumer<Outcome> done) {
-        new Round(key, clock.nowMs() + waitMs, edit, done).begin(Phase.PREPARE);
+        new Round(key, clock.nowMs() + waitMs, edit, done).change();
     }
 
     /** Reads a register so that no earlier finished change is missed. Example: {@code proposer.read(key, 500, o -> ...);} */
@@ -131,6 +143,30 @@
             this.done = done;
         }
 
+        /** The first phase is left out where this proposer's last change still stands, as far as it knows. */
+        void change() {
+            final Held last = held.remove(key);
+            final Edit wanted = last != null && last.table == voters && clock.nowMs() < deadlineMs
+                    ? edit.apply(last.value) : Edit.LEAVE;
+            if (wanted instanceof Edit.Set set) {
+                open(Phase.ACCEPT);
+                counts.merge(key, last.next.count(), Math::max);
+                ballot = last.next;
+                propose(set.value(), true);
+            } else {
+                begin(Phase.PREPARE);
+            }
+        }
+
+        private void open(final Phase first) {
+            goId = nextGoId++;
+            rounds.put(goId, this);
+            goes++;
+            phase = first;
+            table = voters;
+            clear();
+        }
+
         void begin(final Phase first) {
             if (phase == Phase.ENDED) {
                 return;
@@ -141,12 +177,7 @@
                 end(giveUp("deadline"));
                 return;
             }
-            goId = nextGoId++;
-            rounds.put(goId, this);
-            goes++;
-            phase = first;
-            table = voters;
-            clear();
+            open(first);
             highest = Ballot.NONE;
             highestValue = null;
             if (table == null) {
@@ -282,16 +313,17 @@
             }
             final Edit wanted = edit.apply(highestValue);
             if (wanted instanceof Edit.Set set) {
-                proposed = set.value();
-                wrote = true;
+                propose(set.value(), true);
+            } else if (seen.size() == 1) {
+                end(new Outcome.Done(highestValue, false));
             } else {
-                wrote = false;
-                proposed = highestValue;
-                if (seen.size() == 1) {
-                    end(new Outcome.Done(highestValue, false));
-                    return;
-                }
+                propose(highestValue, false);
             }
+        }
+
+        private void propose(final byte[] value, final boolean own) {
+            proposed = value;
+            wrote = own;
             mayHold |= wrote;
             phase = Phase.ACCEPT;
             clear();
@@ -313,6 +345,7 @@
                 counts.merge(key, accepted.promised().count() + 1, Math::max);
             }
             if (yes.size() >= table.majority()) {
+                held.put(key, new Held(table, ballot.next(), proposed));
                 for (final Seat seat : table.seats()) {
                     if (!yes.contains(seat.name())) {
                         post.send(seat.address(), new BallotNote.Chosen(table.generation(), table.epoch(), key, ballot,
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -322,7 +322,8 @@
             accepted(ask, reply, had.promised());
             return;
         }
-        store(ask.key(), new Register(ask.ballot(), ask.ballot(), ask.value()),
+        // With the value goes a promise of the same proposer's next rank: its next change needs no first phase.
+        store(ask.key(), new Register(ask.ballot().next(), ask.ballot(), ask.value()),
                 ok -> accepted(ask, ok ? BallotNote.Reply.YES : BallotNote.Reply.DISK, ask.ballot()));
     }
 
