--- a/proof/src/main/java/spokestall/proof/SimOperator.java
+++ b/proof/src/main/java/spokestall/proof/SimOperator.java
@@ -21,6 +21,7 @@
     private final Set<String> denied = new HashSet<>();
     private int made;
     long changes;
+    long slowestMs;
     long undecided;
 
     SimOperator(final World world) {
@@ -196,6 +197,7 @@
                 case OK -> {
                     accepted.add(id);
                     then.accept(world.sim.nowMs());
+                    arrives(reply.fields().path("version").asLong(), world.sim.nowMs());
                     inForce(reply.fields().path("version").asLong(), world.sim.nowMs());
                 }
                 case UNDECIDED, NOT_READY -> {
@@ -220,6 +222,17 @@
             }
         }
 
+        /** How long until every edge that is left alone has it. */
+        private void arrives(final long version, final long atMs) {
+            final boolean all = world.edges().stream().allMatch(e -> !e.running() || !world.undisturbed(e, atMs)
+                    || e.node().book().policy().version() >= version);
+            if (all || world.sim.nowMs() - atMs > IN_FORCE_MS) {
+                slowestMs = Math.max(slowestMs, world.sim.nowMs() - atMs);
+            } else {
+                world.sim.after(10, () -> arrives(version, atMs));
+            }
+        }
+
         /** Four seconds on, every edge that was left alone has it, and none that serves lacks it. */
         private void inForce(final long version, final long atMs) {
             world.sim.after(IN_FORCE_MS, () -> {
--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -18,6 +18,8 @@
     private long begunMs = -1;
     private long endMs = -1;
     private double lastShare;
+    private long heldMs = -1;
+    private long gapMs;
 
     SimRun(final long seed, final Deployment deployment, final Scenario scenario, final boolean traced,
             final Plant plant) {
@@ -55,9 +57,56 @@
         begunMs = world.sim.nowMs();
         world.callers.start();
         world.sim.after(3000, () -> scenario.play(this));
+        world.sim.after(3000, this::watchHolder);
         world.sim.after(3000 + PLAY_MS, this::mend);
     }
 
+    /** How long nobody could work on the duty, at the most, seen every 20 ms. */
+    private void watchHolder() {
+        final long nowMs = world.sim.nowMs();
+        for (final SimNode c : world.cores()) {
+            if (c.running() && c.node().keeper().execution() != null
+                    && c.node().keeper().execution().mayWork(c.nowMs())) {
+                gapMs = heldMs < 0 ? 0 : Math.max(gapMs, nowMs - heldMs);
+                heldMs = nowMs;
+            }
+        }
+        if (nowMs < begunMs + 3000 + PLAY_MS + MEND_MS + LAST_MS) {
+            later(20, this::watchHolder);
+        }
+    }
+
+    /** The longest time without a holder, as a multiple of the lease. */
+    double takeover() {
+        return gapMs / 2000.0;
+    }
+
+    /** The most any edge had, over what an even share would be. */
+    double unevenEdges() {
+        return uneven(world.begun.stream().filter(b -> b.atMs() >= begunMs + 3000)
+                .collect(java.util.stream.Collectors.groupingBy(World.Begun::edgeDistrict,
+                        java.util.stream.Collectors.counting())));
+    }
+
+    /** The most any upstream of the larger service had, over an even share. */
+    double unevenUpstreams() {
+        return uneven(world.begun.stream().filter(b -> b.instance().startsWith(world.deployment.big))
+                .collect(java.util.stream.Collectors.groupingBy(World.Begun::instance,
+                        java.util.stream.Collectors.counting())));
+    }
+
+    private static double uneven(final Map<String, Long> counts) {
+        final double sum = counts.values().stream().mapToLong(Long::longValue).sum();
+        return counts.isEmpty() ? 0 : counts.values().stream().mapToLong(Long::longValue).max().getAsLong()
+                / (sum / counts.size());
+    }
+
+    /** Synced commits of all cores for each run-once ask that ran. */
+    double commitsPerOrder() {
+        final long orders = world.begun.stream().filter(b -> world.asked.get(b.askId()).kind.runOnce()).count();
+        return orders == 0 ? 0 : world.cores().stream().mapToLong(c -> c.disk.commits()).sum() / (double) orders;
+    }
+
     private void mend() {
         world.sim.trace("mend");
         world.net.heal();
--- a/proof/src/main/java/spokestall/proof/Sweep.java
+++ b/proof/src/main/java/spokestall/proof/Sweep.java
@@ -11,7 +11,8 @@
 final class Sweep {
     /** What came of one run. */
     record Outcome(Scenario scenario, Deployment deployment, long seed, boolean up, long digest, double playShare,
-            double lastShare, double lacking, long commits, Map<Rule, Judge.Tally> tallies) {
+            double lastShare, double lacking, double commits,
+            double takeover, double feed, double edges, double upstreams, Map<Rule, Judge.Tally> tallies) {
     }
 
     private static final class Sum {
@@ -29,7 +30,8 @@
         final SimRun run = new SimRun(seed, deployment, scenario, false, plant);
         final boolean up = run.play();
         return new Outcome(scenario, deployment, seed, up, run.world.sim.digest(), run.playShare(), run.lastShare(), run.lacking(),
-                run.world.cores().stream().mapToLong(c -> c.disk.commits()).sum(), run.world.judge.tallies());
+                run.commitsPerOrder(), run.takeover(), run.operator.slowestMs / 4000.0, run.unevenEdges(),
+                run.unevenUpstreams(), run.world.judge.tallies());
     }
 
     /** The number of violations and of runs that did not come back. */
@@ -96,8 +98,9 @@
                 bad++;
             }
         }
-        System.out.printf("run scenario=%s deployment=%s seed=%d digest=%x served=%.3f last=%.3f lacking=%.4f commits=%d%n", o.scenario,
-                o.deployment, o.seed, o.digest, o.playShare, o.lastShare, o.lacking, o.commits);
+        System.out.printf("run scenario=%s deployment=%s seed=%d digest=%x served=%.3f last=%.3f lacking=%.4f commitsPerOrder=%.1f"
+                + " takeover=%.2f feed=%.3f edges=%.2f upstreams=%.2f%n", o.scenario,
+                o.deployment, o.seed, o.digest, o.playShare, o.lastShare, o.lacking, o.commits, o.takeover, o.feed, o.edges, o.upstreams);
         return bad;
     }
 }
