A window is not held open for an edge's life that has ended

Cause: a killed edge never closes its window, so the holder waited its five seconds though the edge was back under a new life; when the holder went down at the end of that wait, the next one was too late. An edge that is merely not heard is still waited for: it may be cut off. Also: faults BAD_ANSWERS and DRAIN on real processes, and demand checks answers.

--- a/proof/src/main/java/spokestall/proof/Fault.java
+++ b/proof/src/main/java/spokestall/proof/Fault.java
@@ -64,6 +64,28 @@
             wipe(fleet, List.of("d1-core", "d2-core", "d3-core", "d6-core"));
         }
     },
+    BAD_ANSWERS {
+        @Override
+        void bring(final Fleet fleet) throws Exception {
+            final UpstreamStand.Manner[] all = UpstreamStand.Manner.values();
+            for (int i = 0; i < fleet.upstreams().size(); i += 3) {
+                fleet.upstreams().get(i).behave(all[1 + i / 3 % (all.length - 1)]);
+            }
+            pause(8000);
+            fleet.upstreams().forEach(u -> u.behave(UpstreamStand.Manner.WELL));
+        }
+    },
+    DRAIN {
+        @Override
+        void bring(final Fleet fleet) throws Exception {
+            for (int i = 0; i < 4; i++) {
+                final UpstreamStand up = fleet.upstreams().get(i * 5);
+                up.leave();
+                pause(4000);
+                up.stop();
+            }
+        }
+    },
     CUT {
         @Override
         void bring(final Fleet fleet) throws Exception {
@@ -79,7 +101,7 @@
 
     /** The share of asks that must run: with a majority of disks lost all stand still until a new generation is agreed. */
     double least() {
-        return this == WIPE_FOUR ? 0.6 : 0.95;
+        return this == WIPE_FOUR ? 0.6 : this == BAD_ANSWERS ? 0.85 : 0.95;
     }
 
     private static void pause(final long ms) {
--- a/proof/src/main/java/spokestall/proof/Fleet.java
+++ b/proof/src/main/java/spokestall/proof/Fleet.java
@@ -260,7 +260,7 @@
         final String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         return new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), "spokestall.Main", "demand",
                 "--to", nodes, "--plan", plan.toString(), "--rate", Integer.toString(deployment.rate), "--seconds",
-                Integer.toString(seconds), "--least", Double.toString(least)).inheritIO().start();
+                Integer.toString(seconds), "--least", Double.toString(least), "--echo").inheritIO().start();
     }
 
     /** Stops every node cleanly; true if all ended with 0 in time. */
--- a/spokestall/src/main/java/spokestall/Demand.java
+++ b/spokestall/src/main/java/spokestall/Demand.java
@@ -33,6 +33,7 @@
 /** The load generator: callers that ask where to go, then ask, at a set rate, and a verdict at the end. */
 final class Demand {
     private static final int ANSWER_MAX = 16 << 20;
+    private static final String WRONG = "wrong-answer";
 
     /** The flags. */
     static final class Flags {
@@ -52,6 +53,8 @@
         private double least = 0.99;
         @Option(name = "--seed", usage = "seed of the order of asks")
         private long seed = 1;
+        @Option(name = "--echo", usage = "answers are JSON whose answerTo must be the ask's id; any other is a bad verdict")
+        private boolean echo;
         @Option(name = "--help", help = true, usage = "this page")
         private boolean help;
     }
@@ -195,6 +198,11 @@
         client.call(HttpCall.plain(edge, kind.runOnce ? "POST" : "GET", kind.path, headers, body, spanMs + 500, ANSWER_MAX), r -> {
                     if (r instanceof HttpResult.Whole whole) {
                         final String outcome = whole.header("Spokestall-Outcome");
+                        if ("ran".equals(outcome) && flags.echo && whole.status() == 200
+                                && !echoes(whole.body(), name)) {
+                            end(WRONG, begunMs, edge);
+                            return;
+                        }
                         if ("ran".equals(outcome)) {
                             end(whole.status() < 500 ? "ran" : "ran-" + whole.status(), begunMs, edge);
                             return;
@@ -217,6 +225,15 @@
                 });
     }
 
+    private static boolean echoes(final byte[] body, final String name) {
+        try {
+            final JsonNode read = Book.JSON.readTree(body);
+            return read != null && read.path("answerTo").asText().equals(name);
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
     private void later(final ScheduledExecutorService timer, final Kind kind, final String who, final String askId,
             final int turn, final long begunMs, final String why, final long waitMs) {
         if (turn >= 4 || nowMs() + waitMs - begunMs >= flags.deadlineMs || timer.isShutdown()) {
@@ -248,7 +265,7 @@
                     + sorted.get(Math.min(sorted.size() - 1, sorted.size() * 99 / 100)));
         }
         final double share = (double) ran / total;
-        final boolean good = share >= flags.least;
+        final boolean good = share >= flags.least && !told.containsKey(WRONG);
         System.out.printf("verdict=%s ranShare=%.4f least=%.4f%n", good ? "good" : "bad", share, flags.least);
         return good ? 0 : 1;
     }
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -179,7 +179,7 @@
                 new Reporter.Pace(windowMs, settings.part("reportDueMs", 0.15), settings.part("reportDueMs", 0.5),
                         settings.part("reportDueMs", 0.03), settings.ms("reportDueMs"),
                         settings.part("leaseMs", 0.4), settings.part("leaseMs", 0.4), settings.number("dutiesPerS")),
-                this::coreAddresses, this::floorMs) : null;
+                this::coreAddresses, this::floorMs, this::presentLife) : null;
         this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
                 settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
                 settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), this::holds) : null;
@@ -346,6 +346,11 @@
         }
     }
 
+    private Long presentLife(final String name) {
+        final Present p = edges.get(name);
+        return p == null ? null : p.member.life();
+    }
+
     private int openAsks() {
         return edge == null ? 0 : edge.open();
     }
--- a/spokestall/src/main/java/spokestall/duty/Reporter.java
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import spokestall.ballot.Edit;
@@ -60,6 +61,7 @@
     private final Pace pace;
     private final Supplier<List<String>> cores;
     private final LongSupplier floorMs;
+    private final Function<String, Long> presentLife;
     private final TreeMap<Long, Unit> units = new TreeMap<>();
     private Execution execution;
     private long next;
@@ -70,7 +72,8 @@
     /** Example: see {@code Node}. */
     public Reporter(final String name, final String address, final UsageBook book, final Proposer proposer,
             final Platform platform, final Post post, final Clock clock, final FleetClock fleet, final Pace pace,
-            final Supplier<List<String>> cores, final LongSupplier floorMs) {
+            final Supplier<List<String>> cores, final LongSupplier floorMs,
+            final Function<String, Long> presentLife) {
         this.name = name;
         this.address = address;
         this.book = book;
@@ -82,6 +85,7 @@
         this.pace = pace;
         this.cores = cores;
         this.floorMs = floorMs;
+        this.presentLife = presentLife;
     }
 
     /** The newest window this node sealed or saw sealed. Example: {@code reporter.lastSealed()} */
@@ -157,7 +161,7 @@
     /** Seals once the others were asked and could answer, and every edge has closed the window or the wait is over. */
     private void gather(final Execution mine, final Unit unit, final long lateMs) {
         final long nowMs = clock.nowMs();
-        if (unit.askedMs < 0 || nowMs - unit.askedMs >= pace.gatherMs() && !book.closed(unit.window)) {
+        if (unit.askedMs < 0 || nowMs - unit.askedMs >= pace.gatherMs() && !book.closed(unit.window, presentLife)) {
             if (unit.askedMs < 0 || lateMs < pace.waitMaxMs()) {
                 unit.askedMs = nowMs;
                 for (final String core : cores.get()) {
@@ -166,7 +170,7 @@
             }
         }
         final boolean heard = unit.answered.size() >= cores.get().size() || nowMs - unit.askedMs >= pace.gatherMs();
-        final boolean whole = book.closed(unit.window) && lateMs >= pace.graceMs();
+        final boolean whole = book.closed(unit.window, presentLife) && lateMs >= pace.graceMs();
         if (heard && (whole || lateMs >= pace.waitMaxMs())) {
             seal(mine, unit);
         }
--- a/spokestall/src/main/java/spokestall/duty/UsageBook.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageBook.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /** Begun asks by window, edge life and tenant. Merging takes the larger count, so order and repeats don't matter. */
@@ -45,12 +46,18 @@
         }
     }
 
-    /** Whether every edge life that was heard in this window or the one before has closed it.
-     * Example: {@code if (!book.closed(345) && early) waitForMore();} */
-    public boolean closed(final long of) {
+    /** Whether every edge life that was heard in this window or the one before has closed it. A life whose edge is
+     * present under another one has ended and is not waited for.
+     * Example: {@code if (!book.closed(345, edge -> lifeOf(edge)) && early) waitForMore();} */
+    public boolean closed(final long of, final Function<String, Long> presentLife) {
         final Set<String> open = new HashSet<>(windows.getOrDefault(of, Map.of()).keySet());
         open.addAll(windows.getOrDefault(of - 1, Map.of()).keySet());
         open.removeAll(closed.getOrDefault(of, Set.of()));
+        open.removeIf(life -> {
+            final int at = life.lastIndexOf('#');
+            final Long present = presentLife.apply(life.substring(0, at));
+            return present != null && present != Long.parseUnsignedLong(life.substring(at + 1), 16);
+        });
         return open.isEmpty();
     }
 
