--- a/proof/src/test/java/spokestall/proof/PlantTest.java
+++ b/proof/src/test/java/spokestall/proof/PlantTest.java
@@ -30,7 +30,7 @@
             new Case(Rule.RETRIES, Plant.FREE_RETRIES, Scenario.BROWNOUT, 1),
             new Case(Rule.SAME_COUNTS, Plant.LYING_DISK, Scenario.BLINK, 1),
             new Case(Rule.TOKEN, Plant.NO_LAST_LOOK, Scenario.FREEZE_AT_SEND, 4),
-            new Case(Rule.IN_TIME, Plant.LATE_REPORTS, Scenario.NODE_KILLS, 2));
+            new Case(Rule.IN_TIME, Plant.LATE_REPORTS, Scenario.REGION_KILL, 2));
 
     @Test
     void eachRuleIsSeenToBreakUnderItsPlantedFault() throws Exception {
