--- a/proof/src/main/java/spokestall/proof/Scenario.java
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -128,6 +128,21 @@
             }
         }
     },
+    SEEDS_DEAD {
+        @Override
+        void play(final SimRun run) {
+            // Two of the three seeds are away; every edge, and a core, must find the fleet by the third alone.
+            run.world.nodes.get("d1-core").kill();
+            run.world.nodes.get("d3-core").kill();
+            run.disturb(run.nodes(), run.playMs());
+            int i = 1;
+            for (final SimNode edge : run.world.edges()) {
+                run.later(i++ * 2500, () -> run.bounce(edge, 1000, false));
+            }
+            run.outage(run.playMs());
+            run.later(i * 2500, () -> run.bounce(run.world.nodes.get("d6-core"), 1000, true));
+        }
+    },
     RESTART_ALL {
         @Override
         void play(final SimRun run) {
