State that nothing read is gone, and a window's closing is looked up once a beat

Found on reading the whole change again: fields that were only written (the voter's resigned generation, live bytes by file, counters of the simulator), a method that only passed an execution on to the reporter, and the same look at a window's closing made twice in one beat.

--- a/proof/src/main/java/spokestall/proof/SimCallers.java
+++ b/proof/src/main/java/spokestall/proof/SimCallers.java
@@ -174,12 +174,10 @@
                 answer.body() == null ? null : new String(answer.body(), StandardCharsets.UTF_8),
                 world.sim.nowMs()));
         asked.ran |= answer.ran() == Ran.RAN;
-        asked.ended = true;
         if (answer.ran() != Ran.RAN) {
             if (!who.endsWith("7") || turn > 0) {
                 places.remove(who + "/" + kind.key());
             }
-            asked.undecided |= answer.ran() == Ran.UNDECIDED;
             // A run-once ask is repeated too: the claim must keep it from running twice.
             again(kind, who, id, turn, begunMs, Math.max(100, answer.retryAfterMs()));
         } else if (kind.runOnce() && turn == 0 && random.nextInt(10) == 0) {
--- a/proof/src/main/java/spokestall/proof/SimNet.java
+++ b/proof/src/main/java/spokestall/proof/SimNet.java
@@ -18,8 +18,6 @@
     private final Set<String> cuts = new HashSet<>();
     private final Map<String, Double> lossy = new HashMap<>();
     private final Map<String, Long> slowMs = new HashMap<>();
-    private long notes;
-    private long bytes;
 
     SimNet(final Sim sim, final long apartMs) {
         this.sim = sim;
@@ -82,8 +80,6 @@
         final long ms = wayMs(from, to);
         final byte[] frame = Codec.note(note);
         sim.carried(frame);
-        notes++;
-        bytes += frame.length;
         if (ms < 0) {
             return;
         }
@@ -95,12 +91,4 @@
             }
         });
     }
-
-    long notes() {
-        return notes;
-    }
-
-    long bytes() {
-        return bytes;
-    }
 }
--- a/proof/src/main/java/spokestall/proof/SimOperator.java
+++ b/proof/src/main/java/spokestall/proof/SimOperator.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import spokestall.policy.KeyHash;
 import spokestall.rpc.Reply;
 
 /** Operators that change the policy, race each other, send what is stale or invalid, and repeat what is unclear. */
@@ -20,9 +19,7 @@
     private final Set<String> accepted = new HashSet<>();
     private final Set<String> denied = new HashSet<>();
     private int made;
-    long changes;
     long slowestMs;
-    long undecided;
 
     SimOperator(final World world) {
         this.world = world;
@@ -125,7 +122,6 @@
     /** One change from its first try until its outcome is known or the time is over. */
     private void change(final String method, final ObjectNode params, final String id, final long untilMs,
             final LongConsumer then) {
-        changes++;
         new Try(method, params, id, untilMs, then).fresh();
     }
 
@@ -202,7 +198,6 @@
                 }
                 case UNDECIDED, NOT_READY -> {
                     unclear |= reply.result() == spokestall.rpc.Result.UNDECIDED;
-                    undecided += unclear ? 1 : 0;
                     world.sim.after(300, () -> {
                         if (unclear) {
                             send(world.any(world.cores(), random));
@@ -267,8 +262,4 @@
             }
         }
     }
-
-    static String hash(final int tenant) {
-        return KeyHash.of(Deployment.key(tenant));
-    }
 }
--- a/proof/src/main/java/spokestall/proof/World.java
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -40,8 +40,6 @@
         final Deployment.Kind kind;
         final List<Long> sentMs = new ArrayList<>();
         boolean ran;
-        boolean ended;
-        boolean undecided;
 
         Asked(final String askId, final Deployment.Kind kind) {
             this.askId = askId;
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -182,7 +182,7 @@
                 this::coreAddresses, this::floorMs, this::presentLife) : null;
         this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
                 settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
-                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), this::holds) : null;
+                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), reporter) : null;
         this.acceptance = core ? new Acceptance(name, book, new Rules(calls.file().at("/$defs/policy"),
                 settings.regions(), settings.districts().keySet()), proposer, follower,
                 settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), this::tellNews) : null;
@@ -390,10 +390,6 @@
                 : Long.parseLong(new String(floor.value(), StandardCharsets.UTF_8));
     }
 
-    private void holds(final spokestall.duty.Execution execution) {
-        reporter.begin(execution);
-    }
-
     /** A new generation's first version is chosen by being in the founding. */
     private void learnFounded() {
         final Voters table = voter.voters();
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -39,7 +39,6 @@
     private String diskId;
     private Voters voters;
     private State state = State.BLANK;
-    private long resignedFrom = -1;
     private long tableEpochDown;
 
     /** Example: {@code new Voter("d1-core", ring, post, guard, freshId)}; freshId is used only on a blank disk. */
@@ -188,7 +187,6 @@
 
     /** Stops voting for the sake of a new generation's ballot. Example: {@code voter.resign(voters.generation());} */
     public void resign(final long generation) {
-        resignedFrom = Math.max(resignedFrom, generation);
         if (voters == null || voters.generation() <= generation) {
             change(State.RESIGNED, "new-generation");
         }
@@ -198,7 +196,6 @@
      * Example: {@code voter.restart(freshId);} */
     public void restart(final String freshId) {
         diskId = freshId;
-        resignedFrom = -1;
         ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), this::keep);
         dropAll();
         change(State.BLANK, "restarted");
@@ -211,7 +208,6 @@
         }
         dropAll();
         voters = table;
-        resignedFrom = -1;
         final long mark = ++tableEpochDown;
         change(State.CATCHING_UP, "founded");
         ring.put(VOTERS, Codec.bytes(table), this::keep);
--- a/spokestall/src/main/java/spokestall/duty/Reporter.java
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -161,16 +161,16 @@
     /** Seals once the others were asked and could answer, and every edge has closed the window or the wait is over. */
     private void gather(final Execution mine, final Unit unit, final long lateMs) {
         final long nowMs = clock.nowMs();
-        if (unit.askedMs < 0 || nowMs - unit.askedMs >= pace.gatherMs() && !book.closed(unit.window, presentLife)) {
-            if (unit.askedMs < 0 || lateMs < pace.waitMaxMs()) {
-                unit.askedMs = nowMs;
-                for (final String core : cores.get()) {
-                    post.send(core, new UsageNote.CountAsk(address, unit.window));
-                }
+        final boolean closed = book.closed(unit.window, presentLife);
+        final boolean askAgain = !closed && lateMs < pace.waitMaxMs() && nowMs - unit.askedMs >= pace.gatherMs();
+        if (unit.askedMs < 0 || askAgain) {
+            unit.askedMs = nowMs;
+            for (final String core : cores.get()) {
+                post.send(core, new UsageNote.CountAsk(address, unit.window));
             }
         }
         final boolean heard = unit.answered.size() >= cores.get().size() || nowMs - unit.askedMs >= pace.gatherMs();
-        final boolean whole = book.closed(unit.window, presentLife) && lateMs >= pace.graceMs();
+        final boolean whole = closed && lateMs >= pace.graceMs();
         if (heard && (whole || lateMs >= pace.waitMaxMs())) {
             seal(mine, unit);
         }
--- a/spokestall/src/main/java/spokestall/ring/Ring.java
+++ b/spokestall/src/main/java/spokestall/ring/Ring.java
@@ -44,7 +44,6 @@
     private final Map<String, Place> places = new HashMap<>();
     private final List<Set<String>> keysIn = new ArrayList<>();
     private final long[] firstSeq;
-    private final long[] liveIn;
     private final ArrayDeque<Put> waiting = new ArrayDeque<>();
     private State state = State.OPEN;
     private boolean blank = true;
@@ -61,7 +60,6 @@
     public Ring(final Segments segments) {
         this.segments = segments;
         this.firstSeq = new long[segments.count()];
-        this.liveIn = new long[segments.count()];
         for (int i = 0; i < segments.count(); i++) {
             keysIn.add(new HashSet<>());
         }
@@ -207,7 +205,6 @@
         final Place had = places.remove(key);
         if (had != null) {
             keysIn.get(had.segment).remove(key);
-            liveIn[had.segment] -= had.bytes;
             liveBytes -= had.bytes;
         }
         if (value == null) {
@@ -218,7 +215,6 @@
         table.put(key, value);
         places.put(key, new Place(segment, bytes));
         keysIn.get(segment).add(key);
-        liveIn[segment] += bytes;
         liveBytes += bytes;
     }
 
