--- a/proof/src/main/java/spokestall/proof/HookedNode.java
+++ b/proof/src/main/java/spokestall/proof/HookedNode.java
@@ -13,6 +13,7 @@
 import spokestall.duty.Sealed;
 import spokestall.rim.Daemon;
 import spokestall.rim.LogLine;
+import spokestall.rim.Speech;
 import spokestall.ring.Segments;
 import spokestall.settings.Settings;
 
@@ -44,7 +45,7 @@
                 return (holder, token, sealed, waitMs, until, done) -> platform.report(holder, token, sealed, waitMs,
                         gap(hooks, until), done);
             }
-        }).run());
+        }, Speech.own()).run());
     }
 
     private static LongSupplier gap(final Path hooks, final LongSupplier until) {
--- a/proof/src/main/java/spokestall/proof/SimCallers.java
+++ b/proof/src/main/java/spokestall/proof/SimCallers.java
@@ -133,7 +133,7 @@
         final SimNode edge = place.edges.get(turn % place.edges.size());
         final byte[] body = kind.runOnce() ? body(id) : new byte[0];
         final long spanMs = SPAN_MS - (world.sim.nowMs() - begunMs);
-        final AskHead head = new AskHead(kind.runOnce() ? "POST" : "GET", kind.path(), kind.key(), askId, spanMs,
+        final AskHead head = new AskHead(kind.runOnce() ? "POST" : "GET", "", kind.path(), kind.key(), askId, spanMs,
                 body.length, List.of());
         final boolean[] back = {false};
         final Runnable nothing = () -> {
--- a/spokestall/src/main/java/spokestall/Demand.java
+++ b/spokestall/src/main/java/spokestall/Demand.java
@@ -97,7 +97,7 @@
     static HttpClient client(final int threads) {
         try {
             return new HttpClient(Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, threads)),
-                    new DefaultByteBufferPool(true, 16 << 10));
+                    new DefaultByteBufferPool(true, 16 << 10), 1000);
         } catch (final IOException e) {
             throw new IllegalStateException(e);
         }
--- a/spokestall/src/main/java/spokestall/Feeds.java
+++ b/spokestall/src/main/java/spokestall/Feeds.java
@@ -46,7 +46,7 @@
 
     /** Answers one who follows: what is newest here, and the news from its places on. */
     void answer(final FeedNote.FeedAsk ask) {
-        if (!ask.self().core()) {
+        if (ask.self().serves()) {
             edges.put(ask.self().name(), new Present(ask.self(), ask.fresh(), ask.open(), node.clock.nowMs()));
         }
         final boolean voting = node.voter.state() == Voter.State.VOTING;
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -30,8 +30,10 @@
 import spokestall.duty.UsageNote;
 import spokestall.edge.Edge;
 import spokestall.edge.Elector;
+import spokestall.edge.Habits;
 import spokestall.edge.Parts;
 import spokestall.edge.Upstreams;
+import spokestall.edge.Where;
 import spokestall.feed.FeedNote;
 import spokestall.feed.Follower;
 import spokestall.feed.Versions;
@@ -44,6 +46,8 @@
 import spokestall.listing.Prober;
 import spokestall.policy.Acceptance;
 import spokestall.policy.Book;
+import spokestall.policy.OwnForm;
+import spokestall.policy.PolicyForm;
 import spokestall.policy.Rules;
 import spokestall.policy.Snapshot;
 import spokestall.ring.Ring;
@@ -86,13 +90,15 @@
     final String name;
     private final String address;
     final boolean core;
+    final boolean serves;
     private final long life;
     final Clock clock;
     private final Random random;
     final FleetClock fleet;
     final Post post;
     final View view;
-    final Book book = new Book(POLICY_KEPT);
+    final Book book;
+    private final PolicyForm form;
     final Listing listing;
     final Proposer proposer;
     final Follower follower;
@@ -115,12 +121,22 @@
     final Calls calls = new Calls();
     final Feeds feeds = new Feeds(this);
     private final long windowMs;
+    private int sharersMost = 1;
+    private Set<String> heldBefore = Set.of();
     private long policyFloor;
     private long tokenSeen;
     private boolean stopped;
 
     /** Example: {@code new Node(settings, true, rim).start();} */
     public Node(final Settings settings, final boolean core, final Rim rim) {
+        this(settings, core, rim, null);
+    }
+
+    /** With policies in another form than spokestall's own. Example: {@code new Node(settings, true, rim, form).start();} */
+    public Node(final Settings settings, final boolean core, final Rim rim, final PolicyForm other) {
+        this.form = other != null ? other : new OwnForm(new Rules(calls.file().at("/$defs/policy"), settings.regions(),
+                settings.districts().keySet()));
+        this.book = new Book(POLICY_KEPT, form);
         this.settings = settings;
         this.core = core;
         this.name = settings.text("name");
@@ -138,26 +154,28 @@
         };
         this.windowMs = settings.ms("reportWindowS") * 1000;
         this.usage = new UsageBook(() -> fleet.nowMs() / windowMs, WINDOWS_KEPT);
+        this.serves = !core || settings.ms("alsoEdge") == 1;
         final Member self = new Member(name, address, settings.text("http"), core, settings.text("district"),
                 settings.region(), life, 0, false,
-                (int) settings.ms("cores"), (int) settings.ms("edges"));
+                (int) settings.ms("cores"), (int) settings.ms("edges"), core && serves);
         final long farMs = settings.ms("farMs");
         this.view = new View(self, settings.seeds(), post, clock, fleet, random, new View.Pace(
-                2 * (int) (settings.ms("cores") + settings.ms("edges")), 6, settings.part("leaveBoundMs", 4)));
-        this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"));
+                Math.max(64, 2 * (int) (settings.ms("cores") + settings.ms("edges"))), 6, settings.part("leaveBoundMs", 4)));
+        this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"), settings.ms("probes") == 1);
         this.proposer = new Proposer(name + "#" + Long.toHexString(life), address, post, clock, random,
                 new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64), this::missed);
         this.follower = new Follower(view::self, book, listing, proposer, post, clock,
                 new Follower.Pace(settings.part("keyBoundMs", 0.2), 32), this::coreAddresses, this::adopt,
                 this::policyMoved, this::openAsks);
         this.shelf = new Shelf(core ? 16 << 20 : 8 << 20);
-        this.elector = core ? null : new Elector(settings.region(), s -> listing.ready(s, fleet.nowMs()), clock, fleet,
-                random, new Elector.Pace((int) settings.ms("edges"), settings.number("warmRatio"), 1,
-                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 2)));
-        this.counter = core ? null : new UsageCounter(name, address, life, new UsageCounter.Pace(windowMs,
+        this.elector = !serves ? null : new Elector(settings.region(), settings.text("district"),
+                s -> listing.ready(s, fleet.nowMs()), clock, fleet, random, new Elector.Pace(this::sharers,
+                settings.number("warmRatio"), settings.number("warmSlack"), settings.part("leaveBoundMs", 0.25),
+                settings.part("leaveBoundMs", 2), settings.number("districtCost"), settings.number("regionCost")));
+        this.counter = !serves ? null : new UsageCounter(name, address, life, new UsageCounter.Pace(windowMs,
                 settings.part("reportDueMs", 0.1), 3, windowMs / 25, (int) settings.ms("cores")), clock, fleet, post,
                 this::coreAddresses);
-        this.edge = core ? null : edge(rim);
+        this.edge = serves ? edge(rim) : null;
         this.ring = core ? new Ring(rim.segments()) : null;
         this.keeping = core ? new Keeping(fleet, settings.ms("claimKeepMs"), settings.part("claimKeepMs", 0.2),
                 windowMs, this::voters, () -> policyFloor, ring::fill) : null;
@@ -167,7 +185,8 @@
                 settings.part("leaveBoundMs", 0.15), settings.part("leaveBoundMs", 0.75), 8 * farMs),
                 new Merge(fleet), this::remains, this::coreAndEdgeAddresses, this::freshId, fleet::settled) : null;
         this.prober = core ? new Prober(self, listing, rim.reach(), post, fleet, new Prober.Pace(
-                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2),
+                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5),
+                settings.ms("probes") == 1 ? 2 : 0, 2),
                 this::otherCores) : null;
         this.reporter = core ? new Reporter(name, address, usage, proposer, rim.platform(), post, clock, fleet,
                 new Reporter.Pace(windowMs, settings.part("reportDueMs", 0.15), settings.part("reportDueMs", 0.5),
@@ -177,9 +196,8 @@
         this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
                 settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
                 settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), reporter) : null;
-        this.acceptance = core ? new Acceptance(name, book, new Rules(calls.file().at("/$defs/policy"),
-                settings.regions(), settings.districts().keySet()), proposer, follower,
-                settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), feeds::tell) : null;
+        this.acceptance = new Acceptance(name, book, form, proposer, follower, clock,
+                settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), feeds::tell);
         this.audit = rim.audit();
         this.auditor = core ? new Auditor(audit, book, fleet::nowMs) : null;
         if (core) {
@@ -189,13 +207,13 @@
     }
 
     private Edge edge(final Rim rim) {
-        final int share = (int) settings.ms("edges");
         return new Edge(new Parts(view.self(), book, follower, proposer, elector, rim.upstreams(), counter, shelf, post,
-                clock, fleet, random, this::homeCores), new Edge.Pace((int) settings.ms("askOpenMax"),
+                clock, fleet, random, this::sharers, this::homeCores), new Edge.Pace((int) settings.ms("askOpenMax"),
                 settings.ms("heldMaxBytes"), settings.ms("claimKeepMs"), 20 * settings.ms("farMs"),
-                4 * settings.ms("farMs"), 500, 3, settings.number("retryShare") * 0.9,
-                settings.number("retryAllowance") / share, settings.ms("askSpanMaxMs"),
-                settings.part("claimKeepMs", 0.01)));
+                4 * settings.ms("farMs"), settings.ms("retryAfterMs"), 3,
+                settings.number("retryShare") * 0.9, settings.number("retryAllowance"), settings.ms("askSpanMaxMs"),
+                settings.part("claimKeepMs", 0.01), new Habits(settings.ms("keyed") == 1, settings.ms("claims") == 1,
+                settings.ms("homeEdges") == 1, settings.ms("holdsEdges") == 1)));
     }
 
     private String freshId() {
@@ -254,7 +272,8 @@
             every(settings.part("keyBoundMs", 0.2), this::tidy);
             every(settings.part("keyBoundMs", 0.1), this::decided);
             every(settings.part("keyBoundMs", 0.02), this::learnFounded);
-        } else {
+        }
+        if (serves) {
             every(windowMs / 100, counter::tick);
             every(settings.part("leaveBoundMs", 1), () -> elector.retain(Set.copyOf(
                     listing.listed().stream().map(Listed::instance).toList())));
@@ -323,23 +342,39 @@
     /** Leaves: where answers first, then what is in flight, then the duties; done is run when all is given up.
      * Example: {@code node.leave(() -> System.exit(0));} */
     public void leave(final Runnable done) {
+        leave(() -> { }, done);
+    }
+
+    /** The same; closing is run when no more wires are to be taken. Example: {@code node.leave(front::stop, exit);} */
+    public void leave(final Runnable closing, final Runnable done) {
         LOG.atInfo().log("event=leaving node=%s", name);
         view.leave();
         follower.tick();
         if (edge != null) {
             clock.after(settings.part("stopWaitMs", 0.3), () -> {
                 edge.leave();
-                drained(clock.nowMs() + settings.ms("stopWaitMs"), done);
+                closing.run();
+                drained(clock.nowMs() + settings.ms("stopWaitMs"), () -> giveUp(done));
             });
         } else {
+            closing.run();
+            giveUp(done);
+        }
+    }
+
+    /** The duty goes last: what edges count until their end is still told by whoever holds it. */
+    private void giveUp(final Runnable done) {
+        if (core) {
             keeper.stop(() -> stop(done));
+        } else {
+            stop(done);
         }
     }
 
     private void drained(final long untilMs, final Runnable done) {
         if (edge.open() == 0 || clock.nowMs() >= untilMs) {
             counter.stop();
-            clock.after(50, () -> stop(done));
+            clock.after(50, done);
         } else {
             clock.after(20, () -> drained(untilMs, done));
         }
@@ -420,6 +455,9 @@
     }
 
     private void policyMoved() {
+        if (serves) {
+            givenBack();
+        }
         if (!core) {
             return;
         }
@@ -435,6 +473,22 @@
         }
     }
 
+    /** Upstreams of a district that is given back may have turned cold while nothing was sent there. */
+    private void givenBack() {
+        final Set<String> now = book.policy().holds();
+        for (final String district : heldBefore) {
+            if (!now.contains(district)) {
+                for (final Listed l : listing.listed()) {
+                    final spokestall.policy.ServiceRule rule = book.policy().service(l.service());
+                    if (l.district().equals(district) && rule != null) {
+                        elector.chill(List.of(l.instance()), rule.warmupMs() + settings.part("leaveBoundMs", 0.5));
+                    }
+                }
+            }
+        }
+        heldBefore = Set.copyOf(now);
+    }
+
     private void tidy() {
         feeds.tidy(settings.part("leaveBoundMs", 2));
         if (voter.state() != Voter.State.VOTING || !fleet.settled()) {
@@ -544,10 +598,10 @@
     }
 
     private void hear(final UsageNote note) {
+        if (note instanceof UsageNote.CountsHad had && counter != null) {
+            counter.hear(had);
+        }
         if (!core) {
-            if (note instanceof UsageNote.CountsHad had) {
-                counter.hear(had);
-            }
             return;
         }
         if (note instanceof UsageNote.Counts counts) {
@@ -574,6 +628,40 @@
         }
     }
 
+    /** The edges that shared bounds are divided among: as many as are configured, else as are known or ever were here. */
+    int sharers() {
+        if (settings.ms("edges") > 0) {
+            return (int) settings.ms("edges");
+        }
+        int serving = serves ? 1 : 0;
+        for (final Member m : view.members()) {
+            serving += m.serves() ? 1 : 0;
+        }
+        sharersMost = Math.max(sharersMost, serving);
+        return sharersMost;
+    }
+
+    /** Edges for a caller of a place: those of its district, of its region where that has but one, else any.
+     * Example: {@code node.edgesNear("r1", "d1")} */
+    public List<Member> edgesNear(final String region, final String district) {
+        return Where.near(edgesForClients(), region, district);
+    }
+
+    /** Whether this node takes asks now. Example: {@code if (!node.ready()) answer(503);} */
+    public boolean ready() {
+        return serves && !view.self().leaving() && follower.fresh() && fleet.settled();
+    }
+
+    /** Whether this node is on its way out. Example: {@code if (node.leaving()) closeAfterAnswer();} */
+    public boolean leaving() {
+        return view.self().leaving();
+    }
+
+    /** Takes operators' orders. Example: {@code node.acceptance().agree("hold-1", draft, 2000, reply -> ...);} */
+    public Acceptance acceptance() {
+        return acceptance;
+    }
+
     Collection<Member> edgesForClients() {
         if (core) {
             return feeds.freshEdges();
@@ -593,7 +681,7 @@
     /** Nodes configured with other counts of nodes than this one: shared bounds are divided by them. */
     List<String> differing() {
         final Member self = view.self();
-        return view.members().stream().filter(m -> m.edges() != 0 && (m.edges() != self.edges()
+        return self.edges() == 0 ? List.of() : view.members().stream().filter(m -> m.edges() != 0 && (m.edges() != self.edges()
                 || m.cores() != self.cores())).map(Member::name).toList();
     }
 }
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -24,7 +24,7 @@
     /** Bounds, from the settings. */
     public record Pace(int asksOpenMax, long heldMaxBytes, long claimKeepMs, long claimWaitMs, long handWaitMs,
             long retryAfterMs, int goesMax, double retryShare, double retryAllowance, long spanMaxMs,
-            long ticketAheadMs) {
+            long ticketAheadMs, Habits habits) {
     }
 
     /** Methods that speak of the wire, not of what is behind it. */
@@ -78,7 +78,7 @@
     public Opened open(final AskHead head, final Consumer<Answer> done) {
         final Ticket ticket = Ticket.of(head.askId());
         final Ran doubt = ticket != null ? Ran.UNDECIDED : Ran.NOT_RUN;
-        if (head.key() == null || head.askId() == null || !head.askId().matches("[A-Za-z0-9._:-]{1,128}")
+        if (pace.habits().keyed() && head.key() == null || head.askId() == null || !head.askId().matches("[A-Za-z0-9._:-]{1,128}")
                 || head.spanMs() == Long.MIN_VALUE || NOT_PROXIED.contains(head.method())) {
             return denied(Result.MALFORMED, doubt);
         }
@@ -92,24 +92,26 @@
             return denied(Result.UNCOUNTED, doubt);
         }
         final Policy policy = parts.book().policy();
-        if (leaving || policy.holds().contains(parts.self().district())) {
+        if (leaving || held(policy)) {
             return denied(Result.HELD, doubt);
         }
-        final String hash = KeyHash.of(head.key());
-        final Tenant tenant = policy.tenantOf(hash);
-        if (tenant == null) {
+        final String hash = head.key() == null ? null : KeyHash.of(head.key());
+        final Policy.Found found = policy.find(head.host(), target.path(), hash);
+        final Tenant tenant = found.tenant();
+        final Binding binding = found.binding();
+        if (pace.habits().keyed() ? tenant == null : binding != null && found.keyMissing()) {
             return denied(Result.BAD_KEY, doubt);
         }
-        if (!tenant.homeRegions().contains(parts.self().region())) {
+        if (!athome(tenant)) {
             return denied(Result.WRONG_REGION, doubt);
         }
-        final Binding binding = tenant.binding(target.path());
-        final ServiceRule rule = binding == null ? null : policy.service(binding.service());
+        final ServiceRule rule = binding == null ? null : policy.service(binding.service(parts.random()));
         if (rule == null) {
             return denied(Result.NO_BINDING, doubt);
         }
-        final Ran unproven = binding.runOnce() ? Ran.UNDECIDED : doubt;
-        if (binding.runOnce() && ticket == null) {
+        final boolean claims = binding.runOnce() && pace.habits().claims();
+        final Ran unproven = claims ? Ran.UNDECIDED : doubt;
+        if (claims && ticket == null) {
             return denied(Result.TICKET_MISSING, unproven);
         }
         if (head.spanMs() <= 0) {
@@ -118,22 +120,47 @@
         if (head.bodyBytes() > rule.askMaxBytes()) {
             return denied(Result.TOO_LARGE, unproven);
         }
-        if (!parts.elector().mayReserve(rule, tenant, policy.holds())) {
+        if (!parts.elector().mayReserve(rule, nameOf(tenant), u -> binding.home(tenant, u.region()) && !policy.holds().contains(u.district()))) {
             return denied(Result.NO_UPSTREAM, unproven);
         }
         // The longest that both bodies may be is kept free for the ask from here on.
         final long bytes = (head.bodyBytes() < 0 ? rule.askMaxBytes() : head.bodyBytes()) + (long) rule.answerMaxBytes();
-        if (!places.take(tenant.name(), bytes)) {
+        if (!places.take(nameOf(tenant), bytes)) {
             return denied(Result.BUSY, unproven);
         }
         final Run run = new Run(this, parts, new Run.Grant(head, target, hash, tenant, binding, rule,
-                parts.clock().nowMs() + Math.min(head.spanMs(), pace.spanMaxMs())), bytes, done);
+                parts.clock().nowMs() + spanMs(head, binding)), bytes, done);
         if (head.bodyBytes() == 0) {
             run.keep();
         }
         return new Opened.Admit(run);
     }
 
+    private long spanMs(final AskHead head, final Binding binding) {
+        final long spanMs = Math.min(head.spanMs(), pace.spanMaxMs());
+        return binding.spanMs() > 0 ? Math.min(spanMs, binding.spanMs()) : spanMs;
+    }
+
+    /** Whether this node's own district is to be empty of asks too, not only of goes. */
+    boolean held(final Policy policy) {
+        return pace.habits().holdsEdges() && policy.holds().contains(parts.self().district());
+    }
+
+    /** Whether this node may take the tenant's asks. */
+    boolean athome(final Tenant tenant) {
+        return !pace.habits().homeEdges() || tenant == null || tenant.homeRegions().isEmpty()
+                || tenant.homeRegions().contains(parts.self().region());
+    }
+
+    static String nameOf(final Tenant tenant) {
+        return tenant == null ? "" : tenant.name();
+    }
+
+    /** What is told when there is no room even to look at an ask. Example: {@code answer(edge.crowded(head));} */
+    public Answer crowded(final AskHead head) {
+        return deny(Result.BUSY, Ticket.of(head.askId()) != null ? Ran.UNDECIDED : Ran.NOT_RUN, 0);
+    }
+
     private Opened denied(final Result result, final Ran ran) {
         told.merge(result, 1L, Long::sum);
         return new Opened.Deny(deny(result, ran, 0));
@@ -151,7 +178,7 @@
     }
 
     RetryBudget budget(final ServiceRule rule) {
-        return budgets.computeIfAbsent(rule.name(), s -> new RetryBudget(pace.retryShare(), pace.retryAllowance()));
+        return budgets.computeIfAbsent(rule.name(), s -> new RetryBudget(pace.retryShare(), () -> pace.retryAllowance() / parts.sharers().getAsInt()));
     }
 
     /** Hears what another node kept. Example: {@code edge.hear(back);} */
--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -7,22 +7,35 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import spokestall.listing.Upstream;
 import spokestall.policy.ServiceRule;
-import spokestall.policy.Tenant;
 import spokestall.time.Clock;
 import spokestall.time.FleetClock;
 
-/** Elects the upstream of each go: nearer regions first, two random ones compared by demand in flight. */
+/**
+ * Elects the upstream of each go: the one that would be done soonest, by the goes that are open there over what it works on
+ * at a time, by how quick it was, and by how far it is. Where nothing is known of slots, two random ones are compared.
+ */
 public final class Elector {
-    /** Bounds, from the settings. */
-    public record Pace(int edges, double warmRatio, double warmBurst, long ejectMs, long ejectMaxMs) {
+    /** Bounds, from the settings: the edges that a cold upstream's ramp is divided among, the ramp's share that is
+     * used and what may come over it each second in the whole fleet, and how long one in trouble is put aside. What it
+     * costs to leave the district, and the region, is a part of a slot's work. */
+    public record Pace(IntSupplier edges, double warmRatio, double warmSlack, long ejectMs, long ejectMaxMs,
+            double districtCost, double regionCost) {
     }
 
+    /** How a go ended, as far as its upstream is concerned. */
+    public enum End { WELL, DENIED, UNREACHED, LOST }
+
     private record Ejected(long untilMs, int times) {
     }
 
+    private static final double QUICK_LEAST = 0.4;
+    private static final double QUICK_MOST = 3;
     private final String region;
+    private final String district;
     private final Function<String, List<Upstream>> ready;
     private final Clock clock;
     private final FleetClock fleet;
@@ -32,12 +45,16 @@
     private final Map<String, Integer> reserved = new HashMap<>();
     private final Map<String, Integer> held = new HashMap<>();
     private final Map<String, Ejected> ejected = new HashMap<>();
+    private final Map<String, Integer> losses = new HashMap<>();
     private final Map<String, Warmth> warmth = new HashMap<>();
+    private final Map<String, Long> coldUntilMs = new HashMap<>();
+    private final Quickness quickness = new Quickness();
 
     /** Example: see {@code Node}. */
-    public Elector(final String region, final Function<String, List<Upstream>> ready, final Clock clock,
-            final FleetClock fleet, final Random random, final Pace pace) {
+    public Elector(final String region, final String district, final Function<String, List<Upstream>> ready,
+            final Clock clock, final FleetClock fleet, final Random random, final Pace pace) {
         this.region = region;
+        this.district = district;
         this.ready = ready;
         this.clock = clock;
         this.fleet = fleet;
@@ -46,31 +63,29 @@
     }
 
     /** The upstream for a go, or null when none may take it.
-     * Example: {@code elector.elect(rule, tenant.homeRegions(), policy.holds(), Set.of())} */
-    public Upstream elect(final ServiceRule rule, final Set<String> homeRegions, final Set<String> holds,
-            final Set<String> tried) {
-        final List<Upstream> near = new ArrayList<>();
-        final List<Upstream> far = new ArrayList<>();
+     * Example: {@code elector.elect(rule, u -> binding.home(tenant, u.region()), Set.of())} */
+    public Upstream elect(final ServiceRule rule, final Predicate<Upstream> fits, final Set<String> tried) {
+        final List<Upstream> all = new ArrayList<>();
         for (final Upstream u : ready.apply(rule.name())) {
-            if (homeRegions.contains(u.region()) && !holds.contains(u.district()) && !tried.contains(u.instance())) {
-                (u.region().equals(region) ? near : far).add(u);
+            if (fits.test(u) && !tried.contains(u.instance())) {
+                all.add(u);
             }
         }
-        Upstream found = pick(rule, near, false);
-        found = found != null ? found : pick(rule, far, false);
-        found = found != null ? found : pick(rule, near, true);
-        return found != null ? found : pick(rule, far, true);
+        final Upstream found = pick(rule, all, false);
+        return found != null ? found : pick(rule, all, true);
     }
 
     private Upstream pick(final ServiceRule rule, final List<Upstream> among, final boolean alsoEjected) {
         final long nowMs = clock.nowMs();
-        final List<Upstream> left = new ArrayList<>(among);
-        left.removeIf(u -> ejected(u.instance(), nowMs) != alsoEjected);
+        final List<Upstream> left = new ArrayList<>();
+        for (final Upstream u : among) {
+            if (ejected(u.instance(), nowMs) == alsoEjected && room(u) > 0) {
+                left.add(u);
+            }
+        }
         while (!left.isEmpty()) {
-            final Upstream one = left.get(random.nextInt(left.size()));
-            final Upstream two = left.get(random.nextInt(left.size()));
-            final Upstream best = demand(two) < demand(one) ? two : one;
-            if (room(best) > 0 && warmEnough(rule, best)) {
+            final Upstream best = cheapest(rule, left);
+            if (warmEnough(rule, best)) {
                 return best;
             }
             left.remove(best);
@@ -78,6 +93,26 @@
         return null;
     }
 
+    private Upstream cheapest(final ServiceRule rule, final List<Upstream> left) {
+        Upstream best = null;
+        double least = Double.MAX_VALUE;
+        for (final Upstream u : left) {
+            final double cost = cost(rule, u) * (0.95 + 0.1 * random.nextDouble());
+            if (cost < least) {
+                least = cost;
+                best = u;
+            }
+        }
+        return best;
+    }
+
+    private double cost(final ServiceRule rule, final Upstream u) {
+        final double quick = Math.max(QUICK_LEAST, Math.min(QUICK_MOST, quickness.of(rule.name(), u.instance())));
+        final double queue = (demand(u) + 1.0) / Math.max(1, u.slots()) * quick;
+        return queue + (u.region().equals(region) ? u.district().equals(district) ? 0 : pace.districtCost()
+                : pace.regionCost());
+    }
+
     private int demand(final Upstream u) {
         final Limit limit = limits.get(u.instance());
         return limit == null ? 0 : limit.open();
@@ -89,27 +124,27 @@
     }
 
     /** Whether upstreams have room for one more go of the tenant: more than is kept for others already, and than the
-     * tenant has. Example: {@code if (!elector.mayReserve(rule, tenant, policy.holds())) deny();} */
-    public boolean mayReserve(final ServiceRule rule, final Tenant tenant, final Set<String> holds) {
+     * tenant has. Example: {@code if (!elector.mayReserve(rule, "tenant-1", fits)) deny();} */
+    public boolean mayReserve(final ServiceRule rule, final String tenant, final Predicate<Upstream> fits) {
         int room = -reserved.getOrDefault(rule.name(), 0);
         for (final Upstream u : ready.apply(rule.name())) {
-            if (tenant.homeRegions().contains(u.region()) && !holds.contains(u.district())) {
+            if (fits.test(u)) {
                 room += room(u);
             }
         }
-        return room > held.getOrDefault(tenant.name() + " " + rule.name(), 0);
+        return room > held.getOrDefault(tenant + " " + rule.name(), 0);
     }
 
     /** Keeps the room that {@link #mayReserve} found in the same event, so that the ask finds it once it is claimed. It is
-     * given back by {@link #release}, and the ask itself by {@link #over}. Example: {@code elector.keep(rule, tenant);} */
-    public void keep(final ServiceRule rule, final Tenant tenant) {
+     * given back by {@link #release}, and the ask itself by {@link #over}. Example: {@code elector.keep(rule, "tenant-1");} */
+    public void keep(final ServiceRule rule, final String tenant) {
         reserved.merge(rule.name(), 1, Integer::sum);
-        held.merge(tenant.name() + " " + rule.name(), 1, Integer::sum);
+        held.merge(tenant + " " + rule.name(), 1, Integer::sum);
     }
 
-    /** One of the tenant's asks is over. Example: {@code elector.over(rule, tenant);} */
-    public void over(final ServiceRule rule, final Tenant tenant) {
-        less(held, tenant.name() + " " + rule.name());
+    /** One of the tenant's asks is over. Example: {@code elector.over(rule, "tenant-1");} */
+    public void over(final ServiceRule rule, final String tenant) {
+        less(held, tenant + " " + rule.name());
     }
 
     private static void less(final Map<String, Integer> counts, final String of) {
@@ -126,15 +161,24 @@
         return e != null && nowMs < e.untilMs;
     }
 
+    /** From now on these may be cold for so long, whatever is known of them otherwise: their district is given back, say.
+     * Example: {@code elector.chill(List.of("i-1"), rule.warmupMs());} */
+    public void chill(final Iterable<String> instances, final long spanMs) {
+        instances.forEach(i -> coldUntilMs.merge(i, clock.nowMs() + spanMs, Math::max));
+    }
+
     private boolean warmEnough(final ServiceRule rule, final Upstream u) {
         final long ageMs = Math.max(0, fleet.nowMs() - u.readySinceMs());
-        if (ageMs >= rule.warmupMs()) {
+        final Long chilled = coldUntilMs.get(u.instance());
+        final boolean cold = chilled != null && clock.nowMs() < chilled || fleet.nowMs() < u.coldUntilMs();
+        if (ageMs >= rule.warmupMs() && !cold) {
             warmth.remove(u.instance());
+            coldUntilMs.remove(u.instance());
             return true;
         }
-        final double perS = pace.warmRatio() * rule.warmPerS() * ageMs / rule.warmupMs() / pace.edges();
-        return warmth.computeIfAbsent(u.instance(), i -> new Warmth(clock.nowMs())).spend(clock.nowMs(), perS,
-                pace.warmBurst());
+        final double ramp = pace.warmSlack() > 0 ? 1 : cold ? 0.5 : (double) ageMs / rule.warmupMs();
+        final double perS = (pace.warmRatio() * rule.warmPerS() * ramp + pace.warmSlack()) / pace.edges().getAsInt();
+        return warmth.computeIfAbsent(u.instance(), i -> new Warmth(clock.nowMs())).spend(clock.nowMs(), perS, 1);
     }
 
     /** A go to it has begun. Example: {@code elector.begun(upstream.instance());} */
@@ -142,24 +186,33 @@
         limits.computeIfAbsent(instance, i -> new Limit()).begun();
     }
 
-    /** A go to it has ended, well or in trouble, after so long; slow is what should be the most.
-     * Example: {@code elector.ended(upstream.instance(), false, 12, rule.goMs() / 2);} */
-    public void ended(final String instance, final boolean trouble, final long spentMs, final long slowMs) {
-        limits.get(instance).ended(!trouble, spentMs, slowMs, clock.nowMs());
-        if (!trouble) {
+    /** A go to it has ended after so long; slow is what should be the most.
+     * Example: {@code elector.ended(rule.name(), upstream.instance(), End.WELL, 12, rule.goMs() / 2);} */
+    public void ended(final String service, final String instance, final End how, final long spentMs, final long slowMs) {
+        limits.get(instance).ended(how == End.WELL || how == End.DENIED, spentMs, slowMs, clock.nowMs());
+        if (how == End.WELL) {
+            quickness.took(service, instance, spentMs);
             ejected.remove(instance);
+            losses.remove(instance);
+            return;
+        }
+        // One answer that was lost may be chance; two in a row, or a wire that can't be had, are not.
+        if (how == End.LOST && losses.merge(instance, 1, Integer::sum) < 2) {
             return;
         }
         final Ejected had = ejected.get(instance);
         final int times = had == null ? 1 : Math.min(had.times + 1, 8);
-        final long spanMs = Math.min(pace.ejectMaxMs(), pace.ejectMs() << (times - 1));
+        final long spanMs = how == End.DENIED ? pace.ejectMs() / 4 : Math.min(pace.ejectMaxMs(), pace.ejectMs() << (times - 1));
         ejected.put(instance, new Ejected(clock.nowMs() + spanMs, times));
     }
 
     /** Forgets upstreams that are gone. Example: {@code elector.retain(known);} */
     public void retain(final Set<String> known) {
         ejected.keySet().retainAll(known);
+        losses.keySet().retainAll(known);
         warmth.keySet().retainAll(known);
+        coldUntilMs.keySet().retainAll(known);
+        quickness.retain(known);
         limits.entrySet().removeIf(e -> !known.contains(e.getKey()) && e.getValue().idle());
     }
 }
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/edge/Habits.java
@@ -0,0 +1,9 @@
+package spokestall.edge;
+
+/**
+ * How asks are taken, as the deployment's callers need it. Keyed: each must have a key, and is looked up by it; else a
+ * binding may be open. Claims: a run-once ask may come twice and is claimed before it is sent; else its callers never
+ * send one twice. HomeEdges: it is taken only in its tenant's home regions. HoldsEdges: a held district's edges take none.
+ */
+public record Habits(boolean keyed, boolean claims, boolean homeEdges, boolean holdsEdges) {
+}
--- a/spokestall/src/main/java/spokestall/edge/RetryBudget.java
+++ b/spokestall/src/main/java/spokestall/edge/RetryBudget.java
@@ -1,26 +1,29 @@
 package spokestall.edge;
 
+import java.util.function.DoubleSupplier;
+
 /**
  * Keeps retries below a share of asks in every span of time, not only fixed ones: each ask earns a share of a retry,
  * and what is earned but unspent never exceeds a small allowance.
  */
 final class RetryBudget {
     private final double share;
-    private final double allowance;
+    private final DoubleSupplier allowance;
     private double earned;
 
-    /** The allowance is this edge's part of the fleet's. */
-    RetryBudget(final double share, final double allowance) {
+    /** The allowance is this edge's part of the fleet's, which shrinks as the fleet grows. */
+    RetryBudget(final double share, final DoubleSupplier allowance) {
         this.share = share;
         this.allowance = allowance;
-        this.earned = allowance;
+        this.earned = allowance.getAsDouble();
     }
 
     void asked() {
-        earned = Math.min(allowance, earned + share);
+        earned = Math.min(allowance.getAsDouble(), earned + share);
     }
 
     boolean spend() {
+        earned = Math.min(allowance.getAsDouble(), earned);
         if (earned < 1) {
             return false;
         }
--- a/spokestall/src/main/java/spokestall/edge/Run.java
+++ b/spokestall/src/main/java/spokestall/edge/Run.java
@@ -25,6 +25,7 @@
 
     private enum Stage { READING, CLAIMING, GOING, ENDED }
 
+    private static final int GOES_MAX = 6;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final Edge edge;
     private final Parts parts;
@@ -36,12 +37,16 @@
     private byte[] body;
     private Claim claim;
     private int goes;
+    private int sent;
+    private boolean arrivedLast;
     private boolean mayHaveRun;
     private boolean callerGone;
     private boolean out;
     private boolean holding;
     private boolean reserved;
     private long heldBytes;
+    private ServiceRule rule;
+    private Binding binding;
 
     Run(final Edge edge, final Parts parts, final Grant ask, final long heldBytes, final Consumer<Answer> done) {
         this.edge = edge;
@@ -49,7 +54,9 @@
         this.ask = ask;
         this.heldBytes = heldBytes;
         this.done = done;
-        this.desk = ask.binding().runOnce()
+        this.rule = ask.rule();
+        this.binding = ask.binding();
+        this.desk = ask.binding().runOnce() && edge.pace().habits().claims()
                 ? new ClaimDesk(parts, edge.pace(), Claim.key(ask.tenant().name(), ask.head().askId())) : null;
         parts.clock().after(Math.max(0, ask.deadlineMs() - parts.clock().nowMs()), () -> give(Result.DEADLINE));
     }
@@ -61,7 +68,15 @@
 
     @Override
     public ServiceRule rule() {
-        return ask.rule();
+        return rule;
+    }
+
+    private String tenantName() {
+        return Edge.nameOf(ask.tenant());
+    }
+
+    private boolean fits(final Upstream u) {
+        return binding.home(ask.tenant(), u.region()) && !parts.book().policy().holds().contains(u.district());
     }
 
     @Override
@@ -115,13 +130,13 @@
     /** Keeps the room that admission found, where no body is to come; else it is kept once the body is there, or slow
      * bodies would hold it. */
     void keep() {
-        parts.elector().keep(ask.rule(), ask.tenant());
+        parts.elector().keep(ask.rule(), tenantName());
         holding = true;
         reserved = true;
     }
 
     private boolean reserve() {
-        if (!holding && parts.elector().mayReserve(ask.rule(), ask.tenant(), parts.book().policy().holds())) {
+        if (!holding && parts.elector().mayReserve(ask.rule(), tenantName(), this::fits)) {
             keep();
         }
         return holding;
@@ -138,7 +153,7 @@
         if (bytes == heldBytes) {
             return;
         }
-        edge.places().hold(ask.tenant().name(), bytes - heldBytes);
+        edge.places().hold(tenantName(), bytes - heldBytes);
         heldBytes = bytes;
     }
 
@@ -149,10 +164,10 @@
         change(Stage.ENDED);
         release();
         if (holding) {
-            parts.elector().over(ask.rule(), ask.tenant());
+            parts.elector().over(ask.rule(), tenantName());
         }
         hold(out || answer.content() == null ? 0 : answer.content().body().length);
-        edge.ended(ask.tenant().name(), answer.result());
+        edge.ended(tenantName(), answer.result());
         body = null;
         done.accept(answer);
     }
@@ -175,17 +190,28 @@
             return Result.UNCOUNTED;
         }
         final Policy policy = parts.book().policy();
-        final Tenant tenant = policy.tenantOf(ask.keyHash());
-        if (tenant == null || !tenant.name().equals(ask.tenant().name())) {
+        final Policy.Found now = policy.find(ask.head().host(), ask.target().path(), ask.keyHash());
+        if (!(now.binding() != null && now.binding().open()) && !Edge.nameOf(now.tenant()).equals(tenantName())) {
             return Result.BAD_KEY;
         }
-        if (!tenant.homeRegions().contains(parts.self().region())) {
+        if (!edge.athome(now.tenant())) {
             return Result.WRONG_REGION;
         }
-        if (!ask.binding().equals(tenant.binding(ask.target().path()))) {
+        if (now.binding() == null || now.binding().runOnce() != ask.binding().runOnce() || !follow(policy, now.binding())) {
             return Result.NO_BINDING;
         }
-        return policy.holds().contains(parts.self().district()) ? Result.HELD : null;
+        return edge.held(policy) ? Result.HELD : null;
+    }
+
+    /** The binding may have been changed since the ask was let in; what is sent from now on goes by the new one. */
+    private boolean follow(final Policy policy, final Binding now) {
+        if (!now.equals(binding)) {
+            binding = now;
+            if (!now.leadsTo(rule.name())) {
+                rule = policy.service(now.service(parts.random()));
+            }
+        }
+        return rule != null;
     }
 
     private void claimed(final ClaimDesk.Claimed how) {
@@ -222,34 +248,43 @@
             stopBefore(barred);
             return;
         }
-        final Upstream to = parts.elector().elect(ask.rule(), ask.tenant().homeRegions(), parts.book().policy().holds(),
-                tried);
+        final Upstream to = parts.elector().elect(rule, this::fits, tried);
         if (to == null) {
             stopBefore(mayHaveRun ? Result.LOST : Result.NO_UPSTREAM);
             return;
         }
         if (goes++ == 0) {
             // Retries are a share of what upstreams were first asked, not of what was let in.
-            edge.budget(ask.rule()).asked();
+            edge.budget(rule).asked();
         }
         tried.add(to.instance());
         final AskHead head = ask.head();
-        final long waitMs = Math.min(ask.rule().goMs(), ask.deadlineMs() - parts.clock().nowMs());
+        final long waitMs = Math.min(rule.goMs(), ask.deadlineMs() - parts.clock().nowMs());
         final long begunMs = parts.clock().nowMs();
         parts.elector().begun(to.instance());
         release();
         final LongSupplier until = () -> barred() != null ? Long.MIN_VALUE
                 : Math.min(ask.deadlineMs(), parts.follower().freshUntilMs());
-        parts.upstreams().go(new Go(head.askId(), ask.tenant().name(), to.instance(), to.service(), to.address(),
-                head.method(), ask.target().raw(), head.headers(), body, waitMs, ask.rule().answerMaxBytes()), until,
-                () -> parts.counter().begun(ask.tenant().name()), result -> went(to, result, begunMs));
+        parts.upstreams().go(new Go(head.askId(), ask.tenant() == null ? null : tenantName(), to.instance(), to.service(), to.address(),
+                head.method(), ask.target().raw(), head.headers(), body, waitMs, ask.rule().answerMaxBytes(), !binding.runOnce()), until,
+                () -> counted(), result -> went(to, result, begunMs));
+    }
+
+    private void counted() {
+        if (ask.tenant() != null) {
+            parts.counter().begun(tenantName());
+        }
     }
 
     private void went(final Upstream to, final GoResult result, final long begunMs) {
+        arrivedLast = !(result instanceof GoResult.NotSent);
+        sent += arrivedLast ? 1 : 0;
         mayHaveRun |= result instanceof GoResult.Whole || result instanceof GoResult.Lost;
         final boolean barredHere = result instanceof GoResult.NotSent n && n.why().equals("barred");
-        parts.elector().ended(to.instance(), !barredHere && !(result instanceof GoResult.Whole),
-                parts.clock().nowMs() - begunMs, ask.rule().goMs() / 4);
+        final long slowMs = binding.aimMs() > 0 ? binding.aimMs() : rule.goMs() / 4;
+        parts.elector().ended(to.service(), to.instance(), barredHere || result instanceof GoResult.Whole ? Elector.End.WELL
+                : result instanceof GoResult.NotRun ? Elector.End.DENIED : result instanceof GoResult.NotSent
+                ? Elector.End.UNREACHED : Elector.End.LOST, parts.clock().nowMs() - begunMs, slowMs);
         if (result instanceof GoResult.Whole whole) {
             whole(to, whole);
         } else {
@@ -261,7 +296,7 @@
         final int status = whole.content().status();
         if (claim != null) {
             record(to, whole);
-        } else if ((status == 502 || status == 503) && again()) {
+        } else if (status >= 500 && !ask.binding().runOnce() && again()) {
             return;
         }
         end(new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes, 0));
@@ -276,7 +311,7 @@
             }
             return;
         }
-        if (claim != null && mayHaveRun) {
+        if (ask.binding().runOnce() && mayHaveRun) {
             give(Result.LOST);
             return;
         }
@@ -289,7 +324,9 @@
     }
 
     private boolean again() {
-        if (stage == Stage.ENDED || goes >= edge.pace().goesMax() || barred() != null || !edge.budget(ask.rule()).spend()) {
+        final int most = binding.goesMax() > 0 ? Math.min(binding.goesMax(), edge.pace().goesMax()) : edge.pace().goesMax();
+        if (stage == Stage.ENDED || sent >= most || goes >= GOES_MAX || barred() != null
+                || arrivedLast && !edge.budget(rule).spend()) {
             return false;
         }
         go();
--- a/spokestall/src/main/java/spokestall/edge/Where.java
+++ b/spokestall/src/main/java/spokestall/edge/Where.java
@@ -25,6 +25,26 @@
         return fit.subList(0, Math.min(most, fit.size()));
     }
 
+    /** Those of the district, of the region where the district has but one, or all where the region has none.
+     * Example: {@code Where.near(edges, "r1", "d1")} */
+    public static List<Member> near(final Collection<Member> edges, final String region, final String district) {
+        final List<Member> here = new ArrayList<>();
+        final List<Member> around = new ArrayList<>();
+        final List<Member> all = new ArrayList<>();
+        for (final Member edge : edges) {
+            if (!edge.leaving()) {
+                all.add(edge);
+                if (edge.region().equals(region)) {
+                    around.add(edge);
+                    if (edge.district().equals(district)) {
+                        here.add(edge);
+                    }
+                }
+            }
+        }
+        return here.size() > 1 ? here : around.isEmpty() ? all : around;
+    }
+
     private static long weight(final String client, final String edge) {
         long h = 0xcbf29ce484222325L;
         final String both = client + "\0" + edge;
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -1,6 +1,7 @@
 package spokestall.feed;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -43,6 +44,13 @@
         }
     }
 
+    private record Waiting(long sinceMs, Consumer<Boolean> waiter) {
+        void done(final boolean current) {
+            waiter.accept(current);
+        }
+    }
+
+    private static final int WAITING_MAX = 256;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final String address;
     private final Supplier<Member> self;
@@ -62,6 +70,7 @@
     private long provedMs = Long.MIN_VALUE / 2;
     private long nextAskId = 1;
     private int turn;
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
 
     /** Example: see {@code Node}. */
     public Follower(final Supplier<Member> self, final Book book, final Listing listing, final Proposer proposer,
@@ -133,6 +142,37 @@
         }
     }
 
+    /** Tells when the policy here is proved newest by an ask made from now on, or that it wasn't in time.
+     * Example: {@code follower.current(500, current -> answer(current));} */
+    public void current(final long waitMs, final Consumer<Boolean> done) {
+        if (waitMs <= 0 || waiting.size() >= WAITING_MAX) {
+            done.accept(false);
+            return;
+        }
+        final Waiting mine = new Waiting(clock.nowMs(), done);
+        waiting.add(mine);
+        clock.after(waitMs, () -> {
+            if (waiting.remove(mine)) {
+                mine.done(false);
+            }
+        });
+        askAgain(mine, waitMs);
+        tick();
+    }
+
+    /** What was asked may be lost, and what was begun elsewhere must be over first. */
+    private void askAgain(final Waiting mine, final long leftMs) {
+        final long spanMs = Math.max(1, pace.freshMs() / 6);
+        if (leftMs > spanMs) {
+            clock.after(spanMs, () -> {
+                if (waiting.contains(mine)) {
+                    tick();
+                    askAgain(mine, leftMs - spanMs);
+                }
+            });
+        }
+    }
+
     private void news(final String core) {
         post.send(core, new FeedNote.FeedAsk(address, self.get(), fresh(), open.getAsInt(), 0, true, book.policy().version(),
                 listing.lifeHeard(core), listing.placeHeard(core)));
@@ -196,6 +236,13 @@
 
     /** Finds the newest ask whose majority's newest version is in force here. */
     private void prove(final Voters table) {
+        proof(table);
+        while (!waiting.isEmpty() && waiting.peek().sinceMs <= provedMs) {
+            waiting.poll().done(true);
+        }
+    }
+
+    private void proof(final Voters table) {
         final Iterator<Map.Entry<Long, Open>> it = asks.descendingMap().entrySet().iterator();
         while (it.hasNext()) {
             final Open ask = it.next().getValue();
--- a/spokestall/src/main/java/spokestall/listing/Listing.java
+++ b/spokestall/src/main/java/spokestall/listing/Listing.java
@@ -21,6 +21,7 @@
     private final long life;
     private final int entriesMax;
     private final long freshMs;
+    private final boolean probed;
     private final Map<String, Numbered<Listed>> listed = new TreeMap<>();
     private final Map<String, Map<String, Numbered<Report>>> reports = new TreeMap<>();
     private final Map<String, Heard> heard = new HashMap<>();
@@ -28,6 +29,13 @@
 
     /** Example: {@code new Listing(life, 4096, 4000)} */
     public Listing(final long life, final int entriesMax, final long freshMs) {
+        this(life, entriesMax, freshMs, true);
+    }
+
+    /** Not probed: whatever is listed and not leaving is taken for ready.
+     * Example: {@code new Listing(life, 4096, 4000, false)} */
+    public Listing(final long life, final int entriesMax, final long freshMs, final boolean probed) {
+        this.probed = probed;
         this.life = life;
         this.entriesMax = entriesMax;
         this.freshMs = freshMs;
@@ -125,10 +133,10 @@
         for (final Numbered<Listed> n : listed.values()) {
             final Listed l = n.value;
             if (l.present() && !l.leaving() && l.service().equals(service)) {
-                final Report word = word(l.instance(), nowMs);
+                final Report word = probed ? word(l.instance(), nowMs) : new Report(l.instance(), "", Status.READY, 0, nowMs);
                 if (word != null && word.status() == Status.READY) {
                     found.add(new Upstream(l.instance(), service, l.address(), l.district(), l.region(),
-                            word.readySinceMs()));
+                            word.readySinceMs(), l.slots(), l.coldUntilMs()));
                 }
             }
         }
--- a/spokestall/src/main/java/spokestall/listing/Prober.java
+++ b/spokestall/src/main/java/spokestall/listing/Prober.java
@@ -27,7 +27,7 @@
     public record Probe(String instance, String service, boolean leaving, long readyForMs) {
     }
 
-    /** Spans, from the settings. */
+    /** Spans, from the settings; failsMax 0: nothing is probed. */
     public record Pace(long probeWaitMs, long listWaitMs, int failsMax, int sharers) {
     }
 
@@ -67,7 +67,7 @@
         }
         final List<Member> others = cores.get();
         for (final Listed l : listing.listed()) {
-            if (l.present() && mine(l, others) && probing.add(l.instance())) {
+            if (pace.failsMax() > 0 && l.present() && mine(l, others) && probing.add(l.instance())) {
                 probe(l);
             }
         }
@@ -95,14 +95,11 @@
         for (final Listed had : listing.listed()) {
             final Listed l = now.remove(had.instance());
             if (l == null ? had.present() : !same(had, l)) {
-                final Listed f = l == null ? had : l;
-                changed.add(new Listed(f.instance(), f.service(), f.address(), f.district(), f.region(), l != null,
-                        f.leaving(), askedMs));
+                changed.add((l == null ? had : l).seen(l != null, askedMs));
             }
         }
         for (final Listed l : now.values()) {
-            changed.add(new Listed(l.instance(), l.service(), l.address(), l.district(), l.region(), true,
-                    l.leaving(), askedMs));
+            changed.add(l.seen(true, askedMs));
         }
         listing.merge(changed, List.of());
     }
--- a/spokestall/src/main/java/spokestall/listing/Upstream.java
+++ b/spokestall/src/main/java/spokestall/listing/Upstream.java
@@ -2,5 +2,5 @@
 
 /** An upstream as an edge sees it when it elects. */
 public record Upstream(String instance, String service, String address, String district, String region,
-        long readySinceMs) {
+        long readySinceMs, int slots, long coldUntilMs) {
 }
--- a/spokestall/src/main/java/spokestall/policy/Binding.java
+++ b/spokestall/src/main/java/spokestall/policy/Binding.java
@@ -1,5 +1,58 @@
 package spokestall.policy;
 
-/** What a tenant's path leads to. A run-once binding's asks must never run twice. */
-public record Binding(String name, String path, String service, boolean runOnce) {
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * What a path leads to. A run-once binding's asks must never run twice. One that ends with a slash leads only to what is
+ * below it. Spans and goes that are zero are not bounded by the binding; no regions means all of them; an open one needs
+ * no key.
+ */
+public record Binding(String name, String host, String path, List<Share> split, boolean runOnce, int goesMax,
+        long spanMs, long aimMs, int priority, boolean open, Set<String> regions) {
+    /** One service's weight in a split. */
+    public record Share(String service, int weight) {
+    }
+
+    /** A tenant's own binding. Example: {@code Binding.of("pay", "/pay", "transfers", true)} */
+    public static Binding of(final String name, final String path, final String service, final boolean runOnce) {
+        return new Binding(name, "", path, List.of(new Share(service, 1)), runOnce, 0, 0, 0, 0, false, Set.of());
+    }
+
+    /** One of the services, each as often as its weight says. Example: {@code binding.service(random)} */
+    public String service(final Random random) {
+        if (split.size() == 1) {
+            return split.get(0).service();
+        }
+        int total = 0;
+        for (final Share share : split) {
+            total += share.weight();
+        }
+        int at = total <= 0 ? 0 : random.nextInt(total);
+        for (final Share share : split) {
+            at -= share.weight();
+            if (at < 0) {
+                return share.service();
+            }
+        }
+        return split.get(split.size() - 1).service();
+    }
+
+    /** Whether a service is among those it leads to. Example: {@code if (!binding.leadsTo(service)) elect(another);} */
+    public boolean leadsTo(final String service) {
+        for (final Share share : split) {
+            if (share.service().equals(service) && (share.weight() > 0 || split.size() == 1)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether an ask of this tenant (null: of none) may be served in a region; what both say binds.
+     * Example: {@code if (!binding.home(tenant, upstream.region())) passOver();} */
+    public boolean home(final Tenant tenant, final String region) {
+        return (regions.isEmpty() || regions.contains(region))
+                && (tenant == null || tenant.homeRegions().isEmpty() || tenant.homeRegions().contains(region));
+    }
 }
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/policy/Bindings.java
@@ -0,0 +1,34 @@
+package spokestall.policy;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Bindings by path, of which the longest that leads to an ask's path counts. */
+final class Bindings {
+    private final Map<String, Binding> byPath = new HashMap<>();
+
+    void add(final Binding binding) {
+        byPath.put(binding.path(), binding);
+    }
+
+    int size() {
+        return byPath.size();
+    }
+
+    /** A path that ends with a slash leads to what is below it only; another one to itself too. */
+    Binding find(final String path) {
+        Binding found = byPath.get(path);
+        int at = path.length();
+        while (found == null && at > 0) {
+            at = path.lastIndexOf('/', at - 1);
+            if (at < 0) {
+                return null;
+            }
+            found = byPath.get(path.substring(0, at + 1));
+            if (found == null && at > 0) {
+                found = byPath.get(path.substring(0, at));
+            }
+        }
+        return found;
+    }
+}
--- a/spokestall/src/main/java/spokestall/policy/Book.java
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -17,11 +17,19 @@
     private final TreeMap<Long, Change> changes = new TreeMap<>();
     private final Map<String, Long> changeIds = new LinkedHashMap<>();
     private long bytesMost;
-    private Policy policy = new Policy(0, JSON.createObjectNode(), null);
+    private final PolicyForm form;
+    private Policy policy;
 
     /** Example: {@code new Book(1024)} keeps that many changes for followers. */
     public Book(final int changesKept) {
+        this(changesKept, new OwnForm(null));
+    }
+
+    /** Example: {@code new Book(1024, form)} keeps policies of that form. */
+    public Book(final int changesKept, final PolicyForm form) {
         this.changesKept = changesKept;
+        this.form = form;
+        this.policy = form.read(0, JSON.createObjectNode(), null);
     }
 
     /** The version in force here. Example: {@code book.policy().version()} */
@@ -52,7 +60,7 @@
     /** Applies the next change. Example: {@code book.apply(book.policy().version() + 1, change);} */
     public void apply(final long version, final Change change) {
         assert version > policy.version() : version + " after " + policy.version();
-        policy = new Policy(version, preview(change), policy);
+        policy = form.read(version, preview(change), policy);
         bytesMost = (change.kind() == Change.Kind.PUT ? 0 : bytesMost) + change.json().length;
         changes.put(version, change);
         while (changes.size() > changesKept) {
@@ -75,7 +83,7 @@
         }
         try {
             bytesMost = snapshot.json().length;
-            policy = new Policy(snapshot.version(), JSON.readTree(snapshot.json()), null);
+            policy = form.read(snapshot.version(), JSON.readTree(snapshot.json()), null);
         } catch (final IOException e) {
             throw new IllegalArgumentException("bad snapshot", e);
         }
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/policy/OwnForm.java
@@ -0,0 +1,61 @@
+package spokestall.policy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** spokestall's own form of a policy: cells with their tenants, bindings for all, services and holds. */
+public final class OwnForm implements PolicyForm {
+    private final Rules rules;
+
+    /** Example: {@code new OwnForm(new Rules(schema, regions, districts))}; a book that checks nothing may have null. */
+    public OwnForm(final Rules rules) {
+        this.rules = rules;
+    }
+
+    @Override
+    public List<Rules.Trouble> check(final JsonNode tree, final JsonNode good) {
+        return rules.check(tree, good);
+    }
+
+    @Override
+    public Policy read(final long version, final JsonNode tree, final Policy before) {
+        final List<Tenant> tenants = new ArrayList<>();
+        tree.path("cells").fields().forEachRemaining(cell -> cell.getValue().path("tenants").fields()
+                .forEachRemaining(t -> tenants.add(tenant(cell.getKey(), t.getKey(), t.getValue(), before))));
+        final List<Binding> bindings = new ArrayList<>();
+        tree.path("bindings").fields().forEachRemaining(b -> bindings.add(binding(b.getKey(), b.getValue())));
+        final Map<String, ServiceRule> services = new HashMap<>();
+        tree.path("services").fields().forEachRemaining(e -> services.put(e.getKey(), rule(e.getKey(), e.getValue())));
+        final Set<String> holds = new HashSet<>();
+        tree.path("holds").fieldNames().forEachRemaining(holds::add);
+        return new Policy(version, tree, tenants, bindings, services, holds);
+    }
+
+    private static Tenant tenant(final String cell, final String name, final JsonNode source, final Policy before) {
+        final Tenant had = before == null ? null : before.tenants().get(name);
+        return had != null && had.madeFrom(source) && had.cell().equals(cell) ? had : Tenant.read(name, cell, source);
+    }
+
+    private static Binding binding(final String name, final JsonNode b) {
+        final List<Binding.Share> split = new ArrayList<>();
+        b.path("split").fields().forEachRemaining(s -> split.add(new Binding.Share(s.getKey(), s.getValue().asInt())));
+        if (split.isEmpty()) {
+            split.add(new Binding.Share(b.path("service").asText(), 1));
+        }
+        final Set<String> regions = new HashSet<>();
+        b.path("regions").forEach(r -> regions.add(r.asText()));
+        return new Binding(name, b.path("host").asText(""), b.path("path").asText(), split,
+                b.path("runOnce").asBoolean(false), b.path("goes").asInt(0), b.path("spanMs").asLong(0),
+                b.path("aimMs").asLong(0), b.path("priority").asInt(0), b.path("open").asBoolean(false), regions);
+    }
+
+    private static ServiceRule rule(final String name, final JsonNode s) {
+        return new ServiceRule(name, s.path("askMaxBytes").asInt(64 << 10), s.path("answerMaxBytes").asInt(256 << 10),
+                s.path("goMs").asLong(2000), s.path("warmupMs").asLong(10_000), s.path("warmPerS").asDouble(10));
+    }
+}
--- a/spokestall/src/main/java/spokestall/policy/Policy.java
+++ b/spokestall/src/main/java/spokestall/policy/Policy.java
@@ -1,42 +1,45 @@
 package spokestall.policy;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
-/** One version of the policy, made ready for use. A new version keeps whatever tenant did not change. */
+/** One version of the policy, made ready for use. */
 public final class Policy {
+    /** What a host, path and key lead to: a tenant, or null where none is needed or none has the key, and a binding. */
+    public record Found(Tenant tenant, Binding binding) {
+        /** Whether a key is missing that would be needed. Example: {@code if (found.keyMissing()) deny();} */
+        public boolean keyMissing() {
+            return tenant == null && (binding == null || !binding.open());
+        }
+    }
+
     private final long version;
     private final JsonNode tree;
     private final Map<String, Tenant> tenants = new HashMap<>();
     private final Map<String, Tenant> byKey = new HashMap<>();
-    private final Map<String, ServiceRule> services = new HashMap<>();
-    private final Set<String> holds = new HashSet<>();
+    private final Map<String, Bindings> byHost = new HashMap<>();
+    private final Map<String, ServiceRule> services;
+    private final Set<String> holds;
 
-    Policy(final long version, final JsonNode tree, final Policy before) {
+    /** Example: {@code new Policy(17, tree, tenants, bindings, services, holds)} */
+    public Policy(final long version, final JsonNode tree, final Collection<Tenant> tenants,
+            final Collection<Binding> bindings, final Map<String, ServiceRule> services, final Set<String> holds) {
         this.version = version;
         this.tree = tree;
-        tree.path("cells").fields().forEachRemaining(cell -> cell.getValue().path("tenants").fields()
-                .forEachRemaining(t -> add(cell.getKey(), t.getKey(), t.getValue(), before)));
-        tree.path("services").fields().forEachRemaining(e -> services.put(e.getKey(), rule(e.getKey(), e.getValue())));
-        tree.path("holds").fieldNames().forEachRemaining(holds::add);
-    }
-
-    private void add(final String cell, final String name, final JsonNode source, final Policy before) {
-        final Tenant had = before == null ? null : before.tenants.get(name);
-        final Tenant tenant = had != null && had.madeFrom(source) && had.cell().equals(cell) ? had
-                : new Tenant(name, cell, source);
-        tenants.put(name, tenant);
-        for (final String key : tenant.keys()) {
-            byKey.put(key, tenant);
+        this.services = services;
+        this.holds = holds;
+        for (final Tenant tenant : tenants) {
+            this.tenants.put(tenant.name(), tenant);
+            for (final String key : tenant.keys()) {
+                byKey.put(key, tenant);
+            }
+        }
+        for (final Binding binding : bindings) {
+            byHost.computeIfAbsent(binding.host(), h -> new Bindings()).add(binding);
         }
-    }
-
-    private static ServiceRule rule(final String name, final JsonNode s) {
-        return new ServiceRule(name, s.path("askMaxBytes").asInt(64 << 10), s.path("answerMaxBytes").asInt(256 << 10),
-                s.path("goMs").asLong(2000), s.path("warmupMs").asLong(10_000), s.path("warmPerS").asDouble(10));
     }
 
     /** Example: {@code policy.version()} */
@@ -54,6 +57,25 @@
         return byKey.get(keyHash);
     }
 
+    /** What an ask leads to: the tenant's own binding, else one for all of its host, else one for all of any host.
+     * keyHash is null where no key came. Example: {@code policy.find("a.example", "/pay/17", hash).binding()} */
+    public Found find(final String host, final String path, final String keyHash) {
+        final Tenant tenant = keyHash == null ? null : byKey.get(keyHash);
+        Binding binding = tenant == null ? null : tenant.binding(path);
+        if (binding == null) {
+            binding = shared(host, path);
+        }
+        if (binding == null && !host.isEmpty()) {
+            binding = shared("", path);
+        }
+        return new Found(tenant, binding);
+    }
+
+    private Binding shared(final String host, final String path) {
+        final Bindings of = byHost.get(host);
+        return of == null ? null : of.find(path);
+    }
+
     /** All tenants by name. Example: {@code policy.tenants().size()} */
     public Map<String, Tenant> tenants() {
         return tenants;
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/policy/PolicyForm.java
@@ -0,0 +1,15 @@
+package spokestall.policy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+
+/** How a policy is written down: the form that operators send and nodes keep. What it means is {@link Policy}'s. */
+public interface PolicyForm {
+    /** All that is wrong with a whole policy; what it shares with a good one need not be checked again.
+     * Example: {@code if (!form.check(tree, inForce).isEmpty()) deny();} */
+    List<Rules.Trouble> check(JsonNode tree, JsonNode good);
+
+    /** Makes a version ready for use; what did not change may be taken from the one before, which may be null.
+     * Example: {@code form.read(17, tree, policy)} */
+    Policy read(long version, JsonNode tree, Policy before);
+}
--- a/spokestall/src/main/java/spokestall/policy/Rules.java
+++ b/spokestall/src/main/java/spokestall/policy/Rules.java
@@ -59,6 +59,7 @@
                 }
             });
         });
+        shared(tree, good, troubles);
         tree.path("holds").fieldNames().forEachRemaining(d -> {
             if (!districts.contains(d)) {
                 troubles.add(new Trouble("/holds/" + d, "unknown district"));
@@ -67,6 +68,45 @@
         return troubles;
     }
 
+    /** Bindings for all tenants: their services, regions and paths. */
+    private void shared(final JsonNode tree, final JsonNode good, final List<Trouble> troubles) {
+        final Map<String, String> paths = new HashMap<>();
+        tree.path("bindings").fields().forEachRemaining(e -> {
+            final JsonNode b = e.getValue();
+            final String place = "/bindings/" + e.getKey();
+            final String path = b.path("path").asText();
+            final String had = paths.putIfAbsent(b.path("host").asText("") + " " + path, place);
+            if (had != null) {
+                troubles.add(new Trouble(place + "/path", "the same host and path are also at " + had));
+            }
+            if (b == good.path("bindings").path(e.getKey()) && tree.path("services") == good.path("services")) {
+                return;
+            }
+            if (!(Target.of(path) instanceof Target.Good)) {
+                troubles.add(new Trouble(place + "/path", "is no path that can be read in one way only"));
+            }
+            if (b.has("service") && !tree.path("services").has(b.path("service").asText())) {
+                troubles.add(new Trouble(place + "/service", "unknown service"));
+            }
+            int weights = b.has("split") ? 0 : 1;
+            for (final var it = b.path("split").fields(); it.hasNext();) {
+                final Map.Entry<String, JsonNode> share = it.next();
+                weights += share.getValue().asInt();
+                if (!tree.path("services").has(share.getKey())) {
+                    troubles.add(new Trouble(place + "/split/" + share.getKey(), "unknown service"));
+                }
+            }
+            if (weights == 0) {
+                troubles.add(new Trouble(place + "/split", "has no weight at all"));
+            }
+            for (int i = 0; i < b.path("regions").size(); i++) {
+                if (!regions.contains(b.path("regions").get(i).asText())) {
+                    troubles.add(new Trouble(place + "/regions/" + i, "unknown region"));
+                }
+            }
+        });
+    }
+
     /** The tree without the tenants, and in the other tenants without the bindings, that are the very nodes they were. */
     private static JsonNode changed(final JsonNode tree, final JsonNode good) {
         return within(tree, good, "cells", (cell, cellWas) -> within(cell, cellWas, "tenants",
--- a/spokestall/src/main/java/spokestall/policy/Tenant.java
+++ b/spokestall/src/main/java/spokestall/policy/Tenant.java
@@ -1,31 +1,47 @@
 package spokestall.policy;
 
-import java.util.HashMap;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Map;
+import java.util.List;
 import java.util.Set;
-import com.fasterxml.jackson.databind.JsonNode;
 
-/** A tenant: its cell, home regions, keys (by the hash of each) and bindings by path. */
+/** A tenant: its cell, home regions (none: all), keys (by the hash of each), priority and bindings by path. */
 public final class Tenant {
     private final String name;
     private final String cell;
     private final JsonNode source;
-    private final Set<String> homeRegions = new HashSet<>();
-    private final Set<String> keys = new HashSet<>();
-    private final Map<String, Binding> bindings = new HashMap<>();
+    private final Set<String> homeRegions;
+    private final Set<String> keys;
+    private final Integer priority;
+    private final Bindings bindings = new Bindings();
 
-    Tenant(final String name, final String cell, final JsonNode source) {
+    /** Example: {@code new Tenant("t-1", "cell-1", source, Set.of("r1"), Set.of(hash), null, List.of())}; priority is null
+     * where the binding's own counts. */
+    public Tenant(final String name, final String cell, final JsonNode source, final Set<String> homeRegions,
+            final Set<String> keys, final Integer priority, final List<Binding> bindings) {
         this.name = name;
         this.cell = cell;
         this.source = source;
-        source.path("homeRegions").forEach(r -> homeRegions.add(r.asText()));
-        source.path("keys").forEach(k -> keys.add(k.path("sha256").asText()));
+        this.homeRegions = homeRegions;
+        this.keys = keys;
+        this.priority = priority;
+        bindings.forEach(this.bindings::add);
+    }
+
+    static Tenant read(final String name, final String cell, final JsonNode source) {
+        final Set<String> homes = new HashSet<>();
+        final Set<String> hashes = new HashSet<>();
+        final List<Binding> own = new ArrayList<>();
+        source.path("homeRegions").forEach(r -> homes.add(r.asText()));
+        source.path("keys").forEach(k -> hashes.add(k.path("sha256").asText()));
         source.path("bindings").fields().forEachRemaining(e -> {
             final JsonNode b = e.getValue();
-            bindings.put(b.path("path").asText(), new Binding(e.getKey(), b.path("path").asText(),
-                    b.path("service").asText(), b.path("runOnce").asBoolean(false)));
+            own.add(Binding.of(e.getKey(), b.path("path").asText(), b.path("service").asText(),
+                    b.path("runOnce").asBoolean(false)));
         });
+        return new Tenant(name, cell, source, homes, hashes,
+                source.has("priority") ? source.path("priority").asInt() : null, own);
     }
 
     /** Example: {@code tenant.name()} */
@@ -38,7 +54,8 @@
         return cell;
     }
 
-    boolean madeFrom(final JsonNode other) {
+    /** Whether it was made from that very node of a tree. Example: {@code if (tenant.madeFrom(node)) keep(tenant);} */
+    public boolean madeFrom(final JsonNode other) {
         return source == other;
     }
 
@@ -52,17 +69,15 @@
         return keys;
     }
 
+    /** Its rank, 0 the highest, or what the binding says. Example: {@code tenant.priority(binding.priority())} */
+    public int priority(final int bindings) {
+        return priority == null ? bindings : priority;
+    }
+
     /** The binding with the longest path that leads to this one, or null.
      * Example: {@code tenant.binding("/transfers/17/status")} */
     public Binding binding(final String path) {
-        String at = path;
-        while (true) {
-            final Binding found = bindings.get(at.isEmpty() ? "/" : at);
-            if (found != null || at.isEmpty()) {
-                return found;
-            }
-            at = at.substring(0, Math.max(0, at.lastIndexOf('/')));
-        }
+        return bindings.find(path);
     }
 
     /** How many bindings. Example: {@code tenant.bindingCount()} */
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/AskPort.java
@@ -0,0 +1,191 @@
+package spokestall.rim;
+
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import spokestall.Node;
+import spokestall.edge.Admitted;
+import spokestall.edge.Answer;
+import spokestall.edge.AskHead;
+import spokestall.edge.Edge;
+import spokestall.edge.Opened;
+import spokestall.edge.Ran;
+import spokestall.rpc.Result;
+
+/** Takes callers' asks off their wires and brings the answers back, in whichever speech. */
+public final class AskPort {
+    /** Spans, from the settings. An answer that is not read within its wait ends its wire; a wire whose ask was answered
+     * before its body had come ends after lingering so long, in which the answer can be read. */
+    public record Pace(long answerWaitMs, long lingerMs) {
+    }
+
+    private static final AttachmentKey<AtomicReference<Admitted>> ASK = AttachmentKey.create(AtomicReference.class);
+    private final Node node;
+    private final Stage stage;
+    private final AskSpeech speech;
+    private final Pace pace;
+
+    /** Example: {@code new AskPort(node, stage, speech, new AskPort.Pace(30_000, 1000))} */
+    public AskPort(final Node node, final Stage stage, final AskSpeech speech, final Pace pace) {
+        this.node = node;
+        this.stage = stage;
+        this.speech = speech;
+        this.pace = pace;
+    }
+
+    /** Handles one ask, from its head to its answer. Example: {@code server.addHttpListener(port, host, asks::handle)} */
+    public void handle(final HttpServerExchange exchange) {
+        final long cameMs = System.nanoTime() / 1_000_000;
+        final String odd = odd(exchange);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            if (odd != null) {
+                malformed(exchange);
+            } else {
+                ask(exchange, cameMs);
+            }
+        });
+    }
+
+    void malformed(final HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        answer(exchange, new Answer(Result.MALFORMED, Ran.UNDECIDED, null, null, 0, 0));
+    }
+
+    /** What keeps a message from being read in one way only, or null. */
+    static String odd(final HttpServerExchange exchange) {
+        final var hosts = exchange.getRequestHeaders().get(Headers.HOST);
+        return hosts != null && hosts.size() > 1 ? "Host" : Fields.odd(exchange.getRequestHeaders());
+    }
+
+    /** Ends the wire of an exchange that is not that far by then. */
+    static void endUnless(final HttpServerExchange exchange, final long waitMs, final BooleanSupplier far) {
+        final XnioExecutor.Key timer = exchange.getIoThread().executeAfter(() -> {
+            if (!far.getAsBoolean()) {
+                IoUtils.safeClose(exchange.getConnection());
+            }
+        }, waitMs, TimeUnit.MILLISECONDS);
+        exchange.addExchangeCompleteListener((e, next) -> {
+            timer.remove();
+            next.proceed();
+        });
+    }
+
+    /** Sends an answer whose headers are set. */
+    void send(final HttpServerExchange exchange, final int status, final byte[] body) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(status);
+        if (node.leaving()) {
+            exchange.setPersistent(false);
+        }
+        if (exchange.isRequestComplete()) {
+            endUnless(exchange, pace.answerWaitMs(), exchange::isComplete);
+        } else {
+            exchange.setPersistent(false);
+            endUnless(exchange, pace.lingerMs(), exchange::isComplete);
+        }
+        if (status == 204 || status == 304 || exchange.getRequestMethod().equals(Methods.HEAD)) {
+            exchange.endExchange();
+        } else {
+            exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        }
+    }
+
+    void ask(final HttpServerExchange exchange, final long cameMs) {
+        final Edge edge = node.edge();
+        final AskHead head = speech.head(exchange.getRequestMethod().toString(), host(exchange), target(exchange),
+                exchange.getRequestHeaders(), bodyBytes(exchange));
+        if (edge == null) {
+            answer(exchange, new Answer(Result.NO_BINDING, Ran.NOT_RUN, null, null, 0, 0));
+        } else if (!stage.offer(() -> open(exchange, edge, head, cameMs))) {
+            answer(exchange, edge.crowded(head));
+        }
+    }
+
+    private void open(final HttpServerExchange exchange, final Edge edge, final AskHead came, final long cameMs) {
+        final AskHead head = came.later(System.nanoTime() / 1_000_000 - cameMs);
+        final Opened opened = edge.open(head, a -> exchange.getIoThread().execute(() -> answer(exchange, a)));
+        if (opened instanceof Opened.Deny deny) {
+            exchange.getIoThread().execute(() -> answer(exchange, deny.answer()));
+        } else {
+            final Admitted ask = ((Opened.Admit) opened).ask();
+            exchange.getIoThread().execute(() -> body(exchange, ask));
+        }
+    }
+
+    /** How long the body is; -1 when that is not known. */
+    private static long bodyBytes(final HttpServerExchange exchange) {
+        return exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING) ? -1
+                : Math.max(0, exchange.getRequestContentLength());
+    }
+
+    /** The host that is asked for, without its port. */
+    private static String host(final HttpServerExchange exchange) {
+        final String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
+        return host == null ? "" : host.replaceFirst(":\\d*$", "").toLowerCase(Locale.ROOT);
+    }
+
+    /** The target as it came. Undertow keeps path and query apart, so a lone question mark at the end is lost. */
+    private static String target(final HttpServerExchange exchange) {
+        final String query = exchange.getQueryString();
+        return query == null || query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
+    }
+
+    /** Which ask a wire carries now, so that it is told when the wire ends; one listener serves a wire for all its asks. */
+    private void carry(final HttpServerExchange exchange, final Admitted ask) {
+        AtomicReference<Admitted> carried = exchange.getConnection().getAttachment(ASK);
+        if (carried == null) {
+            final AtomicReference<Admitted> made = new AtomicReference<>();
+            exchange.getConnection().putAttachment(ASK, made);
+            exchange.getConnection().addCloseListener(c -> {
+                final Admitted left = made.getAndSet(null);
+                if (left != null) {
+                    stage.execute(left::gone);
+                }
+            });
+            carried = made;
+        }
+        final AtomicReference<Admitted> here = carried;
+        here.set(ask);
+        exchange.addExchangeCompleteListener((e, next) -> {
+            if (here.compareAndSet(ask, null)) {
+                stage.execute(ask::written);
+            }
+            next.proceed();
+        });
+    }
+
+    private void body(final HttpServerExchange exchange, final Admitted ask) {
+        carry(exchange, ask);
+        // The receiver's own bound leaves the wire open for the answer; an entity bound would cut it.
+        final Receiver receiver = exchange.getRequestReceiver();
+        receiver.setMaxBufferSize(Math.max(1, ask.rule().askMaxBytes()));
+        receiver.receiveFullBytes((e, body) -> e.dispatch(SameThreadExecutor.INSTANCE,
+                () -> stage.execute(() -> ask.run(body))),
+                (e, trouble) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> stage.execute(() ->
+                        ask.drop(trouble instanceof Receiver.RequestToLargeException ? Result.TOO_LARGE
+                                : Result.MALFORMED))));
+    }
+
+    private void answer(final HttpServerExchange exchange, final Answer a) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        if (a.content() != null) {
+            Fields.put(exchange.getResponseHeaders(), a.content().headers());
+        }
+        speech.headers(a, exchange.getResponseHeaders());
+        send(exchange, speech.status(a), a.content() != null ? a.content().body() : speech.body(a));
+    }
+}
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -43,15 +43,22 @@
     private final Settings settings;
     private final boolean core;
     private final Around around;
+    private final Speech speech;
     private Node node;
 
     /** Example: {@code new Daemon(settings, true).run()} */
     public Daemon(final Settings settings, final boolean core) {
-        this(settings, core, new Around() { });
+        this(settings, core, new Around() { }, Speech.own());
     }
 
-    /** Example: {@code new Daemon(settings, true, new Daemon.Around() { }).run()} */
-    public Daemon(final Settings settings, final boolean core, final Around around) {
+    /** Example: {@code new Daemon(settings, true, Speech.own()).run()} */
+    public Daemon(final Settings settings, final boolean core, final Speech speech) {
+        this(settings, core, new Around() { }, speech);
+    }
+
+    /** Example: {@code new Daemon(settings, true, new Daemon.Around() { }, Speech.own()).run()} */
+    public Daemon(final Settings settings, final boolean core, final Around around, final Speech speech) {
+        this.speech = speech;
         this.around = around;
         this.settings = settings;
         this.core = core;
@@ -79,19 +86,20 @@
         }
         final Audit audit = audit(Executors.newSingleThreadExecutor());
         final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 2).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads")).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 2).set(Options.TCP_NODELAY, true).getMap());
         final Clock clock = new SystemClock(timer, stage);
         final Wires wires = new Wires(worker, note -> stage.offer(() -> node.hear(note)),
                 settings.part("leaveBoundMs", 0.25), (int) settings.ms("noteVersion"),
                 new Peers(settings.peers()));
-        final Outside outside = new Outside(new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10)), stage,
-                settings.text("platform"));
+        final Outside outside = new Outside(new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10),
+                settings.ms("wireRestMs")), stage, settings.text("platform"), speech.goes(), speech.platform(),
+                settings.ms("connectMs"), () -> node.fleetMs());
         final CountDownLatch made = new CountDownLatch(1);
         stage.execute(() -> {
             try {
                 node = new Node(settings, core, new Node.Rim(clock, new Random(new SecureRandom().nextLong()), wires,
-                        segments, outside, outside, around.platform(outside), audit));
+                        segments, outside, outside, around.platform(outside), audit), speech.form());
             } finally {
                 made.countDown();
             }
@@ -100,10 +108,7 @@
         if (node == null) {
             return refused("the node could not be made; see the log");
         }
-        final HttpServer server = new HttpServer(node, stage, worker, Addresses.of(settings.text("http")),
-                Addresses.of(settings.operators()),
-                new HttpServer.Bounds(2 * (int) settings.ms("policyMaxBytes"), 1 << 16, 4 * (int) settings.ms("askOpenMax"),
-                        settings.ms("askSpanMaxMs"), settings.ms("askSpanMaxMs"), settings.part("askSpanMaxMs", 1.0 / 30)));
+        final Front server = speech.front(node, settings, stage, worker);
         try {
             wires.listen(Addresses.of(settings.listen()));
             server.start();
@@ -115,13 +120,12 @@
         final CountDownLatch stopped = new CountDownLatch(1);
         final CountDownLatch gone = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            stage.execute(() -> node.leave(stopped::countDown));
+            stage.execute(() -> node.leave(server::stop, stopped::countDown));
             try {
                 stopped.await(2 * settings.ms("stopWaitMs") + 2000, TimeUnit.MILLISECONDS);
             } catch (final InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            server.stop();
             wires.close();
             gone.countDown();
         }));
@@ -131,7 +135,7 @@
 
     /** A core goes on without its audit, and says so, rather than not at all. */
     private Audit audit(final ExecutorService writer) {
-        if (!core) {
+        if (!core || settings.ms("auditFiles") == 0) {
             return Audit.NONE;
         }
         try {
--- a/spokestall/src/main/java/spokestall/rim/Fields.java
+++ b/spokestall/src/main/java/spokestall/rim/Fields.java
@@ -12,7 +12,7 @@
 import spokestall.wire.Header;
 
 /** Header fields between wires: which ones go on, and whether they frame a message in one way only. */
-final class Fields {
+public final class Fields {
     /** Fields that speak of one wire, or that each wire is given anew. */
     private static final Set<String> OF_THE_WIRE = Set.of("connection", "keep-alive", "proxy-connection",
             "proxy-authenticate", "proxy-authorization", "proxy-authentication-info", "te", "trailer",
@@ -24,8 +24,9 @@
     private Fields() {
     }
 
-    /** The end-to-end fields: none of the wire's, none that Connection names, none of spokestall's own. */
-    static List<Header> endToEnd(final HeaderMap from) {
+    /** The end-to-end fields: none of the wire's, none that Connection names, none of spokestall's own.
+     * Example: {@code Fields.endToEnd(exchange.getRequestHeaders())} */
+    public static List<Header> endToEnd(final HeaderMap from) {
         final Set<String> named = new TreeSet<>();
         final HeaderValues connection = from.get(Headers.CONNECTION);
         if (connection != null) {
--- a/spokestall/src/main/java/spokestall/rim/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -16,8 +16,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -34,19 +37,22 @@
 public final class HttpClient {
     private static final int IDLE_PER_ADDRESS = 16;
     private static final int ADDRESSES_MAX = 4096;
-    private static final long IDLE_MS = 1000;
+    private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
     private static final int HEADERS_MAX = 16 << 10;
     private static final Set<String> BODILESS = Set.of("GET", "HEAD", "DELETE", "OPTIONS");
 
-    private record Idle(ClientConnection wire, long sinceMs) {
+    private record Idle(ClientConnection wire, long sinceMs, long restMs) {
     }
 
     private final XnioWorker worker;
     private final ByteBufferPool pool;
+    private final long restMs;
     private final Map<String, ArrayDeque<Idle>> idle = new ConcurrentHashMap<>();
 
-    /** Example: {@code new HttpClient(worker, new DefaultByteBufferPool(true, 16384))} */
-    public HttpClient(final XnioWorker worker, final ByteBufferPool pool) {
+    /** A wire rests for restMs at the most, and for less than its other end says.
+     * Example: {@code new HttpClient(worker, new DefaultByteBufferPool(true, 16384), 1000)} */
+    public HttpClient(final XnioWorker worker, final ByteBufferPool pool, final long restMs) {
+        this.restMs = restMs;
         this.worker = worker;
         this.pool = pool;
     }
@@ -56,7 +62,7 @@
         new Exchange(call, done).begin();
     }
 
-    private ClientConnection takeIdle(final String address) {
+    private ClientConnection takeIdle(final String address, final boolean repeatable) {
         final ArrayDeque<Idle> of = idle.get(address);
         if (of == null) {
             return null;
@@ -65,7 +71,7 @@
             final long nowMs = System.nanoTime() / 1_000_000;
             while (!of.isEmpty()) {
                 final Idle one = of.pollLast();
-                if (one.wire.isOpen() && nowMs - one.sinceMs < IDLE_MS) {
+                if (one.wire.isOpen() && nowMs - one.sinceMs < (repeatable ? one.restMs : one.restMs / 2)) {
                     return one.wire;
                 }
                 IoUtils.safeClose(one.wire);
@@ -74,14 +80,14 @@
         return null;
     }
 
-    private void keepIdle(final String address, final ClientConnection wire) {
+    private void keepIdle(final String address, final ClientConnection wire, final long rest) {
         if (idle.size() >= ADDRESSES_MAX && !idle.containsKey(address)) {
             IoUtils.safeClose(wire);
             return;
         }
         final ArrayDeque<Idle> of = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
         synchronized (of) {
-            of.addLast(new Idle(wire, System.nanoTime() / 1_000_000));
+            of.addLast(new Idle(wire, System.nanoTime() / 1_000_000, rest));
             while (of.size() > IDLE_PER_ADDRESS) {
                 IoUtils.safeClose(of.pollFirst().wire);
             }
@@ -98,6 +104,7 @@
         private volatile boolean bodySent;
         private volatile ClientConnection wire;
         private volatile XnioExecutor.Key timer;
+        private volatile XnioExecutor.Key connecting;
 
         Exchange(final HttpCall call, final Consumer<HttpResult> done) {
             this.call = call;
@@ -105,14 +112,21 @@
         }
 
         void begin() {
-            final ClientConnection had = call.freshWire() ? null : takeIdle(call.address());
+            final ClientConnection had = call.freshWire() ? null : takeIdle(call.address(), call.repeatable());
             final XnioIoThread io = had != null ? had.getIoThread() : worker.getIoThread();
             timer = io.executeAfter(() -> trouble("timeout"), Math.max(1, call.waitMs()),
-                    java.util.concurrent.TimeUnit.MILLISECONDS);
+                    TimeUnit.MILLISECONDS);
             if (had != null) {
                 io.execute(() -> opened(had));
                 return;
             }
+            if (call.connectMs() < call.waitMs()) {
+                connecting = io.executeAfter(() -> {
+                    if (wire == null) {
+                        trouble("connect: late");
+                    }
+                }, Math.max(1, call.connectMs()), TimeUnit.MILLISECONDS);
+            }
             UndertowClient.getInstance().connect(new ClientCallback<>() {
                 @Override
                 public void completed(final ClientConnection made) {
@@ -148,13 +162,15 @@
             }
             final ClientRequest request = new ClientRequest().setMethod(new HttpString(call.method()))
                     .setPath(call.target());
-            request.getRequestHeaders().put(Headers.HOST, call.address());
             if (call.body().length > 0 || !BODILESS.contains(call.method())) {
                 request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(call.body().length));
             }
             Fields.put(request.getRequestHeaders(), call.headers());
+            if (!request.getRequestHeaders().contains(Headers.HOST)) {
+                request.getRequestHeaders().put(Headers.HOST, call.address());
+            }
             if (System.nanoTime() / 1_000_000 >= untilMs) {
-                keepIdle(call.address(), made);
+                keepIdle(call.address(), made, restMs);
                 end(new HttpResult.NotSent("barred"));
                 return;
             }
@@ -270,13 +286,20 @@
             // One that leads to another instance would lead there again.
             if (bodySent && used.isOpen() && response.getResponseCode() != 421 && !"close".equalsIgnoreCase(response.getResponseHeaders()
                     .getFirst(Headers.CONNECTION))) {
-                used.getIoThread().execute(() -> keepIdle(call.address(), used));
+                final long rest = restMs(response.getResponseHeaders().getFirst(Headers.KEEP_ALIVE));
+                used.getIoThread().execute(() -> keepIdle(call.address(), used, rest));
             } else {
                 IoUtils.safeClose(used);
             }
             end(new HttpResult.Whole(response.getResponseCode(), response.getResponseHeaders(), read.toByteArray()));
         }
 
+        /** Well below what the other end says, whose time runs from earlier and may be told in whole seconds. */
+        private long restMs(final String keepAlive) {
+            final Matcher told = KEEP_ALIVE.matcher(keepAlive == null ? "" : keepAlive);
+            return told.find() ? Math.min(restMs, Long.parseLong(told.group(1)) * 700) : restMs;
+        }
+
         private void trouble(final String why) {
             if (over.get()) {
                 return;
@@ -293,6 +316,9 @@
                 if (timer != null) {
                     timer.remove();
                 }
+                if (connecting != null) {
+                    connecting.remove();
+                }
                 done.accept(result);
             }
         }
--- a/spokestall/src/main/java/spokestall/rim/Outside.java
+++ b/spokestall/src/main/java/spokestall/rim/Outside.java
@@ -1,12 +1,9 @@
 package spokestall.rim;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -18,70 +15,52 @@
 import spokestall.listing.Listed;
 import spokestall.listing.Prober;
 import spokestall.policy.Book;
-import spokestall.wire.Content;
-import spokestall.wire.Header;
 
-/** Upstreams and the platform over HTTP; docs/protocols.md says what goes over these wires. */
+/** Upstreams and the platform over HTTP, in whichever speech. */
 public final class Outside implements Upstreams, Prober.Reach, Reporter.Platform {
     private static final int LIST_MAX = 4 << 20;
+    private static final int PAGES_MAX = 1000;
     private final HttpClient client;
     private final Executor stage;
-    private final String platform;
+    private final String address;
+    private final GoSpeech goes;
+    private final PlatformSpeech platform;
+    private final long connectMs;
+    private final LongSupplier fleetMs;
 
-    /** Example: {@code new Outside(client, stage, "127.0.0.1:7900")} */
-    public Outside(final HttpClient client, final Executor stage, final String platform) {
+    /** {@code address} is the platform's. Example: {@code new Outside(client, stage, "127.0.0.1:7900", goes, platform, 500, fleet::nowMs)} */
+    public Outside(final HttpClient client, final Executor stage, final String address, final GoSpeech goes,
+            final PlatformSpeech platform, final long connectMs, final LongSupplier fleetMs) {
         this.client = client;
         this.stage = stage;
+        this.address = address;
+        this.goes = goes;
         this.platform = platform;
+        this.connectMs = connectMs;
+        this.fleetMs = fleetMs;
     }
 
     @Override
     public void go(final Go go, final LongSupplier until, final Runnable sent, final Consumer<GoResult> done) {
-        final List<Header> headers = new ArrayList<>(go.headers());
-        headers.add(new Header("Spokestall-Ask-Id", go.askId()));
-        headers.add(new Header("Spokestall-Tenant", go.tenant()));
-        headers.add(new Header("Spokestall-Service", go.service()));
-        headers.add(new Header("Spokestall-Instance", go.instance()));
-        headers.add(new Header("Spokestall-Deadline-Ms", Long.toString(go.waitMs())));
-        client.call(new HttpCall(go.address(), go.method(), go.target(), headers, go.body(), go.waitMs(),
-                go.answerMaxBytes(), false, stage, until, () -> stage.execute(sent)), result -> {
+        client.call(new HttpCall(go.address(), go.method(), go.target(), goes.headers(go), go.body(), go.waitMs(), connectMs,
+                go.answerMaxBytes(), false, go.repeatable(), stage, until, () -> stage.execute(sent)), result -> {
                     final GoResult judged = judge(go, result);
                     stage.execute(() -> done.accept(judged));
                 });
     }
 
-    /** An answer counts only if the upstream says it is that instance's answer to that ask. */
-    private static GoResult judge(final Go go, final HttpResult result) {
+    private GoResult judge(final Go go, final HttpResult result) {
         if (result instanceof HttpResult.NotSent n) {
             return new GoResult.NotSent(n.why());
         }
-        if (result instanceof HttpResult.Lost l) {
-            return new GoResult.Lost(l.why());
-        }
-        final HttpResult.Whole whole = (HttpResult.Whole) result;
-        if (!go.askId().equals(whole.header("Spokestall-Ask-Id"))) {
-            return new GoResult.Lost("answer to another ask");
-        }
-        if (whole.status() == 421 && "not-run".equals(whole.header("Spokestall-Outcome"))) {
-            return new GoResult.NotRun("not the instance that was meant");
-        }
-        if (!go.instance().equals(whole.header("Spokestall-Instance"))) {
-            return new GoResult.Lost("answer of another instance");
-        }
-        if ("not-run".equals(whole.header("Spokestall-Outcome"))) {
-            return new GoResult.NotRun("status " + whole.status());
-        }
-        final List<Header> headers = Fields.endToEnd(whole.headers());
-        if (go.method().equals("HEAD") && whole.header("Content-Length") != null) {
-            headers.add(new Header("Content-Length", whole.header("Content-Length")));
-        }
-        return new GoResult.Whole(new Content(whole.status(), headers, whole.body()));
+        return result instanceof HttpResult.Lost l ? new GoResult.Lost(l.why()) : goes.judge(go, (HttpResult.Whole) result);
     }
 
     /** On a wire of its own: whoever answered there before may be gone, and its old wires still open. */
-    private void get(final String address, final String target, final long waitMs, final Consumer<JsonNode> done) {
-        client.call(new HttpCall(address, "GET", target, List.of(), new byte[0], waitMs, LIST_MAX, true, Runnable::run,
-                () -> Long.MAX_VALUE, () -> { }), result -> {
+    private void get(final String at, final String target, final long waitMs, final boolean freshWire,
+            final Consumer<JsonNode> done) {
+        client.call(new HttpCall(at, "GET", target, List.of(), new byte[0], waitMs, waitMs, LIST_MAX, freshWire, true,
+                Runnable::run, () -> Long.MAX_VALUE, () -> { }), result -> {
                     JsonNode found = null;
                     if (result instanceof HttpResult.Whole whole && whole.status() == 200) {
                         try {
@@ -97,40 +76,37 @@
 
     @Override
     public void list(final long waitMs, final Consumer<List<Listed>> done) {
-        get(platform, "/upstreams", waitMs, tree -> {
-            if (tree == null || !tree.path("upstreams").isArray()) {
+        page(platform.listTarget(), waitMs, new ArrayList<>(), 1, done);
+    }
+
+    private void page(final String target, final long waitMs, final List<Listed> before, final int pages,
+            final Consumer<List<Listed>> done) {
+        get(address, target, waitMs, false, tree -> {
+            final PlatformSpeech.Page page = tree == null ? null : platform.page(tree, fleetMs.getAsLong());
+            if (page == null || pages > PAGES_MAX) {
                 done.accept(null);
                 return;
             }
-            final List<Listed> found = new ArrayList<>();
-            for (final JsonNode u : tree.path("upstreams")) {
-                final String address = u.path("address").asText();
-                if (address.matches("(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}") && !u.path("instance").asText().isEmpty()) {
-                    found.add(new Listed(u.path("instance").asText(), u.path("service").asText(), address,
-                            u.path("district").asText(), u.path("region").asText(), true,
-                            u.path("leaving").asBoolean(false), 0));
-                }
+            before.addAll(page.listed());
+            if (page.next() == null) {
+                done.accept(before);
+            } else {
+                page(page.next(), waitMs, before, pages + 1, done);
             }
-            done.accept(found);
         });
     }
 
     @Override
-    public void probe(final String address, final long waitMs, final Consumer<Prober.Probe> done) {
-        get(address, "/spokestall/status", waitMs, tree -> done.accept(tree == null || !tree.has("instance") ? null
-                : new Prober.Probe(tree.path("instance").asText(), tree.path("service").asText(),
-                tree.path("leaving").asBoolean(false), tree.path("readyForMs").asLong(0))));
+    public void probe(final String at, final long waitMs, final Consumer<Prober.Probe> done) {
+        get(at, platform.statusTarget(), waitMs, true, tree -> done.accept(tree == null ? null : platform.status(tree)));
     }
 
     @Override
     public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
             final LongSupplier until, final Consumer<Boolean> done) {
-        final ObjectNode out = Book.JSON.createObjectNode().put("window", sealed.window());
-        final ObjectNode counts = out.putObject("counts");
-        sealed.counts().forEach(counts::put);
-        client.call(new HttpCall(platform, "POST", "/usage", HttpCall.list(Map.of("Spokestall-Duty-Holder", holder,
-                "Spokestall-Fence-Token", Long.toString(token), "Content-Type", "application/json")),
-                out.toString().getBytes(StandardCharsets.UTF_8), waitMs, LIST_MAX, true, stage, until, () -> { }), result -> {
+        final PlatformSpeech.Report report = platform.report(holder, token, sealed);
+        client.call(new HttpCall(address, "POST", report.target(), report.headers(), report.body(), waitMs, waitMs, LIST_MAX,
+                true, false, stage, until, () -> { }), result -> {
                     final boolean ok = result instanceof HttpResult.Whole whole && whole.status() / 100 == 2;
                     stage.execute(() -> done.accept(ok));
                 });
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/OwnAsks.java
@@ -0,0 +1,56 @@
+package spokestall.rim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.nio.charset.StandardCharsets;
+import spokestall.edge.Answer;
+import spokestall.edge.AskHead;
+import spokestall.policy.Book;
+
+/** spokestall's own speech with callers; docs/protocols.md has it. */
+final class OwnAsks implements AskSpeech {
+    @Override
+    public AskHead head(final String method, final String host, final String target, final HeaderMap headers,
+            final long bodyBytes) {
+        return new AskHead(method, host, target, headers.getFirst("Spokestall-Key"), headers.getFirst("Spokestall-Ask-Id"),
+                span(headers), bodyBytes, Fields.endToEnd(headers));
+    }
+
+    private static long span(final HeaderMap headers) {
+        try {
+            return Long.parseLong(headers.getFirst("Spokestall-Deadline-Ms"));
+        } catch (final NumberFormatException e) {
+            return Long.MIN_VALUE;
+        }
+    }
+
+    @Override
+    public int status(final Answer a) {
+        return a.content() != null ? a.content().status() : a.result().httpStatus();
+    }
+
+    @Override
+    public void headers(final Answer a, final HeaderMap headers) {
+        headers.put(new HttpString("Spokestall-Code"), a.result().number());
+        headers.put(new HttpString("Spokestall-Outcome"), a.ran().word());
+        headers.put(new HttpString("Spokestall-Goes"), a.goes());
+        if (a.instance() != null) {
+            headers.put(new HttpString("Spokestall-Instance"), a.instance());
+        }
+        if (a.retryAfterMs() > 0) {
+            headers.put(Headers.RETRY_AFTER, (a.retryAfterMs() + 999) / 1000);
+        }
+        if (a.content() == null) {
+            headers.put(Headers.CONTENT_TYPE, "application/json");
+        }
+    }
+
+    @Override
+    public byte[] body(final Answer a) {
+        final ObjectNode out = Book.JSON.createObjectNode().put("code", a.result().number())
+                .put("text", a.result().text()).put("outcome", a.ran().word());
+        return out.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/OwnPlatform.java
@@ -0,0 +1,58 @@
+package spokestall.rim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import spokestall.duty.Sealed;
+import spokestall.listing.Listed;
+import spokestall.listing.Prober;
+import spokestall.policy.Book;
+import spokestall.wire.Header;
+
+/** spokestall's own speech with a platform; docs/protocols.md has it. */
+final class OwnPlatform implements PlatformSpeech {
+    @Override
+    public String listTarget() {
+        return "/upstreams";
+    }
+
+    @Override
+    public Page page(final JsonNode tree, final long nowMs) {
+        if (!tree.path("upstreams").isArray()) {
+            return null;
+        }
+        final List<Listed> found = new ArrayList<>();
+        for (final JsonNode u : tree.path("upstreams")) {
+            final String address = u.path("address").asText();
+            if (address.matches("(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}") && !u.path("instance").asText().isEmpty()) {
+                found.add(new Listed(u.path("instance").asText(), u.path("service").asText(), address,
+                        u.path("district").asText(), u.path("region").asText(), true,
+                        u.path("leaving").asBoolean(false), 0));
+            }
+        }
+        return new Page(found, null);
+    }
+
+    @Override
+    public Report report(final String holder, final long token, final Sealed sealed) {
+        final ObjectNode out = Book.JSON.createObjectNode().put("window", sealed.window());
+        final ObjectNode counts = out.putObject("counts");
+        sealed.counts().forEach(counts::put);
+        return new Report("/usage", List.of(new Header("Spokestall-Duty-Holder", holder),
+                new Header("Spokestall-Fence-Token", Long.toString(token)), new Header("Content-Type", "application/json")),
+                out.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public String statusTarget() {
+        return "/spokestall/status";
+    }
+
+    @Override
+    public Prober.Probe status(final JsonNode tree) {
+        return !tree.has("instance") ? null : new Prober.Probe(tree.path("instance").asText(), tree.path("service").asText(),
+                tree.path("leaving").asBoolean(false), tree.path("readyForMs").asLong(0));
+    }
+}
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -54,13 +54,23 @@
                 Kind.MAYBE_ADDRESS, 0, 0);
         text("district", null, "the district this node is in");
         add("districts", null, "all districts with their regions, as d1=r1,d2=r1", Kind.DISTRICTS, 0, 0);
-        add("seeds", null, "three addresses of other nodes, comma between", Kind.ADDRESSES, 0, 0);
+        add("seeds", null, "up to three addresses of nodes that others know too, comma between", Kind.ADDRESSES, 0, 0);
         text("data", "", "the data folder; needed by a core");
         add("peers", "", "IP numbers, or networks such as 10.1.0.0/16, whose wires this node takes, comma between; if not"
                 + " given, the /16 of its own address", Kind.NETS, 0, 0);
         add("platform", null, "IP and port of the platform", Kind.ADDRESS, 0, 0);
         number("cores", 6, "cores in the fleet", 1, 63);
-        number("edges", 6, "edges in the fleet; shared bounds are divided by it", 1, 1024);
+        number("edges", 6, "edges in the fleet, by which shared bounds are divided; 0: not told, by those that are known", 0, 1024);
+        number("bootstrap", 0, "1: this is the very first start of the whole fleet, on empty disks", 0, 1);
+        number("alsoEdge", 0, "1: a core answers callers too", 0, 1);
+        number("keyed", 1, "1: an ask is looked up by its key; 0: by its host and path, and some need no key", 0, 1);
+        number("claims", 1, "1: a run-once ask may come twice and is claimed; 0: its callers never send one twice", 0, 1);
+        number("homeEdges", 1, "1: an edge takes asks only of tenants at home in its region", 0, 1);
+        number("holdsEdges", 1, "1: edges of a held district take no asks; 0: a hold empties its upstreams only", 0, 1);
+        number("districtCost", 0, "what it costs to send an ask to another district, in parts of a slot's work", 0, 100);
+        number("regionCost", 100, "the same to another region", 0, 1000);
+        number("warmSlack", 0, "what all edges together may send to a cold upstream each second beside its ramp", 0, 1000);
+        number("retryAfterMs", 500, "when a denied caller is told to come back, at the least", 1, 60_000);
         number("keyBoundMs", 5000, "a withdrawn key must stop within this", 500, 60_000);
         number("policyBoundMs", 3500, "an accepted policy must be in force within this", 500, 60_000);
         number("leaveBoundMs", 4000, "a leaving upstream or held district must be empty within this", 500, 60_000);
@@ -82,9 +92,14 @@
         number("ringSegmentBytes", 8 << 20, "size of each", 1 << 16, 1 << 30);
         number("noteVersion", Codec.VERSION, "version of the notes this node sends; the older one while an upgrade is under way",
                 Codec.OLDEST, Codec.VERSION);
-        number("auditFiles", 8, "audit files kept, the oldest going first", 2, 1000);
+        number("auditFiles", 8, "audit files kept, the oldest going first; 0: no audit is written", 0, 1000);
         number("auditFileBytes", 1 << 20, "size of each", 4096, 1 << 30);
         number("workers", 4, "worker threads", 1, 256);
+        number("ioThreads", 2, "threads that read and write wires", 1, 64);
+        number("probes", 1, "1: cores probe upstreams; 0: what the platform lists is taken for ready, and asks show the rest", 0, 1);
+        number("wireRestMs", 1000, "how long a wire to an upstream may rest and be used again", 1, 600_000);
+        number("connectMs", 2000, "how long opening a wire to an upstream may take", 1, 60_000);
+        number("whereS", 2, "how long callers may use the edges they were told", 0.1, 600);
         number("stopWaitMs", 3000, "how long a clean stop lets go what is in flight", 0, 600_000);
     }
 
@@ -185,8 +200,8 @@
             }
             case ADDRESSES -> {
                 final String[] all = value.split(",", -1);
-                if (all.length != 3) {
-                    troubles.add(new Trouble(key, "needs three addresses, has " + all.length));
+                if (all.length > 3) {
+                    troubles.add(new Trouble(key, "needs three addresses at the most, has " + all.length));
                 }
                 for (final String one : all) {
                     address(key, one, troubles);
@@ -306,6 +321,11 @@
         return found;
     }
 
+    /** The platform's own place, beside its address. Example: {@code settings.region("d1")} */
+    public String region(final String district) {
+        return districts().get(district);
+    }
+
     /** Every region. Example: {@code settings.regions().contains("r1")} */
     public Set<String> regions() {
         return new TreeSet<>(districts().values());
--- a/spokestall/src/main/java/spokestall/view/View.java
+++ b/spokestall/src/main/java/spokestall/view/View.java
@@ -48,7 +48,7 @@
     /** This node as others should know it. Example: {@code view.self().name()} */
     public Member self() {
         return new Member(self.name(), self.address(), self.httpAddress(), self.core(), self.district(),
-                self.region(), self.life(), fleet.nowMs(), leaving, self.cores(), self.edges());
+                self.region(), self.life(), fleet.nowMs(), leaving, self.cores(), self.edges(), self.alsoEdge());
     }
 
     /** Tells the neighbours from now on that this node is going. Example: {@code view.leave();} */
--- a/spokestall/src/test/java/spokestall/wire/CodecTest.java
+++ b/spokestall/src/test/java/spokestall/wire/CodecTest.java
@@ -32,7 +32,7 @@
         assertThat(first[0]).as("the first version begins with its kind's number").isZero();
         final byte[] later = Codec.note(beat(3, true), 2);
         later[0] = Codec.VERSION + 1;
-        assertThatThrownBy(() -> Codec.note(later)).isInstanceOf(UnknownNote.class).hasMessage("version 3");
+        assertThatThrownBy(() -> Codec.note(later)).isInstanceOf(UnknownNote.class).hasMessage("version " + (Codec.VERSION + 1));
         final byte[] strange = Codec.note(beat(3, true), 2);
         strange[2] ^= 0x40;
         assertThatThrownBy(() -> Codec.note(strange)).isInstanceOf(UnknownNote.class).hasMessageStartingWith("kind ");
