--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -1,5 +1,6 @@
 package spokestall.edge;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -27,6 +28,7 @@
             long ticketAheadMs, Habits habits) {
     }
 
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** Methods that speak of the wire, not of what is behind it. */
     private static final Set<String> NOT_PROXIED = Set.of("CONNECT", "TRACE");
     private final Parts parts;
@@ -35,6 +37,7 @@
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Map<Long, Consumer<HandNote.Back>> handAsks = new HashMap<>();
     private final Map<Result, Long> told = new EnumMap<>(Result.class);
+    private final Map<Result, Long> said = new EnumMap<>(Result.class);
     private boolean leaving;
     private long nextHandId = 1;
 
@@ -121,6 +124,7 @@
             return denied(Result.TOO_LARGE, unproven);
         }
         if (!parts.elector().mayReserve(rule, nameOf(tenant), u -> binding.home(tenant, u.region()) && !policy.holds().contains(u.district()))) {
+            say(Result.NO_UPSTREAM, tenant, binding);
             return denied(Result.NO_UPSTREAM, unproven);
         }
         // The longest that both bodies may be is kept free for the ask from here on.
@@ -161,6 +165,17 @@
         return deny(Result.BUSY, Ticket.of(head.askId()) != null ? Ran.UNDECIDED : Ran.NOT_RUN, 0);
     }
 
+    /** One line a second for each reason at the most; {@link #told} has the counts. */
+    void say(final Result why, final Tenant tenant, final Binding binding) {
+        final long nowMs = parts.clock().nowMs();
+        final Long saidMs = said.get(why);
+        if (saidMs == null || nowMs - saidMs >= 1000) {
+            said.put(why, nowMs);
+            LOG.atInfo().log("event=denied node=%s code=%s tenant=%s homes=%s binding=%s regions=%s", parts.self().name(),
+                    why.number(), nameOf(tenant), tenant == null ? "" : tenant.homeRegions(), binding.name(), binding.regions());
+        }
+    }
+
     private Opened denied(final Result result, final Ran ran) {
         told.merge(result, 1L, Long::sum);
         return new Opened.Deny(deny(result, ran, 0));
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -142,6 +142,9 @@
         }
         flags.forEach((key, value) -> put(key, value, values, troubles));
         KEYS.forEach((key, k) -> check(key, k, values.get(key), troubles));
+        if (!"0".equals(values.get("cores")) && values.get("seeds") != null && values.get("seeds").split(",", -1).length != 3) {
+            troubles.add(new Trouble("seeds", "needs three addresses, where cores are counted"));
+        }
         if (troubles.isEmpty()) {
             checkTogether(values, core, troubles);
         }
