--- a/proof/src/main/java/spokestall/proof/Scenario.java
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import spokestall.wire.Codec;
 
 /** The brief's failures, each as a script that is played while asks flow; MIXED plays several at random. */
@@ -164,6 +165,29 @@
             run.later(28_000, run.operator::bind);
         }
     },
+    UNKNOWN {
+        @Override
+        void play(final SimRun run) {
+            // Nobody was told how many there are. A seed came late, a core joined after the founding; now a disk goes, a core
+            // under a new name comes, and a seed is restarted.
+            run.later(1000, () -> run.loseDisk(run.world.nodes.get("d4-core"), 2000));
+            run.later(9000, () -> run.grow("d2-core2", 7));
+            run.later(14_000, () -> run.bounce(run.world.nodes.get("d3-edge"), 1000, false));
+            run.later(18_000, () -> run.loseDisk(run.world.nodes.get("d2-core2"), 2000));
+            run.later(24_000, run.operator::bind);
+        }
+
+        @Override
+        Map<String, String> settings() {
+            return Map.of("cores", "0", "bootstrap", "1", "seeds", "10.0.1.1:7100,10.0.2.3:7100,10.0.1.5:7100");
+        }
+
+        @Override
+        long startMs(final SimNode node, final Random random) {
+            final long usual = super.startMs(node, random);
+            return node.name.equals("d1-core") ? 4000 + usual : node.name.equals("d6-core") ? 12_000 + usual : usual;
+        }
+    },
     OVERLOAD {
         @Override
         void play(final SimRun run) {
@@ -393,6 +417,11 @@
         return 30_000;
     }
 
+    /** When a node is first started. */
+    long startMs(final SimNode node, final Random random) {
+        return random.nextInt(1500);
+    }
+
     /** All that a sweep runs: every one but the long one. */
     static List<Scenario> sweep() {
         return Arrays.stream(values()).filter(s -> s != LONG).toList();
--- a/proof/src/main/java/spokestall/proof/SimNode.java
+++ b/proof/src/main/java/spokestall/proof/SimNode.java
@@ -98,6 +98,8 @@
         }
         life++;
         read();
+        // Only a machine's very first start may be told that the fleet has never run.
+        set("bootstrap", "0");
         final long mine = life;
         final Clock clock = new Clock() {
             @Override
--- a/proof/src/main/java/spokestall/proof/World.java
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -58,6 +58,7 @@
 
     final Plant plant;
     final int segmentBytes;
+    private final Map<String, String> settings;
     /** How often, and for how long, a machine freezes just between its last check and its bytes leaving. */
     double gapShare;
     long gapMs;
@@ -82,7 +83,7 @@
 
     World(final long seed, final Deployment deployment, final boolean traced, final Plant plant,
             final Scenario scenario) {
-        final Map<String, String> settings = new TreeMap<>(scenario.settings());
+        this.settings = new TreeMap<>(scenario.settings());
         settings.putAll(plant.settings());
         this.segmentBytes = scenario.segmentBytes();
         this.plant = plant;
@@ -135,6 +136,14 @@
         net.place(to, node.region);
     }
 
+    /** A core more, of a name of its own. */
+    SimNode grow(final String name, final int place) {
+        final SimNode node = new SimNode(this, name, true, place, settings);
+        node.set("bootstrap", "0");
+        add(node);
+        return node;
+    }
+
     private void add(final SimNode node) {
         nodes.put(node.name, node);
         byAddress.put(node.address, node);
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -14,8 +14,11 @@
 import spokestall.audit.Audit;
 import spokestall.audit.Auditor;
 import spokestall.ballot.BallotNote;
+import spokestall.ballot.Council;
+import spokestall.ballot.CouncilNote;
 import spokestall.ballot.FormNote;
 import spokestall.ballot.Formation;
+import spokestall.ballot.Founder;
 import spokestall.ballot.Proposer;
 import spokestall.ballot.Register;
 import spokestall.ballot.Remains;
@@ -77,6 +80,8 @@
     private static final int WINDOWS_KEPT = 16;
     private static final int HINTS_KEPT = 16_384;
     private static final int HANDED_AT_ONCE = 128;
+    /** What a count that was not told is taken for where a table needs a bound. */
+    private static final int UNTOLD = Voters.SEATS_MAX;
 
     static {
         Notes.number();
@@ -99,6 +104,8 @@
     final Ring ring;
     final Voter voter;
     private final Keeping keeping;
+    private final Council council;
+    private final Founder founder;
     private final Formation formation;
     private final Prober prober;
     private final UsageBook usage;
@@ -143,7 +150,7 @@
                 (int) settings.ms("cores"), (int) settings.ms("edges"));
         final long farMs = settings.ms("farMs");
         this.view = new View(self, settings.seeds(), post, clock, fleet, random, new View.Pace(
-                2 * (int) (settings.ms("cores") + settings.ms("edges")), 6, settings.part("leaveBoundMs", 4)));
+                2 * (told("cores") + told("edges")), 6, settings.part("leaveBoundMs", 4)));
         this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"));
         this.proposer = new Proposer(name + "#" + Long.toHexString(life), address, post, clock, random,
                 new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64), this::missed);
@@ -162,10 +169,16 @@
         this.keeping = core ? new Keeping(fleet, settings.ms("claimKeepMs"), settings.part("claimKeepMs", 0.2),
                 windowMs, this::voters, () -> policyFloor, ring::fill) : null;
         this.voter = core ? new Voter(name, ring, post, keeping, freshId()) : null;
+        final boolean first = settings.ms("cores") == 0 && settings.ms("bootstrap") == 1 && (!core || voter.openedBlank());
+        this.council = new Council(address, settings.seeds(), first, post, this::voters, core ? this::marked : Runnable::run);
+        this.founder = core && first ? new Founder(name, address, name + "#" + Long.toHexString(life), settings.seeds(),
+                post, clock, new Founder.Pace(settings.part("leaveBoundMs", 0.5), settings.part("leaveBoundMs", 0.25),
+                8 * farMs), seats -> new Merge(fleet).merge(0, List.of(remains()), seats)) : null;
         this.formation = core ? new Formation(name, address, name + "#" + Long.toHexString(life), voter, proposer,
-                post, clock, new Formation.Pace((int) settings.ms("cores"), settings.part("leaveBoundMs", 0.4),
-                settings.part("leaveBoundMs", 0.15), settings.part("leaveBoundMs", 0.75), 8 * farMs),
-                new Merge(fleet), this::remains, this::coreAndEdgeAddresses, this::freshId, fleet::settled) : null;
+                post, clock, new Formation.Pace((int) settings.ms("cores"), settings.part("leaveBoundMs", 0.6),
+                settings.part("leaveBoundMs", 0.15), settings.part("leaveBoundMs", 0.75), 8 * farMs,
+                settings.part("leaveBoundMs", 0.25), settings.ms("noteVersion") < 3), new Merge(fleet), this::remains,
+                this::coreAndEdgeAddresses, this::otherCoreAddresses, founder, this::freshId, fleet::settled) : null;
         this.prober = core ? new Prober(self, listing, rim.reach(), post, fleet, new Prober.Pace(
                 settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2),
                 this::otherCores) : null;
@@ -198,6 +211,18 @@
                 settings.part("claimKeepMs", 0.01)));
     }
 
+    private int told(final String count) {
+        return settings.ms(count) == 0 ? UNTOLD : (int) settings.ms(count);
+    }
+
+    private void marked(final Runnable then) {
+        voter.keepOwn("~council", new byte[0], ok -> {
+            if (ok) {
+                then.run();
+            }
+        });
+    }
+
     private String freshId() {
         return name + "/" + Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
     }
@@ -396,6 +421,13 @@
         return List.copyOf(found);
     }
 
+    private List<String> otherCoreAddresses() {
+        final Set<String> found = new java.util.TreeSet<>(otherCores().stream().map(Member::address).toList());
+        found.addAll(coreAddresses());
+        found.remove(address);
+        return List.copyOf(found);
+    }
+
     private List<String> homeCores(final Set<String> regions) {
         return view.members().stream().filter(m -> m.core() && regions.contains(m.region())).map(Member::address)
                 .toList();
@@ -469,6 +501,11 @@
             view.hear(v);
         } else if (note instanceof BallotNote b) {
             hear(b);
+        } else if (note instanceof CouncilNote c) {
+            council.hear(c);
+            if (founder != null) {
+                founder.hear(c);
+            }
         } else if (note instanceof FormNote.RemainsAsk ask) {
             post.send(ask.from(), new FormNote.RemainsBack(remains()));
         } else if (note instanceof FormNote f) {
@@ -498,7 +535,7 @@
     private void standing(final FormNote.Standing s) {
         if (s.table() != null && s.table().newerThan(voters())) {
             proposer.adopt(s.table());
-        } else if (voters() != null && voters().newerThan(s.table())) {
+        } else if (s.lacks(voters())) {
             post.send(s.address(), new BallotNote.Table(voters()));
         }
     }
@@ -531,7 +568,7 @@
 
     /** Hands over what a voter that is back should have had. It takes it like any late word of a chosen value. */
     private void hand(final FormNote.Standing back) {
-        if (voter.state() != Voter.State.VOTING || !back.table().same(voters().generation(), voters().epoch())) {
+        if (voter.state() != Voter.State.VOTING || !voters().same(back.generation(), back.epoch())) {
             return;
         }
         for (final String key : hints.take(back.name(), HANDED_AT_ONCE)) {
--- a/spokestall/src/main/java/spokestall/Notes.java
+++ b/spokestall/src/main/java/spokestall/Notes.java
@@ -1,6 +1,7 @@
 package spokestall;
 
 import spokestall.ballot.BallotNote;
+import spokestall.ballot.CouncilNote;
 import spokestall.ballot.FormNote;
 import spokestall.duty.UsageNote;
 import spokestall.feed.FeedNote;
@@ -44,5 +45,9 @@
         Codec.number(61, HandNote.Ask.class);
         Codec.number(62, HandNote.Back.class);
         Codec.number(63, HandNote.Hint.class);
+        Codec.number(70, CouncilNote.Ask.class);
+        Codec.number(71, CouncilNote.Promise.class);
+        Codec.number(72, CouncilNote.Offer.class);
+        Codec.number(73, CouncilNote.Taken.class);
     }
 }
--- a/spokestall/src/main/java/spokestall/ballot/FormNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/FormNote.java
@@ -1,16 +1,34 @@
 package spokestall.ballot;
 
+import java.util.List;
 import spokestall.wire.Note;
+import spokestall.wire.Since;
 
 /** What cores say to each other about who can vote, and the ballot for a new generation. */
 public sealed interface FormNote extends Note {
-    /** A core's own word on its state, told to every core it knows. */
+    /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. */
     record Standing(String name, String address, String diskId, Voters table, boolean hasState, boolean voting,
-            boolean canWrite) implements FormNote {
+            boolean canWrite, @Since(3) long generation, @Since(3) long epoch, @Since(3) boolean founding)
+            implements FormNote {
+        /** The older form has the table always, and its numbers nowhere else. */
+        public Standing {
+            generation = table == null ? generation : table.generation();
+            epoch = table == null ? epoch : table.epoch();
+        }
+
+        /** Whether whoever says so has a newer table. Example: {@code if (s.newerThan(mine)) ask();} */
+        public boolean newerThan(final Voters mine) {
+            return generation > 0 && new Voters(generation, epoch, List.of()).newerThan(mine);
+        }
+
+        /** Whether whoever says so lacks this table. Example: {@code if (s.lacks(mine)) tell();} */
+        public boolean lacks(final Voters mine) {
+            return mine != null && (generation == 0 || mine.newerThan(new Voters(generation, epoch, List.of())));
+        }
     }
 
     /** Phase one of the ballot that ends a generation. */
-    record FormPrepare(String from, long base, Ballot ballot) implements FormNote {
+    record FormPrepare(String from, long base, Ballot ballot, @Since(3) long epoch) implements FormNote {
     }
 
     /** The reply to {@link FormPrepare}, with what this core still has. */
--- a/spokestall/src/main/java/spokestall/ballot/Formation.java
+++ b/spokestall/src/main/java/spokestall/ballot/Formation.java
@@ -14,7 +14,7 @@
 import spokestall.wire.Post;
 
 /**
- * How the cores become voters: the first table, the swap of a lost disk's seat, and a new generation when so many
+ * How the cores become voters: the first table, the swap of a lost disk's seat, a seat more, and a new generation when so many
  * disks are lost that no majority with state can be. A core that takes part in a new generation's ballot has resigned
  * from the old one first, so the two can never both have a majority.
  */
@@ -28,8 +28,10 @@
         Founding merge(long base, List<Remains> remains, List<Seat> seats);
     }
 
-    /** Spans and sizes, from the settings. */
-    public record Pace(int cores, long freshMs, long settleMs, long waitAllMs, long roundMs) {
+    /** Spans and sizes, from the settings; cores is 0 if nobody said how many. A settled core says its standing each
+     * sayMs, always with its table if others read the older form only. */
+    public record Pace(int cores, long freshMs, long settleMs, long waitAllMs, long roundMs, long sayMs,
+            boolean alwaysTable) {
     }
 
     /** What an acceptor keeps on disk about a new generation's ballot. */
@@ -52,6 +54,8 @@
     private final Merger merger;
     private final Supplier<Remains> own;
     private final Supplier<List<String>> others;
+    private final Supplier<List<String>> cores;
+    private final Founder founder;
     private final Supplier<String> freshId;
     private final BooleanSupplier ready;
     private final Map<String, Heard> heard = new TreeMap<>();
@@ -68,12 +72,17 @@
     private long stuckSinceMs = -1;
     private boolean joining;
     private Founding proposed;
+    private Founding founded;
+    private FormNote.Standing said;
+    private long saidMs = Long.MIN_VALUE / 2;
+    private long changedMs;
 
-    /** Example: see {@code Node}, which joins it to the voter, the proposer and the view. */
+    /** {@code others} are all other nodes known, {@code cores} the cores among them; {@code founder} is null on a core
+     * that may not found the first generation by the seeds. Example: see {@code Node}, which joins it to the voter, the proposer and the view. */
     public Formation(final String name, final String address, final String by, final Voter voter,
             final Proposer proposer, final Post post, final Clock clock, final Pace pace, final Merger merger,
-            final Supplier<Remains> own, final Supplier<List<String>> others, final Supplier<String> freshId,
-            final BooleanSupplier ready) {
+            final Supplier<Remains> own, final Supplier<List<String>> others, final Supplier<List<String>> cores,
+            final Founder founder, final Supplier<String> freshId, final BooleanSupplier ready) {
         this.name = name;
         this.address = address;
         this.by = by;
@@ -85,6 +94,8 @@
         this.merger = merger;
         this.own = own;
         this.others = others;
+        this.cores = cores;
+        this.founder = founder;
         this.freshId = freshId;
         this.ready = ready;
         final byte[] had = voter.own(FORM);
@@ -101,7 +112,7 @@
     /** What this core says of itself. Example: {@code post.send(peer, formation.standing());} */
     public FormNote.Standing standing() {
         return new FormNote.Standing(name, address, voter.diskId(), voter.voters(), voter.hasState(),
-                voter.state() == Voter.State.VOTING, voter.canWrite());
+                voter.state() == Voter.State.VOTING, voter.canWrite(), 0, 0, founder != null && voter.voters() == null);
     }
 
     /** The cores heard of late, by name, with what they said. Example: {@code formation.fresh().size()} */
@@ -139,15 +150,49 @@
         phaseMs = clock.nowMs();
     }
 
-    /** One beat: says its standing, joins, or starts a new generation. Example: {@code formation.tick();} */
-    public void tick() {
+    /** Says its standing to the cores, often only while something moves; to edges only while it knows no table, since
+     * theirs may be the last there is. */
+    private void say() {
+        final long nowMs = clock.nowMs();
         final FormNote.Standing mine = standing();
-        for (final String other : others.get()) {
-            post.send(other, mine);
+        if (!mine.equals(said)) {
+            said = mine;
+            changedMs = nowMs;
+        }
+        final boolean settled = phase == Phase.IDLE && nowMs - changedMs > 3 * pace.sayMs()
+                && (voter.state() == Voter.State.VOTING || voter.state() == Voter.State.STOPPED);
+        if (settled && nowMs - saidMs < pace.sayMs()) {
+            return;
         }
+        final boolean edgesToo = mine.table() == null && nowMs / pace.sayMs() != saidMs / pace.sayMs();
+        saidMs = nowMs;
+        final Set<String> have = new HashSet<>();
+        heard.values().forEach(h -> {
+            if (!h.standing.lacks(mine.table())) {
+                have.add(h.standing.address());
+            }
+        });
+        final FormNote.Standing lean = pace.alwaysTable() ? mine : new FormNote.Standing(name, address, mine.diskId(), null,
+                mine.hasState(), mine.voting(), mine.canWrite(), mine.generation(), mine.epoch(), mine.founding());
+        for (final String other : edgesToo ? others.get() : cores.get()) {
+            post.send(other, have.contains(other) ? lean : mine);
+        }
+    }
+
+    /** One beat: says its standing, joins, or starts a new generation. Example: {@code formation.tick();} */
+    public void tick() {
+        say();
         voter.tick(address);
         final Map<String, FormNote.Standing> fresh = fresh();
-        if (phase != Phase.IDLE) {
+        if (founded != null && founded.table().seats().stream().allMatch(seat -> fresh.containsKey(seat.name())
+                && fresh.get(seat.name()).hasState())) {
+            founded = null;
+        }
+        if (voter.voters() == null && pace.cores() == 0) {
+            if (founder != null && voter.canWrite() && ready.getAsBoolean()) {
+                founder.tick(blanks(fresh));
+            }
+        } else if (phase != Phase.IDLE) {
             advance(fresh);
         } else if (wanted(fresh)) {
             consider(fresh);
@@ -157,28 +202,49 @@
         }
     }
 
+    private static Map<String, Seat> blanks(final Map<String, FormNote.Standing> fresh) {
+        final Map<String, Seat> blanks = new TreeMap<>();
+        fresh.forEach((peer, s) -> {
+            if (s.founding() && s.canWrite()) {
+                blanks.put(peer, new Seat(peer, s.address(), s.diskId()));
+            }
+        });
+        return blanks;
+    }
+
+    /** How many take part in a new generation's ballot: the seats of the table that it ends. */
+    private int size() {
+        return voter.voters() == null ? pace.cores() : voter.voters().seats().size();
+    }
+
     private int majority() {
-        return pace.cores() / 2 + 1;
+        return size() / 2 + 1;
+    }
+
+    private boolean elects(final String core) {
+        return voter.voters() == null ? pace.cores() != 0 : voter.voters().seat(core) != null;
     }
 
     /** True when no majority with state can be put together from the cores there are. */
     private boolean wanted(final Map<String, FormNote.Standing> fresh) {
-        if (!voter.canWrite() || !ready.getAsBoolean()) {
+        if (!voter.canWrite() || !ready.getAsBoolean() || !elects(name)) {
             return false;
         }
         int canWrite = 0;
         int withState = 0;
         for (final FormNote.Standing s : fresh.values()) {
-            if (s.table() != null && s.table().newerThan(voter.voters())) {
+            if (s.newerThan(voter.voters())) {
                 return false;
             }
-            canWrite += s.canWrite() ? 1 : 0;
-            withState += s.hasState() && s.table() != null && s.table().generation() == generation() ? 1 : 0;
+            if (elects(s.name())) {
+                canWrite += s.canWrite() ? 1 : 0;
+                withState += s.hasState() && s.generation() > 0 && s.generation() == generation() ? 1 : 0;
+            }
         }
         if (voter.voters() == null) {
             return canWrite == pace.cores();
         }
-        return canWrite >= majority() && canWrite - withState > pace.cores() - majority();
+        return canWrite >= majority() && canWrite - withState > size() - majority();
     }
 
     private void consider(final Map<String, FormNote.Standing> fresh) {
@@ -187,7 +253,7 @@
             wantedSinceMs = nowMs;
         }
         final int rank = new ArrayList<>(fresh.keySet()).indexOf(name);
-        final long waitMs = (fresh.size() >= pace.cores() ? pace.settleMs() : pace.waitAllMs())
+        final long waitMs = (fresh.size() >= size() ? pace.settleMs() : pace.waitAllMs())
                 + rank * pace.roundMs();
         if (nowMs - wantedSinceMs >= waitMs) {
             base = generation();
@@ -218,8 +284,11 @@
         promises.clear();
         accepted.clear();
         change(Phase.PREPARE, "gathered");
+        final long epoch = voter.voters() == null ? 0 : voter.voters().epoch();
         for (final FormNote.Standing s : fresh.values()) {
-            post.send(s.address(), new FormNote.FormPrepare(address, base, ballot));
+            if (elects(s.name())) {
+                post.send(s.address(), new FormNote.FormPrepare(address, base, ballot, epoch));
+            }
         }
     }
 
@@ -268,20 +337,42 @@
     }
 
     private void standing(final FormNote.Standing s) {
-        if (heard.size() >= 4 * pace.cores() && !heard.containsKey(s.name())) {
+        if (heard.size() >= 4 * Voters.SEATS_MAX && !heard.containsKey(s.name())) {
             return;
         }
-        heard.put(s.name(), new Heard(s, clock.nowMs()));
-        if (s.table() != null && s.table().newerThan(voter.voters())) {
-            adopt(s.table());
-        } else if (voter.voters() != null && voter.voters().newerThan(s.table())) {
-            post.send(s.address(), new BallotNote.Table(voter.voters()));
+        final Heard had = heard.put(s.name(), new Heard(s, clock.nowMs()));
+        if (s.newerThan(voter.voters())) {
+            if (s.table() != null) {
+                adopt(s.table());
+            } else {
+                post.send(s.address(), standing());
+            }
+        } else if (s.lacks(voter.voters())) {
+            post.send(s.address(), missedFounding(s) ? new FormNote.Founded(founded)
+                    : new BallotNote.Table(voter.voters()));
+        } else if (missedFounding(s)) {
+            post.send(s.address(), new FormNote.Founded(founded));
+        }
+        if (had == null || clock.nowMs() - had.heardMs > pace.freshMs()) {
+            // Whoever has just come should not have to wait for the next beat.
+            post.send(s.address(), standing());
         }
     }
 
+    /** A seat of the first table that has not voted yet must have missed what it starts from. */
+    private boolean missedFounding(final FormNote.Standing s) {
+        final Seat seat = founded == null || founded.table().generation() != generation() ? null
+                : founded.table().seat(s.name());
+        return seat != null && seat.diskId().equals(s.diskId()) && !s.hasState()
+                && (s.generation() == 0 || s.generation() <= generation());
+    }
+
     private void prepare(final FormNote.FormPrepare p) {
-        if (p.base() != generation() || !voter.canWrite()) {
-            if (voter.voters() != null && p.base() < generation()) {
+        // A ballot by an older table would have other voters: none is given once a newer one is known.
+        final boolean older = voter.voters() != null && (p.base() < generation()
+                || p.base() == generation() && p.epoch() > 0 && p.epoch() < voter.voters().epoch());
+        if (older || p.base() != generation() || !voter.canWrite() || !elects(name)) {
+            if (older) {
                 post.send(p.from(), new BallotNote.Table(voter.voters()));
             }
             return;
@@ -310,7 +401,7 @@
     }
 
     private void promise(final FormNote.FormPromise p) {
-        if (phase != Phase.PREPARE || p.base() != base || !p.ballot().equals(ballot)) {
+        if (phase != Phase.PREPARE || p.base() != base || !p.ballot().equals(ballot) || !elects(p.name())) {
             return;
         }
         if (p.yes()) {
@@ -321,7 +412,7 @@
     }
 
     private void accept(final FormNote.FormAccept a) {
-        if (a.base() != generation() || !voter.canWrite()) {
+        if (a.base() != generation() || !voter.canWrite() || !elects(name)) {
             return;
         }
         if (kept != null && kept.base == a.base() && a.ballot().compareTo(kept.promised) < 0) {
@@ -338,7 +429,7 @@
     }
 
     private void accepted(final FormNote.FormAccepted a) {
-        if (phase != Phase.ACCEPT || a.base() != base || !a.ballot().equals(ballot)) {
+        if (phase != Phase.ACCEPT || a.base() != base || !a.ballot().equals(ballot) || !elects(a.name())) {
             return;
         }
         if (!a.yes()) {
@@ -359,9 +450,19 @@
     }
 
     private void found(final Founding founding) {
+        if (voter.voters() != null && founding.table().generation() == generation()) {
+            voter.foundLate(founding.table(), founding.entries());
+            founded = founding;
+            return;
+        }
         if (!founding.table().newerThan(voter.voters())) {
             return;
         }
+        founded = founding;
+        if (founding.table().seat(name) == null) {
+            adopt(founding.table());
+            return;
+        }
         LOG.atInfo().log("event=founded node=%s generation=%s registers=%s", name, founding.table().generation(),
                 founding.entries().size());
         voter.found(founding.table(), founding.entries());
@@ -370,7 +471,8 @@
         change(Phase.IDLE, "founded");
     }
 
-    /** A blank core, or one that came back at another address, asks for its seat, once four others are there to agree. */
+    /** A blank core, one that came back at another address, or one without a seat asks for its seat, once a majority is
+     * there to agree. One seat is changed by each epoch. */
     private void join(final Map<String, FormNote.Standing> fresh) {
         final Voters table = voter.voters();
         if (table == null || joining || !voter.canWrite()) {
@@ -395,9 +497,13 @@
         }
         final Seat seat = table.seat(name);
         final boolean moved = seat != null && seat.diskId().equals(voter.diskId()) && !seat.address().equals(address);
+        if (seat == null && table.seats().size() >= Voters.SEATS_MAX) {
+            return;
+        }
         if (voter.state() == Voter.State.BLANK || moved) {
             joining = true;
-            final byte[] mine = Codec.bytes(table.swap(new Seat(name, address, voter.diskId())));
+            final Seat wanted = new Seat(name, address, voter.diskId());
+            final byte[] mine = Codec.bytes(seat == null ? table.add(wanted) : table.swap(wanted));
             proposer.change("voters/" + table.generation() + "/" + (table.epoch() + 1), pace.roundMs() * 2,
                     now -> now == null ? new Edit.Set(mine) : Edit.LEAVE, this::joined);
         }
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ballot/Founder.java
@@ -0,0 +1,144 @@
+package spokestall.ballot;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import spokestall.time.Clock;
+import spokestall.wire.Post;
+
+/**
+ * Founds the first generation of a fleet whose size nobody was told: proposes the cores it has heard, once no new one has
+ * come for a while, to the seeds. A majority of the seeds' {@link Council}s decides; whoever is not in the table joins it.
+ */
+public final class Founder {
+    /** Explicit states. */
+    private enum Phase { IDLE, ASK, OFFER, FOUNDED }
+
+    /** Spans, from the settings. */
+    public record Pace(long sinceStartMs, long settleMs, long roundMs) {
+    }
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private final String name;
+    private final String address;
+    private final String by;
+    private final List<String> seeds;
+    private final Post post;
+    private final Clock clock;
+    private final Pace pace;
+    private final Function<List<Seat>, Founding> make;
+    private final long startedMs;
+    private final Map<String, Seat> known = new TreeMap<>();
+    private final Map<String, CouncilNote.Promise> promises = new TreeMap<>();
+    private final Set<String> taken = new HashSet<>();
+    private Phase phase = Phase.IDLE;
+    private Ballot ballot = Ballot.NONE;
+    private long count;
+    private long changedMs;
+    private long phaseMs;
+    private Founding proposed;
+
+    /** Example: see {@code Node}; {@code make} makes a founding of the seats. */
+    public Founder(final String name, final String address, final String by, final List<String> seeds, final Post post,
+            final Clock clock, final Pace pace, final Function<List<Seat>, Founding> make) {
+        this.name = name;
+        this.address = address;
+        this.by = by;
+        this.seeds = seeds.stream().sorted().distinct().toList();
+        this.post = post;
+        this.clock = clock;
+        this.pace = pace;
+        this.make = make;
+        this.startedMs = clock.nowMs();
+        this.changedMs = startedMs;
+    }
+
+    private void change(final Phase to, final String why) {
+        LOG.atInfo().log("event=founder node=%s from=%s to=%s why=%s", name, phase, to, why);
+        phase = to;
+        phaseMs = clock.nowMs();
+    }
+
+    /** One beat while no table is known, with the cores that may be in the first one.
+     * Example: {@code founder.tick(blanks);} */
+    public void tick(final Map<String, Seat> blanks) {
+        final long nowMs = clock.nowMs();
+        if (!known.keySet().containsAll(blanks.keySet())) {
+            changedMs = nowMs;
+        }
+        known.clear();
+        known.putAll(blanks);
+        if (phase == Phase.ASK || phase == Phase.OFFER) {
+            if (nowMs - phaseMs >= pace.roundMs()) {
+                change(Phase.IDLE, "round-over");
+            }
+            return;
+        }
+        final long waitMs = new ArrayList<>(known.keySet()).indexOf(name) * pace.roundMs();
+        if (phase == Phase.IDLE && known.containsKey(name) && known.size() >= Math.min(2, seeds.size())
+                && known.size() <= Voters.SEATS_MAX && nowMs - startedMs >= pace.sinceStartMs()
+                && nowMs - changedMs >= pace.settleMs() + waitMs && nowMs - phaseMs >= waitMs) {
+            ask();
+        }
+    }
+
+    private void ask() {
+        ballot = new Ballot(++count, by);
+        promises.clear();
+        taken.clear();
+        change(Phase.ASK, "cores-" + known.size());
+        for (final String seed : seeds) {
+            post.send(seed, new CouncilNote.Ask(address, seeds, ballot));
+        }
+    }
+
+    private int majority() {
+        return seeds.size() / 2 + 1;
+    }
+
+    /** Hears a seed. Example: {@code founder.hear(promise);} */
+    public void hear(final CouncilNote note) {
+        if (note instanceof CouncilNote.Promise p && seeds.contains(p.seed())) {
+            if (phase == Phase.ASK && p.ballot().equals(ballot) && p.yes()) {
+                promises.put(p.seed(), p);
+                if (promises.size() >= majority()) {
+                    offer();
+                }
+            }
+            count = Math.max(count, p.promised().count());
+        } else if (note instanceof CouncilNote.Taken t && seeds.contains(t.seed())) {
+            if (phase == Phase.OFFER && t.ballot().equals(ballot) && t.yes()) {
+                taken.add(t.seed());
+                if (taken.size() >= majority()) {
+                    change(Phase.FOUNDED, "taken");
+                    for (final Seat seat : proposed.table().seats()) {
+                        post.send(seat.address(), new FormNote.Founded(proposed));
+                    }
+                    if (proposed.table().seat(name) == null) {
+                        post.send(address, new FormNote.Founded(proposed));
+                    }
+                }
+            }
+            count = Math.max(count, t.promised().count());
+        }
+    }
+
+    private void offer() {
+        CouncilNote.Promise highest = null;
+        for (final CouncilNote.Promise p : promises.values()) {
+            if (p.founding() != null && (highest == null || p.accepted().compareTo(highest.accepted()) > 0)) {
+                highest = p;
+            }
+        }
+        proposed = highest != null ? highest.founding() : make.apply(List.copyOf(known.values()));
+        change(Phase.OFFER, highest != null ? "finishing" : "promised");
+        for (final String seed : seeds) {
+            post.send(seed, new CouncilNote.Offer(address, seeds, ballot, proposed));
+        }
+    }
+}
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -36,6 +36,7 @@
     private final List<BiConsumer<String, Register>> watchers = new ArrayList<>();
     private final Map<String, Register> before = new HashMap<>();
     private final Map<String, Integer> onTheWay = new HashMap<>();
+    private final boolean openedBlank;
     private String diskId;
     private Voters voters;
     private State state = State.BLANK;
@@ -48,6 +49,7 @@
         this.post = post;
         this.guard = guard;
         final byte[] had = ring.table().get(DISK);
+        openedBlank = had == null;
         diskId = had == null ? freshId : new String(had, StandardCharsets.UTF_8);
         if (had == null) {
             ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), this::keep);
@@ -88,6 +90,11 @@
                 && new String(caught, StandardCharsets.UTF_8).equals(caughtMark());
     }
 
+    /** Whether the disk was blank when this life began. Example: {@code if (voter.openedBlank()) mayFound();} */
+    public boolean openedBlank() {
+        return openedBlank;
+    }
+
     /** Whether this disk still takes writes. Example: {@code voter.canWrite()} */
     public boolean canWrite() {
         return ring.state() != Ring.State.BROKEN;
@@ -152,13 +159,17 @@
         final long mark = ++tableEpochDown;
         // Until the table is down no vote is given, so a power loss can't bring the old table back under a new vote.
         final boolean stays = was == State.VOTING && !newGeneration && seated();
+        // Whoever resigned from a generation has done so for all its epochs.
+        final boolean resigned = was == State.RESIGNED && !newGeneration;
         change(State.CATCHING_UP, "table");
         ring.put(VOTERS, Codec.bytes(table), ok -> {
             keep(ok);
             if (!ok || mark != tableEpochDown) {
                 return;
             }
-            if (stays) {
+            if (resigned) {
+                change(State.RESIGNED, "table-down");
+            } else if (stays) {
                 change(State.VOTING, "table-down");
             } else if (!seated()) {
                 change(State.BLANK, "not-seated");
@@ -217,6 +228,20 @@
         finishCatchUp(mark);
     }
 
+    /** A seat of the first table that missed the founding begins with it, late, as long as it has never voted.
+     * Example: {@code voter.foundLate(table, entries);} */
+    public void foundLate(final Voters table, final List<BallotNote.Entry> entries) {
+        final Seat first = table.seat(name);
+        if (state != State.CATCHING_UP || voters == null || voters.generation() != table.generation() || !seated()
+                || hasState() || first == null || !first.diskId().equals(diskId)) {
+            return;
+        }
+        for (final BallotNote.Entry entry : entries) {
+            merge(entry.key(), entry.register());
+        }
+        finishCatchUp(tableEpochDown);
+    }
+
     private void finishCatchUp(final long mark) {
         ring.put(CAUGHT, caughtMark().getBytes(StandardCharsets.UTF_8), ok -> {
             keep(ok);
@@ -399,7 +424,7 @@
             return;
         }
         caughtFrom.put(back.name(), true);
-        if (caughtFrom.size() >= voters.majority()) {
+        if (caughtFrom.size() >= voters.meeting()) {
             finishCatchUp(tableEpochDown);
         }
     }
--- a/spokestall/src/main/java/spokestall/ballot/Voters.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voters.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The table of voters. A generation starts from what was left after a loss; an epoch swaps one seat's disk. */
+/** The table of voters. A generation starts from what was left after a loss; an epoch swaps one seat's disk or adds one. */
 public record Voters(long generation, long epoch, List<Seat> seats) {
     /** How far the generation is shifted up in versions and tokens. */
     public static final int GENERATION_SHIFT = 20;
+    /** No table has more seats. */
+    public static final int SEATS_MAX = 63;
 
     /** The first number of this generation. Example: {@code long version = voters.firstNumber();} */
     public long firstNumber() {
@@ -18,6 +20,12 @@
         return seats.size() / 2 + 1;
     }
 
+    /** How many seats are in every majority's way: one of so many took part in whatever a majority did.
+     * Example: with six seats it is three, with seven four. */
+    public int meeting() {
+        return seats.size() - majority() + 1;
+    }
+
     /** Whether this table replaces the other. Example: {@code if (heard.newerThan(mine)) adopt(heard);} */
     public boolean newerThan(final Voters other) {
         return other == null || generation > other.generation
@@ -45,4 +53,12 @@
         next.replaceAll(s -> s.name().equals(fresh.name()) ? fresh : s);
         return new Voters(generation, epoch + 1, next);
     }
+
+    /** The next epoch, with one seat more. Example: {@code voters.add(new Seat("d7-core", at, disk))} */
+    public Voters add(final Seat fresh) {
+        assert seat(fresh.name()) == null && seats.size() < SEATS_MAX : fresh;
+        final List<Seat> next = new ArrayList<>(seats);
+        next.add(fresh);
+        return new Voters(generation, epoch + 1, next);
+    }
 }
--- a/spokestall/src/main/java/spokestall/duty/UsageCounter.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageCounter.java
@@ -119,7 +119,7 @@
             return;
         }
         push.had.add(note.name());
-        if (push.had.size() > pace.cores() / 2) {
+        if (push.had.size() > Math.max(pace.cores(), cores.get().size()) / 2) {
             while (!uncountedMs.isEmpty() && uncountedMs.peek() <= push.atMs) {
                 uncountedMs.poll();
             }
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -54,13 +54,14 @@
                 Kind.MAYBE_ADDRESS, 0, 0);
         text("district", null, "the district this node is in");
         add("districts", null, "all districts with their regions, as d1=r1,d2=r1", Kind.DISTRICTS, 0, 0);
-        add("seeds", null, "three addresses of other nodes, comma between", Kind.ADDRESSES, 0, 0);
+        add("seeds", null, "three addresses of other nodes, comma between; one to three, the same everywhere, if cores is 0", Kind.ADDRESSES, 0, 0);
         text("data", "", "the data folder; needed by a core");
         add("peers", "", "IP numbers, or networks such as 10.1.0.0/16, whose wires this node takes, comma between; if not"
                 + " given, the /16 of its own address", Kind.NETS, 0, 0);
         add("platform", null, "IP and port of the platform", Kind.ADDRESS, 0, 0);
-        number("cores", 6, "cores in the fleet", 1, 63);
-        number("edges", 6, "edges in the fleet; shared bounds are divided by it", 1, 1024);
+        number("cores", 6, "cores in the fleet; 0: not told, the first ones are those that the seeds agree on", 0, 63);
+        number("edges", 6, "edges in the fleet; shared bounds are divided by it; 0: not told", 0, 1024);
+        number("bootstrap", 0, "1 only at the very first start of a whole fleet that was not told its cores", 0, 1);
         number("keyBoundMs", 5000, "a withdrawn key must stop within this", 500, 60_000);
         number("policyBoundMs", 3500, "an accepted policy must be in force within this", 500, 60_000);
         number("leaveBoundMs", 4000, "a leaving upstream or held district must be empty within this", 500, 60_000);
@@ -127,6 +128,10 @@
         }
         flags.forEach((key, value) -> put(key, value, values, troubles));
         KEYS.forEach((key, k) -> check(key, k, values.get(key), troubles));
+        final int seeds = values.get("seeds") == null ? 3 : values.get("seeds").split(",", -1).length;
+        if (seeds != 3 && !(seeds < 3 && "0".equals(values.get("cores")))) {
+            troubles.add(new Trouble("seeds", "needs three addresses, has " + seeds));
+        }
         if (troubles.isEmpty()) {
             checkTogether(values, core, troubles);
         }
@@ -185,9 +190,6 @@
             }
             case ADDRESSES -> {
                 final String[] all = value.split(",", -1);
-                if (all.length != 3) {
-                    troubles.add(new Trouble(key, "needs three addresses, has " + all.length));
-                }
                 for (final String one : all) {
                     address(key, one, troubles);
                 }
@@ -238,6 +240,12 @@
         if (core && s.text("data").isEmpty()) {
             troubles.add(new Trouble("data", "a core needs a data folder"));
         }
+        if (s.seeds().stream().distinct().count() != s.seeds().size()) {
+            troubles.add(new Trouble("seeds", "names an address twice"));
+        }
+        if (s.ms("bootstrap") == 1 && s.ms("cores") != 0) {
+            troubles.add(new Trouble("bootstrap", "is for a fleet with cores 0 only"));
+        }
         if (s.text("address").equals(s.text("http"))) {
             troubles.add(new Trouble("http", "is the same as address"));
         }
--- a/spokestall/src/main/java/spokestall/wire/Codec.java
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -25,7 +25,7 @@
     /** No list, text or byte field may say it is longer than this. */
     public static final int FIELD_MAX = 32 << 20;
     /** The version of notes that this program has, and the oldest that it can read and write. */
-    public static final int VERSION = 2;
+    public static final int VERSION = 3;
     /** See {@link #VERSION}. */
     public static final int OLDEST = 1;
     private static final Map<Integer, Class<? extends Record>> BY_NUMBER = new HashMap<>();
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -0,0 +1,329 @@
+package spokestall.ballot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import spokestall.ring.Ring;
+import spokestall.ring.Segments;
+import spokestall.time.Clock;
+import spokestall.wire.Note;
+
+/** A fleet of unknown size in virtual time: cores and edges that come late, restart, and lose disks, with notes late, lost
+ * and doubled. After every event it is looked at whether two tables contradict each other. */
+final class SeatsBench {
+    private record Event(long atMs, long number, Runnable what) {
+    }
+
+    private static final class Disk implements Segments {
+        private final byte[][] files = new byte[8][1 << 15];
+        private SeatsBench bench;
+        private long life;
+
+        @Override
+        public int count() {
+            return files.length;
+        }
+
+        @Override
+        public int sizeBytes() {
+            return files[0].length;
+        }
+
+        @Override
+        public byte[] read(final int segment) {
+            return files[segment].clone();
+        }
+
+        @Override
+        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+            final long mine = life;
+            bench.clock.after(1 + bench.random.nextInt(8), () -> {
+                if (life == mine) {
+                    pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
+                    done.accept(true);
+                }
+            });
+        }
+    }
+
+    /** One machine, over all its lives. */
+    final class Machine {
+        final String name;
+        final boolean core;
+        boolean up;
+        boolean bootstrap;
+        int lives;
+        Voter voter;
+        Formation formation;
+        Proposer proposer;
+        private Disk disk = new Disk();
+        private Council council;
+        private Founder founder;
+        private long startedMs;
+
+        Machine(final String name, final boolean core, final boolean bootstrap) {
+            this.name = name;
+            this.core = core;
+            this.bootstrap = bootstrap;
+        }
+
+        /** Only the first life is told that the fleet has never run, unless the bench plants just that. */
+        void start() {
+            lives++;
+            up = true;
+            startedMs = nowMs;
+            disk.bench = SeatsBench.this;
+            final int mine = lives;
+            final boolean told = bootstrap && (lives == 1 || alwaysFirst);
+            final Clock own = new Clock() {
+                @Override
+                public long nowMs() {
+                    return nowMs;
+                }
+
+                @Override
+                public long wallMs() {
+                    return nowMs;
+                }
+
+                @Override
+                public void after(final long waitMs, final Runnable event) {
+                    clock.after(waitMs, () -> {
+                        if (up && lives == mine) {
+                            event.run();
+                        }
+                    });
+                }
+            };
+            proposer = new Proposer(name + "#" + lives, name, this::send, own, random, new Proposer.Pace(150, 30, 1000),
+                    (seat, key) -> { });
+            voter = core ? new Voter(name, new Ring(disk), this::send, new Open(this), freshId()) : null;
+            final boolean first = told && (!core || voter.openedBlank());
+            council = new Council(name, seeds, first, this::send, () -> proposer.voters(), core
+                    ? then -> voter.keepOwn("~council", new byte[0], ok -> then.run()) : Runnable::run);
+            founder = core && first ? new Founder(name, name, name + "#" + lives, seeds, this::send, own,
+                    new Founder.Pace(2000, 1000, 880), seats -> founding(0, seats)) : null;
+            formation = core ? new Formation(name, name, name + "#" + lives, voter, proposer, this::send, own,
+                    new Formation.Pace(0, 2400, 600, 3000, 880, 1000, false), (base, left, seats) -> founding(base, seats),
+                    () -> new Remains(name, 0, 0, null, 0, voter.hasState(), registers()), () -> others(true),
+                    () -> others(false), founder, this::freshId, () -> true) : null;
+            if (core && voter.voters() != null) {
+                proposer.adopt(voter.voters());
+            }
+            if (core) {
+                beat(own);
+            }
+        }
+
+        private List<BallotNote.Entry> registers() {
+            final List<BallotNote.Entry> all = new ArrayList<>();
+            voter.registers().forEach((key, r) -> all.add(new BallotNote.Entry(key, r)));
+            return all;
+        }
+
+        private void beat(final Clock own) {
+            own.after(250, () -> beat(own));
+            formation.tick();
+        }
+
+        private String freshId() {
+            return name + "/" + random.nextInt(1 << 30);
+        }
+
+        /** Names spread in a second or two, as by the views. */
+        private List<String> others(final boolean edgesToo) {
+            final List<String> known = new ArrayList<>();
+            machines.forEach((other, m) -> {
+                if (m != this && m.lives > 0 && (m.core || edgesToo)
+                        && nowMs - Math.max(startedMs, m.startedMs) > (name + other).hashCode() % 1500) {
+                    known.add(other);
+                }
+            });
+            return known;
+        }
+
+        void stop() {
+            up = false;
+            disk.life++;
+        }
+
+        void wipe() {
+            stop();
+            disk = new Disk();
+        }
+
+        void send(final String to, final Note note) {
+            SeatsBench.this.send(to, note);
+        }
+
+        void hear(final Note note) {
+            if (note instanceof CouncilNote c) {
+                council.hear(c);
+                if (founder != null) {
+                    founder.hear(c);
+                }
+            } else if (note instanceof BallotNote.Table t) {
+                if (core) {
+                    formation.adopt(t.voters());
+                } else {
+                    proposer.adopt(t.voters());
+                }
+            } else if (note instanceof BallotNote b) {
+                proposer.hear(b);
+                if (core) {
+                    voter.hear(b, name);
+                }
+            } else if (note instanceof FormNote f && core) {
+                formation.hear(f);
+            } else if (note instanceof FormNote.Standing s) {
+                if (s.lacks(proposer.voters())) {
+                    send(s.address(), new BallotNote.Table(proposer.voters()));
+                } else if (s.table() != null) {
+                    proposer.adopt(s.table());
+                }
+            }
+        }
+    }
+
+    /** Lets go of no key but those of tables that were agreed. */
+    private record Open(Machine of) implements Guard {
+        @Override
+        public boolean ready() {
+            return true;
+        }
+
+        @Override
+        public boolean room(final String key) {
+            return true;
+        }
+
+        @Override
+        public boolean gone(final String key) {
+            final Voters v = of.voter.voters();
+            return key.startsWith("voters/") && !key.equals("voters/" + v.generation() + "/" + (v.epoch() + 1));
+        }
+
+        @Override
+        public boolean takes(final String key, final byte[] value) {
+            return true;
+        }
+    }
+
+    final Clock clock = new Clock() {
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+            return nowMs;
+        }
+
+        @Override
+        public void after(final long waitMs, final Runnable event) {
+            events.add(new Event(nowMs + Math.max(0, waitMs), made++, event));
+        }
+    };
+    final Random random;
+    final Map<String, Machine> machines = new TreeMap<>();
+    final List<String> seeds = new ArrayList<>();
+    /** Foundings seen in any table, by the generation they ended. */
+    final Map<Long, Set<Long>> founded = new TreeMap<>();
+    double loss;
+    boolean alwaysFirst;
+    long notes;
+    private final Map<Long, Long> baseOf = new HashMap<>();
+    private final Map<String, List<Seat>> seatsOf = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            (a, b) -> a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : Long.compare(a.number, b.number));
+    private long nowMs;
+    private long made;
+    private long generations = 1;
+
+    SeatsBench(final long seed) {
+        random = new Random(seed);
+    }
+
+    Machine machine(final String name, final boolean core, final boolean bootstrap) {
+        final Machine m = new Machine(name, core, bootstrap);
+        machines.put(name, m);
+        return m;
+    }
+
+    /** Every founding has a generation of its own, so that two are told apart. */
+    private Founding founding(final long base, final List<Seat> seats) {
+        final long generation = Math.max(base, generations) + 1;
+        generations = generation;
+        baseOf.put(generation, base);
+        return new Founding(new Voters(generation, 1, seats), List.of());
+    }
+
+    private void send(final String to, final Note note) {
+        notes++;
+        final int times = random.nextDouble() < loss ? random.nextInt(2) * 2 : 1;
+        final Machine target = machines.get(to);
+        for (int i = 0; target != null && i < times; i++) {
+            final int life = target.lives;
+            clock.after(1 + random.nextInt(60), () -> {
+                if (target.up && target.lives == life) {
+                    target.hear(note);
+                }
+            });
+        }
+    }
+
+    private void look(final Machine m) {
+        final Voters table = m.up ? m.proposer.voters() : null;
+        if (table != null) {
+            final List<Seat> had = seatsOf.putIfAbsent(table.generation() + "/" + table.epoch(), table.seats());
+            assertThat(had == null || had.equals(table.seats())).as("one table for %s, at %s: %s, %s", m.name, nowMs, had, table)
+                    .isTrue();
+            assertThat(table.seats().stream().map(Seat::name).distinct().count()).isEqualTo(table.seats().size());
+            founded.computeIfAbsent(baseOf.get(table.generation()), b -> new HashSet<>()).add(table.generation());
+        }
+    }
+
+    List<Machine> cores() {
+        return machines.values().stream().filter(m -> m.core && m.up).toList();
+    }
+
+    /** Whether every core that runs votes, all by one table that has a seat for each. */
+    boolean whole() {
+        final List<Machine> cores = cores();
+        final Voters table = cores.get(0).proposer.voters();
+        return table != null && cores.stream().allMatch(m -> m.voter.state() == Voter.State.VOTING
+                && m.proposer.voters().same(table.generation(), table.epoch()) && table.seat(m.name) != null);
+    }
+
+    String shown() {
+        final StringBuilder out = new StringBuilder("at " + nowMs + " seeds " + seeds);
+        machines.forEach((name, m) -> out.append("\n").append(name).append(m.up ? " up" : " down").append(" lives ")
+                .append(m.lives).append(m.bootstrap ? " first " : " ").append(m.core && m.voter != null ? m.voter.state() : "")
+                .append(m.proposer == null ? "" : " " + m.proposer.voters()));
+        return out.toString();
+    }
+
+    void run(final long untilMs) {
+        while (!events.isEmpty() && events.peek().atMs <= untilMs) {
+            final Event e = events.poll();
+            nowMs = e.atMs;
+            e.what.run();
+            machines.values().forEach(this::look);
+        }
+        nowMs = untilMs;
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+}
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
@@ -0,0 +1,192 @@
+package spokestall.ballot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SeatsTest {
+    private static long number(final byte[] value) {
+        return value == null ? 0 : Long.parseLong(new String(value));
+    }
+
+    private static SeatsBench fleet(final long seed, final int cores, final int edges, final double told) {
+        final SeatsBench bench = new SeatsBench(seed);
+        final List<String> names = new ArrayList<>();
+        for (int i = 0; i < cores; i++) {
+            names.add(bench.machine("c" + i, true, bench.random.nextDouble() < told).name);
+        }
+        for (int i = 0; i < edges; i++) {
+            names.add(bench.machine("e" + i, false, bench.random.nextDouble() < told).name);
+        }
+        java.util.Collections.shuffle(names, bench.random);
+        bench.seeds.addAll(names.subList(0, Math.min(names.size(), 1 + bench.random.nextInt(3))));
+        return bench;
+    }
+
+    /** Whatever comes late, restarts or is lost on the way: there is one first generation at most. */
+    @Test
+    void noFleetIsFoundedTwice() {
+        int founded = 0;
+        for (int seed = 0; seed < 300; seed++) {
+            final SeatsBench bench = fleet(seed, 1 + seed % 7, 1 + seed % 3, 0.85);
+            bench.loss = 0.1 * (seed % 5);
+            for (final SeatsBench.Machine m : bench.machines.values()) {
+                bench.clock.after(bench.random.nextInt(bench.random.nextBoolean() ? 500 : 6000), m::start);
+            }
+            for (int i = bench.random.nextInt(5); i > 0; i--) {
+                final List<SeatsBench.Machine> all = List.copyOf(bench.machines.values());
+                final SeatsBench.Machine m = all.get(bench.random.nextInt(all.size()));
+                bench.clock.after(1500 + bench.random.nextInt(5000), () -> {
+                    if (m.up) {
+                        m.stop();
+                        bench.clock.after(bench.random.nextInt(800), m::start);
+                    }
+                });
+            }
+            bench.run(12_000);
+            bench.loss = 0;
+            bench.run(30_000);
+            assertThat(bench.founded.getOrDefault(0L, java.util.Set.of())).as(seed + " " + bench.shown())
+                    .hasSizeLessThanOrEqualTo(1);
+            if (!bench.founded.isEmpty()) {
+                assertThat(bench.whole()).as(seed + " " + bench.shown()).isTrue();
+                founded++;
+            }
+        }
+        assertThat(founded).isGreaterThan(150);
+    }
+
+    /** Lives that are wrongly told they are the first are what the look at two foundings must find. */
+    @Test
+    void seedsThatForgetWhatTheyPromisedWouldBeFound() {
+        int twice = 0;
+        for (int seed = 0; seed < 60; seed++) {
+            final SeatsBench bench = fleet(seed, 4, 3, 1);
+            bench.seeds.clear();
+            bench.seeds.addAll(List.of("e0", "e1", "e2"));
+            bench.alwaysFirst = true;
+            bench.loss = 0.4;
+            bench.machines.values().forEach(SeatsBench.Machine::start);
+            for (int at = 2000; at < 9000; at += 100) {
+                final SeatsBench.Machine edge = bench.machines.get("e" + bench.random.nextInt(3));
+                bench.clock.after(at, () -> {
+                    edge.stop();
+                    edge.start();
+                });
+            }
+            bench.run(12_000);
+            twice += bench.founded.getOrDefault(0L, java.util.Set.of()).size() > 1 ? 1 : 0;
+        }
+        assertThat(twice).isPositive();
+    }
+
+    /** Three edges are the seeds; one restarts between promise and accept, and with it what it promised is gone. */
+    @Test
+    void aSeedThatRestartsBetweenPromiseAndAcceptLetsNoSecondFoundingThrough() {
+        final List<String> seeds = List.of("s0", "s1", "s2");
+        final List<CouncilNote> sent = new ArrayList<>();
+        final List<Council> councils = new ArrayList<>();
+        for (final String seed : seeds) {
+            councils.add(new Council(seed, seeds, true, (to, note) -> sent.add((CouncilNote) note), () -> null, Runnable::run));
+        }
+        final Ballot one = new Ballot(1, "a");
+        final Ballot two = new Ballot(2, "b");
+        final Founding first = new Founding(new Voters(7, 1, List.of(new Seat("a", "a", "x"))), List.of());
+        final Founding second = new Founding(new Voters(8, 1, List.of(new Seat("b", "b", "y"))), List.of());
+        councils.get(0).hear(new CouncilNote.Ask("a", seeds, one));
+        councils.get(1).hear(new CouncilNote.Ask("a", seeds, one));
+        councils.get(0).hear(new CouncilNote.Offer("a", seeds, one, first));
+        councils.get(1).hear(new CouncilNote.Offer("a", seeds, one, first));
+        assertThat(sent).filteredOn(n -> n instanceof CouncilNote.Taken t && t.yes()).hasSize(2);
+        sent.clear();
+        councils.set(1, new Council("s1", seeds, false, (to, note) -> sent.add((CouncilNote) note), () -> null, Runnable::run));
+        councils.get(1).hear(new CouncilNote.Ask("b", seeds, two));
+        councils.get(2).hear(new CouncilNote.Ask("b", seeds, two));
+        councils.get(1).hear(new CouncilNote.Offer("b", seeds, two, second));
+        councils.get(2).hear(new CouncilNote.Offer("b", seeds, two, second));
+        assertThat(sent).as("one seed of three").filteredOn(n -> n instanceof CouncilNote.Promise).hasSize(1);
+        assertThat(sent).filteredOn(n -> n instanceof CouncilNote.Taken).hasSize(1);
+        sent.clear();
+        councils.get(0).hear(new CouncilNote.Ask("b", seeds, two));
+        assertThat(sent).first().isInstanceOfSatisfying(CouncilNote.Promise.class, p -> assertThat(p.founding()).isEqualTo(first));
+        sent.clear();
+        councils.get(0).hear(new CouncilNote.Ask("b", List.of("s0", "s1", "s9"), new Ballot(3, "b")));
+        assertThat(sent).as("whoever goes by other seeds gets no vote").isEmpty();
+    }
+
+    /** Cores come under new names and lose disks; numbers that were agreed stand, and none stands for two changes. */
+    @Test
+    void whatWasAgreedStandsWhileSeatsAreAddedAndSwapped() {
+        long changes = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            final SeatsBench bench = fleet(seed, 2 + seed % 3, 2, 1);
+            bench.machines.values().forEach(SeatsBench.Machine::start);
+            bench.run(8000);
+            assertThat(bench.whole()).as(seed + " " + bench.shown()).isTrue();
+            bench.loss = 0.05 * (seed % 4);
+            final List<Long> done = new ArrayList<>();
+            for (int at = 0; at < 30_000; at += 350) {
+                final SeatsBench.Machine by = bench.machines.get("e" + bench.random.nextInt(2));
+                bench.clock.after(at, () -> {
+                    final long floor = done.stream().mapToLong(Long::longValue).max().orElse(0);
+                    by.proposer.change("count", 2500, now -> new Edit.Set(Long.toString(number(now) + 1).getBytes()), o -> {
+                        if (o instanceof Outcome.Done d && d.wrote()) {
+                            assertThat(number(d.value())).isGreaterThan(floor);
+                            done.add(number(d.value()));
+                        }
+                    });
+                });
+            }
+            for (int i = 0; i < 5; i++) {
+                final SeatsBench.Machine fresh = bench.machine("n" + i, true, false);
+                bench.clock.after(bench.random.nextInt(12_000), fresh::start);
+            }
+            for (int i = 0; i < 3; i++) {
+                bench.clock.after(14_000 + i * 6000, () -> {
+                    // No more than one disk at a time, so that a majority with state stays.
+                    final List<SeatsBench.Machine> cores = bench.cores();
+                    final SeatsBench.Machine m = cores.get(bench.random.nextInt(cores.size()));
+                    if (bench.whole() && cores.size() > 2) {
+                        m.wipe();
+                        bench.clock.after(500, m::start);
+                    }
+                });
+            }
+            bench.run(bench.nowMs() + 32_000);
+            bench.loss = 0;
+            bench.run(bench.nowMs() + 8000);
+            assertThat(bench.whole()).as(seed + " " + bench.shown()).isTrue();
+            assertThat(bench.founded).as(seed + " one generation").hasSize(1);
+            assertThat(done).as("no number stands for two changes, seed " + seed).doesNotHaveDuplicates();
+            changes += done.size();
+        }
+        assertThat(changes).isGreaterThan(2000);
+    }
+
+    @Test
+    void aCoreUnderANewNameVotesWithinASecondOfHearingTheTable() {
+        final SeatsBench bench = fleet(1, 3, 1, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        final SeatsBench.Machine fresh = bench.machine("n0", true, false);
+        fresh.start();
+        long heardMs = -1;
+        while (fresh.voter.state() != Voter.State.VOTING && bench.nowMs() < 25_000) {
+            bench.run(bench.nowMs() + 10);
+            heardMs = heardMs < 0 && fresh.proposer.voters() != null ? bench.nowMs() : heardMs;
+        }
+        assertThat(heardMs).isPositive();
+        assertThat(bench.nowMs() - heardMs).isLessThan(1000);
+    }
+
+    @Test
+    void aCoreThatIsNotToldOfAFirstStartWaitsForATable() {
+        final SeatsBench bench = fleet(3, 3, 2, 0);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(60_000);
+        assertThat(bench.founded).isEmpty();
+        assertThat(bench.cores()).allMatch(m -> m.voter.state() == Voter.State.BLANK);
+    }
+}
--- a/spokestall/src/test/java/spokestall/settings/SettingsTest.java
+++ b/spokestall/src/test/java/spokestall/settings/SettingsTest.java
@@ -46,4 +46,20 @@
         assertThat(((Settings.Read.Bad) Settings.read(file, flags, true)).troubles()).extracting(
                 Settings.Trouble::key).containsExactlyInAnyOrder("operators", "leaseMs", "district", "data");
     }
+
+    @Test
+    void aFleetThatIsNotToldItsCoresMayHaveFewerSeedsAndAFirstStart() {
+        final Map<String, String> flags = good();
+        flags.putAll(Map.of("cores", "0", "edges", "0", "bootstrap", "1", "seeds", "10.0.0.1:7100"));
+        assertThat(((Settings.Read.Good) Settings.read(null, flags, true)).settings().seeds()).hasSize(1);
+        flags.put("cores", "3");
+        assertThat(((Settings.Read.Bad) Settings.read(null, flags, true)).troubles()).extracting(
+                Settings.Trouble::key).contains("seeds");
+        flags.put("seeds", good().get("seeds"));
+        assertThat(((Settings.Read.Bad) Settings.read(null, flags, true)).troubles()).extracting(
+                Settings.Trouble::key).containsExactly("bootstrap");
+        flags.putAll(Map.of("cores", "0", "seeds", "10.0.0.1:7100,10.0.0.1:7100"));
+        assertThat(((Settings.Read.Bad) Settings.read(null, flags, true)).troubles()).extracting(
+                Settings.Trouble::key).containsExactly("seeds");
+    }
 }
