--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -54,14 +54,14 @@
                 Kind.MAYBE_ADDRESS, 0, 0);
         text("district", null, "the district this node is in");
         add("districts", null, "all districts with their regions, as d1=r1,d2=r1", Kind.DISTRICTS, 0, 0);
-        add("seeds", null, "up to three addresses of nodes that others know too, comma between", Kind.ADDRESSES, 0, 0);
+        add("seeds", null, "three addresses of other nodes, comma between; one to three, the same everywhere, if cores is 0", Kind.ADDRESSES, 0, 0);
         text("data", "", "the data folder; needed by a core");
         add("peers", "", "IP numbers, or networks such as 10.1.0.0/16, whose wires this node takes, comma between; if not"
                 + " given, the /16 of its own address", Kind.NETS, 0, 0);
         add("platform", null, "IP and port of the platform", Kind.ADDRESS, 0, 0);
-        number("cores", 6, "cores in the fleet", 1, 63);
+        number("cores", 6, "cores in the fleet; 0: not told, the first ones are those that the seeds agree on", 0, 63);
         number("edges", 6, "edges in the fleet, by which shared bounds are divided; 0: not told, by those that are known", 0, 1024);
-        number("bootstrap", 0, "1: this is the very first start of the whole fleet, on empty disks", 0, 1);
+        number("bootstrap", 0, "1 only at the very first start of a whole fleet that was not told its cores", 0, 1);
         number("alsoEdge", 0, "1: a core answers callers too", 0, 1);
         number("keyed", 1, "1: an ask is looked up by its key; 0: by its host and path, and some need no key", 0, 1);
         number("claims", 1, "1: a run-once ask may come twice and is claimed; 0: its callers never send one twice", 0, 1);
@@ -142,8 +142,9 @@
         }
         flags.forEach((key, value) -> put(key, value, values, troubles));
         KEYS.forEach((key, k) -> check(key, k, values.get(key), troubles));
-        if (!"0".equals(values.get("cores")) && values.get("seeds") != null && values.get("seeds").split(",", -1).length != 3) {
-            troubles.add(new Trouble("seeds", "needs three addresses, where cores are counted"));
+        final int seeds = values.get("seeds") == null ? 3 : values.get("seeds").split(",", -1).length;
+        if (seeds != 3 && !(seeds < 3 && "0".equals(values.get("cores")))) {
+            troubles.add(new Trouble("seeds", "needs three addresses, has " + seeds));
         }
         if (troubles.isEmpty()) {
             checkTogether(values, core, troubles);
@@ -203,9 +204,6 @@
             }
             case ADDRESSES -> {
                 final String[] all = value.split(",", -1);
-                if (all.length > 3) {
-                    troubles.add(new Trouble(key, "needs three addresses at the most, has " + all.length));
-                }
                 for (final String one : all) {
                     address(key, one, troubles);
                 }
@@ -256,6 +254,12 @@
         if (core && s.text("data").isEmpty()) {
             troubles.add(new Trouble("data", "a core needs a data folder"));
         }
+        if (s.seeds().stream().distinct().count() != s.seeds().size()) {
+            troubles.add(new Trouble("seeds", "names an address twice"));
+        }
+        if (s.ms("bootstrap") == 1 && s.ms("cores") != 0) {
+            troubles.add(new Trouble("bootstrap", "is for a fleet with cores 0 only"));
+        }
         if (s.text("address").equals(s.text("http"))) {
             troubles.add(new Trouble("http", "is the same as address"));
         }
--- a/spokestall/src/test/java/spokestall/wire/CodecTest.java
+++ b/spokestall/src/test/java/spokestall/wire/CodecTest.java
@@ -42,7 +42,7 @@
     void whateverBytesComeTheyAreReadOrRefusedAsBadInput() throws Exception {
         final Random random = new Random(5);
         for (int i = 0; i < 100_000; i++) {
-            final byte[] frame = Codec.note(beat(random.nextInt(), random.nextBoolean()), 1 + random.nextInt(2));
+            final byte[] frame = Codec.note(beat(random.nextInt(), random.nextBoolean()), 1 + random.nextInt(Codec.VERSION));
             for (int n = 1 + random.nextInt(4); n > 0; n--) {
                 frame[random.nextInt(frame.length)] = (byte) random.nextInt();
             }
