The simulator counts the bytes of notes by kind and distance

Cause: what control sends between regions is the dearest thing, and nothing told how much it is. After: 'bin/proof traffic [key=value]...' prints notes and bytes a second and node, by kind, between regions, between districts of one and within one, at rest and with asks.

--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -69,8 +69,9 @@
             case "faults" -> faults(rest);
             case "sim" -> sim(rest);
             case "growth" -> Growth.run();
+            case "traffic" -> traffic(rest);
             default -> {
-                System.err.println("proof fleet|faults|sim [--help], proof growth");
+                System.err.println("proof fleet|faults|sim [--help], proof growth, proof traffic [key=value]...");
                 yield 2;
             }
         };
@@ -202,6 +203,17 @@
         }
     }
 
+    /** Settings as key=value; the seed is 1. */
+    private static int traffic(final String[] args) {
+        Logger.getLogger("").setLevel(Level.OFF);
+        final Map<String, String> settings = new java.util.TreeMap<>();
+        for (final String arg : args) {
+            settings.put(arg.substring(0, arg.indexOf('=')), arg.substring(arg.indexOf('=') + 1));
+        }
+        Traffic.run(1, Deployment.PADMA, settings);
+        return 0;
+    }
+
     private static int sim(final String[] args) throws Exception {
         final SimFlags flags = new SimFlags();
         final List<Scenario> scenarios = new ArrayList<>();
--- a/proof/src/main/java/spokestall/proof/SimNet.java
+++ b/proof/src/main/java/spokestall/proof/SimNet.java
@@ -81,14 +81,14 @@
         return ms < 0 && open(from, to) ? (long) (600 + random.nextInt(600)) : ms;
     }
 
-    /** Carries a note as the bytes it would be. */
-    void carry(final String from, final String to, final Note note, final int version,
+    /** Carries a note as the bytes it would be, and says how many. */
+    int carry(final String from, final String to, final Note note, final int version,
             final java.util.function.Consumer<Note> arrive) {
         final long ms = wayMs(from, to);
         final byte[] frame = Codec.note(note, version);
         sim.carried(frame);
         if (ms < 0) {
-            return;
+            return frame.length;
         }
         sim.after(ms, () -> {
             try {
@@ -97,5 +97,6 @@
                 throw new IllegalStateException(e);
             }
         });
+        return frame.length;
     }
 }
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Traffic.java
@@ -0,0 +1,93 @@
+package spokestall.proof;
+
+import java.util.Map;
+import java.util.TreeMap;
+import spokestall.wire.Note;
+
+/** What notes cost: how many bytes of each kind went between regions, between districts of one, and within one. */
+final class Traffic {
+    /** One kind's sums. */
+    static final class Sum {
+        long notes;
+        long regions;
+        long districts;
+        long within;
+
+        long bytes() {
+            return regions + districts + within;
+        }
+    }
+
+    private static final long REST_MS = 30_000;
+    private final Map<String, Sum> sums = new TreeMap<>();
+
+    /** Counts one note on its way. */
+    void sent(final SimNode from, final SimNode to, final Note note, final int bytes) {
+        final Sum sum = sums.computeIfAbsent(note.getClass().getSimpleName(), k -> new Sum());
+        sum.notes++;
+        if (!from.region.equals(to.region)) {
+            sum.regions += bytes;
+        } else if (!from.district.equals(to.district)) {
+            sum.districts += bytes;
+        } else {
+            sum.within += bytes;
+        }
+    }
+
+    Map<String, Sum> sums() {
+        return sums;
+    }
+
+    void clear() {
+        sums.clear();
+    }
+
+    /** Bytes a second between regions of one node, of the kinds given, or of all. */
+    static double regionsPerNode(final Map<String, Sum> sums, final String... kinds) {
+        return sums.entrySet().stream().filter(e -> kinds.length == 0 || java.util.List.of(kinds).contains(e.getKey()))
+                .mapToLong(e -> e.getValue().regions).sum() / (REST_MS / 1000.0) / (2 * Deployment.DISTRICTS);
+    }
+
+    /** Half a minute of a fleet that has come up: with asks at the deployment's rate, or at rest. */
+    static Map<String, Sum> of(final long seed, final Deployment deployment, final boolean asks,
+            final Map<String, String> settings) {
+        final World world = new World(seed, deployment, false, Plant.NONE, Scenario.CALM, settings);
+        final SimOperator operator = new SimOperator(world);
+        for (final SimNode node : world.nodes.values()) {
+            world.sim.after(world.sim.random(node.name).nextInt(1500), node::start);
+        }
+        world.sim.after(2000, () -> operator.first(() -> {
+            if (asks) {
+                world.sim.after(2500, world.callers::start);
+            }
+        }));
+        world.sim.run(30_000);
+        world.traffic.clear();
+        world.sim.run(30_000 + REST_MS);
+        return world.traffic.sums();
+    }
+
+    /** Prints both, a line a kind, in a second and node. */
+    static void run(final long seed, final Deployment deployment, final Map<String, String> settings) {
+        for (final boolean asks : new boolean[] {false, true}) {
+            final Map<String, Sum> sums = of(seed, deployment, asks, settings);
+            final Sum all = new Sum();
+            System.out.printf("| %s | notes | bytes each | regions | districts | within |%n| --- | --- | --- | --- | --- | --- |%n",
+                    asks ? "with asks" : "at rest");
+            sums.forEach((kind, sum) -> {
+                line(kind, sum);
+                all.notes += sum.notes;
+                all.regions += sum.regions;
+                all.districts += sum.districts;
+                all.within += sum.within;
+            });
+            line("all", all);
+        }
+    }
+
+    private static void line(final String kind, final Sum sum) {
+        final double per = REST_MS / 1000.0 * 2 * Deployment.DISTRICTS;
+        System.out.printf("| %s | %.2f | %.0f | %.0f | %.0f | %.0f |%n", kind, sum.notes / per,
+                sum.bytes() / (double) sum.notes, sum.regions / per, sum.districts / per, sum.within / per);
+    }
+}
--- a/proof/src/main/java/spokestall/proof/World.java
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -64,6 +64,7 @@
     final Sim sim;
     final Deployment deployment;
     final SimNet net;
+    final Traffic traffic = new Traffic();
     final Judge judge;
     final SimOutside outside;
     final SimCallers callers;
@@ -82,8 +83,14 @@
 
     World(final long seed, final Deployment deployment, final boolean traced, final Plant plant,
             final Scenario scenario) {
+        this(seed, deployment, traced, plant, scenario, Map.of());
+    }
+
+    World(final long seed, final Deployment deployment, final boolean traced, final Plant plant,
+            final Scenario scenario, final Map<String, String> more) {
         final Map<String, String> settings = new TreeMap<>(scenario.settings());
         settings.putAll(plant.settings());
+        settings.putAll(more);
         this.segmentBytes = scenario.segmentBytes();
         this.plant = plant;
         this.sim = new Sim(seed, traced);
@@ -174,7 +181,7 @@
         } else if (note instanceof HandNote.Back back && back.content() != null) {
             carried(back.key(), target);
         }
-        net.carry(from.address, to, note, from.noteVersion(), arrived -> target.hear(targetLife, arrived));
+        traffic.sent(from, target, note, net.carry(from.address, to, note, from.noteVersion(), arrived -> target.hear(targetLife, arrived)));
     }
 
     /** A kept answer goes to a node: it must be at home there. */
