--- a/proof/src/main/java/spokestall/proof/SimOutside.java
+++ b/proof/src/main/java/spokestall/proof/SimOutside.java
@@ -101,7 +101,8 @@
         final List<Listed> now = new ArrayList<>();
         byInstance.values().forEach(u -> {
             if (u.listed) {
-                now.add(new Listed(u.instance, u.service, u.address, u.district, u.region, true, u.leaving, 0));
+                now.add(Listed.read(u.instance, u.service, u.address, u.district, u.region, u.leaving,
+                        Math.max(0, u.readyAtMs + World.WARMUP_MS - world.sim.nowMs())));
             }
         });
         list = now;
--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/TrafficTest.java
@@ -0,0 +1,82 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** What control sends between regions is the dearest thing, so it has bounds. The figures are in measurements.md. */
+class TrafficTest {
+    private static final Map<String, String> SPARING = Map.of("probes", "0", "proofMs", "800", "freshMs", "2000",
+            "countPushMs", "250", "uncountedMs", "0", "listMs", "5000");
+
+    @BeforeAll
+    static void quiet() {
+        Logger.getLogger("").setLevel(Level.OFF);
+    }
+
+    private static double of(final Map<String, Traffic.Sum> sums, final String... kinds) {
+        return Traffic.regionsPerNode(sums, kinds);
+    }
+
+    @Test
+    void atRestControlIsSmall() {
+        final Map<String, Traffic.Sum> rest = Traffic.of(1, Deployment.PADMA, false, Map.of());
+        assertThat(of(rest, "ProofAsk", "ProofBack")).isLessThan(900);
+        assertThat(of(rest, "FeedAsk", "FeedBack")).isLessThan(900);
+        assertThat(of(rest, "Counts", "CountsHad")).isLessThan(40);
+        assertThat(of(rest, "Prepare", "Promise", "Accept", "Accepted", "Chosen")).isLessThan(350);
+        assertThat(of(rest, "Push")).isLessThan(1000);
+        assertThat(of(rest, "Shuffle")).isLessThan(600);
+        assertThat(rest.get("ProofAsk").bytes() / rest.get("ProofAsk").notes).isLessThan(60);
+        assertThat(rest.get("ProofBack").bytes() / rest.get("ProofBack").notes).isLessThan(70);
+        final Map<String, Traffic.Sum> sparing = Traffic.of(1, Deployment.PADMA, false, SPARING);
+        assertThat(of(sparing) - of(sparing, "Standing")).isLessThan(1500);
+        assertThat(of(sparing, "Push")).isLessThan(20);
+    }
+
+    @Test
+    void withAsksCountsAreSmall() {
+        final Map<String, Traffic.Sum> asks = Traffic.of(1, Deployment.PADMA, true, Map.of());
+        assertThat(of(asks, "Counts", "CountsHad")).isLessThan(3500);
+        assertThat(of(asks, "ProofAsk", "ProofBack", "FeedAsk", "FeedBack", "Push", "Shuffle")).isLessThan(3400);
+        final Map<String, Traffic.Sum> sparing = Traffic.of(1, Deployment.PADMA, true, SPARING);
+        assertThat(of(sparing, "Counts", "CountsHad")).isLessThan(1200);
+    }
+
+    /** Who is there is known with one shuffle a second and node, too. */
+    @Test
+    void aNodeThatIsGoneIsForgottenAndAFreshOneIsKnownByAllSoon() {
+        for (long seed = 1; seed <= 3; seed++) {
+            final World world = new World(seed, Deployment.VERDE, false, Plant.NONE, Scenario.CALM, Map.of());
+            for (final SimNode node : world.nodes.values()) {
+                world.sim.after(world.sim.random(node.name).nextInt(1500), node::start);
+            }
+            world.sim.run(30_000);
+            final SimNode one = world.nodes.get("d3-edge");
+            assertThat(knowing(world, one.name)).isEqualTo(11);
+            one.kill();
+            world.sim.run(30_000 + 16_000);
+            assertThat(knowing(world, one.name)).isZero();
+            world.sim.run(90_000);
+            one.start();
+            world.sim.run(90_000 + 3000);
+            assertThat(knowing(world, one.name)).isEqualTo(11);
+        }
+    }
+
+    private static int knowing(final World world, final String name) {
+        final int[] found = {0};
+        for (final SimNode node : world.nodes.values()) {
+            if (!node.name.equals(name)) {
+                world.call(node, "status", JsonNodeFactory.instance.objectNode(),
+                        reply -> found[0] += reply.fields().path("nodes").has(name) ? 1 : 0);
+            }
+        }
+        return found[0];
+    }
+}
--- a/spokestall/src/main/java/spokestall/Desk.java
+++ b/spokestall/src/main/java/spokestall/Desk.java
@@ -10,7 +10,7 @@
 import spokestall.duty.Sealed;
 import spokestall.edge.Ticket;
 import spokestall.edge.Where;
-import spokestall.feed.FeedNote;
+import spokestall.feed.Follower;
 import spokestall.listing.Listed;
 import spokestall.listing.Report;
 import spokestall.policy.Book;
@@ -153,8 +153,9 @@
             final ObjectNode table = out.putObject("voters").put("generation", node.voters().generation())
                     .put("epoch", node.voters().epoch());
             for (final Seat s : node.voters().seats()) {
-                final FeedNote.FeedBack back = node.follower.last().get(s.name());
-                final boolean heard = back != null && node.follower.heardMs(s.name()) < node.settings.ms("leaveBoundMs");
+                final Follower.Word back = node.follower.last().get(s.name());
+                final boolean heard = back != null && node.follower.heardMs(s.name())
+                        < Math.max(node.settings.ms("leaveBoundMs"), node.settings.heardMs());
                 table.putObject(s.name()).put("state", !heard ? "unheard" : back.voting() ? "voting" : "blank")
                         .put("applied", heard ? back.applied() : 0);
             }
--- a/spokestall/src/main/java/spokestall/Feeds.java
+++ b/spokestall/src/main/java/spokestall/Feeds.java
@@ -4,13 +4,18 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import spokestall.ballot.Voter;
+import spokestall.ballot.Voters;
 import spokestall.feed.FeedNote;
+import spokestall.feed.Marks;
 import spokestall.feed.Versions;
 import spokestall.policy.Change;
 import spokestall.policy.Snapshot;
 import spokestall.view.Member;
+import spokestall.wire.Codec;
 
 /** What a core tells those who follow the feed, and what it learns of edges by their asking. */
 final class Feeds {
@@ -18,6 +23,10 @@
     record Present(Member member, boolean fresh, int open, long heardMs) {
     }
 
+    /** A larger change is fetched, not told to all. */
+    private static final int NEWS_BYTES_MAX = 16 << 10;
+    /** The version of notes since which what an asker has already can be left out. */
+    private static final int TERSE = 3;
     private final Node node;
     private final Map<String, Present> edges = new TreeMap<>();
 
@@ -34,27 +43,28 @@
         edges.values().removeIf(p -> node.clock.nowMs() - p.heardMs() > spanMs);
     }
 
-    /** Tells all that are known that a version was accepted. */
+    /** Tells all that are known that a version was accepted, each once. */
     void tell(final long version) {
-        for (final Member m : node.view.members()) {
-            node.post.send(m.address(), new FeedNote.FeedNews(version));
-        }
-        for (final Present p : edges.values()) {
-            node.post.send(p.member().address(), new FeedNote.FeedNews(version));
-        }
+        final Set<String> all = new TreeSet<>();
+        node.view.members().forEach(m -> all.add(m.address()));
+        edges.values().forEach(p -> all.add(p.member().address()));
+        final Map<Long, Change> after = node.book.after(version - 1);
+        final Change change = after == null ? null : after.get(version);
+        final FeedNote.FeedNews news = new FeedNote.FeedNews(version,
+                change == null || change.json().length > NEWS_BYTES_MAX ? null : Codec.bytes(change));
+        all.forEach(to -> node.post.send(to, news));
     }
 
     /** Answers one who follows: what is newest here, and the news from its places on. */
     void answer(final FeedNote.FeedAsk ask) {
-        if (!ask.self().core()) {
+        if (ask.self().serves()) {
             edges.put(ask.self().name(), new Present(ask.self(), ask.fresh(), ask.open(), node.clock.nowMs()));
         }
         final boolean voting = node.voter.state() == Voter.State.VOTING;
         final long applied = node.book.policy().version();
-        final long newest = voting ? Math.max(applied, Versions.newest(node.voter.registers())) : applied;
         final List<FeedNote.Numbered> changes = new ArrayList<>();
         Snapshot snapshot = null;
-        final boolean ready = voting && node.voter.voters().firstNumber() <= applied;
+        final boolean ready = ready();
         if (ask.news() && ready && ask.place() < applied) {
             final Map<Long, Change> after = node.book.after(ask.place());
             if (after == null) {
@@ -65,10 +75,65 @@
         }
         final long from = ask.listingLife() == node.listing.life() ? ask.listingPlace() : 0;
         final boolean news = ask.news() && ready;
-        node.post.send(ask.from(), new FeedNote.FeedBack(node.name, node.voter.diskId(), ask.askId(), node.voter.voters(), voting,
-                ready ? applied : 0, newest, changes, snapshot, List.copyOf(freshEdges()),
+        final Voters table = node.voter.voters();
+        final boolean terse = node.settings.ms("noteVersion") >= TERSE;
+        final boolean had = terse && table != null && table.same(ask.generation(), ask.epoch());
+        final Collection<Member> fresh = freshEdges();
+        final long mark = terse ? Marks.of(fresh) : 0;
+        final boolean brief = terse && (ask.edgesMark() == mark || !ask.news());
+        node.post.send(ask.from(), new FeedNote.FeedBack(node.name, node.voter.diskId(), ask.askId(), had ? null : table,
+                voting, ready ? applied : 0, newest(), changes, snapshot, brief ? List.of() : List.copyOf(fresh),
                 news ? node.listing.life() : 0, node.listing.place(), news ? node.listing.listedAfter(from) : List.of(),
-                news ? node.listing.reportsAfter(from) : List.of()));
+                news ? node.listing.reportsAfter(from) : List.of(), table == null ? 0 : table.generation(),
+                table == null ? 0 : table.epoch(), brief, mark));
+    }
+
+    /** Answers one who wants a proof alone; one whose table is older gets this one's. */
+    void answer(final FeedNote.ProofAsk ask) {
+        final Voters table = node.voter.voters();
+        final long newest = newest();
+        final boolean voting = node.voter.state() == Voter.State.VOTING;
+        final long applied = ready() ? node.book.policy().version() : 0;
+        final boolean stranger = ask.serves() && !present(ask);
+        if (table != null && table.newerThan(new Voters(ask.generation(), ask.epoch(), List.of()))) {
+            node.post.send(ask.from(), new FeedNote.FeedBack(node.name, node.voter.diskId(), ask.askId(), table, voting,
+                    applied, newest, List.of(), null, List.of(), 0, 0, List.of(), List.of(), table.generation(),
+                    table.epoch(), true, 0));
+            return;
+        }
+        node.post.send(ask.from(), new FeedNote.ProofBack(node.name, ask.askId(), table == null ? 0 : table.generation(),
+                table == null ? 0 : table.epoch(), Marks.of(node.voter.diskId()), voting, stranger, newest,
+                newest - applied));
+    }
+
+    private boolean ready() {
+        return node.voter.state() == Voter.State.VOTING
+                && node.voter.voters().firstNumber() <= node.book.policy().version();
+    }
+
+    private long newest() {
+        final long applied = node.book.policy().version();
+        return node.voter.state() == Voter.State.VOTING
+                ? Math.max(applied, Versions.newest(node.voter.registers())) : applied;
+    }
+
+    /** Whether the asker is known, as the same life; then it was heard now. */
+    private boolean present(final FeedNote.ProofAsk ask) {
+        Member found = null;
+        for (final Present p : edges.values()) {
+            found = p.member().life() == ask.life() && p.member().address().equals(ask.from()) ? p.member() : found;
+        }
+        if (found == null) {
+            for (final Member m : node.view.members()) {
+                found = m.life() == ask.life() && m.address().equals(ask.from()) ? m : found;
+            }
+        }
+        if (found == null) {
+            return false;
+        }
+        edges.put(found.name(), new Present(found.at(node.fleet.nowMs(), ask.leaving()), ask.fresh(), ask.open(),
+                node.clock.nowMs()));
+        return true;
     }
 
     /** Edges heard a moment ago that may serve. */
@@ -76,7 +141,7 @@
         final List<Member> found = new ArrayList<>();
         for (final Present p : edges.values()) {
             if (p.fresh() && !p.member().leaving()
-                    && node.clock.nowMs() - p.heardMs() <= node.settings.part("leaveBoundMs", 0.3)) {
+                    && node.clock.nowMs() - p.heardMs() <= node.settings.heardMs()) {
                 found.add(p.member());
             }
         }
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import spokestall.audit.Audit;
 import spokestall.audit.Auditor;
+import spokestall.ballot.Ballot;
 import spokestall.ballot.BallotNote;
 import spokestall.ballot.FormNote;
 import spokestall.ballot.Formation;
@@ -72,6 +73,8 @@
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String POLICY = "~policy";
+    private static final String LEASE = "duty/usage_report";
+    private static final Register NO_LEASE = new Register(Ballot.NONE, Ballot.NONE, null);
     private static final int POLICY_KEPT = 1024;
     private static final int SNAPSHOT_EVERY = 32;
     private static final int WINDOWS_KEPT = 16;
@@ -143,19 +146,20 @@
                 (int) settings.ms("cores"), (int) settings.ms("edges"));
         final long farMs = settings.ms("farMs");
         this.view = new View(self, settings.seeds(), post, clock, fleet, random, new View.Pace(
-                2 * (int) (settings.ms("cores") + settings.ms("edges")), 6, settings.part("leaveBoundMs", 4)));
-        this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"));
+                2 * (int) (settings.ms("cores") + settings.ms("edges")), 6, settings.part("leaveBoundMs", 4), settings.part("leaveBoundMs", 1)));
+        this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"), settings.ms("probes") == 1);
         this.proposer = new Proposer(name + "#" + Long.toHexString(life), address, post, clock, random,
                 new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64), this::missed);
         this.follower = new Follower(view::self, book, listing, proposer, post, clock,
-                new Follower.Pace(settings.part("keyBoundMs", 0.2), 32), this::coreAddresses, this::adopt,
-                this::policyMoved, this::openAsks);
+                new Follower.Pace(settings.ms("freshMs"), 32, 3 * settings.ms("proofMs"), core ? 8 : 64,
+                        settings.ms("noteVersion") < 3), this::coreAddresses, this::adopt,
+                this::policyMoved, this::openAsks, this::distance);
         this.shelf = new Shelf(core ? 16 << 20 : 8 << 20);
         this.elector = core ? null : new Elector(settings.region(), s -> listing.ready(s, fleet.nowMs()), clock, fleet,
                 random, new Elector.Pace((int) settings.ms("edges"), settings.number("warmRatio"), 1,
                 settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 2)));
         this.counter = core ? null : new UsageCounter(name, address, life, new UsageCounter.Pace(windowMs,
-                settings.part("reportDueMs", 0.1), 3, windowMs / 25, (int) settings.ms("cores")), clock, fleet, post,
+                settings.part("reportDueMs", 0.1), 3, settings.ms("uncountedMs"), (int) settings.ms("cores"), farMs / 2), clock, fleet, post,
                 this::coreAddresses);
         this.edge = core ? null : edge(rim);
         this.ring = core ? new Ring(rim.segments()) : null;
@@ -167,8 +171,8 @@
                 settings.part("leaveBoundMs", 0.15), settings.part("leaveBoundMs", 0.75), 8 * farMs),
                 new Merge(fleet), this::remains, this::coreAndEdgeAddresses, this::freshId, fleet::settled) : null;
         this.prober = core ? new Prober(self, listing, rim.reach(), post, fleet, new Prober.Pace(
-                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2),
-                this::otherCores) : null;
+                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2, settings.ms("listMs"),
+                settings.part("leaveBoundMs", 0.25), settings.ms("probes") == 1), this::otherCores, view::members) : null;
         this.reporter = core ? new Reporter(name, address, usage, proposer, rim.platform(), post, clock, fleet,
                 new Reporter.Pace(windowMs, settings.part("reportDueMs", 0.15), settings.part("reportDueMs", 0.5),
                         settings.part("reportDueMs", 0.03), settings.ms("reportDueMs"),
@@ -176,7 +180,7 @@
                 this::coreAddresses, this::floorMs, this::presentLife) : null;
         this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
                 settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
-                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), reporter) : null;
+                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), reporter, this::leaseHere) : null;
         this.acceptance = core ? new Acceptance(name, book, new Rules(calls.file().at("/$defs/policy"),
                 settings.regions(), settings.districts().keySet()), proposer, follower,
                 settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), feeds::tell) : null;
@@ -222,7 +226,7 @@
     }
 
     private void tokens(final String key, final Register register) {
-        if (key.equals("duty/usage_report") && register.value() != null) {
+        if (key.equals(LEASE) && register.value() != null) {
             tokenSeen = Math.max(tokenSeen, Codec.record(register.value(), spokestall.duty.Lease.class).token());
         }
     }
@@ -241,7 +245,7 @@
         LOG.atInfo().log("event=start node=%s role=%s address=%s district=%s region=%s life=%s", name,
                 core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
         every(settings.part("leaveBoundMs", 0.125), view::tick);
-        every(settings.part("keyBoundMs", 0.08), follower::tick);
+        every(settings.ms("proofMs"), follower::tick);
         if (core) {
             every(settings.part("leaveBoundMs", 0.0625), formation::tick);
             every(settings.part("leaveBoundMs", 0.125), prober::tick);
@@ -255,7 +259,7 @@
             every(settings.part("keyBoundMs", 0.1), this::decided);
             every(settings.part("keyBoundMs", 0.02), this::learnFounded);
         } else {
-            every(windowMs / 100, counter::tick);
+            every(settings.ms("countPushMs"), counter::tick);
             every(settings.part("leaveBoundMs", 1), () -> elector.retain(Set.copyOf(
                     listing.listed().stream().map(Listed::instance).toList())));
         }
@@ -368,6 +372,27 @@
         return p == null ? null : p.member().life();
     }
 
+    /** This voter's copy of the lease, or null while it doesn't vote. */
+    private Register leaseHere() {
+        return voter.state() != Voter.State.VOTING ? null
+                : voter.registers().getOrDefault(LEASE, NO_LEASE);
+    }
+
+    private String seatAddress(final String core) {
+        final Seat seat = voters() == null ? null : voters().seat(core);
+        return seat == null ? core : seat.address();
+    }
+
+    /** 0 is this node's district, 1 its region, 2 any other place. */
+    private int distance(final String of) {
+        for (final Member m : view.members()) {
+            if (m.address().equals(of)) {
+                return m.district().equals(settings.text("district")) ? 0 : m.region().equals(settings.region()) ? 1 : 2;
+            }
+        }
+        return 2;
+    }
+
     private int openAsks() {
         return edge == null ? 0 : edge.open();
     }
@@ -484,10 +509,15 @@
             if (core) {
                 feeds.answer(ask);
             }
+        } else if (note instanceof FeedNote.ProofAsk ask) {
+            if (core) {
+                feeds.answer(ask);
+            }
         } else if (note instanceof FeedNote f) {
             follower.hear(f);
         } else if (note instanceof ListingNote.Push push) {
             listing.merge(push.listed(), push.reports());
+            listing.read(Math.min(push.readMs(), fleet.nowMs()));
         } else if (note instanceof UsageNote u) {
             hear(u);
         } else if (note instanceof HandNote h) {
@@ -522,7 +552,7 @@
         int told = 0;
         for (final Seat other : voters().seats()) {
             if (told < 2 && !other.name().equals(seat)
-                    && follower.heardMs(other.name()) < settings.part("leaveBoundMs", 0.3)) {
+                    && follower.heardMs(other.name()) < settings.heardMs()) {
                 post.send(other.address(), new HandNote.Hint(seat, key));
                 told++;
             }
@@ -546,13 +576,13 @@
     private void hear(final UsageNote note) {
         if (!core) {
             if (note instanceof UsageNote.CountsHad had) {
-                counter.hear(had);
+                counter.hear(had, seatAddress(had.name()));
             }
             return;
         }
         if (note instanceof UsageNote.Counts counts) {
             counts.counts().forEach(usage::merge);
-            post.send(counts.from(), new UsageNote.CountsHad(name, counts.stamp()));
+            post.send(counts.from(), new UsageNote.CountsHad(name, counts.stamp(), life));
         } else if (note instanceof UsageNote.CountAsk ask) {
             post.send(ask.from(), new UsageNote.CountBack(name, ask.window(), usage.counts(ask.window())));
         } else if (note instanceof UsageNote.CountBack back) {
@@ -579,11 +609,7 @@
             return feeds.freshEdges();
         }
         final Map<String, Member> found = new TreeMap<>();
-        for (final FeedNote.FeedBack back : follower.last().values()) {
-            if (follower.heardMs(back.name()) <= settings.part("leaveBoundMs", 0.3)) {
-                back.edges().forEach(e -> found.put(e.name(), e));
-            }
-        }
+        follower.edges(settings.heardMs()).forEach(e -> found.put(e.name(), e));
         if (view.self().leaving()) {
             found.remove(name);
         }
--- a/spokestall/src/main/java/spokestall/Notes.java
+++ b/spokestall/src/main/java/spokestall/Notes.java
@@ -35,6 +35,8 @@
         Codec.number(30, FeedNote.FeedAsk.class);
         Codec.number(31, FeedNote.FeedBack.class);
         Codec.number(32, FeedNote.FeedNews.class);
+        Codec.number(33, FeedNote.ProofAsk.class);
+        Codec.number(34, FeedNote.ProofBack.class);
         Codec.number(40, ListingNote.Push.class);
         Codec.number(51, UsageNote.CountAsk.class);
         Codec.number(52, UsageNote.CountBack.class);
--- a/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -2,9 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Random;
+import java.util.function.Supplier;
 import spokestall.ballot.Edit;
 import spokestall.ballot.Outcome;
 import spokestall.ballot.Proposer;
+import spokestall.ballot.Register;
 import spokestall.ballot.Seat;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
@@ -35,10 +37,14 @@
     private final Random random;
     private final Pace pace;
     private final Work work;
+    private final Supplier<Register> own;
     private State state = State.WATCHING;
     private Lease seen;
     private long seenMs;
     private boolean looked;
+    private Lease copied;
+    private boolean glanced;
+    private boolean strange;
     private boolean reading;
     private boolean renewing;
     private long renewAskedMs;
@@ -47,6 +53,14 @@
     /** Example: {@code new LeaseKeeper("usage_report", "d1-core", proposer, clock, random, pace, reporter)} */
     public LeaseKeeper(final String duty, final String name, final Proposer proposer, final Clock clock,
             final Random random, final Pace pace, final Work work) {
+        this(duty, name, proposer, clock, random, pace, work, () -> null);
+    }
+
+    /** One that votes looks at its own copy of the register first; without one it looks at the store on each beat.
+     * Example: see {@code Node}; {@code own} gives null when there is no copy to go by. */
+    public LeaseKeeper(final String duty, final String name, final Proposer proposer, final Clock clock,
+            final Random random, final Pace pace, final Work work, final Supplier<Register> own) {
+        this.own = own;
         this.duty = duty;
         this.name = name;
         this.proposer = proposer;
@@ -91,30 +105,63 @@
         if (reading || proposer.voters() == null) {
             return;
         }
+        final Register copy = own.get();
+        if (copy != null) {
+            glance(copy.value() == null ? null : Codec.record(copy.value(), Lease.class));
+        }
+        if (copy != null && looked && !strange && !due()) {
+            return;
+        }
         reading = true;
         proposer.read(Lease.key(duty), pace.storeWaitMs(), outcome -> {
             reading = false;
             if (state == State.WATCHING && outcome instanceof Outcome.Done done) {
+                strange = false;
                 looked(done.value() == null ? null : Codec.record(done.value(), Lease.class));
             }
         });
     }
 
+    /** A copy may be behind the store or ahead of it. A later word of the owner that the store named begins the watch
+     * anew; any other change is for the store to tell. */
+    private void glance(final Lease now) {
+        if (glanced && same(now, copied)) {
+            return;
+        }
+        glanced = true;
+        copied = now;
+        if (!looked || now == null || seen == null || !now.owner().equals(seen.owner())) {
+            strange = !looked || !same(now, seen);
+        } else if (now.renewal() > seen.renewal() || now.released() && !seen.released()) {
+            seen = now;
+            seenMs = clock.nowMs();
+        }
+    }
+
+    private static boolean same(final Lease one, final Lease other) {
+        return one == null ? other == null : other != null && one.owner().equals(other.owner())
+                && one.renewal() == other.renewal() && one.released() == other.released();
+    }
+
+    /** What the store says. Only what was unchanged there too is taken. */
     private void looked(final Lease now) {
-        final long nowMs = clock.nowMs();
-        final boolean same = looked && (now == null ? seen == null : seen != null && now.owner().equals(seen.owner())
-                && now.renewal() == seen.renewal() && now.released() == seen.released());
-        if (!same) {
+        if (!looked || !same(now, seen)) {
             seen = now;
-            seenMs = nowMs;
+            seenMs = clock.nowMs();
             looked = true;
         }
+        if (due()) {
+            acquire();
+        }
+    }
+
+    /** Whether what was seen has been unchanged for so long that it is this keeper's turn. */
+    private boolean due() {
+        final Lease now = seen;
         // No lease at all may mean that one was lost with its disks while its holder still works.
         final long spanMs = now == null ? pace.leaseMs() : Math.max(now.spanMs(), pace.leaseMs());
         final long runsOutMs = now != null && now.released() ? 0 : spanMs + pace.marginMs();
-        if (nowMs - seenMs >= runsOutMs + turnMs(now)) {
-            acquire();
-        }
+        return clock.nowMs() - seenMs >= runsOutMs + turnMs(now);
     }
 
     /**
--- a/spokestall/src/main/java/spokestall/duty/UsageCounter.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageCounter.java
@@ -1,6 +1,5 @@
 package spokestall.duty;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,25 +7,38 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Supplier;
 import spokestall.time.Clock;
 import spokestall.time.FleetClock;
 import spokestall.wire.Post;
 
 /**
- * An edge's own count of the asks that upstreams began. It is pushed to every core until the window is well over. What a
- * majority of cores does not have yet may be lost with this edge, or come too late; so it is kept to what was begun in
- * a small part of a window: beyond that the edge begins nothing more.
+ * An edge's own count of the asks that upstreams began. What changed is pushed to every core, again to those that don't say
+ * they have it until a majority does; each window goes whole once it is well over, and whenever a core came back without
+ * what it had. What a majority does not have yet may be lost with this edge, or come too late; so it is kept to what was
+ * begun in a small part of a window: beyond that the edge begins nothing more.
  */
 public final class UsageCounter {
-    /** Spans and sizes, from the settings. */
-    public record Pace(long windowMs, long closeMs, int windowsKept, long uncountedMs, int cores) {
+    /** Spans and sizes, from the settings. Nothing is held back if {@code uncountedMs} is zero. */
+    public record Pace(long windowMs, long closeMs, int windowsKept, long uncountedMs, int cores, long againMs) {
     }
 
-    private record Push(long atMs, Set<String> had) {
+    /** Counts on their way: of which tenants in which windows, the oldest from when. */
+    private static final class Push {
+        private final Map<Long, Set<String>> what;
+        private final long sinceMs;
+        private final Set<String> had = new HashSet<>();
+        private long sentMs;
+
+        Push(final Map<Long, Set<String>> what, final long sinceMs) {
+            this.what = what;
+            this.sinceMs = sinceMs;
+        }
     }
 
-    private static final int PUSHES_MAX = 64;
+    private static final int PUSHES_MAX = 8;
+    private static final long NEVER = Long.MAX_VALUE;
     private final String edge;
     private final String address;
     private final long life;
@@ -36,11 +48,12 @@
     private final Post post;
     private final Supplier<List<String>> cores;
     private final TreeMap<Long, Map<String, Long>> begun = new TreeMap<>();
+    private final Map<Long, Set<String>> changed = new TreeMap<>();
     private final TreeMap<Long, Push> pushes = new TreeMap<>();
-    private final ArrayDeque<Long> uncountedMs = new ArrayDeque<>();
-    private final Set<Long> changed = new HashSet<>();
+    private final Set<Long> closed = new TreeSet<>();
+    private final Map<String, Long> lives = new HashMap<>();
+    private long changedMs = NEVER;
     private long nextStamp = 1;
-    private long wholeMs = Long.MIN_VALUE / 2;
     private boolean stopped;
 
     /** Example: {@code new UsageCounter("d1-edge", address, life, pace, clock, fleet, post, cores)} */
@@ -60,23 +73,28 @@
     public void begun(final String tenant) {
         final long window = fleet.nowMs() / pace.windowMs();
         begun.computeIfAbsent(window, w -> new HashMap<>()).merge(tenant, 1L, Long::sum);
-        changed.add(window);
-        uncountedMs.add(clock.nowMs());
+        changed.computeIfAbsent(window, w -> new TreeSet<>()).add(tenant);
+        changedMs = Math.min(changedMs, clock.nowMs());
     }
 
     /** Whether one more may begin: what a majority does not have yet is not older than the span for that.
      * Example: {@code if (!counter.mayBegin()) deny();} */
     public boolean mayBegin() {
-        return uncountedMs.isEmpty() || clock.nowMs() - uncountedMs.peek() <= pace.uncountedMs();
+        long oldestMs = changedMs;
+        for (final Push push : pushes.values()) {
+            oldestMs = Math.min(oldestMs, push.sinceMs);
+        }
+        return pace.uncountedMs() == 0 || oldestMs == NEVER || clock.nowMs() - oldestMs <= pace.uncountedMs();
     }
 
     /** Nothing more will be counted here. Example: {@code counter.stop();} */
     public void stop() {
         stopped = true;
-        push(begun.keySet());
+        begun.keySet().forEach(this::whole);
+        push();
     }
 
-    /** One beat: pushes what changed, and now and then all windows that are not long over.
+    /** One beat: pushes what changed and each window that is well over, and again what was not taken.
      * Example: {@code counter.tick();} */
     public void tick() {
         if (!fleet.settled()) {
@@ -84,49 +102,75 @@
         }
         final long now = fleet.nowMs() / pace.windowMs();
         begun.headMap(now - pace.windowsKept()).clear();
+        changed.keySet().removeIf(w -> w < now - pace.windowsKept());
+        closed.removeIf(w -> w < now - pace.windowsKept());
+        pushes.values().removeIf(p -> !p.what.isEmpty() && p.what.keySet().stream().allMatch(w -> w < now - pace.windowsKept()));
         begun.computeIfAbsent(now, w -> new HashMap<>());
         begun.computeIfAbsent(now - 1, w -> new HashMap<>());
-        if (clock.nowMs() - wholeMs >= pace.uncountedMs()) {
-            wholeMs = clock.nowMs();
-            push(begun.keySet());
-        } else if (!uncountedMs.isEmpty()) {
-            push(changed);
+        for (final long window : begun.keySet()) {
+            if (over(window) && closed.add(window)) {
+                whole(window);
+            }
+        }
+        for (final Map.Entry<Long, Push> push : pushes.entrySet()) {
+            if (clock.nowMs() - push.getValue().sentMs >= pace.againMs()) {
+                send(push.getKey(), push.getValue());
+            }
+        }
+        if (!changed.isEmpty()) {
+            push();
         }
     }
 
-    private void push(final Set<Long> windows) {
-        final List<UsageNote.Count> counts = new ArrayList<>();
-        for (final long window : windows) {
-            if (begun.containsKey(window)) {
-                counts.add(new UsageNote.Count(edge, life, window, new TreeMap<>(begun.get(window)), stopped
-                        || (window + 1) * pace.windowMs() + pace.closeMs() < fleet.nowMs()));
+    private boolean over(final long window) {
+        return stopped || (window + 1) * pace.windowMs() + pace.closeMs() < fleet.nowMs();
+    }
+
+    private void whole(final long window) {
+        changed.computeIfAbsent(window, w -> new TreeSet<>()).addAll(begun.get(window).keySet());
+    }
+
+    private void push() {
+        if (pushes.size() >= PUSHES_MAX) {
+            for (final Push old : pushes.values()) {
+                old.what.forEach((w, tenants) -> changed.computeIfAbsent(w, n -> new TreeSet<>()).addAll(tenants));
+                changedMs = Math.min(changedMs, old.sinceMs);
             }
+            pushes.clear();
         }
+        final Push push = new Push(new TreeMap<>(changed), changedMs);
+        changed.clear();
+        changedMs = NEVER;
         final long stamp = nextStamp++;
-        pushes.put(stamp, new Push(clock.nowMs(), new HashSet<>()));
-        if (pushes.size() > PUSHES_MAX) {
-            pushes.pollFirstEntry();
-        }
+        pushes.put(stamp, push);
+        send(stamp, push);
+    }
+
+    private void send(final long stamp, final Push push) {
+        final List<UsageNote.Count> counts = new ArrayList<>();
+        push.what.forEach((window, tenants) -> {
+            final Map<String, Long> of = new TreeMap<>(begun.getOrDefault(window, Map.of()));
+            of.keySet().retainAll(tenants);
+            counts.add(new UsageNote.Count(edge, life, window, of, over(window)));
+        });
+        push.sentMs = clock.nowMs();
         for (final String core : cores.get()) {
-            post.send(core, new UsageNote.Counts(address, stamp, counts));
+            if (!push.had.contains(core)) {
+                post.send(core, new UsageNote.Counts(address, stamp, counts));
+            }
         }
     }
 
-    /** Hears that a core has the counts of a push. Example: {@code counter.hear(had);} */
-    public void hear(final UsageNote.CountsHad note) {
-        final Push push = pushes.get(note.stamp());
-        if (push == null) {
-            return;
+    /** Hears that a core has the counts of a push. Example: {@code counter.hear(had, "10.0.1.1:7100");} */
+    public void hear(final UsageNote.CountsHad note, final String core) {
+        final Long before = lives.put(note.name(), note.life());
+        if (before != null && before != note.life()) {
+            // It came back, without what it had.
+            begun.keySet().forEach(this::whole);
         }
-        push.had.add(note.name());
-        if (push.had.size() > pace.cores() / 2) {
-            while (!uncountedMs.isEmpty() && uncountedMs.peek() <= push.atMs) {
-                uncountedMs.poll();
-            }
-            pushes.headMap(note.stamp(), true).clear();
-            if (uncountedMs.isEmpty()) {
-                changed.clear();
-            }
+        final Push push = pushes.get(note.stamp());
+        if (push != null && push.had.add(core) && push.had.size() > pace.cores() / 2) {
+            pushes.remove(note.stamp());
         }
     }
 }
--- a/spokestall/src/main/java/spokestall/duty/UsageNote.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageNote.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import spokestall.wire.Note;
+import spokestall.wire.Since;
 
 /** How counts reach whoever reports them. */
 public sealed interface UsageNote extends Note {
@@ -14,8 +15,8 @@
     record Counts(String from, long stamp, List<Count> counts) implements UsageNote {
     }
 
-    /** A core has the counts of that push. */
-    record CountsHad(String name, long stamp) implements UsageNote {
+    /** A core, in its present life, has the counts of that push. */
+    record CountsHad(String name, long stamp, @Since(3) long life) implements UsageNote {
     }
 
     /** Asks a core for all it has of a window. */
--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -127,7 +127,9 @@
     }
 
     private boolean warmEnough(final ServiceRule rule, final Upstream u) {
-        final long ageMs = Math.max(0, fleet.nowMs() - u.readySinceMs());
+        final long nowMs = fleet.nowMs();
+        final long ageMs = Math.max(0, u.coldUntilMs() > 0 ? rule.warmupMs() - (u.coldUntilMs() - nowMs)
+                : nowMs - u.readySinceMs());
         if (ageMs >= rule.warmupMs()) {
             warmth.remove(u.instance());
             return true;
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -24,8 +25,19 @@
  * voters confirmed, aged from when this node asked them.
  */
 public final class Follower {
-    /** Spans, from the settings. */
-    public record Pace(long freshMs, int asksOpenMax) {
+    /** Spans and counts, from the settings: a core that gave no news for so long is left for another, and every so many
+     * asks another is asked once; whole asks are for programs that know no others. */
+    public record Pace(long freshMs, int asksOpenMax, long newsWaitMs, int roveEvery, boolean whole) {
+    }
+
+    /** What a core last said. */
+    public record Word(boolean voting, long applied, long newest) {
+    }
+
+    /** How far a core is from here; the nearest is asked for news. */
+    public interface Distance {
+        /** Example: {@code distance.of("10.0.1.1:7100") == 0} is this node itself. */
+        int of(String address);
     }
 
     private static final class Open {
@@ -57,16 +69,23 @@
     private final Runnable applied;
     private final IntSupplier open;
     private final TreeMap<Long, Open> asks = new TreeMap<>();
-    private final Map<String, FeedNote.FeedBack> last = new TreeMap<>();
+    private final Map<String, Word> last = new TreeMap<>();
     private final Map<String, Long> lastMs = new HashMap<>();
     private long provedMs = Long.MIN_VALUE / 2;
+    private final Distance distance;
     private long nextAskId = 1;
-    private int turn;
+    private int turn = -1;
+    private int asked;
+    private long newsMs = Long.MIN_VALUE / 2;
+    private List<Member> edges = List.of();
+    private long edgesMark;
+    private long edgesMs = Long.MIN_VALUE / 2;
 
     /** Example: see {@code Node}. */
     public Follower(final Supplier<Member> self, final Book book, final Listing listing, final Proposer proposer,
             final Post post, final Clock clock, final Pace pace, final Supplier<List<String>> strangers,
-            final Consumer<Voters> adopt, final Runnable applied, final IntSupplier open) {
+            final Consumer<Voters> adopt, final Runnable applied, final IntSupplier open,
+            final Distance distance) {
         this.self = self;
         this.address = self.get().address();
         this.book = book;
@@ -79,6 +98,7 @@
         this.adopt = adopt;
         this.applied = applied;
         this.open = open;
+        this.distance = distance;
     }
 
     /** The age of the newest proof. Example: {@code if (follower.ageMs() > bound) deny();} */
@@ -97,7 +117,7 @@
     }
 
     /** What the cores last said, by name. Example: {@code follower.last().values()} */
-    public Map<String, FeedNote.FeedBack> last() {
+    public Map<String, Word> last() {
         return last;
     }
 
@@ -107,6 +127,11 @@
         return at == null ? Long.MAX_VALUE : clock.nowMs() - at;
     }
 
+    /** The edges that a core named so short a while ago. Example: {@code follower.edges(1200)} */
+    public List<Member> edges(final long spanMs) {
+        return clock.nowMs() - edgesMs <= spanMs ? edges : List.of();
+    }
+
     /** One beat: asks every core what is newest, and one of them for news. Example: {@code follower.tick();} */
     public void tick() {
         final Voters table = proposer.voters();
@@ -126,26 +151,67 @@
         while (asks.size() > pace.asksOpenMax()) {
             asks.pollFirstEntry();
         }
-        final int newsFrom = turn++ % cores.size();
-        for (int i = 0; i < cores.size(); i++) {
-            post.send(cores.get(i), new FeedNote.FeedAsk(address, self.get(), fresh(), open.getAsInt(), askId, i == newsFrom,
-                    book.policy().version(), listing.lifeHeard(cores.get(i)), listing.placeHeard(cores.get(i))));
+        final String newsFrom = newsFrom(cores);
+        for (final String core : cores) {
+            if (core.equals(newsFrom) || pace.whole()) {
+                post.send(core, ask(core, askId, core.equals(newsFrom)));
+            } else {
+                final Member me = self.get();
+                post.send(core, new FeedNote.ProofAsk(address, me.life(), me.serves(), fresh(), me.leaving(),
+                        open.getAsInt(), askId, table == null ? 0 : table.generation(),
+                        table == null ? 0 : table.epoch()));
+            }
+        }
+    }
+
+    /** The nearest other core that gives news; now and then one more far away, so that no two keep to themselves. */
+    private String newsFrom(final List<String> cores) {
+        final List<String> others = new ArrayList<>(cores);
+        others.remove(address);
+        if (others.isEmpty()) {
+            return cores.get(0);
+        }
+        others.sort(Comparator.comparingInt(distance::of));
+        final long nowMs = clock.nowMs();
+        if (nowMs - newsMs > pace.newsWaitMs()) {
+            newsMs = nowMs;
+            turn++;
+        }
+        if (++asked % (8 * pace.roveEvery()) == 0) {
+            turn = 0;
         }
+        return others.get((turn + (asked % pace.roveEvery() == 0 ? 1 + asked / pace.roveEvery() : 0)) % others.size());
+    }
+
+    private FeedNote.FeedAsk ask(final String core, final long askId, final boolean news) {
+        final Voters table = proposer.voters();
+        return new FeedNote.FeedAsk(address, self.get(), fresh(), open.getAsInt(), askId, news, book.policy().version(),
+                listing.lifeHeard(core), listing.placeHeard(core), table == null ? 0 : table.generation(),
+                table == null ? 0 : table.epoch(), edgesMark);
     }
 
     private void news(final String core) {
-        post.send(core, new FeedNote.FeedAsk(address, self.get(), fresh(), open.getAsInt(), 0, true, book.policy().version(),
-                listing.lifeHeard(core), listing.placeHeard(core)));
+        post.send(core, ask(core, 0, true));
     }
 
     /** Hears a core's reply or its news. Example: {@code follower.hear(note);} */
     public void hear(final FeedNote note) {
         if (note instanceof FeedNote.FeedNews n) {
-            if (n.version() > book.policy().version()) {
-                tick();
-            }
+            news(n);
         } else if (note instanceof FeedNote.FeedBack back) {
             back(back);
+        } else if (note instanceof FeedNote.ProofBack back) {
+            back(back);
+        }
+    }
+
+    /** What is told was chosen, so it may be in force before any proof names it. */
+    private void news(final FeedNote.FeedNews told) {
+        if (told.change() != null && proposer.voters() != null) {
+            learn(told.version(), told.change());
+        }
+        if (told.version() > book.policy().version()) {
+            tick();
         }
     }
 
@@ -154,25 +220,62 @@
             adopt.accept(back.table());
         }
         final Voters table = proposer.voters();
-        last.put(back.name(), back);
-        lastMs.put(back.name(), clock.nowMs());
         final Seat seat = table == null ? null : table.seat(back.name());
         if (seat != null) {
             listing.take(seat.address(), back.listingLife(), back.listingPlace(), back.listed(), back.reports());
         }
-        if (table == null || back.table() == null || !table.same(back.table().generation(), back.table().epoch())) {
+        if (back.listingLife() != 0) {
+            newsMs = clock.nowMs();
+            edges(back);
+        }
+        final boolean same = table != null && (back.table() != null
+                ? table.same(back.table().generation(), back.table().epoch())
+                : table.same(back.generation(), back.epoch()));
+        if (same) {
+            take(back);
+        }
+        heard(back.name(), new Word(back.voting(), back.applied(), back.newest()), back.askId(), same,
+                seat != null && seat.diskId().equals(back.diskId()));
+    }
+
+    private void edges(final FeedNote.FeedBack back) {
+        if (!back.brief()) {
+            edges = back.edges();
+            edgesMark = back.edgesMark();
+        } else if (back.edgesMark() != edgesMark) {
             return;
         }
-        take(back);
-        final Open ask = asks.get(back.askId());
-        if (ask != null && ask.table == table && back.voting() && seat != null
-                && seat.diskId().equals(back.diskId())) {
-            ask.newest.put(back.name(), back.newest());
+        edgesMs = clock.nowMs();
+    }
+
+    private void back(final FeedNote.ProofBack back) {
+        final Voters table = proposer.voters();
+        final Seat seat = table == null ? null : table.seat(back.name());
+        if (back.stranger() && seat != null) {
+            post.send(seat.address(), ask(seat.address(), 0, false));
+        }
+        heard(back.name(), new Word(back.voting(), back.newest() - back.behind(), back.newest()), back.askId(),
+                table != null && table.same(back.generation(), back.epoch()),
+                seat != null && Marks.of(seat.diskId()) == back.diskMark());
+    }
+
+    private void heard(final String core, final Word word, final long askId, final boolean sameTable,
+            final boolean ownDisk) {
+        last.put(core, word);
+        lastMs.put(core, clock.nowMs());
+        if (!sameTable) {
+            return;
+        }
+        final Voters table = proposer.voters();
+        final Open ask = asks.get(askId);
+        if (ask != null && ask.table == table && word.voting() && ownDisk) {
+            ask.newest.put(core, word.newest());
         }
         prove(table);
-        if (back.applied() > book.policy().version() && seat != null && back.askId() != 0) {
+        final Seat seat = table.seat(core);
+        if (word.applied() > book.policy().version() && seat != null && askId != 0) {
             news(seat.address());
-        } else if (back.newest() > book.policy().version()) {
+        } else if (word.newest() > book.policy().version()) {
             finish(table);
         }
     }
@@ -215,8 +318,8 @@
             return;
         }
         final long next = Math.max(book.policy().version() + 1, table.firstNumber());
-        for (final FeedNote.FeedBack back : last.values()) {
-            if (back.applied() >= next) {
+        for (final Word word : last.values()) {
+            if (word.applied() >= next) {
                 return;
             }
         }
--- a/spokestall/src/main/java/spokestall/listing/Listed.java
+++ b/spokestall/src/main/java/spokestall/listing/Listed.java
@@ -1,6 +1,25 @@
 package spokestall.listing;
 
-/** An upstream as the platform lists it. */
+import spokestall.wire.Since;
+
+/** An upstream as the platform lists it. coldUntilMs is when it will have warmed up, on the fleet's clock, zero when the
+ * list doesn't tell; sinceMs is when it was first listed. What reads the list gives coldUntilMs as the span still left,
+ * or a negative one when it isn't known. */
 public record Listed(String instance, String service, String address, String district, String region,
-        boolean present, boolean leaving, long stampMs) {
+        boolean present, boolean leaving, long stampMs, @Since(3) long coldUntilMs, @Since(3) long sinceMs) {
+    /** An entry as it was read. Example: {@code Listed.read("i1", "records", "10.0.0.1:80", "d1", "r1", false, -1)} */
+    public static Listed read(final String instance, final String service, final String address, final String district,
+            final String region, final boolean leaving, final long coldForMs) {
+        return new Listed(instance, service, address, district, region, true, leaving, 0, coldForMs, 0);
+    }
+
+    /** The same, stamped. Example: {@code listed.at(true, askedMs, 0, firstMs)} */
+    Listed at(final boolean there, final long ms, final long coldUntil, final long since) {
+        return new Listed(instance, service, address, district, region, there, leaving, ms, coldUntil, since);
+    }
+
+    /** When it was first listed, as far as is known. */
+    long firstMs() {
+        return sinceMs == 0 ? stampMs : sinceMs;
+    }
 }
--- a/spokestall/src/main/java/spokestall/listing/Listing.java
+++ b/spokestall/src/main/java/spokestall/listing/Listing.java
@@ -21,13 +21,17 @@
     private final long life;
     private final int entriesMax;
     private final long freshMs;
+    private final boolean probed;
     private final Map<String, Numbered<Listed>> listed = new TreeMap<>();
     private final Map<String, Map<String, Numbered<Report>>> reports = new TreeMap<>();
     private final Map<String, Heard> heard = new HashMap<>();
     private long place;
+    private long readMs;
 
-    /** Example: {@code new Listing(life, 4096, 4000)} */
-    public Listing(final long life, final int entriesMax, final long freshMs) {
+    /** Where nothing is probed, what is listed and not leaving counts as ready.
+     * Example: {@code new Listing(life, 4096, 4000, true)} */
+    public Listing(final long life, final int entriesMax, final long freshMs, final boolean probed) {
+        this.probed = probed;
         this.life = life;
         this.entriesMax = entriesMax;
         this.freshMs = freshMs;
@@ -38,6 +42,22 @@
         return life;
     }
 
+    /** The platform's list was read then, by any core. Example: {@code listing.read(push.readMs());} */
+    public void read(final long ms) {
+        readMs = Math.max(readMs, ms);
+    }
+
+    /** When the list was last read, as far as is known. Example: {@code fleet.nowMs() - listing.readMs()} */
+    public long readMs() {
+        return readMs;
+    }
+
+    /** What a core last said of an instance, or null. Example: {@code listing.said("i1", "d1-core")} */
+    Report said(final String instance, final String by) {
+        final Numbered<Report> had = reports.getOrDefault(instance, Map.of()).get(by);
+        return had == null ? null : had.value;
+    }
+
     /** The place of the newest entry. Example: {@code listing.place()} */
     public long place() {
         return place;
@@ -73,10 +93,19 @@
     private void merge(final Listed entry) {
         final Numbered<Listed> had = listed.get(entry.instance());
         if (had == null ? listed.size() < entriesMax : entry.stampMs() > had.value.stampMs()) {
-            listed.put(entry.instance(), new Numbered<>(++place, entry));
+            listed.put(entry.instance(), new Numbered<>(++place, had == null ? entry : kept(had.value, entry)));
+        } else if (had != null && entry.firstMs() < had.value.firstMs()) {
+            listed.put(entry.instance(), new Numbered<>(had.place, kept(entry, had.value)));
         }
     }
 
+    /** The later entry, listed first when the earlier one was, if it was there all the time. */
+    private static Listed kept(final Listed earlier, final Listed later) {
+        return earlier.present() && later.present() && earlier.address().equals(later.address())
+                && earlier.firstMs() < later.firstMs()
+                ? later.at(true, later.stampMs(), later.coldUntilMs(), earlier.firstMs()) : later;
+    }
+
     private void merge(final Report word) {
         final Map<String, Numbered<Report>> of = reports.computeIfAbsent(word.instance(), i -> new TreeMap<>());
         final Numbered<Report> had = of.get(word.by());
@@ -128,7 +157,7 @@
                 final Report word = word(l.instance(), nowMs);
                 if (word != null && word.status() == Status.READY) {
                     found.add(new Upstream(l.instance(), service, l.address(), l.district(), l.region(),
-                            word.readySinceMs()));
+                            word.readySinceMs(), probed ? 0 : l.coldUntilMs()));
                 }
             }
         }
@@ -137,6 +166,11 @@
 
     /** What the cores together say now: leaving or foreign from any one holds; ready from any one beats down. */
     public Report word(final String instance, final long nowMs) {
+        if (!probed) {
+            final Numbered<Listed> n = listed.get(instance);
+            return n == null || !n.value.present() ? null : new Report(instance, "",
+                    n.value.leaving() ? Status.LEAVING : Status.READY, n.value.firstMs(), n.value.stampMs());
+        }
         Report best = null;
         for (final Numbered<Report> n : reports.getOrDefault(instance, Map.of()).values()) {
             final Report r = n.value;
--- a/spokestall/src/main/java/spokestall/listing/Prober.java
+++ b/spokestall/src/main/java/spokestall/listing/Prober.java
@@ -1,6 +1,7 @@
 package spokestall.listing;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,7 +13,10 @@
 import spokestall.view.Member;
 import spokestall.wire.Post;
 
-/** A core's part in knowing the upstreams: reads the platform's list, probes its share, and tells the other cores. */
+/**
+ * A core's part in knowing the upstreams: reads the platform's list when no other did of late, probes its share, and tells
+ * what changed to every node, and that it read or probed to the other cores.
+ */
 public final class Prober {
     /** How the prober reaches the platform and the upstreams. */
     public interface Reach {
@@ -27,10 +31,15 @@
     public record Probe(String instance, String service, boolean leaving, long readyForMs) {
     }
 
-    /** Spans, from the settings. */
-    public record Pace(long probeWaitMs, long listWaitMs, int failsMax, int sharers) {
+    /** Spans, from the settings. The fleet reads the list every {@code listMs}; an unchanged word is said anew every
+     * {@code sayMs}. */
+    public record Pace(long probeWaitMs, long listWaitMs, int failsMax, int sharers, long listMs, long sayMs,
+            boolean probes) {
     }
 
+    /** How much later each next core in turn reads, as a part of the span. */
+    private static final double LATER = 0.7;
+    private static final long COLD_APART_MS = 1000;
     private final Member self;
     private final Listing listing;
     private final Reach reach;
@@ -38,15 +47,19 @@
     private final FleetClock fleet;
     private final Pace pace;
     private final Supplier<List<Member>> cores;
+    private final Supplier<Collection<Member>> everyone;
+    private final List<Report> changed = new ArrayList<>();
     private final Map<String, Integer> fails = new HashMap<>();
     private final Set<String> probing = new HashSet<>();
     private boolean listingNow;
+    private long triedMs = Long.MIN_VALUE / 2;
     private long pushed;
     private int beat;
 
     /** Example: see {@code Node}. */
     public Prober(final Member self, final Listing listing, final Reach reach, final Post post,
-            final FleetClock fleet, final Pace pace, final Supplier<List<Member>> cores) {
+            final FleetClock fleet, final Pace pace, final Supplier<List<Member>> cores,
+            final Supplier<Collection<Member>> everyone) {
         this.self = self;
         this.listing = listing;
         this.reach = reach;
@@ -54,6 +67,7 @@
         this.fleet = fleet;
         this.pace = pace;
         this.cores = cores;
+        this.everyone = everyone;
     }
 
     /** One beat: list, probe, tell. Example: {@code prober.tick();} */
@@ -62,24 +76,37 @@
             return;
         }
         beat++;
-        if (beat % 2 == 0) {
-            list();
-        }
         final List<Member> others = cores.get();
-        for (final Listed l : listing.listed()) {
-            if (l.present() && mine(l, others) && probing.add(l.instance())) {
-                probe(l);
+        if (mayRead(others)) {
+            read();
+        }
+        if (pace.probes()) {
+            for (final Listed l : listing.listed()) {
+                if (l.present() && mine(l, others) && probing.add(l.instance())) {
+                    probe(l);
+                }
             }
+            tell(others);
         }
-        tell(others);
     }
 
-    private void list() {
-        if (listingNow) {
-            return;
+    /** One core reads at a time: each later one in the order of names waits longer to hear that another did. */
+    private boolean mayRead(final List<Member> others) {
+        final long nowMs = fleet.nowMs();
+        if (listing.readMs() == 0) {
+            // What the others know comes first, so that what they listed long ago isn't taken for new.
+            listing.read(nowMs - pace.listMs() + Math.min(pace.listMs(), pace.listWaitMs()));
         }
+        final long rank = others.stream().filter(m -> m.name().compareTo(self.name()) < 0).count();
+        final long slackMs = pace.listMs() / 32;
+        return !listingNow && nowMs - triedMs >= pace.listMs() - slackMs
+                && nowMs - listing.readMs() >= (long) (pace.listMs() * (1 + LATER * rank)) - slackMs;
+    }
+
+    private void read() {
         listingNow = true;
         final long askedMs = fleet.nowMs();
+        triedMs = askedMs;
         reach.list(pace.listWaitMs(), list -> {
             listingNow = false;
             if (list != null) {
@@ -90,26 +117,31 @@
 
     private void taken(final List<Listed> list, final long askedMs) {
         final Map<String, Listed> now = new HashMap<>();
-        list.forEach(l -> now.put(l.instance(), l));
-        final List<Listed> changed = new ArrayList<>();
+        list.forEach(l -> now.put(l.instance(), l.at(true, askedMs, l.coldUntilMs() < 0 ? 0 : askedMs + l.coldUntilMs(),
+                askedMs)));
+        final List<Listed> news = new ArrayList<>();
         for (final Listed had : listing.listed()) {
             final Listed l = now.remove(had.instance());
-            if (l == null ? had.present() : !same(had, l)) {
-                final Listed f = l == null ? had : l;
-                changed.add(new Listed(f.instance(), f.service(), f.address(), f.district(), f.region(), l != null,
-                        f.leaving(), askedMs));
+            if (l == null && had.present()) {
+                news.add(had.at(false, askedMs, had.coldUntilMs(), had.firstMs()));
+            } else if (l != null && !same(had, l)) {
+                news.add(l);
             }
         }
-        for (final Listed l : now.values()) {
-            changed.add(new Listed(l.instance(), l.service(), l.address(), l.district(), l.region(), true,
-                    l.leaving(), askedMs));
+        news.addAll(now.values());
+        listing.merge(news, List.of());
+        listing.read(askedMs);
+        final ListingNote.Push push = new ListingNote.Push(news, List.of(), askedMs);
+        for (final Member other : news.isEmpty() ? cores.get() : everyone.get()) {
+            post.send(other.address(), push);
         }
-        listing.merge(changed, List.of());
     }
 
     private static boolean same(final Listed had, final Listed now) {
         return had.present() && had.leaving() == now.leaving() && had.address().equals(now.address())
-                && had.service().equals(now.service());
+                && had.service().equals(now.service())
+                && (Math.abs(had.coldUntilMs() - now.coldUntilMs()) < COLD_APART_MS
+                || Math.max(had.coldUntilMs(), now.coldUntilMs()) <= now.stampMs() + COLD_APART_MS);
     }
 
     /** Each upstream is probed by a few cores, near ones first, elected alike by all. */
@@ -146,22 +178,35 @@
         });
     }
 
+    /** An unchanged word isn't said anew each time. */
     private void word(final Listed l, final Status status, final long readySinceMs, final long askedMs) {
-        listing.merge(List.of(), List.of(new Report(l.instance(), self.name(), status, readySinceMs, askedMs)));
+        final Report had = listing.said(l.instance(), self.name());
+        final boolean same = had != null && had.status() == status
+                && Math.abs(had.readySinceMs() - readySinceMs) < COLD_APART_MS;
+        if (same && askedMs - had.stampMs() < pace.sayMs()) {
+            return;
+        }
+        final Report word = new Report(l.instance(), self.name(), status, readySinceMs, askedMs);
+        listing.merge(List.of(), List.of(word));
+        if (!same) {
+            changed.add(word);
+        }
     }
 
     private void tell(final List<Member> others) {
-        final boolean all = beat % 10 == 0;
-        final List<Listed> entries = listing.listedAfter(all ? 0 : pushed);
-        final List<Report> words = listing.reportsAfter(all ? 0 : pushed).stream()
-                .filter(r -> all || r.by().equals(self.name())).toList();
+        if (!changed.isEmpty()) {
+            final ListingNote.Push news = new ListingNote.Push(List.of(), List.copyOf(changed), 0);
+            everyone.get().forEach(m -> post.send(m.address(), news));
+        }
+        final List<Report> words = listing.reportsAfter(pushed).stream()
+                .filter(r -> r.by().equals(self.name()) && !changed.contains(r)).toList();
         pushed = listing.place();
-        if (!entries.isEmpty() || !words.isEmpty()) {
-            for (final Member other : others) {
-                post.send(other.address(), new ListingNote.Push(entries, words));
-            }
+        changed.clear();
+        if (!words.isEmpty()) {
+            final ListingNote.Push push = new ListingNote.Push(List.of(), words, 0);
+            others.forEach(m -> post.send(m.address(), push));
         }
-        if (all) {
+        if (beat % 10 == 0) {
             fails.keySet().retainAll(listing.listed().stream().map(Listed::instance).toList());
         }
     }
--- a/spokestall/src/main/java/spokestall/rim/Outside.java
+++ b/spokestall/src/main/java/spokestall/rim/Outside.java
@@ -106,9 +106,9 @@
             for (final JsonNode u : tree.path("upstreams")) {
                 final String address = u.path("address").asText();
                 if (address.matches("(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}") && !u.path("instance").asText().isEmpty()) {
-                    found.add(new Listed(u.path("instance").asText(), u.path("service").asText(), address,
-                            u.path("district").asText(), u.path("region").asText(), true,
-                            u.path("leaving").asBoolean(false), 0));
+                    found.add(Listed.read(u.path("instance").asText(), u.path("service").asText(), address,
+                            u.path("district").asText(), u.path("region").asText(),
+                            u.path("leaving").asBoolean(false), u.path("coldForMs").asLong(-1)));
                 }
             }
             done.accept(found);
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -37,7 +37,8 @@
         }
     }
 
-    private record Key(String fallback, String what, Kind kind, double least, double most) {
+    /** A number that isn't given is a part of another, if there is one. */
+    private record Key(String fallback, String what, Kind kind, double least, double most, String of, double part) {
     }
 
     private enum Kind { TEXT, NUMBER, ADDRESS, MAYBE_ADDRESS, ADDRESSES, DISTRICTS, NETS }
@@ -62,9 +63,16 @@
         number("cores", 6, "cores in the fleet", 1, 63);
         number("edges", 6, "edges in the fleet; shared bounds are divided by it", 1, 1024);
         number("keyBoundMs", 5000, "a withdrawn key must stop within this", 500, 60_000);
+        part("proofMs", "keyBoundMs", 0.08, "how often a node asks for its proof that its policy is the newest", 10, 60_000);
+        part("freshMs", "keyBoundMs", 0.2, "how old that proof may be to act on", 50, 60_000);
         number("policyBoundMs", 3500, "an accepted policy must be in force within this", 500, 60_000);
         number("leaveBoundMs", 4000, "a leaving upstream or held district must be empty within this", 500, 60_000);
         number("reportWindowS", 5, "length of a usage window", 1, 3600);
+        part("countPushMs", "reportWindowS", 10, "how often an edge pushes counts that changed", 10, 600_000);
+        part("uncountedMs", "reportWindowS", 40, "an edge begins nothing more while a count is older and not with a majority;"
+                + " 0: it goes on, and what it began last may be missing in a report", 0, 600_000);
+        part("listMs", "leaveBoundMs", 0.25, "how often the fleet as a whole reads the platform's list", 50, 600_000);
+        number("probes", 1, "0: no upstream is probed, what is listed and not leaving counts as ready", 0, 1);
         number("reportDueMs", 10_000, "a window's counts must be in within this after its end", 1000, 600_000);
         number("dutiesPerS", 2, "calls a second that the platform takes for duties", 0.1, 1000);
         number("leaseMs", 2000, "the lease on a duty", 200, 600_000);
@@ -96,7 +104,7 @@
 
     private static void add(final String key, final String fallback, final String what, final Kind kind,
             final double least, final double most) {
-        KEYS.put(key, new Key(fallback, what, kind, least, most));
+        KEYS.put(key, new Key(fallback, what, kind, least, most, null, 0));
     }
 
     private static void text(final String key, final String fallback, final String what) {
@@ -109,11 +117,16 @@
         add(key, text, what, Kind.NUMBER, least, most);
     }
 
+    private static void part(final String key, final String of, final double part, final String what, final double least,
+            final double most) {
+        KEYS.put(key, new Key("", what, Kind.NUMBER, least, most, of, part));
+    }
+
     /** The settings page of the help. Example: {@code System.out.print(Settings.help());} */
     public static String help() {
         final StringBuilder out = new StringBuilder();
         KEYS.forEach((key, k) -> out.append(String.format("  %-17s %s%s%n", key, k.what,
-                k.fallback == null ? " (must be given)" : k.fallback.isEmpty() ? "" : " [" + k.fallback + "]")));
+                k.fallback == null ? " (must be given)" : k.of != null ? " [" + k.part + " x " + k.of + "]" : k.fallback.isEmpty() ? "" : " [" + k.fallback + "]")));
         return out.toString();
     }
 
@@ -168,6 +181,9 @@
         }
         switch (k.kind) {
             case NUMBER -> {
+                if (k.of != null && value.isEmpty()) {
+                    return;
+                }
                 try {
                     final double n = Double.parseDouble(value);
                     if (!(n >= k.least && n <= k.most)) {
@@ -246,6 +262,15 @@
                 || s.operators().equals(s.listen())) {
             troubles.add(new Trouble("operators", s.operators() + " is an address of this node for others"));
         }
+        if (s.ms("freshMs") < 2 * s.ms("proofMs")) {
+            troubles.add(new Trouble("freshMs", "must be at least 2 x proofMs, for a proof to be renewed in time"));
+        }
+        if (s.ms("freshMs") + s.ms("farMs") >= s.ms("keyBoundMs")) {
+            troubles.add(new Trouble("freshMs", "must be under keyBoundMs less farMs, for a withdrawn key to stop in time"));
+        }
+        if (s.ms("uncountedMs") > 0 && s.ms("uncountedMs") < 2 * s.ms("countPushMs")) {
+            troubles.add(new Trouble("uncountedMs", "must be 0 or at least 2 x countPushMs, for counts to be with a majority in time"));
+        }
         if (s.ms("leaseMs") < 8 * s.ms("farMs")) {
             troubles.add(new Trouble("leaseMs", "must be at least 8 x farMs, to be renewed in time"));
         }
@@ -266,7 +291,9 @@
 
     /** A number. Example: {@code settings.number("retryShare")} */
     public double number(final String key) {
-        return Double.parseDouble(values.get(key));
+        final String value = values.get(key);
+        final Key k = KEYS.get(key);
+        return value.isEmpty() && k.of != null ? Math.rint(k.part * number(k.of)) : Double.parseDouble(value);
     }
 
     /** A share of a span. Example: {@code settings.part("keyBoundMs", 0.5)} */
@@ -274,6 +301,11 @@
         return Math.max(1, Math.round(number(key) * ratio));
     }
 
+    /** How long a core or an edge counts as there without being heard. Example: {@code settings.heardMs()} */
+    public long heardMs() {
+        return Math.max(part("leaveBoundMs", 0.3), 3 * ms("proofMs"));
+    }
+
     /** Where to listen for other nodes. Example: {@code Addresses.of(settings.listen())} */
     public String listen() {
         return text("listen").isEmpty() ? text("address") : text("listen");
--- a/spokestall/src/main/java/spokestall/view/Member.java
+++ b/spokestall/src/main/java/spokestall/view/Member.java
@@ -6,4 +6,13 @@
  * cores and edges are the counts it is configured with, zero when it did not say. */
 public record Member(String name, String address, String httpAddress, boolean core, String district, String region,
         long life, long heardMs, boolean leaving, @Since(2) int cores, @Since(2) int edges) {
+    /** Whether it answers callers. Example: {@code member.serves()} */
+    public boolean serves() {
+        return !core;
+    }
+
+    /** The same node, heard at another time, leaving or not. Example: {@code member.at(fleet.nowMs(), true)} */
+    public Member at(final long ms, final boolean goes) {
+        return new Member(name, address, httpAddress, core, district, region, life, ms, goes, cores, edges);
+    }
 }
--- a/spokestall/src/main/java/spokestall/view/View.java
+++ b/spokestall/src/main/java/spokestall/view/View.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -17,8 +18,9 @@
  * for a while; the seeds are asked again now and then, so that a view that split joins again.
  */
 public final class View {
-    /** Sizes and spans, from the settings. */
-    public record Pace(int size, int sample, long goneMs) {
+    /** Sizes and spans, from the settings. For a while after it learned of a node, or that one is gone, a view is eager:
+     * it shuffles on each beat, not on every other, and says more. */
+    public record Pace(int size, int sample, long goneMs, long eagerMs) {
     }
 
     private final Member self;
@@ -30,8 +32,11 @@
     private final Pace pace;
     private final Map<String, Member> known = new TreeMap<>();
     private final Map<String, Long> learnedMs = new HashMap<>();
+    private final Map<String, Long> newMs = new HashMap<>();
+    private final Map<String, Long> offeredMs = new HashMap<>();
     private boolean leaving;
     private int beat;
+    private long changedMs;
 
     /** Example: {@code new View(self, settings.seeds(), post, clock, fleet, random, pace)} */
     public View(final Member self, final List<String> seeds, final Post post, final Clock clock,
@@ -43,12 +48,12 @@
         this.fleet = fleet;
         this.random = random;
         this.pace = pace;
+        this.changedMs = clock.nowMs();
     }
 
     /** This node as others should know it. Example: {@code view.self().name()} */
     public Member self() {
-        return new Member(self.name(), self.address(), self.httpAddress(), self.core(), self.district(),
-                self.region(), self.life(), fleet.nowMs(), leaving, self.cores(), self.edges());
+        return self.at(fleet.nowMs(), leaving);
     }
 
     /** Tells the neighbours from now on that this node is going. Example: {@code view.leave();} */
@@ -59,8 +64,12 @@
     /** The members known now, this node not among them. Example: {@code view.members().size()} */
     public Collection<Member> members() {
         final long nowMs = clock.nowMs();
-        known.values().removeIf(m -> nowMs - learnedMs.getOrDefault(m.name(), 0L) > pace.goneMs());
-        learnedMs.keySet().retainAll(known.keySet());
+        if (known.values().removeIf(m -> nowMs - learnedMs.getOrDefault(m.name(), 0L) > pace.goneMs())) {
+            changedMs = nowMs;
+            learnedMs.keySet().retainAll(known.keySet());
+            newMs.keySet().retainAll(known.keySet());
+            offeredMs.keySet().retainAll(known.keySet());
+        }
         return known.values();
     }
 
@@ -69,28 +78,41 @@
         return name.equals(self.name()) ? self() : known.get(name);
     }
 
-    /** One beat: offers a sample to the neighbour heard longest ago, and to a seed. Example: {@code view.tick();} */
+    /** One beat: offers a sample to the neighbour that was left alone longest, and now and then to a seed.
+     * Example: {@code view.tick();} */
     public void tick() {
         final List<Member> all = new ArrayList<>(members());
         final int turn = beat++;
+        if (!eager() && turn % 2 != 0) {
+            return;
+        }
         if (!all.isEmpty()) {
-            all.sort(Comparator.comparingLong(m -> learnedMs.get(m.name())));
+            Collections.shuffle(all, random);
+            all.sort(Comparator.comparingLong(m -> Math.max(learnedMs.get(m.name()),
+                    offeredMs.getOrDefault(m.name(), Long.MIN_VALUE))));
+            offeredMs.put(all.get(0).name(), clock.nowMs());
             offer(all.get(0).address(), false, 0);
-            offer(all.get(random.nextInt(all.size())).address(), false, 0);
         }
-        if (all.size() < pace.sample() || turn % 4 == 0) {
-            offer(seeds.get(turn / (all.isEmpty() ? 1 : 4) % seeds.size()), false, 0);
+        if (all.size() < pace.sample() || turn % 16 == 0) {
+            offer(seeds.get(turn / (all.size() < pace.sample() ? 1 : 16) % seeds.size()), false, 0);
         }
     }
 
+    private boolean eager() {
+        return clock.nowMs() - changedMs < pace.eagerMs();
+    }
+
     private void offer(final String to, final boolean reply, final long echoMs) {
         if (to.equals(self.address())) {
             return;
         }
+        final long nowMs = clock.nowMs();
         final List<Member> sample = new ArrayList<>(known.values());
-        java.util.Collections.shuffle(sample, random);
-        final List<Member> part = sample.subList(0, Math.min(sample.size(), pace.sample()));
-        post.send(to, new ViewNote.Shuffle(self.address(), self(), clock.nowMs(), reply, echoMs, fleet.nowMs(),
+        Collections.shuffle(sample, random);
+        sample.removeIf(m -> m.address().equals(to));
+        sample.sort(Comparator.comparing(m -> nowMs - newMs.getOrDefault(m.name(), Long.MIN_VALUE / 2) >= pace.eagerMs()));
+        final List<Member> part = sample.subList(0, Math.min(sample.size(), eager() ? pace.sample() : pace.sample() / 2));
+        post.send(to, new ViewNote.Shuffle(self.address(), self(), nowMs, reply, echoMs, fleet.nowMs(),
                 fleet.settled(), List.copyOf(part)));
     }
 
@@ -118,6 +140,10 @@
         if (!newer) {
             return;
         }
+        if (had == null || m.life() > had.life()) {
+            newMs.put(m.name(), clock.nowMs());
+            changedMs = clock.nowMs();
+        }
         known.put(m.name(), m);
         learnedMs.put(m.name(), clock.nowMs() - ageMs);
         if (known.size() > pace.size()) {
--- a/spokestall/src/main/java/spokestall/wire/Codec.java
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -9,6 +9,7 @@
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -19,15 +20,17 @@
  * Writes records as {@code DataOutputStream} fields in the order they are declared, and reads them back. A note begins with
  * its version, but for the first one, which has none: there a kind's number stands first, whose upper byte is zero. A
  * program reads the versions up to its own and writes whichever it is told to. Records alone (values that are kept) have
- * the first version's fields.
+ * the first version's fields. From the third version on, whole numbers and lengths take as many bytes as they need
+ * ({@link Numbers}).
  */
 public final class Codec {
     /** No list, text or byte field may say it is longer than this. */
     public static final int FIELD_MAX = 32 << 20;
     /** The version of notes that this program has, and the oldest that it can read and write. */
-    public static final int VERSION = 2;
+    public static final int VERSION = 3;
     /** See {@link #VERSION}. */
     public static final int OLDEST = 1;
+    private static final int COMPACT = 3;
     private static final Map<Integer, Class<? extends Record>> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, Integer> BY_CLASS = new HashMap<>();
     private static final ClassValue<Shape> SHAPES = new ClassValue<>() {
@@ -117,15 +120,21 @@
 
     private static void write(final DataOutputStream out, final Type type, final Object value, final int version) throws IOException {
         if (type == long.class) {
-            out.writeLong((Long) value);
+            number(out, (Long) value, true, version);
         } else if (type == int.class) {
-            out.writeInt((Integer) value);
+            number(out, (Integer) value, false, version);
         } else if (type == double.class) {
             out.writeDouble((Double) value);
         } else if (type == boolean.class) {
             out.writeBoolean((Boolean) value);
         } else if (type instanceof ParameterizedType p) {
             writeMany(out, p, value, version);
+        } else if (version >= COMPACT && (type == String.class || type == byte[].class)) {
+            final byte[] bytes = value instanceof String text ? text.getBytes(StandardCharsets.UTF_8) : (byte[]) value;
+            Numbers.write(out, bytes == null ? 0 : bytes.length + 1L);
+            if (bytes != null) {
+                out.write(bytes);
+            }
         } else {
             out.writeBoolean(value != null);
             if (value != null) {
@@ -134,17 +143,36 @@
         }
     }
 
+    private static void number(final DataOutputStream out, final long value, final boolean wide, final int version)
+            throws IOException {
+        if (version >= COMPACT) {
+            Numbers.write(out, Numbers.folded(value));
+        } else if (wide) {
+            out.writeLong(value);
+        } else {
+            out.writeInt((int) value);
+        }
+    }
+
+    private static void size(final DataOutputStream out, final int size, final int version) throws IOException {
+        if (version >= COMPACT) {
+            Numbers.write(out, size);
+        } else {
+            out.writeInt(size);
+        }
+    }
+
     private static void writeMany(final DataOutputStream out, final ParameterizedType p, final Object value,
             final int version) throws IOException {
         if (p.getRawType() == List.class) {
             final List<?> list = (List<?>) value;
-            out.writeInt(list.size());
+            size(out, list.size(), version);
             for (final Object o : list) {
                 write(out, boxed(p.getActualTypeArguments()[0]), o, version);
             }
         } else {
             final Map<?, ?> map = (Map<?, ?>) value;
-            out.writeInt(map.size());
+            size(out, map.size(), version);
             for (final Map.Entry<?, ?> e : map.entrySet()) {
                 write(out, boxed(p.getActualTypeArguments()[0]), e.getKey(), version);
                 write(out, boxed(p.getActualTypeArguments()[1]), e.getValue(), version);
@@ -159,7 +187,7 @@
     private static void writePresent(final DataOutputStream out, final Class<?> type, final Object value,
             final int version) throws IOException {
         if (type == String.class) {
-            final byte[] utf = ((String) value).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            final byte[] utf = ((String) value).getBytes(StandardCharsets.UTF_8);
             out.writeInt(utf.length);
             out.write(utf);
         } else if (type == byte[].class) {
@@ -174,9 +202,9 @@
 
     private static Object read(final DataInputStream in, final Type type, final int version) throws IOException {
         if (type == long.class) {
-            return in.readLong();
+            return version >= COMPACT ? Numbers.unfolded(Numbers.read(in)) : in.readLong();
         } else if (type == int.class) {
-            return in.readInt();
+            return version >= COMPACT ? (int) inInt(Numbers.unfolded(Numbers.read(in))) : in.readInt();
         } else if (type == double.class) {
             return in.readDouble();
         } else if (type == boolean.class) {
@@ -184,11 +212,31 @@
         } else if (type instanceof ParameterizedType p) {
             return readMany(in, p, version);
         }
+        if (version >= COMPACT && (type == String.class || type == byte[].class)) {
+            return readText(in, type);
+        }
         return in.readBoolean() ? readPresent(in, (Class<?>) type, version) : null;
     }
 
+    private static long inInt(final long value) throws IOException {
+        if (value != (int) value) {
+            throw new IOException("number " + value);
+        }
+        return value;
+    }
+
+    private static Object readText(final DataInputStream in, final Type type) throws IOException {
+        final long length = Numbers.read(in);
+        if (length == 0) {
+            return null;
+        }
+        final byte[] bytes = new byte[size(in, length - 1)];
+        in.readFully(bytes);
+        return type == byte[].class ? bytes : new String(bytes, StandardCharsets.UTF_8);
+    }
+
     private static Object readMany(final DataInputStream in, final ParameterizedType p, final int version) throws IOException {
-        final int size = size(in);
+        final int size = size(in, version >= COMPACT ? Numbers.read(in) : in.readInt());
         if (p.getRawType() == List.class) {
             final List<Object> list = new ArrayList<>(Math.min(size, 1024));
             for (int i = 0; i < size; i++) {
@@ -204,19 +252,18 @@
         return map;
     }
 
-    private static int size(final DataInputStream in) throws IOException {
-        final int size = in.readInt();
+    private static int size(final DataInputStream in, final long size) throws IOException {
         if (size < 0 || size > FIELD_MAX || size > in.available()) {
             throw new IOException("field of " + size + " bytes or entries");
         }
-        return size;
+        return (int) size;
     }
 
     private static Object readPresent(final DataInputStream in, final Class<?> type, final int version) throws IOException {
         if (type == String.class || type == byte[].class) {
-            final byte[] bytes = new byte[size(in)];
+            final byte[] bytes = new byte[size(in, in.readInt())];
             in.readFully(bytes);
-            return type == byte[].class ? bytes : new String(bytes, java.nio.charset.StandardCharsets.UTF_8);
+            return type == byte[].class ? bytes : new String(bytes, StandardCharsets.UTF_8);
         } else if (type.isEnum()) {
             final int at = in.readUnsignedByte();
             final Object[] values = type.getEnumConstants();
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/listing/ProberTest.java
@@ -0,0 +1,135 @@
+package spokestall.listing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import spokestall.time.Clock;
+import spokestall.time.FleetClock;
+import spokestall.view.Member;
+
+/** Three cores and an edge that hear each other at once; the platform's list is what the test says. */
+class ProberTest {
+    private static final long LIST_MS = 1000;
+    private long nowMs = 5_000_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+            return nowMs;
+        }
+
+        @Override
+        public void after(final long waitMs, final Runnable event) {
+            throw new AssertionError();
+        }
+    };
+    private final FleetClock fleet = new FleetClock(clock, 100);
+    private final Map<String, Listing> listings = new TreeMap<>();
+    private final Map<String, Prober> probers = new TreeMap<>();
+    private final Map<String, Integer> reads = new TreeMap<>();
+    private final Map<String, Integer> heard = new TreeMap<>();
+    private final List<Listed> list = new ArrayList<>();
+    private final List<Member> members = new ArrayList<>();
+
+    ProberTest() {
+        fleet.heard("p", nowMs, true, nowMs);
+        fleet.heard("q", nowMs, true, nowMs);
+        for (final String name : List.of("a", "b", "c", "edge")) {
+            members.add(new Member(name, name, name, !name.equals("edge"), "d", "r", 1, nowMs, false, 3, 1));
+            listings.put(name, new Listing(1, 100, 4000, false));
+        }
+        for (final Member m : members.subList(0, 3)) {
+            probers.put(m.name(), new Prober(m, listings.get(m.name()), reach(m.name()), (to, note) -> {
+                final ListingNote.Push push = (ListingNote.Push) note;
+                heard.merge(to, 1, Integer::sum);
+                listings.get(to).merge(push.listed(), push.reports());
+                listings.get(to).read(push.readMs());
+            }, fleet, new Prober.Pace(500, 100, 2, 2, LIST_MS, 1000, false),
+                    () -> members.stream().filter(o -> o.core() && o != m).toList(),
+                    () -> members.stream().filter(o -> o != m).toList()));
+        }
+    }
+
+    private Prober.Reach reach(final String name) {
+        return new Prober.Reach() {
+            @Override
+            public void list(final long waitMs, final Consumer<List<Listed>> done) {
+                reads.merge(name, 1, Integer::sum);
+                done.accept(List.copyOf(list));
+            }
+
+            @Override
+            public void probe(final String address, final long waitMs, final Consumer<Prober.Probe> done) {
+                throw new AssertionError("nothing is probed");
+            }
+        };
+    }
+
+    private void run(final long spanMs, final String... dead) {
+        for (final long untilMs = nowMs + spanMs; nowMs < untilMs; nowMs += 100) {
+            probers.forEach((name, p) -> {
+                if (!List.of(dead).contains(name)) {
+                    p.tick();
+                }
+            });
+        }
+    }
+
+    private static Listed one(final String instance, final boolean leaving, final long coldForMs) {
+        return Listed.read(instance, "s", "10.0.0.1:80", "d", "r", leaving, coldForMs);
+    }
+
+    @Test
+    void oneCoreReadsForAllAndTheNextTakesItsTurnWhenItIsGone() {
+        list.add(one("i1", false, 0));
+        run(20_000);
+        assertThat(reads).containsOnlyKeys("a");
+        assertThat(reads.get("a")).isBetween(18, 21);
+        assertThat(heard.get("edge")).as("edges hear changes alone").isEqualTo(1);
+        run(20_000, "a");
+        assertThat(reads).containsOnlyKeys("a", "b");
+        assertThat(reads.get("b")).isBetween(10, 13);
+    }
+
+    @Test
+    void withoutProbesWhatIsListedAndStaysIsReadyAndWarmsUpAsTheListSays() {
+        list.add(one("i1", false, 3000));
+        list.add(one("i2", false, -1));
+        run(2000);
+        final List<Upstream> ready = listings.get("edge").ready("s", fleet.nowMs());
+        assertThat(ready).hasSize(2);
+        assertThat(ready.get(0).coldUntilMs()).isBetween(fleet.nowMs(), fleet.nowMs() + 3000);
+        assertThat(ready.get(1).coldUntilMs()).isZero();
+        assertThat(ready.get(1).readySinceMs()).as("when it was first listed").isBetween(fleet.nowMs() - 2000, fleet.nowMs());
+        list.set(0, one("i1", true, 0));
+        run(1100);
+        assertThat(listings.get("edge").ready("s", fleet.nowMs())).extracting(Upstream::instance).containsExactly("i2");
+        assertThat(listings.get("edge").word("i1", fleet.nowMs()).status()).isEqualTo(Status.LEAVING);
+        list.clear();
+        run(1100);
+        assertThat(listings.get("edge").ready("s", fleet.nowMs())).isEmpty();
+    }
+
+    @Test
+    void whoListsAnewWhatOthersKnowDoesNotMakeItNew() {
+        list.add(one("i1", false, -1));
+        run(2000);
+        final long since = listings.get("edge").ready("s", fleet.nowMs()).get(0).readySinceMs();
+        final Listed again = one("i1", false, -1).at(true, fleet.nowMs(), 0, fleet.nowMs());
+        listings.get("edge").merge(List.of(again), List.of());
+        assertThat(listings.get("edge").ready("s", fleet.nowMs()).get(0).readySinceMs()).isEqualTo(since);
+        final Listing fresh = new Listing(2, 100, 4000, false);
+        fresh.merge(List.of(again), List.of());
+        fresh.merge(listings.get("a").listed(), List.of());
+        assertThat(fresh.ready("s", fleet.nowMs()).get(0).readySinceMs()).isEqualTo(since);
+    }
+}
--- a/spokestall/src/test/java/spokestall/wire/CodecTest.java
+++ b/spokestall/src/test/java/spokestall/wire/CodecTest.java
@@ -32,17 +32,28 @@
         assertThat(first[0]).as("the first version begins with its kind's number").isZero();
         final byte[] later = Codec.note(beat(3, true), 2);
         later[0] = Codec.VERSION + 1;
-        assertThatThrownBy(() -> Codec.note(later)).isInstanceOf(UnknownNote.class).hasMessage("version 3");
+        assertThatThrownBy(() -> Codec.note(later)).isInstanceOf(UnknownNote.class).hasMessage("version " + (Codec.VERSION + 1));
         final byte[] strange = Codec.note(beat(3, true), 2);
         strange[2] ^= 0x40;
         assertThatThrownBy(() -> Codec.note(strange)).isInstanceOf(UnknownNote.class).hasMessageStartingWith("kind ");
     }
 
+    @Test
+    void theThirdVersionTakesAsManyBytesAsItsNumbersNeed() throws Exception {
+        for (final int n : new int[] {0, 1, -1, 63, 64, -65, 1 << 20, Integer.MAX_VALUE, Integer.MIN_VALUE}) {
+            for (final long at : new long[] {0, -1, 1L << 40, Long.MAX_VALUE, Long.MIN_VALUE}) {
+                final Beat one = new Beat(at, List.of(new Inner(null, n), new Inner("", n)), true, "\u00fc");
+                assertThat(Codec.note(Codec.note(one, 3))).isEqualTo(one);
+            }
+        }
+        assertThat(Codec.note(beat(3, true), 3).length).isLessThan(Codec.note(beat(3, true), 2).length / 2);
+    }
+
     @Test
     void whateverBytesComeTheyAreReadOrRefusedAsBadInput() throws Exception {
         final Random random = new Random(5);
         for (int i = 0; i < 100_000; i++) {
-            final byte[] frame = Codec.note(beat(random.nextInt(), random.nextBoolean()), 1 + random.nextInt(2));
+            final byte[] frame = Codec.note(beat(random.nextInt(), random.nextBoolean()), 1 + random.nextInt(Codec.VERSION));
             for (int n = 1 + random.nextInt(4); n > 0; n--) {
                 frame[random.nextInt(frame.length)] = (byte) random.nextInt();
             }
