--- a/proof/src/main/java/spokestall/proof/Scenario.java
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -148,6 +148,33 @@
             return Map.of("noteVersion", Integer.toString(Codec.OLDEST));
         }
     },
+    SPARING {
+        @Override
+        void play(final SimRun run) {
+            // What an operator of a fleet over dear wires sets: no probes, few proofs, counts that hold nothing back.
+            final List<SimOutside.Up> all = run.world.outside.running();
+            for (int i = 0; i < 8; i++) {
+                final SimOutside.Up old = all.get(i * 4);
+                run.later(i * 3000, () -> run.drain(old, true));
+            }
+            run.operator.bind();
+            run.operator.withdraw(3, 8000);
+            run.operator.hold(Deployment.district(run.random.nextInt(6)), 8000);
+            run.later(9000, () -> run.bounce(run.any(run.world.cores()), 3000, true));
+            run.later(16_000, () -> {
+                if (run.world.holder() != null) {
+                    run.bounce(run.world.holder(), 3000, true);
+                }
+            });
+            run.later(22_000, () -> run.bounce(run.any(run.world.edges()), 3000, false));
+        }
+
+        @Override
+        Map<String, String> settings() {
+            return Map.of("probes", "0", "proofMs", "800", "freshMs", "2000", "countPushMs", "250", "uncountedMs", "0",
+                    "listMs", "1000");
+        }
+    },
     MOVED {
         @Override
         void play(final SimRun run) {
