--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -168,9 +168,11 @@
     }
 
     private boolean warmEnough(final ServiceRule rule, final Upstream u) {
-        final long ageMs = Math.max(0, fleet.nowMs() - u.readySinceMs());
+        final long nowMs = fleet.nowMs();
+        final long ageMs = Math.max(0, u.coldUntilMs() > 0 ? rule.warmupMs() - (u.coldUntilMs() - nowMs)
+                : nowMs - u.readySinceMs());
         final Long chilled = coldUntilMs.get(u.instance());
-        final boolean cold = chilled != null && clock.nowMs() < chilled || fleet.nowMs() < u.coldUntilMs();
+        final boolean cold = chilled != null && clock.nowMs() < chilled;
         if (ageMs >= rule.warmupMs() && !cold) {
             warmth.remove(u.instance());
             coldUntilMs.remove(u.instance());
--- a/spokestall/src/main/java/spokestall/listing/Listed.java
+++ b/spokestall/src/main/java/spokestall/listing/Listed.java
@@ -2,18 +2,25 @@
 
 import spokestall.wire.Since;
 
-/** An upstream as the platform lists it: until when it is cold on the fleet's clock, and how many asks it works on at a
- * time; both are zero where that is not told. */
+/** An upstream as the platform lists it. coldUntilMs is when it will have warmed up, on the fleet's clock, zero when the
+ * list doesn't tell; sinceMs is when it was first listed; slots is how many asks it works on at a time, zero when that isn't
+ * told. What reads the list gives coldUntilMs as the span still left, or a negative one when it isn't known. */
 public record Listed(String instance, String service, String address, String district, String region,
-        boolean present, boolean leaving, long stampMs, @Since(3) long coldUntilMs, @Since(3) int slots) {
-    /** As one with no word on warmth or slots. Example: {@code new Listed("i-1", "pay", at, "d1", "r1", true, false, 0)} */
-    public Listed(final String instance, final String service, final String address, final String district,
-            final String region, final boolean present, final boolean leaving, final long stampMs) {
-        this(instance, service, address, district, region, present, leaving, stampMs, 0, 0);
+        boolean present, boolean leaving, long stampMs, @Since(3) long coldUntilMs, @Since(3) long sinceMs,
+        @Since(3) int slots) {
+    /** An entry as it was read. Example: {@code Listed.read("i1", "records", "10.0.0.1:80", "d1", "r1", false, -1, 0)} */
+    public static Listed read(final String instance, final String service, final String address, final String district,
+            final String region, final boolean leaving, final long coldForMs, final int slots) {
+        return new Listed(instance, service, address, district, region, true, leaving, 0, coldForMs, 0, slots);
     }
 
-    /** The same, as it was seen at a time. Example: {@code listed.seen(true, fleet.nowMs())} */
-    public Listed seen(final boolean there, final long atMs) {
-        return new Listed(instance, service, address, district, region, there, leaving, atMs, coldUntilMs, slots);
+    /** The same, stamped. Example: {@code listed.at(true, askedMs, 0, firstMs)} */
+    Listed at(final boolean there, final long ms, final long coldUntil, final long since) {
+        return new Listed(instance, service, address, district, region, there, leaving, ms, coldUntil, since, slots);
+    }
+
+    /** When it was first listed, as far as is known. */
+    long firstMs() {
+        return sinceMs == 0 ? stampMs : sinceMs;
     }
 }
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -94,7 +94,7 @@
                 new Peers(settings.peers()));
         final Outside outside = new Outside(new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10),
                 settings.ms("wireRestMs")), stage, settings.text("platform"), speech.goes(), speech.platform(),
-                settings.ms("connectMs"), () -> node.fleetMs());
+                settings.ms("connectMs"));
         final CountDownLatch made = new CountDownLatch(1);
         stage.execute(() -> {
             try {
--- a/spokestall/src/main/java/spokestall/rim/Outside.java
+++ b/spokestall/src/main/java/spokestall/rim/Outside.java
@@ -26,18 +26,16 @@
     private final GoSpeech goes;
     private final PlatformSpeech platform;
     private final long connectMs;
-    private final LongSupplier fleetMs;
 
-    /** {@code address} is the platform's. Example: {@code new Outside(client, stage, "127.0.0.1:7900", goes, platform, 500, fleet::nowMs)} */
+    /** {@code address} is the platform's. Example: {@code new Outside(client, stage, "127.0.0.1:7900", goes, platform, 500)} */
     public Outside(final HttpClient client, final Executor stage, final String address, final GoSpeech goes,
-            final PlatformSpeech platform, final long connectMs, final LongSupplier fleetMs) {
+            final PlatformSpeech platform, final long connectMs) {
         this.client = client;
         this.stage = stage;
         this.address = address;
         this.goes = goes;
         this.platform = platform;
         this.connectMs = connectMs;
-        this.fleetMs = fleetMs;
     }
 
     @Override
@@ -82,7 +80,7 @@
     private void page(final String target, final long waitMs, final List<Listed> before, final int pages,
             final Consumer<List<Listed>> done) {
         get(address, target, waitMs, false, tree -> {
-            final PlatformSpeech.Page page = tree == null ? null : platform.page(tree, fleetMs.getAsLong());
+            final PlatformSpeech.Page page = tree == null ? null : platform.page(tree);
             if (page == null || pages > PAGES_MAX) {
                 done.accept(null);
                 return;
--- a/spokestall/src/main/java/spokestall/rim/OwnPlatform.java
+++ b/spokestall/src/main/java/spokestall/rim/OwnPlatform.java
@@ -19,7 +19,7 @@
     }
 
     @Override
-    public Page page(final JsonNode tree, final long nowMs) {
+    public Page page(final JsonNode tree) {
         if (!tree.path("upstreams").isArray()) {
             return null;
         }
@@ -27,9 +27,9 @@
         for (final JsonNode u : tree.path("upstreams")) {
             final String address = u.path("address").asText();
             if (address.matches("(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}") && !u.path("instance").asText().isEmpty()) {
-                found.add(new Listed(u.path("instance").asText(), u.path("service").asText(), address,
-                        u.path("district").asText(), u.path("region").asText(), true,
-                        u.path("leaving").asBoolean(false), 0));
+                found.add(Listed.read(u.path("instance").asText(), u.path("service").asText(), address,
+                        u.path("district").asText(), u.path("region").asText(), u.path("leaving").asBoolean(false),
+                        u.path("coldForMs").asLong(-1), u.path("slots").asInt(0)));
             }
         }
         return new Page(found, null);
--- a/spokestall/src/main/java/spokestall/rim/PlatformSpeech.java
+++ b/spokestall/src/main/java/spokestall/rim/PlatformSpeech.java
@@ -20,8 +20,8 @@
     /** The first page's target. Example: {@code speech.listTarget().equals("/upstreams")} */
     String listTarget();
 
-    /** Reads a page, or null where it is none; nowMs is the fleet's time. Example: {@code speech.page(tree, nowMs)} */
-    Page page(JsonNode tree, long nowMs);
+    /** Reads a page, or null where it is none. Example: {@code speech.page(tree)} */
+    Page page(JsonNode tree);
 
     /** Example: {@code speech.report("d1-core", 17, sealed).target().equals("/usage")} */
     Report report(String holder, long token, Sealed sealed);
--- a/spokestall/src/main/java/spokestall/view/Member.java
+++ b/spokestall/src/main/java/spokestall/view/Member.java
@@ -10,4 +10,9 @@
     public boolean serves() {
         return !core || alsoEdge;
     }
+
+    /** The same node, heard at another time, leaving or not. Example: {@code member.at(fleet.nowMs(), true)} */
+    public Member at(final long ms, final boolean goes) {
+        return new Member(name, address, httpAddress, core, district, region, life, ms, goes, cores, edges, alsoEdge);
+    }
 }
--- a/spokestall/src/test/java/spokestall/wire/CodecTest.java
+++ b/spokestall/src/test/java/spokestall/wire/CodecTest.java
@@ -38,6 +38,17 @@
         assertThatThrownBy(() -> Codec.note(strange)).isInstanceOf(UnknownNote.class).hasMessageStartingWith("kind ");
     }
 
+    @Test
+    void theThirdVersionTakesAsManyBytesAsItsNumbersNeed() throws Exception {
+        for (final int n : new int[] {0, 1, -1, 63, 64, -65, 1 << 20, Integer.MAX_VALUE, Integer.MIN_VALUE}) {
+            for (final long at : new long[] {0, -1, 1L << 40, Long.MAX_VALUE, Long.MIN_VALUE}) {
+                final Beat one = new Beat(at, List.of(new Inner(null, n), new Inner("", n)), true, "\u00fc");
+                assertThat(Codec.note(Codec.note(one, 3))).isEqualTo(one);
+            }
+        }
+        assertThat(Codec.note(beat(3, true), 3).length).isLessThan(Codec.note(beat(3, true), 2).length / 2);
+    }
+
     @Test
     void whateverBytesComeTheyAreReadOrRefusedAsBadInput() throws Exception {
         final Random random = new Random(5);
