--- a/proof/src/main/java/spokestall/proof/SimOutside.java
+++ b/proof/src/main/java/spokestall/proof/SimOutside.java
@@ -102,7 +102,7 @@
         byInstance.values().forEach(u -> {
             if (u.listed) {
                 now.add(Listed.read(u.instance, u.service, u.address, u.district, u.region, u.leaving,
-                        Math.max(0, u.readyAtMs + World.WARMUP_MS - world.sim.nowMs())));
+                        Math.max(0, u.readyAtMs + World.WARMUP_MS - world.sim.nowMs()), 0));
             }
         });
         list = now;
