--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -69,8 +69,9 @@
             case "faults" -> faults(rest);
             case "sim" -> sim(rest);
             case "growth" -> Growth.run();
+            case "scale" -> scale(rest);
             default -> {
-                System.err.println("proof fleet|faults|sim [--help], proof growth");
+                System.err.println("proof fleet|faults|sim|scale [--help], proof growth");
                 yield 2;
             }
         };
@@ -202,6 +203,16 @@
         }
     }
 
+    static int scale(final String[] args) throws Exception {
+        final ScaleFlags flags = new ScaleFlags();
+        final Integer done = read(flags, args, flags::check);
+        if (done != null) {
+            return done;
+        }
+        Logger.getLogger("").setLevel(Level.OFF);
+        return Scale.run(flags);
+    }
+
     private static int sim(final String[] args) throws Exception {
         final SimFlags flags = new SimFlags();
         final List<Scenario> scenarios = new ArrayList<>();
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/ScaleDisk.java
@@ -0,0 +1,71 @@
+package spokestall.proof;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import spokestall.ring.Segments;
+
+/** A disk in memory that syncs in a millisecond or two and counts what it wrote; it outlives its node's process. */
+final class ScaleDisk implements Segments {
+    /** Runs something on the node's lane after a while, if that life still lasts. */
+    interface Back {
+        void after(long waitMs, Runnable what);
+    }
+
+    private static final int COUNT = 8;
+    private final byte[][] down;
+    private final List<Piece> flying = new ArrayList<>();
+    private Back back;
+    private long syncs;
+    private long bytes;
+
+    ScaleDisk(final int size) {
+        this.down = new byte[COUNT][size];
+    }
+
+    /** The process is gone or new: what it had written is in the machine's memory and gets down. */
+    void life(final Back mine) {
+        flying.forEach(this::write);
+        flying.clear();
+        back = mine;
+    }
+
+    long syncs() {
+        return syncs;
+    }
+
+    long bytesWritten() {
+        return bytes;
+    }
+
+    @Override
+    public int count() {
+        return down.length;
+    }
+
+    @Override
+    public int sizeBytes() {
+        return down[0].length;
+    }
+
+    @Override
+    public byte[] read(final int segment) {
+        return down[segment].clone();
+    }
+
+    @Override
+    public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+        syncs++;
+        pieces.forEach(p -> bytes += p.bytes().length);
+        flying.addAll(pieces);
+        back.after(1 + syncs % 2, () -> {
+            pieces.forEach(this::write);
+            flying.removeAll(pieces);
+            done.accept(true);
+        });
+    }
+
+    private void write(final Piece p) {
+        System.arraycopy(p.bytes(), 0, down[p.segment()], p.at(), p.bytes().length);
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/ScaleFlags.java
@@ -0,0 +1,93 @@
+package spokestall.proof;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.StringArrayOptionHandler;
+
+/** Flags of a run at scale; what is not given grows in proportion to the size that is aimed at. */
+final class ScaleFlags {
+    static final int AIM_NODES = 640;
+    static final int AIM_UPSTREAMS = 3900;
+    static final int AIM_SERVICES = 100;
+    static final int AIM_BINDINGS = 860;
+    static final int AIM_TENANTS = 19_000;
+    static final int AIM_RATE = 77_000;
+    @Option(name = "--nodes", usage = "how many nodes, 12 to 640")
+    int nodes = 12;
+    @Option(name = "--cores", usage = "how many of them are cores [6 up to 48 nodes, 7 above]")
+    int cores;
+    @Option(name = "--regions", usage = "how many regions")
+    int regions = 4;
+    @Option(name = "--districts", usage = "how many districts")
+    int districts = 9;
+    @Option(name = "--upstreams", usage = "how many upstreams [3900 at 640 nodes, in proportion]")
+    int upstreams;
+    @Option(name = "--services", usage = "how many services [100 at 640 nodes]")
+    int services;
+    @Option(name = "--bindings", usage = "how many bindings [860 at 640 nodes]")
+    int bindings;
+    @Option(name = "--tenants", usage = "how many tenants [19000 at 640 nodes]")
+    int tenants;
+    @Option(name = "--rate", usage = "asks a second in the whole fleet [77000 at 640 nodes]")
+    int rate = -1;
+    @Option(name = "--seconds", usage = "virtual time once the fleet is up, four tenths of it without failures")
+    int seconds = 60;
+    @Option(name = "--seed", usage = "the same seed gives the same run and digest")
+    long seed = 1;
+    @Option(name = "--threads", usage = "nodes whose events of one virtual millisecond run at the same time")
+    int threads = 3;
+    @Option(name = "--wall", usage = "seconds of real time after which the run is ended, and said to be partial")
+    int wall = 300;
+    @Option(name = "--real", usage = "real processes beside it, with real asks: an even number up to 12")
+    int real;
+    @Option(name = "--out", usage = "where the figures go, a line of JSON each")
+    Path out;
+    @Option(name = "--fit", handler = StringArrayOptionHandler.class, usage = "no run: lines through the figures of these files")
+    List<String> fit;
+    @Option(name = "--by", usage = "fit only: what grew: nodes, upstreams, tenants or rate")
+    String by = "nodes";
+    @Option(name = "--only", usage = "fit only: figures whose names have this in them")
+    String only = "";
+    @Option(name = "--help", help = true, usage = "this page")
+    boolean help;
+
+    /** Fills in what was not given, and throws on what can't be. */
+    void check() {
+        within("--nodes", nodes, 12, AIM_NODES);
+        cores = cores == 0 ? nodes <= 48 ? 6 : 7 : cores;
+        within("--cores", cores, 3, Math.min(63, nodes / 2));
+        within("--districts", districts, 1, 99);
+        within("--regions", regions, 1, districts);
+        upstreams = share(upstreams, AIM_UPSTREAMS, 12);
+        services = share(services, AIM_SERVICES, 2);
+        tenants = share(tenants, AIM_TENANTS, 8);
+        bindings = share(bindings, AIM_BINDINGS, 8);
+        rate = rate < 0 ? AIM_RATE * nodes / AIM_NODES : rate;
+        within("--upstreams", upstreams, 1, 8000);
+        within("--services", services, 1, upstreams);
+        within("--tenants", tenants, 1, 100_000);
+        within("--bindings", bindings, 1, 100_000);
+        within("--rate", rate, 0, 200_000);
+        within("--seconds", seconds, 1, 3600);
+        within("--threads", threads, 1, 64);
+        within("--wall", wall, 1, 86_400);
+        within("--real", real, 0, 12);
+        if (real % 2 != 0) {
+            throw new IllegalArgumentException("--real: needs an even number, not " + real);
+        }
+        if (!List.of("nodes", "upstreams", "tenants", "rate").contains(by)) {
+            throw new IllegalArgumentException("--by: needs nodes, upstreams, tenants or rate, not " + by);
+        }
+    }
+
+    private int share(final int given, final int aim, final int least) {
+        return given != 0 ? given : Math.max(least, (int) ((long) aim * nodes / AIM_NODES));
+    }
+
+    private static void within(final String flag, final int value, final int least, final int most) {
+        if (value < least || value > most) {
+            throw new IllegalArgumentException(flag + ": " + value + " is not between " + least + " and " + most);
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/ScaleNode.java
@@ -0,0 +1,291 @@
+package spokestall.proof;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.zip.CRC32;
+import spokestall.Node;
+import spokestall.audit.Audit;
+import spokestall.duty.Reporter;
+import spokestall.duty.Sealed;
+import spokestall.duty.UsageCounter;
+import spokestall.edge.Go;
+import spokestall.edge.GoResult;
+import spokestall.edge.Upstreams;
+import spokestall.listing.Listed;
+import spokestall.listing.Prober;
+import spokestall.settings.Settings;
+import spokestall.time.Clock;
+import spokestall.wire.Codec;
+import spokestall.wire.Note;
+
+/** The product's own node on a lane of its own, with everything around it hollow; what it sends and computes is counted. */
+final class ScaleNode {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final long BEAT_MS = 50;
+    final String name;
+    final boolean core;
+    final int lane;
+    final int district;
+    final int region;
+    final String address;
+    final Traffic traffic = new Traffic();
+    final ScaleDisk disk;
+    /** Asks that this edge counted, by window, over all its lives. */
+    final Map<Long, Long> counted = new TreeMap<>();
+    final CRC32 digest = new CRC32();
+    /** Asks that came, and those not let in: the proof too old, or counts not with a majority in time. */
+    final long[] asks = new long[Phase.values().length];
+    final long[] stale = new long[Phase.values().length];
+    final long[] uncounted = new long[Phase.values().length];
+    /** How old a version was that was acted by after a newer one had been acknowledged, at the most. */
+    long actedLateMs;
+    long acted;
+    long probes;
+    private final ScaleRun run;
+    private final Settings settings;
+    private final long monotonicMs;
+    private final String[] kinds = new String[Traffic.KINDS];
+    private final Random chance;
+    private Node node;
+    private UsageCounter counter;
+    private long life;
+    private long startedMs = -1;
+    private double owed;
+
+    ScaleNode(final ScaleRun run, final int i, final boolean core, final Map<String, String> shared) {
+        this.run = run;
+        this.lane = i;
+        this.core = core;
+        this.district = run.shape.districtOf(i);
+        this.region = run.shape.regionOf(district);
+        this.name = run.shape.district(i) + (core ? "-core-" : "-edge-") + i;
+        this.address = ScaleShape.address(i);
+        this.chance = run.random(name);
+        this.monotonicMs = 1000 + chance.nextInt(1_000_000);
+        this.disk = core ? new ScaleDisk(run.segmentBytes) : null;
+        final Map<String, String> flags = new TreeMap<>(shared);
+        flags.put("name", name);
+        flags.put("address", address);
+        flags.put("http", address.replace(":7100", ":7200"));
+        flags.put("district", run.shape.district(i));
+        flags.put("data", "/scale/" + name);
+        final Settings.Read read = Settings.read(null, flags, core);
+        if (read instanceof Settings.Read.Bad bad) {
+            throw new IllegalStateException(bad.troubles().toString());
+        }
+        settings = ((Settings.Read.Good) read).settings();
+    }
+
+    Node node() {
+        return node;
+    }
+
+    boolean up() {
+        return node != null;
+    }
+
+    /** Since when this life runs, in the run's time; -1 when down. */
+    long upSinceMs() {
+        return node == null ? -1 : startedMs;
+    }
+
+    String kind(final int number) {
+        return number >= Traffic.TIMER ? Traffic.other(number) : kinds[number];
+    }
+
+    /** By the world: begins a life. */
+    void start() {
+        if (node != null) {
+            return;
+        }
+        final long mine = ++life;
+        startedMs = run.steps.nowMs();
+        owed = 0;
+        run.steps.byWorld(lane, 0, () -> timed(Traffic.START, () -> begin(mine)));
+    }
+
+    private void begin(final long mine) {
+        if (mine != life) {
+            return;
+        }
+        final Clock clock = new Clock() {
+            @Override
+            public long nowMs() {
+                return monotonicMs + run.steps.nowMs();
+            }
+
+            @Override
+            public long wallMs() {
+                return World.EPOCH_MS + run.steps.nowMs();
+            }
+
+            @Override
+            public void after(final long waitMs, final Runnable event) {
+                later(mine, waitMs, Traffic.TIMER, event);
+            }
+        };
+        if (core) {
+            disk.life((waitMs, what) -> later(mine, waitMs, Traffic.DISK, what));
+        }
+        final Hollow hollow = new Hollow(mine);
+        node = new Node(settings, core, new Node.Rim(clock, run.random(name + "/" + mine), (to, note) -> send(mine, to, note),
+                disk, hollow, hollow, hollow, Audit.NONE));
+        node.start();
+        if (!core) {
+            counter = counterOf(node);
+            later(mine, 1 + chance.nextInt((int) BEAT_MS), Traffic.ASKS, () -> asks(mine));
+        }
+    }
+
+    /** The node's own counter, which nothing outside it has a way to. */
+    private static UsageCounter counterOf(final Node node) {
+        try {
+            final java.lang.reflect.Field field = Node.class.getDeclaredField("counter");
+            field.setAccessible(true);
+            return (UsageCounter) field.get(node);
+        } catch (final ReflectiveOperationException e) {
+            throw new IllegalStateException("the node's counter was not found", e);
+        }
+    }
+
+    /** By the world: the process or its machine goes; the disk stays. */
+    void kill() {
+        if (node != null) {
+            node = null;
+            counter = null;
+            life++;
+        }
+    }
+
+    /** By the world: something that is run on the node's lane, if it is up. */
+    void call(final Consumer<Node> what) {
+        final long mine = life;
+        run.steps.byWorld(lane, 0, () -> run(mine, Traffic.CALL, () -> what.accept(node)));
+    }
+
+    /** On the lane: tells the world something. */
+    void tell(final Runnable what) {
+        run.steps.byNode(lane, Steps.WORLD, 1, what);
+    }
+
+    private void later(final long mine, final long waitMs, final int kind, final Runnable event) {
+        run.steps.byNode(lane, lane, waitMs, () -> run(mine, kind, event));
+    }
+
+    private void run(final long mine, final int kind, final Runnable event) {
+        if (mine == life && node != null) {
+            timed(kind, event);
+        }
+    }
+
+    private void timed(final int kind, final Runnable event) {
+        final Phase phase = run.phase();
+        final long fromNs = THREADS.getCurrentThreadCpuTime();
+        event.run();
+        traffic.spent(phase, kind, THREADS.getCurrentThreadCpuTime() - fromNs);
+    }
+
+    private void send(final long mine, final String to, final Note note) {
+        final ScaleNode target = run.at(to);
+        if (mine != life) {
+            return;
+        }
+        final byte[] frame = Codec.note(note, (int) settings.ms("noteVersion"));
+        final int kind = Traffic.kind(frame);
+        if (kinds[kind] == null) {
+            kinds[kind] = note.getClass().getSimpleName();
+        }
+        digest.update(frame);
+        if (target == null) {
+            return;
+        }
+        final Zone zone = ScaleNet.zone(this, target);
+        traffic.out(run.phase(), zone, kind, frame.length);
+        if (run.net.open(this, target)) {
+            final long theirs = target.life;
+            run.steps.byNode(lane, target.lane, ScaleNet.wayMs(zone, chance), () -> target.hear(theirs, zone, kind, frame));
+        }
+    }
+
+    private void hear(final long mine, final Zone zone, final int kind, final byte[] frame) {
+        if (mine != life || node == null) {
+            return;
+        }
+        traffic.in(run.phase(), zone, kind, frame.length);
+        timed(kind, () -> {
+            try {
+                node.hear(Codec.note(frame));
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    /** One beat of asks by formula: as many as are due, each counted as one that an upstream began. */
+    private void asks(final long mine) {
+        later(mine, BEAT_MS, Traffic.ASKS, () -> asks(mine));
+        owed += run.shape.flags.rate * BEAT_MS / 1000.0 / run.edges();
+        final int due = (int) owed;
+        owed -= due;
+        if (!run.asking() || due == 0) {
+            return;
+        }
+        final int phase = run.phase().ordinal();
+        asks[phase] += due;
+        if (!node.follower().fresh()) {
+            stale[phase] += due;
+            return;
+        }
+        for (int i = 0; i < due; i++) {
+            if (!counter.mayBegin()) {
+                uncounted[phase] += due - i;
+                return;
+            }
+            counter.begun(run.shape.asker(chance));
+            counted.merge(node.fleetMs() / run.windowMs, 1L, Long::sum);
+            acted++;
+        }
+        actedLateMs = Math.max(actedLateMs, run.lateMs(node.book().policy().version()));
+    }
+
+    /** What is around a node: the platform, and upstreams that answer at once and take nothing. */
+    private final class Hollow implements Upstreams, Prober.Reach, Reporter.Platform {
+        private static final long PLATFORM_MS = 10;
+        private final long mine;
+
+        Hollow(final long mine) {
+            this.mine = mine;
+        }
+
+        @Override
+        public void list(final long waitMs, final Consumer<List<Listed>> done) {
+            later(mine, PLATFORM_MS, Traffic.OUTSIDE, () -> done.accept(run.outside.list()));
+        }
+
+        @Override
+        public void probe(final String to, final long waitMs, final Consumer<Prober.Probe> done) {
+            probes++;
+            later(mine, 2, Traffic.OUTSIDE, () -> done.accept(run.outside.probe(to)));
+        }
+
+        @Override
+        public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
+                final LongSupplier until, final Consumer<Boolean> done) {
+            final Map<String, Long> counts = Map.copyOf(sealed.counts());
+            tell(() -> run.judge.reported(holder, token, sealed.window(), counts));
+            later(mine, PLATFORM_MS, Traffic.OUTSIDE, () -> done.accept(true));
+        }
+
+        @Override
+        public void go(final Go go, final LongSupplier until, final Runnable sent, final Consumer<GoResult> done) {
+            later(mine, 1, Traffic.OUTSIDE, () -> done.accept(new GoResult.NotSent("hollow")));
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/ScaleRun.java
@@ -0,0 +1,285 @@
+package spokestall.proof;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.zip.CRC32;
+import org.HdrHistogram.Histogram;
+import spokestall.ballot.Voter;
+import spokestall.listing.Report;
+
+/** One run at scale: a fleet comes up, has a calm while, then an ordinary day pressed together. */
+final class ScaleRun implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long BOOT_MOST_MS = 60_000;
+    private static final long SETTLE_MS = 3000;
+    private static final long LOOK_MS = 100;
+    private static final int CHANGES = 8;
+    private static final double CALM_SHARE = 0.4;
+    private static final int SAMPLED = 8;
+    final ScaleShape shape;
+    final Steps steps;
+    final ScaleNet net;
+    final ScaleOutside outside;
+    final ScaleJudge judge;
+    final int segmentBytes;
+    final long windowMs = World.WINDOW_MS;
+    final long keyBoundMs = Rule.KEY.nearMs;
+    final List<ScaleNode> nodes = new ArrayList<>();
+    final Map<Phase, Long> spanMs = new EnumMap<>(Phase.class);
+    final Map<Phase, Map<Boolean, Histogram>> proofs = new EnumMap<>(Phase.class);
+    final Map<Phase, Histogram> words = new EnumMap<>(Phase.class);
+    final Map<Phase, Long> wordless = new EnumMap<>(Phase.class);
+    final List<Acknowledged> changes = new ArrayList<>();
+    final Map<Acknowledged, long[]> inForce = new HashMap<>();
+    final long policyBytes;
+    private final Map<String, ScaleNode> byAddress = new HashMap<>();
+    private final Random chance;
+    private final ObjectNode policy;
+    private Phase phase = Phase.BOOT;
+    private long phaseFromMs;
+    private long readyMs = -1;
+    private boolean whole;
+    private long beganNs;
+    private long toldNs;
+
+    ScaleRun(final ScaleFlags flags) {
+        this.shape = new ScaleShape(flags);
+        this.steps = new Steps(flags.nodes, flags.threads);
+        this.net = new ScaleNet(flags.regions);
+        this.outside = new ScaleOutside(steps, shape.upstreams());
+        this.judge = new ScaleJudge(this);
+        this.chance = random("day");
+        this.policy = shape.policy();
+        this.policyBytes = policy.toString().length();
+        this.segmentBytes = (int) Math.max(1 << 20, Math.min(8 << 20, 3 * policyBytes));
+        for (final Phase p : Phase.values()) {
+            proofs.put(p, Map.of(true, new Histogram(3), false, new Histogram(3)));
+            words.put(p, new Histogram(3));
+        }
+        final Map<String, String> shared = new TreeMap<>();
+        shared.put("districts", shape.districts());
+        shared.put("seeds", ScaleShape.address(0) + "," + ScaleShape.address(flags.cores / 2) + ","
+                + ScaleShape.address(flags.cores - 1));
+        shared.put("platform", "10.9.0.1:80");
+        shared.put("cores", Integer.toString(flags.cores));
+        shared.put("edges", Integer.toString(edges()));
+        for (int i = 0; i < flags.nodes; i++) {
+            final ScaleNode node = new ScaleNode(this, i, i < flags.cores, shared);
+            nodes.add(node);
+            byAddress.put(node.address, node);
+        }
+    }
+
+    int edges() {
+        return shape.flags.nodes - shape.flags.cores;
+    }
+
+    /** A source of chance of its own for each part. */
+    Random random(final String part) {
+        return new Random(shape.flags.seed * 0x9e3779b97f4a7c15L ^ (long) part.hashCode() << 17);
+    }
+
+    ScaleNode at(final String address) {
+        return byAddress.get(address);
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    boolean asking() {
+        return phase != Phase.BOOT;
+    }
+
+    /** Whether it came to its end before the real time was over. */
+    boolean whole() {
+        return whole;
+    }
+
+    /** When all were up and fresh, or -1. */
+    long readyMs() {
+        return readyMs;
+    }
+
+    /** How long ago the first version after this one was told as accepted; 0 if none was. */
+    long lateMs(final long version) {
+        for (int i = changes.size() - 1; i >= 0; i--) {
+            if (changes.get(i).version() <= version) {
+                return i == changes.size() - 1 ? 0 : steps.nowMs() - changes.get(i + 1).toldMs();
+            }
+        }
+        return 0;
+    }
+
+    void play() {
+        beganNs = System.nanoTime();
+        nodes.forEach(n -> steps.byWorld(Steps.WORLD, 1 + chance.nextInt(1500), n::start));
+        steps.byWorld(Steps.WORLD, 2000, this::first);
+        steps.byWorld(Steps.WORLD, LOOK_MS, this::look);
+        while (!whole && (System.nanoTime() - beganNs) / 1_000_000_000L < shape.flags.wall) {
+            steps.step();
+            progress();
+        }
+        spanMs.merge(phase, steps.nowMs() - phaseFromMs, Long::sum);
+        judge.end(nodes);
+    }
+
+    private void progress() {
+        final long nowNs = System.nanoTime();
+        if (steps.nowMs() % LOOK_MS == 0 && nowNs - toldNs > 3_000_000_000L) {
+            toldNs = nowNs;
+            final List<ScaleNode> up = nodes.stream().filter(ScaleNode::up).toList();
+            System.out.printf("wall=%ds virtual=%.1fs phase=%s up=%d fresh=%d oldest=%d changes=%d reports=%d%n",
+                    (nowNs - beganNs) / 1_000_000_000L, steps.nowMs() / 1000.0, phase, up.size(),
+                    up.stream().filter(n -> n.node().follower().fresh()).count(),
+                    up.stream().mapToLong(n -> n.node().book().policy().version()).min().orElse(0) & 0xffff, changes.size(),
+                    judge.reports());
+        }
+    }
+
+    private void first() {
+        final ObjectNode params = JSON.createObjectNode();
+        params.set("policy", policy);
+        change("policy.put", "first", params, steps.nowMs());
+    }
+
+    /** Tries on one core after another until a change is told as accepted. */
+    private void change(final String method, final String id, final ObjectNode params, final long sentMs) {
+        final List<ScaleNode> able = nodes.stream().filter(n -> n.core && n.up() && !net.cutOff(n)
+                && n.node().voter().state() == Voter.State.VOTING).toList();
+        if (able.isEmpty()) {
+            steps.byWorld(Steps.WORLD, 500, () -> change(method, id, params, sentMs));
+            return;
+        }
+        final ScaleNode to = able.get(chance.nextInt(able.size()));
+        final boolean[] answered = {false};
+        to.call(node -> node.call(method, params.deepCopy().put("changeId", id).put("base", node.book().policy().version()),
+                reply -> to.tell(() -> {
+                    if (answered[0]) {
+                        return;
+                    }
+                    answered[0] = true;
+                    if (reply.result().number() == 1000) {
+                        changes.add(new Acknowledged(reply.fields().path("version").asLong(), sentMs, steps.nowMs(), phase));
+                    } else {
+                        steps.byWorld(Steps.WORLD, 500, () -> change(method, id, params, sentMs));
+                    }
+                })));
+        steps.byWorld(Steps.WORLD, 5000, () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                change(method, id, params, sentMs);
+            }
+        });
+    }
+
+    /** What the world sees every so often. */
+    private void look() {
+        steps.byWorld(Steps.WORLD, LOOK_MS, this::look);
+        final long nowMs = steps.nowMs();
+        for (final ScaleNode n : nodes) {
+            if (n.up()) {
+                judge.versions(n);
+                proofs.get(phase).get(n.core).recordValue(Math.min(3_600_000, Math.max(0, n.node().follower().ageMs())));
+            }
+        }
+        for (final Acknowledged a : changes) {
+            final long[] at = inForce.computeIfAbsent(a, x -> new long[] {-1, -1});
+            if (at[1] < 0) {
+                final List<ScaleNode> of = nodes.stream().filter(n -> n.up() && n.upSinceMs() < a.sentMs() && !net.cutOff(n)).toList();
+                final long have = of.stream().filter(n -> n.node().book().policy().version() >= a.version()).count();
+                at[0] = at[0] < 0 && have >= 0.99 * of.size() ? nowMs : at[0];
+                at[1] = have == of.size() ? nowMs : at[1];
+            }
+        }
+        if (nowMs % 1000 == 0 && phase != Phase.BOOT) {
+            words();
+        }
+        if (phase == Phase.BOOT && readyMs < 0 && (ready() || nowMs > BOOT_MOST_MS)) {
+            readyMs = nowMs > BOOT_MOST_MS ? -1 : nowMs;
+            calm();
+        }
+    }
+
+    private boolean ready() {
+        return !changes.isEmpty() && nodes.stream().allMatch(n -> n.up() && n.node().follower().fresh()
+                && n.node().book().policy().version() >= changes.get(0).version()
+                && (n.core ? n.node().voter().state() == Voter.State.VOTING
+                : n.node().listing().listed().size() == shape.flags.upstreams));
+    }
+
+    /** How old the newest word on some upstreams is at each edge. */
+    private void words() {
+        for (final ScaleNode n : nodes) {
+            if (!n.core && n.up()) {
+                for (int i = 0; i < SAMPLED; i++) {
+                    final String instance = outside.list().get(chance.nextInt(outside.list().size())).instance();
+                    final Report word = n.node().listing().word(instance, n.node().fleetMs());
+                    if (word == null) {
+                        wordless.merge(phase, 1L, Long::sum);
+                    } else {
+                        words.get(phase).recordValue(Math.max(0, n.node().fleetMs() - word.stampMs()));
+                    }
+                }
+            }
+        }
+    }
+
+    private void enter(final Phase to) {
+        spanMs.merge(phase, steps.nowMs() - phaseFromMs, Long::sum);
+        phase = to;
+        phaseFromMs = steps.nowMs();
+    }
+
+    private void calm() {
+        steps.byWorld(Steps.WORLD, SETTLE_MS, () -> {
+            enter(Phase.CALM);
+            final long allMs = shape.flags.seconds * 1000L;
+            for (int i = 0; i < CHANGES; i++) {
+                final int n = i;
+                steps.byWorld(Steps.WORLD, 500 + allMs * i / CHANGES, () -> {
+                    final ObjectNode params = JSON.createObjectNode();
+                    params.set("patch", shape.patch(n));
+                    change("policy.patch", "change-" + n, params, steps.nowMs());
+                });
+            }
+            final long calmMs = (long) (CALM_SHARE * allMs);
+            steps.byWorld(Steps.WORLD, calmMs, () -> {
+                enter(Phase.DAY);
+                new ScaleDay(this, chance).play(allMs - calmMs);
+            });
+            steps.byWorld(Steps.WORLD, allMs, () -> whole = true);
+        });
+    }
+
+    /** What every node sent, in its order, and what it has. */
+    long digest() {
+        final CRC32 crc = new CRC32();
+        for (final ScaleNode n : nodes) {
+            crc.update((n.name + " " + n.digest.getValue() + " " + (n.up() ? n.node().book().policy().version() : -1)).getBytes());
+        }
+        return crc.getValue();
+    }
+
+    String kinds() {
+        return nodes.stream().filter(ScaleNode::up).map(n -> n.core ? "core" : "edge")
+                .collect(Collectors.groupingBy(k -> k, TreeMap::new, Collectors.counting())).toString();
+    }
+
+    long wallS() {
+        return (System.nanoTime() - beganNs) / 1_000_000_000L;
+    }
+
+    @Override
+    public void close() {
+        steps.close();
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/spokestall/proof/Zone.java
@@ -0,0 +1,4 @@
+package spokestall.proof;
+
+/** How far a note goes. */
+enum Zone { DISTRICT, DISTRICTS, REGIONS }
