--- a/proof/src/main/java/spokestall/proof/ScaleRun.java
+++ b/proof/src/main/java/spokestall/proof/ScaleRun.java
@@ -46,6 +46,7 @@
     private Phase phase = Phase.BOOT;
     private long phaseFromMs;
     private long readyMs = -1;
+    private boolean asking;
     private boolean whole;
     private long beganNs;
     private long toldNs;
@@ -96,7 +97,7 @@
     }
 
     boolean asking() {
-        return phase != Phase.BOOT;
+        return asking;
     }
 
     /** Whether it came to its end before the real time was over. */
@@ -240,7 +241,8 @@
     }
 
     private void calm() {
-        steps.byWorld(Steps.WORLD, SETTLE_MS, () -> {
+        asking = true;
+        steps.byWorld(Steps.WORLD, SETTLE_MS + shape.flags.warm * 1000L, () -> {
             enter(Phase.CALM);
             final long allMs = shape.flags.seconds * 1000L;
             for (int i = 0; i < CHANGES; i++) {
--- a/proof/src/test/java/spokestall/proof/ScaleTest.java
+++ b/proof/src/test/java/spokestall/proof/ScaleTest.java
@@ -21,6 +21,7 @@
     private static ScaleFlags flags(final int threads, final long seed) {
         final ScaleFlags flags = new ScaleFlags();
         flags.seconds = 8;
+        flags.warm = 4;
         flags.threads = threads;
         flags.seed = seed;
         flags.rate = 200;
