--- a/proof/src/main/java/spokestall/proof/ScaleRun.java
+++ b/proof/src/main/java/spokestall/proof/ScaleRun.java
@@ -124,6 +124,7 @@
 
     void play() {
         beganNs = System.nanoTime();
+        steps.end(beganNs + shape.flags.wall * 1_000_000_000L);
         nodes.forEach(n -> steps.byWorld(Steps.WORLD, 1 + chance.nextInt(1500), n::start));
         steps.byWorld(Steps.WORLD, 2000, this::first);
         steps.byWorld(Steps.WORLD, LOOK_MS, this::look);
