--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -70,8 +70,9 @@
             case "sim" -> sim(rest);
             case "growth" -> Growth.run();
             case "traffic" -> traffic(rest);
+            case "scale" -> scale(rest);
             default -> {
-                System.err.println("proof fleet|faults|sim [--help], proof growth, proof traffic [key=value]...");
+                System.err.println("proof fleet|faults|sim|scale [--help], proof growth, proof traffic [key=value]...");
                 yield 2;
             }
         };
@@ -214,6 +215,16 @@
         return 0;
     }
 
+    static int scale(final String[] args) throws Exception {
+        final ScaleFlags flags = new ScaleFlags();
+        final Integer done = read(flags, args, flags::check);
+        if (done != null) {
+            return done;
+        }
+        Logger.getLogger("").setLevel(Level.OFF);
+        return Scale.run(flags);
+    }
+
     private static int sim(final String[] args) throws Exception {
         final SimFlags flags = new SimFlags();
         final List<Scenario> scenarios = new ArrayList<>();
