--- a/spokestall/src/test/java/spokestall/settings/SettingsTest.java
+++ b/spokestall/src/test/java/spokestall/settings/SettingsTest.java
@@ -46,4 +46,24 @@
         assertThat(((Settings.Read.Bad) Settings.read(file, flags, true)).troubles()).extracting(
                 Settings.Trouble::key).containsExactlyInAnyOrder("operators", "leaseMs", "district", "data");
     }
+
+    @Test
+    void whatIsNotGivenIsAPartOfItsBoundAndProofsMustFitTheirs() {
+        final Map<String, String> flags = good();
+        final Settings plain = ((Settings.Read.Good) Settings.read(null, flags, true)).settings();
+        assertThat(plain.ms("proofMs")).isEqualTo(400);
+        assertThat(plain.ms("freshMs")).isEqualTo(1000);
+        assertThat(plain.ms("countPushMs")).isEqualTo(50);
+        assertThat(plain.ms("uncountedMs")).isEqualTo(200);
+        assertThat(plain.ms("listMs")).isEqualTo(1000);
+        flags.put("keyBoundMs", "10000");
+        flags.put("uncountedMs", "0");
+        final Settings other = ((Settings.Read.Good) Settings.read(null, flags, true)).settings();
+        assertThat(other.ms("proofMs")).isEqualTo(800);
+        assertThat(other.ms("uncountedMs")).isZero();
+        flags.put("freshMs", "1000");
+        flags.put("uncountedMs", "60");
+        assertThat(((Settings.Read.Bad) Settings.read(null, flags, true)).troubles()).extracting(
+                Settings.Trouble::key).containsExactlyInAnyOrder("freshMs", "uncountedMs");
+    }
 }
