--- a/proof/src/main/java/spokestall/proof/ScaleOutside.java
+++ b/proof/src/main/java/spokestall/proof/ScaleOutside.java
@@ -26,8 +26,8 @@
     private Listed add(final String instance, final String service, final String district, final String region,
             final long readyAtMs) {
         final int i = made++;
-        final Listed up = new Listed(instance, service, "10.1." + i / 200 + "." + (i % 200 + 1) + ":80", district, region, true,
-                false, 0);
+        final Listed up = Listed.read(instance, service, "10.1." + i / 200 + "." + (i % 200 + 1) + ":80", district, region,
+                false, -1, 0);
         byAddress.put(up.address(), up);
         readyMs.put(up.instance(), readyAtMs);
         return up;
