--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -211,7 +211,7 @@
                 this::coreAddresses, this::floorMs, this::presentLife) : null;
         this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
                 settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
-                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs")), reporter, this::leaseHere) : null;
+                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs"), settings.ms("restMs")), reporter, this::leaseHere) : null;
         this.acceptance = new Acceptance(name, book, form, proposer, follower, clock,
                 settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), feeds::tell);
         this.audit = rim.audit();
--- a/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -19,8 +19,9 @@
     /** Explicit states. */
     public enum State { WATCHING, ACQUIRING, HOLDING, RELEASING, STOPPED }
 
-    /** Spans, from the settings. */
-    public record Pace(long leaseMs, long renewMs, long storeWaitMs, long marginMs, long turnMs, long maxRunMs) {
+    /** Spans, from the settings. A duty that was released rests for restMs before another takes it: where those who are told of
+     * it look at who acted within a span, a holder that comes back in between would seem to act beside the new one. */
+    public record Pace(long leaseMs, long renewMs, long storeWaitMs, long marginMs, long turnMs, long maxRunMs, long restMs) {
     }
 
     /** Told when an execution begins; it ends by itself when it may no longer work. */
@@ -160,7 +161,7 @@
         final Lease now = seen;
         // No lease at all may mean that one was lost with its disks while its holder still works.
         final long spanMs = now == null ? pace.leaseMs() : Math.max(now.spanMs(), pace.leaseMs());
-        final long runsOutMs = now != null && now.released() ? 0 : spanMs + pace.marginMs();
+        final long runsOutMs = now != null && now.released() ? pace.restMs() : spanMs + pace.marginMs();
         return clock.nowMs() - seenMs >= runsOutMs + turnMs(now);
     }
 
--- a/spokestall/src/main/java/spokestall/listing/Listing.java
+++ b/spokestall/src/main/java/spokestall/listing/Listing.java
@@ -154,7 +154,7 @@
         for (final Numbered<Listed> n : listed.values()) {
             final Listed l = n.value;
             if (l.present() && !l.leaving() && l.service().equals(service)) {
-                final Report word = probed ? word(l.instance(), nowMs) : new Report(l.instance(), "", Status.READY, 0, nowMs);
+                final Report word = word(l.instance(), nowMs);
                 if (word != null && word.status() == Status.READY) {
                     found.add(new Upstream(l.instance(), service, l.address(), l.district(), l.region(),
                             word.readySinceMs(), l.slots(), probed ? 0 : l.coldUntilMs()));
--- a/spokestall/src/test/java/spokestall/duty/LeaseKeeperTest.java
+++ b/spokestall/src/test/java/spokestall/duty/LeaseKeeperTest.java
@@ -16,7 +16,7 @@
 import spokestall.wire.Codec;
 
 class LeaseKeeperTest {
-    private static final LeaseKeeper.Pace PACE = new LeaseKeeper.Pace(2000, 400, 800, 200, 100, 20_000);
+    private static final LeaseKeeper.Pace PACE = new LeaseKeeper.Pace(2000, 400, 800, 200, 100, 20_000, 0);
 
     /** Keepers in a lossy network, now and then stopped in the middle of things: never two may work, tokens rise. */
     @Test
