--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,8 +8,8 @@
 cp platform/target/lib/*.jar target/run/lib/
 cp platform/target/platform-0.1.0.jar target/run/spokestall.jar
 # The classes that a node uses, laid out for its start; a rehearsal of three nodes on loopback has them loaded.
-flags="-XX:+UseSerialGC -XX:TieredStopAtLevel=1"
-cd target/run
-java $flags -Xmx256m -XX:ArchiveClassesAtExit=spokestall.jsa -jar spokestall.jar --rehearse rehearsal >rehearsal.log 2>&1 ||
-    { tail -n 40 rehearsal.log >&2; exit 1; }
-rm -rf rehearsal
+# It is run as the deploy file runs a node, from here and by the same path, or the archive would not be taken.
+java -Xmx128m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:ArchiveClassesAtExit=target/run/spokestall.jsa \
+    -jar target/run/spokestall.jar --rehearse target/run/rehearsal >target/run/rehearsal.log 2>&1 ||
+    { tail -n 40 target/run/rehearsal.log >&2; exit 1; }
+rm -rf target/run/rehearsal
