--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -83,7 +83,9 @@
     private static final String LEASE = "duty/usage_report";
     private static final Register NO_LEASE = new Register(Ballot.NONE, Ballot.NONE, null);
     private static final int POLICY_KEPT = 1024;
-    private static final int SNAPSHOT_EVERY = 32;
+    private static final int POLICY_KEPT_LEAST = 16;
+    /** A ring so full keeps fewer of the changes that followers may start from; large ones would fill it. */
+    private static final double CROWDED = 0.3;
     private static final int WINDOWS_KEPT = 16;
     private static final int HINTS_KEPT = 16_384;
     private static final int HANDED_AT_ONCE = 512;
@@ -133,6 +135,8 @@
     private final long windowMs;
     private int sharersMost = 1;
     private Set<String> heldBefore = Set.of();
+    private boolean policyDirty;
+    private boolean keepingPolicy;
     private long policyFloor;
     private long tokenSeen;
     private boolean stopped;
@@ -286,6 +290,7 @@
     public void start() {
         LOG.atInfo().log("event=start node=%s role=%s address=%s district=%s region=%s life=%s", name,
                 core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
+        hurry(clock.nowMs() + settings.part("leaveBoundMs", 1.5));
         every(settings.part("leaveBoundMs", 0.125), view::tick);
         every(settings.ms("proofMs"), follower::tick);
         if (core) {
@@ -315,6 +320,17 @@
         every(settings.part("leaveBoundMs", 2), () -> listing.prune(fleet.nowMs() - settings.part("leaveBoundMs", 30)));
     }
 
+    /** A node that has just started asks without waiting for its beats, until it has what it needs to serve. */
+    private void hurry(final long untilMs) {
+        final boolean able = fleet.settled() && follower.fresh() && (!serves || !listing.listed().isEmpty());
+        if (stopped || able || clock.nowMs() >= untilMs) {
+            return;
+        }
+        view.greet(voters() == null ? List.of() : coreAddresses());
+        follower.tick();
+        clock.after(settings.part("leaveBoundMs", 0.03), () -> hurry(untilMs));
+    }
+
     private void every(final long spanMs, final Runnable beat) {
         clock.after(1 + random.nextInt((int) Math.max(1, spanMs)), new Runnable() {
             @Override
@@ -517,16 +533,26 @@
         if (!core) {
             return;
         }
-        final long version = book.policy().version();
-        final byte[] had = voter.own(POLICY);
-        final long kept = had == null ? 0 : Codec.record(had, Snapshot.class).version();
-        if (version - kept >= SNAPSHOT_EVERY) {
-            voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
-                if (ok) {
-                    policyFloor = Math.max(policyFloor, version - POLICY_KEPT);
-                }
-            });
+        policyDirty = true;
+        keepPolicy();
+    }
+
+    /** The policy goes to this core's own disk as often as the disk takes it: a core that starts must not read each version
+     * since from the others first. */
+    private void keepPolicy() {
+        if (!policyDirty || keepingPolicy) {
+            return;
         }
+        policyDirty = false;
+        keepingPolicy = true;
+        final long version = book.policy().version();
+        voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
+            keepingPolicy = false;
+            if (ok) {
+                policyFloor = Math.max(policyFloor, version - (ring.fill() > CROWDED ? POLICY_KEPT_LEAST : POLICY_KEPT));
+                keepPolicy();
+            }
+        });
     }
 
     /** Upstreams of a district that is given back may have turned cold while nothing was sent there. */
--- a/spokestall/src/main/java/spokestall/listing/Prober.java
+++ b/spokestall/src/main/java/spokestall/listing/Prober.java
@@ -95,7 +95,7 @@
         final long nowMs = fleet.nowMs();
         if (listing.readMs() == 0) {
             // What the others know comes first, so that what they listed long ago isn't taken for new.
-            listing.read(nowMs - pace.listMs() + Math.min(pace.listMs(), pace.listWaitMs()));
+            listing.read(nowMs - pace.listMs() + pace.listMs() / 4);
         }
         final long rank = others.stream().filter(m -> m.name().compareTo(self.name()) < 0).count();
         final long slackMs = pace.listMs() / 32;
--- a/spokestall/src/main/java/spokestall/view/View.java
+++ b/spokestall/src/main/java/spokestall/view/View.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.TreeMap;
 import spokestall.time.Clock;
 import spokestall.time.FleetClock;
@@ -102,6 +104,14 @@
         return clock.nowMs() - changedMs < pace.eagerMs();
     }
 
+    /** Offers a sample to every seed and to these too: a node that has just started waits for no beat.
+     * Example: {@code view.greet(coreAddresses);} */
+    public void greet(final List<String> others) {
+        final Set<String> all = new TreeSet<>(seeds);
+        all.addAll(others);
+        all.forEach(to -> offer(to, false, 0));
+    }
+
     private void offer(final String to, final boolean reply, final long echoMs) {
         if (to.equals(self.address())) {
             return;
