A core keeps the list and the counts on its disk, so that a loss of all processes loses neither

Cause: after all were killed nothing could be elected until the list was read again (0.9 s), and the counts of the window under way were in memory only: 337 of 1,108 missing. Excluded: the counts' pushes, which had arrived.

--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -135,6 +135,9 @@
     private final long windowMs;
     private int sharersMost = 1;
     private Set<String> heldBefore = Set.of();
+    private Kept keptList;
+    private Kept keptUsage;
+    private List<UsageNote.Count> countsBefore = List.of();
     private boolean policyDirty;
     private boolean keepingPolicy;
     private long policyFloor;
@@ -262,6 +265,16 @@
         if (voter.voters() != null) {
             proposer.adopt(voter.voters());
         }
+        keptList = new Kept(voter, "~listed", listing::changes, () -> new ListingNote.Push(listing.listed(), List.of(), 0));
+        final ListingNote.Push list = keptList.read(ListingNote.Push.class);
+        if (list != null) {
+            listing.merge(list.listed(), List.of());
+        }
+        keptUsage = new Kept(voter, "~usage", usage::changes, () -> new UsageNote.Counts(address, 0, usage.all()));
+        final UsageNote.Counts counts = keptUsage.read(UsageNote.Counts.class);
+        if (counts != null) {
+            countsBefore = counts.counts();
+        }
         voter.watch((key, register) -> {
             tokens(key, register);
             if (auditor != null && register.value() != null && Sealed.windowOf(key) >= 0) {
@@ -303,6 +316,9 @@
             });
             every(settings.part("reportDueMs", 0.01), reporter::tick);
             every(settings.part("keyBoundMs", 0.2), this::tidy);
+            every(settings.ms("countPushMs"), keptUsage::tick);
+            every(settings.ms("listMs"), keptList::tick);
+            every(settings.part("keyBoundMs", 0.02), this::recount);
             every(settings.part("keyBoundMs", 0.1), this::decided);
             every(settings.part("keyBoundMs", 0.02), this::learnFounded);
         }
@@ -514,6 +530,14 @@
                 : Long.parseLong(new String(floor.value(), StandardCharsets.UTF_8));
     }
 
+    /** Counts of before the last loss count once the fleet's time is known, by which their windows are. */
+    private void recount() {
+        if (!countsBefore.isEmpty() && fleet.settled()) {
+            countsBefore.forEach(usage::merge);
+            countsBefore = List.of();
+        }
+    }
+
     /** A new generation's first version is chosen by being in the founding. */
     private void learnFounded() {
         final Voters table = voter.voters();
--- a/spokestall/src/main/java/spokestall/duty/UsageBook.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageBook.java
@@ -16,6 +16,7 @@
     private static final int LIVES_MAX = 1024;
     private final LongSupplier window;
     private final int windowsKept;
+    private long changes;
     private final TreeMap<Long, Map<String, Map<String, Long>>> windows = new TreeMap<>();
     private final TreeMap<Long, Set<String>> closed = new TreeMap<>();
 
@@ -28,6 +29,7 @@
     /** Merges one edge life's counts. Example: {@code book.merge(count);} */
     public void merge(final UsageNote.Count count) {
         final long now = window.getAsLong();
+        changes++;
         if (count.window() < now - windowsKept || count.window() > now + 1) {
             return;
         }
@@ -69,6 +71,18 @@
         return sum;
     }
 
+    /** What is known of every window, to keep it beyond this life. Example: {@code voter.keepOwn("~usage", bytes(book.all()))} */
+    public List<UsageNote.Count> all() {
+        final List<UsageNote.Count> found = new ArrayList<>();
+        windows.keySet().forEach(w -> found.addAll(counts(w)));
+        return found;
+    }
+
+    /** Grows with every change. Example: {@code if (book.changes() != kept) keep(book.all());} */
+    public long changes() {
+        return changes;
+    }
+
     /** What is known of a window, to hand to another core. Example: {@code book.counts(345)} */
     public List<UsageNote.Count> counts(final long of) {
         final List<UsageNote.Count> found = new ArrayList<>();
--- a/spokestall/src/main/java/spokestall/listing/Listing.java
+++ b/spokestall/src/main/java/spokestall/listing/Listing.java
@@ -27,6 +27,7 @@
     private final Map<String, Heard> heard = new HashMap<>();
     private long place;
     private long readMs;
+    private long changes;
 
     /** Where nothing is probed, what is listed and not leaving counts as ready.
      * Example: {@code new Listing(life, 4096, 4000, true)} */
@@ -93,8 +94,10 @@
     private void merge(final Listed entry) {
         final Numbered<Listed> had = listed.get(entry.instance());
         if (had == null ? listed.size() < entriesMax : entry.stampMs() > had.value.stampMs()) {
+            changes++;
             listed.put(entry.instance(), new Numbered<>(++place, had == null ? entry : kept(had.value, entry)));
         } else if (had != null && entry.firstMs() < had.value.firstMs()) {
+            changes++;
             listed.put(entry.instance(), new Numbered<>(had.place, kept(entry, had.value)));
         }
     }
@@ -143,6 +146,11 @@
         return found;
     }
 
+    /** Grows with every entry that changes. Example: {@code if (listing.changes() != kept) keep(listing.listed());} */
+    public long changes() {
+        return changes;
+    }
+
     /** Everything the platform lists or listed of late. Example: {@code listing.listed()} */
     public List<Listed> listed() {
         return listedAfter(0);
