Own retries are counted at each further go, sent or not; a habit frees the unsent

Cause: a go after one that was never sent was no longer paid for from the retry budget nor counted against the most goes, because another platform counts arrivals only. The own rule RETRIES counts every further go. Excluded: the budget's allowance and its sharers, which are as before; only what was charged had changed. Conclusion: what is a retry is the platform's to say, so it is a habit.

--- a/spokestall/src/main/java/spokestall/edge/Habits.java
+++ b/spokestall/src/main/java/spokestall/edge/Habits.java
@@ -4,6 +4,7 @@
  * How asks are taken, as the deployment's callers need it. Keyed: each must have a key, and is looked up by it; else a
  * binding may be open. Claims: a run-once ask may come twice and is claimed before it is sent; else its callers never
  * send one twice. HomeEdges: it is taken only in its tenant's home regions. HoldsEdges: a held district's edges take none.
+ * UnsentFree: a further go after one that was never sent is no retry; else each further go is one.
  */
-public record Habits(boolean keyed, boolean claims, boolean homeEdges, boolean holdsEdges) {
+public record Habits(boolean keyed, boolean claims, boolean homeEdges, boolean holdsEdges, boolean unsentFree) {
 }
--- a/spokestall/src/main/java/spokestall/edge/Run.java
+++ b/spokestall/src/main/java/spokestall/edge/Run.java
@@ -25,7 +25,6 @@
 
     private enum Stage { READING, CLAIMING, GOING, ENDED }
 
-    private static final int GOES_MAX = 6;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final Edge edge;
     private final Parts parts;
@@ -36,9 +35,7 @@
     private Stage stage = Stage.READING;
     private byte[] body;
     private Claim claim;
-    private int goes;
-    private int sent;
-    private boolean arrivedLast;
+    private final Goes goes;
     private boolean mayHaveRun;
     private boolean callerGone;
     private boolean out;
@@ -56,6 +53,7 @@
         this.done = done;
         this.rule = ask.rule();
         this.binding = ask.binding();
+        this.goes = new Goes(edge.pace().habits().unsentFree());
         this.desk = ask.binding().runOnce() && edge.pace().habits().claims()
                 ? new ClaimDesk(parts, edge.pace(), Claim.key(ask.tenant().name(), ask.head().askId())) : null;
         parts.clock().after(Math.max(0, ask.deadlineMs() - parts.clock().nowMs()), () -> give(Result.DEADLINE));
@@ -175,7 +173,7 @@
     /** Ends it in spokestall's own words: proven not to have run only if this call sent nothing that may have. */
     private void give(final Result result) {
         final boolean before = Ticket.of(ask.head().askId()) != null;
-        end(edge.deny(result, desk != null || before || mayHaveRun ? Ran.UNDECIDED : Ran.NOT_RUN, goes));
+        end(edge.deny(result, desk != null || before || mayHaveRun ? Ran.UNDECIDED : Ran.NOT_RUN, goes.begun()));
     }
 
     /** Whether the ask may still be sent: fresh, with its key, region, binding and district as they are now. */
@@ -236,7 +234,7 @@
     /** Nothing more is sent. Under a claim that was not used, that is said in its register first, then to the caller. */
     private void stopBefore(final Result why) {
         if (claim != null && !mayHaveRun) {
-            desk.voided(claim, proven -> end(edge.deny(why, proven ? Ran.NOT_RUN : Ran.UNDECIDED, goes)));
+            desk.voided(claim, proven -> end(edge.deny(why, proven ? Ran.NOT_RUN : Ran.UNDECIDED, goes.begun())));
         } else {
             give(why);
         }
@@ -253,7 +251,7 @@
             stopBefore(mayHaveRun ? Result.LOST : Result.NO_UPSTREAM);
             return;
         }
-        if (goes++ == 0) {
+        if (goes.begin()) {
             // Retries are a share of what upstreams were first asked, not of what was let in.
             edge.budget(rule).asked();
         }
@@ -277,8 +275,7 @@
     }
 
     private void went(final Upstream to, final GoResult result, final long begunMs) {
-        arrivedLast = !(result instanceof GoResult.NotSent);
-        sent += arrivedLast ? 1 : 0;
+        goes.ended(!(result instanceof GoResult.NotSent));
         mayHaveRun |= result instanceof GoResult.Whole || result instanceof GoResult.Lost;
         final boolean barredHere = result instanceof GoResult.NotSent n && n.why().equals("barred");
         final long slowMs = binding.aimMs() > 0 ? binding.aimMs() : rule.goMs() / 4;
@@ -299,7 +296,7 @@
         } else if (status >= 500 && !ask.binding().runOnce() && again()) {
             return;
         }
-        end(new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes, 0));
+        end(new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes.begun(), 0));
     }
 
     private void trouble(final Upstream to, final GoResult result) {
@@ -325,8 +322,7 @@
 
     private boolean again() {
         final int most = binding.goesMax() > 0 ? Math.min(binding.goesMax(), edge.pace().goesMax()) : edge.pace().goesMax();
-        if (stage == Stage.ENDED || sent >= most || goes >= GOES_MAX || barred() != null
-                || arrivedLast && !edge.budget(rule).spend()) {
+        if (stage == Stage.ENDED || barred() != null || !goes.again(most, edge.budget(rule))) {
             return false;
         }
         go();
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/edge/GoesTest.java
@@ -0,0 +1,56 @@
+package spokestall.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class GoesTest {
+    private static RetryBudget budget(final int retries) {
+        return new RetryBudget(0, () -> retries);
+    }
+
+    private static int goes(final boolean unsentFree, final int most, final RetryBudget budget, final boolean arrives) {
+        final Goes goes = new Goes(unsentFree);
+        do {
+            assertThat(goes.begin()).isEqualTo(goes.begun() == 1);
+            goes.ended(arrives);
+        } while (goes.again(most, budget));
+        return goes.begun();
+    }
+
+    @Test
+    void eachFurtherGoIsARetryWhetherOrNotTheOneBeforeWasSent() {
+        final RetryBudget two = budget(2);
+        assertThat(goes(false, 9, two, false)).isEqualTo(3);
+        assertThat(goes(false, 9, two, false)).as("the budget is spent").isEqualTo(1);
+        assertThat(goes(false, 9, budget(2), true)).isEqualTo(3);
+    }
+
+    @Test
+    void eachGoCountsAgainstTheMostWhetherOrNotItWasSent() {
+        assertThat(goes(false, 3, budget(100), false)).isEqualTo(3);
+        assertThat(goes(false, 3, budget(100), true)).isEqualTo(3);
+    }
+
+    @Test
+    void whatWasNeverSentIsFreeOnlyWhereThatIsTheHabitAndNotWithoutEnd() {
+        assertThat(goes(true, 3, budget(0), false)).isEqualTo(Goes.MOST);
+        assertThat(goes(true, 9, budget(2), true)).isEqualTo(3);
+        assertThat(goes(true, 3, budget(100), true)).isEqualTo(3);
+    }
+
+    @Test
+    void aGoAfterOneThatMayHaveArrivedIsPaidForAlsoWhereUnsentOnesAreFree() {
+        final RetryBudget one = budget(1);
+        final Goes goes = new Goes(true);
+        goes.begin();
+        goes.ended(false);
+        assertThat(goes.again(3, one)).isTrue();
+        goes.begin();
+        goes.ended(true);
+        assertThat(goes.again(3, one)).isTrue();
+        goes.begin();
+        goes.ended(true);
+        assertThat(goes.again(3, one)).as("nothing is left to pay for it").isFalse();
+    }
+}
