--- a/proof/src/main/java/spokestall/proof/Scale.java
+++ b/proof/src/main/java/spokestall/proof/Scale.java
@@ -23,8 +23,8 @@
         int broken = 0;
         try (ScaleRun run = new ScaleRun(flags)) {
             System.out.printf("nodes=%d cores=%d regions=%d districts=%d upstreams=%d services=%d bindings=%d tenants=%d rate=%d seed=%d"
-                    + " policyBytes=%d%n", flags.nodes, flags.cores, flags.regions, flags.districts, flags.upstreams,
-                    flags.services, flags.bindings, flags.tenants, flags.rate, flags.seed, run.policyBytes);
+                    + " policyBytes=%d set=%s%n", flags.nodes, flags.cores, flags.regions, flags.districts, flags.upstreams,
+                    flags.services, flags.bindings, flags.tenants, flags.rate, flags.seed, run.policyBytes, flags.set);
             run.play();
             final long disks = 8L * run.segmentBytes * flags.cores;
             final List<Figure> figures = ScaleFigures.of(run, heap() - before - disks);
--- a/proof/src/main/java/spokestall/proof/ScaleFile.java
+++ b/proof/src/main/java/spokestall/proof/ScaleFile.java
@@ -20,6 +20,7 @@
         return JSON.createObjectNode().put("nodes", f.nodes).put("cores", f.cores).put("regions", f.regions)
                 .put("districts", f.districts).put("upstreams", f.upstreams).put("services", f.services)
                 .put("bindings", f.bindings).put("tenants", f.tenants).put("rate", f.rate).put("warm", f.warm).put("seconds", f.seconds)
+                .put("set", String.join(" ", f.set))
                 .put("seed", f.seed).put("digest", Long.toHexString(run.digest())).put("whole", run.whole())
                 .put("virtualS", run.steps.nowMs() / 1000.0).put("wallS", run.wallS());
     }
--- a/proof/src/main/java/spokestall/proof/ScaleFlags.java
+++ b/proof/src/main/java/spokestall/proof/ScaleFlags.java
@@ -1,9 +1,13 @@
 package spokestall.proof;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.spi.StringArrayOptionHandler;
+import spokestall.settings.Settings;
 
 /** Flags of a run at scale; what is not given grows in proportion to the size that is aimed at. */
 final class ScaleFlags {
@@ -44,6 +48,8 @@
     int wall = 300;
     @Option(name = "--real", usage = "real processes beside it, with real asks: an even number up to 12")
     int real;
+    @Option(name = "--set", metaVar = "KEY=VALUE", usage = "a setting of every node; may be given several times")
+    List<String> set = new ArrayList<>();
     @Option(name = "--out", usage = "where the figures go, a line of JSON each")
     Path out;
     @Option(name = "--fit", handler = StringArrayOptionHandler.class, usage = "no run: lines through the figures of these files")
@@ -82,11 +88,40 @@
         if (real % 2 != 0) {
             throw new IllegalArgumentException("--real: needs an even number, not " + real);
         }
+        checkSettings();
         if (!List.of("nodes", "upstreams", "tenants", "rate").contains(by)) {
             throw new IllegalArgumentException("--by: needs nodes, upstreams, tenants or rate, not " + by);
         }
     }
 
+    /** The settings that were given, by their names. */
+    Map<String, String> settings() {
+        final Map<String, String> given = new LinkedHashMap<>();
+        for (final String one : set) {
+            final int at = one.indexOf('=');
+            if (at < 1) {
+                throw new IllegalArgumentException("--set: needs key=value, not " + one);
+            }
+            given.put(one.substring(0, at), one.substring(at + 1));
+        }
+        return given;
+    }
+
+    /** Those that the run gives each node itself can't be given, the others must be what a node would take. */
+    private void checkSettings() {
+        final Map<String, String> own = new LinkedHashMap<>(Map.of("name", "n", "address", "10.0.0.1:7100", "http", "10.0.0.1:7200",
+                "district", "d1", "districts", "d1=r1", "seeds", "10.0.0.1:7100,10.0.0.2:7100,10.0.0.3:7100", "data", "/scale",
+                "platform", "10.9.0.1:80"));
+        final Map<String, String> given = settings();
+        given.keySet().stream().filter(key -> own.containsKey(key) || key.equals("cores") || key.equals("edges")).forEach(key -> {
+            throw new IllegalArgumentException("--set: " + key + " is given by the run");
+        });
+        own.putAll(given);
+        if (Settings.read(null, own, true) instanceof Settings.Read.Bad bad) {
+            throw new IllegalArgumentException("--set: " + bad.troubles());
+        }
+    }
+
     private int share(final int given, final int aim, final int least) {
         return given != 0 ? given : Math.max(least, (int) ((long) aim * nodes / AIM_NODES));
     }
--- a/proof/src/main/java/spokestall/proof/ScaleRun.java
+++ b/proof/src/main/java/spokestall/proof/ScaleRun.java
@@ -67,7 +67,7 @@
             proofs.put(p, Map.of(true, new Histogram(3), false, new Histogram(3)));
             words.put(p, new Histogram(3));
         }
-        final Map<String, String> shared = new TreeMap<>();
+        final Map<String, String> shared = new TreeMap<>(flags.settings());
         shared.put("districts", shape.districts());
         shared.put("seeds", ScaleShape.address(0) + "," + ScaleShape.address(flags.cores / 2) + ","
                 + ScaleShape.address(flags.cores - 1));
--- a/proof/src/test/java/spokestall/proof/ScaleTest.java
+++ b/proof/src/test/java/spokestall/proof/ScaleTest.java
@@ -42,6 +42,8 @@
                 assertThat(run.judge.judge.tallies().get(Rule.POLICY).checks).isPositive();
                 assertThat(run.judge.judge.tallies().get(Rule.SAME_COUNTS).checks).isPositive();
                 assertThat(run.judge.judge.tallies().get(Rule.KEY).checks).isPositive();
+                assertThat(run.judge.judge.tallies().get(Rule.IN_TIME).checks).as("windows counted as asked").isPositive();
+                assertThat(run.nodes).filteredOn(n -> !n.core).allMatch(n -> !n.counted.isEmpty());
                 final List<Figure> figures = ScaleFigures.of(run, 0);
                 assertThat(figures).as("what a core answers to followers").anyMatch(f -> f.name().equals(
                         "CALM.core.bytesOut.FeedBack.REGIONS") && f.value() > 0);
@@ -70,6 +72,24 @@
         assertThat(Main.scale(new String[] {"--real", "13"})).isEqualTo(2);
         assertThat(Main.scale(new String[] {"--nods", "12"})).isEqualTo(2);
         assertThat(Main.scale(new String[] {"--by", "hope"})).isEqualTo(2);
+        assertThat(Main.scale(new String[] {"--set", "probes"})).isEqualTo(2);
+        assertThat(Main.scale(new String[] {"--set", "prob=0"})).isEqualTo(2);
+        assertThat(Main.scale(new String[] {"--set", "proofMs=500", "--set", "freshMs=100"})).isEqualTo(2);
+        assertThat(Main.scale(new String[] {"--set", "edges=3"})).isEqualTo(2);
+    }
+
+    @Test
+    void aSettingThatIsGivenHoldsAtEveryNode() {
+        final ScaleFlags flags = flags(2, 1);
+        flags.seconds = 4;
+        flags.set = List.of("probes=0", "proofMs=500", "freshMs=4000");
+        flags.check();
+        try (ScaleRun run = new ScaleRun(flags)) {
+            run.play();
+            assertThat(run.readyMs()).isPositive();
+            assertThat(run.nodes).allMatch(n -> n.probes == 0);
+            assertThat(ScaleFile.head(run).path("set").asText()).isEqualTo("probes=0 proofMs=500 freshMs=4000");
+        }
     }
 
     @Test
