--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -86,6 +86,9 @@
     private int turn = -1;
     private int asked;
     private long newsMs = Long.MIN_VALUE / 2;
+    /** Who was asked for news and has not answered, and since when; null if nobody. */
+    private String newsOf;
+    private long newsOfMs;
     private List<Member> edges = List.of();
     private long edgesMark;
     private long edgesMs = Long.MIN_VALUE / 2;
@@ -161,6 +164,10 @@
             asks.pollFirstEntry();
         }
         final String newsFrom = newsFrom(cores);
+        if (newsOf == null) {
+            newsOf = newsFrom;
+            newsOfMs = clock.nowMs();
+        }
         for (final String core : cores) {
             if (core.equals(newsFrom) || pace.whole()) {
                 post.send(core, ask(core, askId, core.equals(newsFrom)));
@@ -231,9 +238,22 @@
     }
 
     private void news(final String core) {
+        newsOf = core;
+        newsOfMs = clock.nowMs();
         post.send(core, ask(core, 0, true));
     }
 
+    /** Whether someone was asked a moment ago, so that what all have is not fetched from each. */
+    private boolean awaited() {
+        return newsOf != null && clock.nowMs() - newsOfMs < pace.newsWaitMs() / 3;
+    }
+
+    /** Asks the nearest that is known to be ahead, if any is. */
+    private void newsOfAhead(final Voters table) {
+        table.seats().stream().filter(s -> last.containsKey(s.name()) && last.get(s.name()).applied() > book.policy().version())
+                .map(Seat::address).filter(a -> !a.equals(address)).min(Comparator.comparingInt(distance::of)).ifPresent(this::news);
+    }
+
     /** Hears a core's reply or its news. Example: {@code follower.hear(note);} */
     public void hear(final FeedNote note) {
         if (note instanceof FeedNote.FeedNews n) {
@@ -268,6 +288,8 @@
             newsMs = clock.nowMs();
             edges(back);
         }
+        final boolean answered = newsOf != null && (back.listingLife() != 0 || seat != null && seat.address().equals(newsOf));
+        newsOf = answered ? null : newsOf;
         final boolean same = table != null && (back.table() != null
                 ? table.same(back.table().generation(), back.table().epoch())
                 : table.same(back.generation(), back.epoch()));
@@ -276,6 +298,9 @@
         }
         heard(back.name(), new Word(back.voting(), back.applied(), back.newest()), back.askId(), same,
                 seat != null && seat.diskId().equals(back.diskId()));
+        if (answered && newsOf == null && same && back.askId() != 0) {
+            newsOfAhead(table);
+        }
     }
 
     private void edges(final FeedNote.FeedBack back) {
@@ -314,7 +339,9 @@
         prove(table);
         final Seat seat = table.seat(core);
         if (word.applied() > book.policy().version() && seat != null && askId != 0) {
-            news(seat.address());
+            if (!awaited()) {
+                news(seat.address());
+            }
         } else if (word.newest() > book.policy().version()) {
             finish(table);
         }
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -0,0 +1,146 @@
+package spokestall.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import spokestall.ballot.Proposer;
+import spokestall.ballot.Seat;
+import spokestall.ballot.Voters;
+import spokestall.listing.Listing;
+import spokestall.policy.Book;
+import spokestall.policy.Snapshot;
+import spokestall.time.Clock;
+import spokestall.view.Member;
+import spokestall.wire.Note;
+
+/** Whom a follower asks for news, seen from the cores. */
+class FollowerTest {
+    private record Sent(String to, Note note) {
+    }
+
+    private static final long BEAT_MS = 400;
+    private static final Voters TABLE = new Voters(1, 1, List.of(seat("a"), seat("b"), seat("c"), seat("d"), seat("e")));
+    private static final long BASE = TABLE.firstNumber();
+    private final List<Sent> sent = new ArrayList<>();
+    private long nowMs = 1_000_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+            return nowMs;
+        }
+
+        @Override
+        public void after(final long waitMs, final Runnable event) {
+            throw new AssertionError();
+        }
+    };
+    private final Book book = new Book(8);
+    private final Member self = new Member("edge", "x", "x", false, "d1", "r1", 7, 0, false, 5, 1, false);
+    private final Follower follower;
+
+    FollowerTest() {
+        final Proposer proposer = new Proposer("edge#7", "x", (to, note) -> sent.add(new Sent(to, note)), clock, new Random(1),
+                new Proposer.Pace(400, 50, 64), (seat, key) -> { });
+        proposer.adopt(TABLE);
+        book.load(snapshot(BASE + 1));
+        follower = new Follower(() -> self, book, new Listing(7, 64, 4000, true), proposer, (to, note) -> sent.add(new Sent(to, note)),
+                clock, new Follower.Pace(1000, 32, 3 * BEAT_MS, 64, false), List::of, table -> { }, () -> { }, () -> 0,
+                address -> address.charAt(0));
+    }
+
+    private static Seat seat(final String name) {
+        return new Seat(name, name, "disk-" + name);
+    }
+
+    private static Snapshot snapshot(final long version) {
+        return new Snapshot(version, "{}".getBytes(StandardCharsets.UTF_8), Map.of());
+    }
+
+    /** Beats and gives what was sent. */
+    private List<Sent> beat() {
+        sent.clear();
+        follower.tick();
+        return List.copyOf(sent);
+    }
+
+    private static List<String> askedForNews(final List<Sent> of) {
+        return of.stream().filter(s -> s.note instanceof FeedNote.FeedAsk a && a.news()).map(Sent::to).toList();
+    }
+
+    private static long askId(final List<Sent> of) {
+        return ((FeedNote.FeedAsk) of.stream().filter(s -> s.note instanceof FeedNote.FeedAsk).findFirst().orElseThrow().note).askId();
+    }
+
+    private void proof(final String core, final long askId, final long applied) {
+        follower.hear(new FeedNote.ProofBack(core, askId, 1, 1, Marks.of("disk-" + core), true, false, applied, 0));
+    }
+
+    private void back(final String core, final long askId, final long applied, final Snapshot with) {
+        follower.hear(new FeedNote.FeedBack(core, "disk-" + core, askId, null, true, applied, applied, List.of(), with, List.of(),
+                9, 1, List.of(), List.of(), 1, 1, true, 0));
+    }
+
+    @Test
+    void whenAllAreAheadOneIsAskedForNewsOnce() {
+        final List<Sent> first = beat();
+        assertThat(askedForNews(first)).containsExactly("a");
+        sent.clear();
+        nowMs += 20;
+        for (final String core : List.of("b", "c", "d", "e")) {
+            proof(core, askId(first), BASE + 2);
+        }
+        assertThat(askedForNews(sent)).as("the nearest was asked already, its reply is on its way").isEmpty();
+        back("a", askId(first), BASE + 2, snapshot(BASE + 2));
+        assertThat(book.policy().version()).isEqualTo(BASE + 2);
+        assertThat(askedForNews(sent)).isEmpty();
+        assertThat(follower.ageMs()).as("proved by the ask of the beat").isEqualTo(20);
+    }
+
+    @Test
+    void whenWhoWasAskedIsBehindItselfOneThatIsAheadIsAskedAtOnce() {
+        final List<Sent> first = beat();
+        sent.clear();
+        nowMs += 20;
+        for (final String core : List.of("e", "d", "c", "b")) {
+            proof(core, askId(first), BASE + 2);
+        }
+        back("a", askId(first), BASE + 1, null);
+        assertThat(askedForNews(sent)).containsExactly("b");
+    }
+
+    @Test
+    void whenWhoWasAskedIsSilentABeatLaterAnotherIsAsked() {
+        beat();
+        nowMs += BEAT_MS;
+        final List<Sent> second = beat();
+        sent.clear();
+        nowMs += 20;
+        for (final String core : List.of("b", "c", "d", "e")) {
+            proof(core, askId(second), BASE + 2);
+        }
+        assertThat(askedForNews(sent)).containsExactly("b");
+        back("b", 0, BASE + 2, snapshot(BASE + 2));
+        assertThat(book.policy().version()).isEqualTo(BASE + 2);
+    }
+
+    @Test
+    void aCoreThatSaysItIsAheadAndSendsNothingIsNotAskedWithoutEnd() {
+        final List<Sent> first = beat();
+        sent.clear();
+        back("a", askId(first), BASE + 2, null);
+        for (int i = 0; i < 10; i++) {
+            back("a", 0, BASE + 2, null);
+        }
+        assertThat(askedForNews(sent)).hasSizeLessThanOrEqualTo(1);
+    }
+}
