--- a/proof/src/main/java/spokestall/proof/Plant.java
+++ b/proof/src/main/java/spokestall/proof/Plant.java
@@ -5,8 +5,9 @@
 /** Faults that are planted to see that the judge finds them: a guard widened by settings, or the world made to lie. */
 enum Plant {
     NONE(Map.of()),
-    /** Proofs of the policy count twelve times as long and are asked for as seldom; words on upstreams five times. */
-    OLD_PROOFS(Map.of("keyBoundMs", "60000", "leaveBoundMs", "20000")),
+    /** Proofs of the policy count twelve times as long and are asked for as seldom; words on upstreams five times. A cut-off
+     * edge is not stopped by its counts either, or they would hide it. */
+    OLD_PROOFS(Map.of("keyBoundMs", "60000", "leaveBoundMs", "20000", "uncountedMs", "0")),
     /** Upstreams are probed and views shuffled fifteen times as seldom. */
     SELDOM_PROBES(Map.of("leaveBoundMs", "60000")),
     /** Nodes believe that their districts lie in other regions. */
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -237,7 +237,7 @@
                 settings.number("retryShare") * 0.9, settings.number("retryAllowance"), settings.ms("askSpanMaxMs"),
                 settings.part("claimKeepMs", 0.01), new Habits(settings.ms("keyed") == 1, settings.ms("claims") == 1,
                 settings.ms("homeEdges") == 1, settings.ms("holdsEdges") == 1,
-                settings.ms("unsentFree") == 1)));
+                settings.ms("unsentFree") == 1, settings.ms("any500") == 1)));
     }
 
     private int told(final String count) {
--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -202,6 +202,18 @@
         if (how == End.LOST && losses.merge(instance, 1, Integer::sum) < 2) {
             return;
         }
+        aside(instance, how);
+    }
+
+    /** One is silent for longer than it should be; two such in a row, or one and a lost answer, and it is put aside.
+     * Example: {@code elector.late(upstream.instance());} */
+    public void late(final String instance) {
+        if (losses.merge(instance, 1, Integer::sum) >= 2) {
+            aside(instance, End.LOST);
+        }
+    }
+
+    private void aside(final String instance, final End how) {
         final Ejected had = ejected.get(instance);
         final int times = had == null ? 1 : Math.min(had.times + 1, 8);
         final long spanMs = how == End.DENIED ? pace.ejectMs() / 4 : Math.min(pace.ejectMaxMs(), pace.ejectMs() << (times - 1));
--- a/spokestall/src/main/java/spokestall/edge/Goes.java
+++ b/spokestall/src/main/java/spokestall/edge/Goes.java
@@ -3,15 +3,16 @@
 /**
  * The goes of one ask: how many there were, and whether one more may be. Each further one is paid for from the retry
  * budget and counts against the most that there may be; where what was never sent is free, only a go that may have
- * arrived is counted, and paid for by the one after it.
+ * arrived is counted, and paid for by the one after it; one that is begun while another is under way is always paid for.
  */
 final class Goes {
     /** However free they are. */
     static final int MOST = 6;
     private final boolean unsentFree;
     private int begun;
-    private int arrived;
-    private boolean arrivedLast;
+    private int ended;
+    private int unsent;
+    private boolean unsentLast;
 
     Goes(final boolean unsentFree) {
         this.unsentFree = unsentFree;
@@ -26,14 +27,21 @@
         return begun++ == 0;
     }
 
-    /** The last one ended; it may have arrived if any of it was sent. */
+    /** How many are under way. */
+    int open() {
+        return begun - ended;
+    }
+
+    /** One ended; it may have arrived if any of it was sent. */
     void ended(final boolean mayHaveArrived) {
-        arrivedLast = mayHaveArrived;
-        arrived += mayHaveArrived ? 1 : 0;
+        ended++;
+        unsentLast = !mayHaveArrived;
+        unsent += mayHaveArrived ? 0 : 1;
     }
 
     /** Whether there may be one more, which is then paid for. */
     boolean again(final int most, final RetryBudget budget) {
-        return (unsentFree ? arrived : begun) < most && begun < MOST && (unsentFree && !arrivedLast || budget.spend());
+        return (unsentFree ? begun - unsent : begun) < most && begun < MOST
+                && (unsentFree && open() == 0 && unsentLast || budget.spend());
     }
 }
--- a/spokestall/src/main/java/spokestall/edge/Run.java
+++ b/spokestall/src/main/java/spokestall/edge/Run.java
@@ -25,6 +25,8 @@
 
     private enum Stage { READING, CLAIMING, GOING, ENDED }
 
+    /** The part of an aim after which what may be repeated is asked of a second upstream as well. */
+    private static final double LATE = 0.6;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final Edge edge;
     private final Parts parts;
@@ -37,6 +39,7 @@
     private Claim claim;
     private final Goes goes;
     private boolean mayHaveRun;
+    private Answer held;
     private boolean callerGone;
     private boolean out;
     private boolean holding;
@@ -242,13 +245,13 @@
 
     private void go() {
         final Result barred = barred();
-        if (barred != null) {
-            stopBefore(barred);
-            return;
-        }
-        final Upstream to = parts.elector().elect(rule, this::fits, tried);
+        final Upstream to = barred != null ? null : parts.elector().elect(rule, this::fits, tried);
         if (to == null) {
-            stopBefore(mayHaveRun ? Result.LOST : Result.NO_UPSTREAM);
+            if (goes.open() == 0 && held != null) {
+                end(held);
+            } else if (goes.open() == 0) {
+                stopBefore(barred != null ? barred : mayHaveRun ? Result.LOST : Result.NO_UPSTREAM);
+            }
             return;
         }
         if (goes.begin()) {
@@ -261,6 +264,10 @@
         final long begunMs = parts.clock().nowMs();
         parts.elector().begun(to.instance());
         release();
+        if (binding.aimMs() > 0 && !ask.binding().runOnce()) {
+            final int number = goes.begun();
+            parts.clock().after(Math.max(1, (long) (LATE * binding.aimMs())), () -> late(to, number));
+        }
         final LongSupplier until = () -> barred() != null ? Long.MIN_VALUE
                 : Math.min(ask.deadlineMs(), parts.follower().freshUntilMs());
         parts.upstreams().go(new Go(head.askId(), ask.tenant() == null ? null : tenantName(), to.instance(), to.service(), to.address(),
@@ -268,6 +275,15 @@
                 () -> counted(), result -> went(to, result, begunMs));
     }
 
+    /** An upstream that is silent for long may be gone. What may be repeated is asked of another one too, once and paid for,
+     * and the first whole answer counts. */
+    private void late(final Upstream silent, final int number) {
+        if (stage == Stage.GOING && goes.open() == 1 && goes.begun() == number) {
+            parts.elector().late(silent.instance());
+            again();
+        }
+    }
+
     private void counted() {
         if (ask.tenant() != null) {
             parts.counter().begun(tenantName());
@@ -293,10 +309,16 @@
         final int status = whole.content().status();
         if (claim != null) {
             record(to, whole);
-        } else if (status >= 500 && !ask.binding().runOnce() && again()) {
-            return;
         }
-        end(new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes.begun(), 0));
+        final Answer answer = new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes.begun(), 0);
+        final boolean poor = status == 502 || status == 503 || status >= 500 && edge.pace().habits().any500();
+        if (claim == null && poor && !ask.binding().runOnce() && stage != Stage.ENDED) {
+            held = answer;
+            if (goes.open() > 0 || again()) {
+                return;
+            }
+        }
+        end(answer);
     }
 
     private void trouble(final Upstream to, final GoResult result) {
@@ -312,6 +334,13 @@
             give(Result.LOST);
             return;
         }
+        if (goes.open() > 0) {
+            return;
+        }
+        if (held != null) {
+            end(held);
+            return;
+        }
         final Result barred = barred();
         if (barred != null) {
             stopBefore(barred);
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -68,6 +68,7 @@
         number("claims", 1, "1: a run-once ask may come twice and is claimed; 0: its callers never send one twice", 0, 1);
         number("homeEdges", 1, "1: an edge takes asks only of tenants at home in its region", 0, 1);
         number("holdsEdges", 1, "1: edges of a held district take no asks; 0: a hold empties its upstreams only", 0, 1);
+        number("any500", 0, "1: any answer of 500 or above to what may be repeated is trouble; 0: 502 and 503 only", 0, 1);
         number("unsentFree", 0, "1: a further go after one that was never sent is no retry and isn't counted; 0: each further go is one", 0, 1);
         number("districtCost", 0, "what it costs to send an ask to another district, in parts of a slot's work", 0, 100);
         number("regionCost", 100, "the same to another region", 0, 1000);
--- a/spokestall/src/test/java/spokestall/edge/GoesTest.java
+++ b/spokestall/src/test/java/spokestall/edge/GoesTest.java
@@ -39,6 +39,21 @@
         assertThat(goes(true, 3, budget(100), true)).isEqualTo(3);
     }
 
+    @Test
+    void aGoBesideOneThatIsUnderWayIsAlwaysPaidForAndCounted() {
+        final RetryBudget one = budget(1);
+        final Goes goes = new Goes(true);
+        goes.begin();
+        assertThat(goes.again(2, one)).isTrue();
+        goes.begin();
+        assertThat(goes.open()).isEqualTo(2);
+        assertThat(goes.again(2, budget(100))).as("both may arrive").isFalse();
+        assertThat(goes.again(9, one)).as("nothing is left to pay for it").isFalse();
+        goes.ended(true);
+        goes.ended(true);
+        assertThat(goes.open()).isZero();
+    }
+
     @Test
     void aGoAfterOneThatMayHaveArrivedIsPaidForAlsoWhereUnsentOnesAreFree() {
         final RetryBudget one = budget(1);
