--- a/spokestall/src/main/java/spokestall/edge/Run.java
+++ b/spokestall/src/main/java/spokestall/edge/Run.java
@@ -173,10 +173,10 @@
         done.accept(answer);
     }
 
-    /** Ends it in spokestall's own words: proven not to have run only if this call sent nothing that may have. */
+    /** Ends it in spokestall's own words: proven not to have run only if this call sent nothing that may have, or may yet. */
     private void give(final Result result) {
         final boolean before = Ticket.of(ask.head().askId()) != null;
-        end(edge.deny(result, desk != null || before || mayHaveRun ? Ran.UNDECIDED : Ran.NOT_RUN, goes.begun()));
+        end(edge.deny(result, desk != null || before || mayHaveRun || goes.open() > 0 ? Ran.UNDECIDED : Ran.NOT_RUN, goes.begun()));
     }
 
     /** Whether the ask may still be sent: fresh, with its key, region, binding and district as they are now. */
