--- /dev/null
+++ b/spokestall/src/test/java/spokestall/edge/ElectorTest.java
@@ -0,0 +1,107 @@
+package spokestall.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import spokestall.listing.Upstream;
+import spokestall.policy.ServiceRule;
+import spokestall.time.Clock;
+import spokestall.time.FleetClock;
+
+class ElectorTest {
+    private static final ServiceRule RULE = new ServiceRule("s", 1000, 1000, 2000, 3000, 5.8);
+    private final List<Upstream> listed = new ArrayList<>();
+    private long nowMs = 1_000_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+            return nowMs;
+        }
+
+        @Override
+        public void after(final long waitMs, final Runnable event) {
+            throw new IllegalStateException("nothing is to come later");
+        }
+    };
+
+    private Elector elector(final int edges, final long seed) {
+        return new Elector("r1", "d1", s -> listed, clock, new FleetClock(clock, 250), new Random(seed),
+                new Elector.Pace(() -> edges, 1.2, 4, 750, 6000, 0.15, 1));
+    }
+
+    private void list(final String instance, final String district, final String region, final int slots) {
+        listed.add(new Upstream(instance, "s", "10.0.0.1:80", district, region, 0, slots, 0));
+    }
+
+    @Test
+    void nearOnesAreTakenUntilTheyAreFullAndFarOnesOnlyThen() {
+        list("near", "d1", "r1", 3);
+        list("around", "d2", "r1", 3);
+        list("far", "d5", "r3", 3);
+        final Elector elector = elector(1, 1);
+        final Map<String, Integer> open = new HashMap<>();
+        for (int n = 0; n < 8; n++) {
+            final Upstream to = elector.elect(RULE, u -> true, Set.of());
+            elector.begun(to.instance());
+            open.merge(to.instance(), 1, Integer::sum);
+            assertThat(open.getOrDefault("far", 0)).as("while others have room: " + open).isLessThanOrEqualTo(Math.max(0, n - 3));
+        }
+        assertThat(open.get("near")).isGreaterThanOrEqualTo(open.getOrDefault("around", 0));
+        assertThat(open).containsKey("around");
+    }
+
+    @Test
+    void oneLossIsChanceTwoInARowPutAsideAndAnAnswerBringsBack() {
+        list("one", "d1", "r1", 3);
+        list("two", "d2", "r1", 3);
+        final Elector elector = elector(1, 2);
+        elector.begun("one");
+        elector.ended("s", "one", Elector.End.LOST, 10, 500);
+        assertThat(elector.elect(RULE, u -> true, Set.of()).instance()).isEqualTo("one");
+        elector.late("one");
+        for (int n = 0; n < 20; n++) {
+            assertThat(elector.elect(RULE, u -> true, Set.of()).instance()).as("put aside").isEqualTo("two");
+        }
+        assertThat(elector.elect(RULE, u -> u.instance().equals("one"), Set.of())).as("better than none").isNotNull();
+        elector.begun("one");
+        elector.ended("s", "one", Elector.End.WELL, 10, 500);
+        assertThat(elector.elect(RULE, u -> true, Set.of()).instance()).isEqualTo("one");
+    }
+
+    @Test
+    void acrossAllEdgesAChilledUpstreamGetsNoMoreThanItsRamp() {
+        list("cold", "d1", "r1", 3);
+        final int edges = 12;
+        final List<Elector> all = new ArrayList<>();
+        for (int i = 0; i < edges; i++) {
+            all.add(elector(edges, i));
+            all.get(i).chill(List.of("cold"), 3000);
+        }
+        final List<Long> sentMs = new ArrayList<>();
+        for (final long untilMs = nowMs + 2900; nowMs < untilMs; nowMs += 10) {
+            for (final Elector elector : all) {
+                if (elector.elect(RULE, u -> true, Set.of()) != null) {
+                    sentMs.add(nowMs);
+                }
+            }
+        }
+        for (final long fromMs : sentMs) {
+            final long within = sentMs.stream().filter(ms -> ms >= fromMs && ms < fromMs + 1000).count();
+            assertThat(within).as("in the second from " + fromMs).isLessThanOrEqualTo(Math.round(1.2 * 5.8 + 4) + edges);
+        }
+        assertThat(sentMs).isNotEmpty();
+        nowMs += 200;
+        assertThat(all.get(0).elect(RULE, u -> true, Set.of())).as("warm again").isNotNull();
+    }
+}
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/policy/BindingsTest.java
@@ -0,0 +1,59 @@
+package spokestall.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class BindingsTest {
+    private static final String[] WORDS = {"a", "b", "ab"};
+
+    private static String path(final Random random, final boolean slash) {
+        final StringBuilder path = new StringBuilder();
+        for (int n = random.nextInt(4); n >= 0; n--) {
+            path.append('/').append(WORDS[random.nextInt(WORDS.length)]);
+        }
+        return path + (slash && random.nextBoolean() ? "/" : "");
+    }
+
+    /** The rule as it is told: the longest that leads there. */
+    private static boolean leads(final String binding, final String path) {
+        return binding.endsWith("/") ? path.startsWith(binding) : path.equals(binding) || path.startsWith(binding + "/");
+    }
+
+    @Test
+    void theLongestThatLeadsThereIsFoundAmongRandomOnes() {
+        final Random random = new Random(7);
+        int found = 0;
+        for (int round = 0; round < 2000; round++) {
+            final Bindings bindings = new Bindings();
+            final List<String> all = new ArrayList<>();
+            for (int n = random.nextInt(8); n >= 0; n--) {
+                final String path = random.nextInt(20) == 0 ? "/" : path(random, true);
+                bindings.add(Binding.of("b", path, "s", false));
+                all.add(path);
+            }
+            final String asked = path(random, true);
+            final String expected = all.stream().filter(b -> leads(b, asked)).max(Comparator.comparingInt(String::length))
+                    .orElse(null);
+            final Binding binding = bindings.find(asked);
+            assertThat(binding == null ? null : binding.path()).as(asked + " among " + all).isEqualTo(expected);
+            found += binding == null ? 0 : 1;
+        }
+        assertThat(found).isBetween(300, 1900);
+    }
+
+    @Test
+    void whatABindingAndATenantSayOfRegionsBothBind() {
+        final Binding open = Binding.of("b", "/b", "s", false);
+        final Binding two = new Binding("b", "", "/b", open.split(), false, 0, 0, 0, 0, false, Set.of("r1", "r2"));
+        final Tenant tenant = new Tenant("t", "", null, Set.of("r2", "r3"), Set.of(), null, List.of());
+        assertThat(List.of("r1", "r2", "r3")).filteredOn(r -> two.home(tenant, r)).containsExactly("r2");
+        assertThat(List.of("r1", "r2", "r3")).filteredOn(r -> two.home(null, r)).containsExactly("r1", "r2");
+        assertThat(List.of("r1", "r2", "r3")).filteredOn(r -> open.home(tenant, r)).containsExactly("r2", "r3");
+    }
+}
