--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -83,7 +83,9 @@
     private static final String LEASE = "duty/usage_report";
     private static final Register NO_LEASE = new Register(Ballot.NONE, Ballot.NONE, null);
     private static final int POLICY_KEPT = 1024;
-    private static final int SNAPSHOT_EVERY = 32;
+    private static final int POLICY_KEPT_LEAST = 16;
+    /** A ring so full keeps fewer of the changes that followers may start from; large ones would fill it. */
+    private static final double CROWDED = 0.3;
     private static final int WINDOWS_KEPT = 16;
     private static final int HINTS_KEPT = 16_384;
     private static final int HANDED_AT_ONCE = 512;
@@ -133,6 +135,11 @@
     private final long windowMs;
     private int sharersMost = 1;
     private Set<String> heldBefore = Set.of();
+    private Kept keptList;
+    private Kept keptUsage;
+    private List<UsageNote.Count> countsBefore = List.of();
+    private boolean policyDirty;
+    private boolean keepingPolicy;
     private long policyFloor;
     private long tokenSeen;
     private boolean stopped;
@@ -258,6 +265,16 @@
         if (voter.voters() != null) {
             proposer.adopt(voter.voters());
         }
+        keptList = new Kept(voter, "~listed", listing::changes, () -> new ListingNote.Push(listing.listed(), List.of(), 0));
+        final ListingNote.Push list = keptList.read(ListingNote.Push.class);
+        if (list != null) {
+            listing.merge(list.listed(), List.of());
+        }
+        keptUsage = new Kept(voter, "~usage", usage::changes, () -> new UsageNote.Counts(address, 0, usage.all()));
+        final UsageNote.Counts counts = keptUsage.read(UsageNote.Counts.class);
+        if (counts != null) {
+            countsBefore = counts.counts();
+        }
         voter.watch((key, register) -> {
             tokens(key, register);
             if (auditor != null && register.value() != null && Sealed.windowOf(key) >= 0) {
@@ -286,6 +303,7 @@
     public void start() {
         LOG.atInfo().log("event=start node=%s role=%s address=%s district=%s region=%s life=%s", name,
                 core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
+        hurry(clock.nowMs() + settings.part("leaveBoundMs", 1.5));
         every(settings.part("leaveBoundMs", 0.125), view::tick);
         every(settings.ms("proofMs"), follower::tick);
         if (core) {
@@ -298,6 +316,9 @@
             });
             every(settings.part("reportDueMs", 0.01), reporter::tick);
             every(settings.part("keyBoundMs", 0.2), this::tidy);
+            every(settings.ms("countPushMs"), keptUsage::tick);
+            every(settings.ms("listMs"), keptList::tick);
+            every(settings.part("keyBoundMs", 0.02), this::recount);
             every(settings.part("keyBoundMs", 0.1), this::decided);
             every(settings.part("keyBoundMs", 0.02), this::learnFounded);
         }
@@ -315,6 +336,17 @@
         every(settings.part("leaveBoundMs", 2), () -> listing.prune(fleet.nowMs() - settings.part("leaveBoundMs", 30)));
     }
 
+    /** A node that has just started asks without waiting for its beats, until it has what it needs to serve. */
+    private void hurry(final long untilMs) {
+        final boolean able = fleet.settled() && follower.fresh() && (!serves || !listing.listed().isEmpty());
+        if (stopped || able || clock.nowMs() >= untilMs) {
+            return;
+        }
+        view.greet(voters() == null ? List.of() : coreAddresses());
+        follower.tick();
+        clock.after(settings.part("leaveBoundMs", 0.03), () -> hurry(untilMs));
+    }
+
     private void every(final long spanMs, final Runnable beat) {
         clock.after(1 + random.nextInt((int) Math.max(1, spanMs)), new Runnable() {
             @Override
@@ -498,6 +530,14 @@
                 : Long.parseLong(new String(floor.value(), StandardCharsets.UTF_8));
     }
 
+    /** Counts of before the last loss count once the fleet's time is known, by which their windows are. */
+    private void recount() {
+        if (!countsBefore.isEmpty() && fleet.settled()) {
+            countsBefore.forEach(usage::merge);
+            countsBefore = List.of();
+        }
+    }
+
     /** A new generation's first version is chosen by being in the founding. */
     private void learnFounded() {
         final Voters table = voter.voters();
@@ -517,16 +557,26 @@
         if (!core) {
             return;
         }
-        final long version = book.policy().version();
-        final byte[] had = voter.own(POLICY);
-        final long kept = had == null ? 0 : Codec.record(had, Snapshot.class).version();
-        if (version - kept >= SNAPSHOT_EVERY) {
-            voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
-                if (ok) {
-                    policyFloor = Math.max(policyFloor, version - POLICY_KEPT);
-                }
-            });
+        policyDirty = true;
+        keepPolicy();
+    }
+
+    /** The policy goes to this core's own disk as often as the disk takes it: a core that starts must not read each version
+     * since from the others first. */
+    private void keepPolicy() {
+        if (!policyDirty || keepingPolicy) {
+            return;
         }
+        policyDirty = false;
+        keepingPolicy = true;
+        final long version = book.policy().version();
+        voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
+            keepingPolicy = false;
+            if (ok) {
+                policyFloor = Math.max(policyFloor, version - (ring.fill() > CROWDED ? POLICY_KEPT_LEAST : POLICY_KEPT));
+                keepPolicy();
+            }
+        });
     }
 
     /** Upstreams of a district that is given back may have turned cold while nothing was sent there. */
