--- a/spokestall/src/main/java/spokestall/edge/Run.java
+++ b/spokestall/src/main/java/spokestall/edge/Run.java
@@ -25,7 +25,8 @@
 
     private enum Stage { READING, CLAIMING, GOING, ENDED }
 
-    private static final int GOES_MAX = 6;
+    /** The part of an aim after which what may be repeated is asked of a second upstream as well. */
+    private static final double LATE = 0.6;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final Edge edge;
     private final Parts parts;
@@ -36,10 +37,9 @@
     private Stage stage = Stage.READING;
     private byte[] body;
     private Claim claim;
-    private int goes;
-    private int sent;
-    private boolean arrivedLast;
+    private final Goes goes;
     private boolean mayHaveRun;
+    private Answer held;
     private boolean callerGone;
     private boolean out;
     private boolean holding;
@@ -56,6 +56,7 @@
         this.done = done;
         this.rule = ask.rule();
         this.binding = ask.binding();
+        this.goes = new Goes(edge.pace().habits().unsentFree());
         this.desk = ask.binding().runOnce() && edge.pace().habits().claims()
                 ? new ClaimDesk(parts, edge.pace(), Claim.key(ask.tenant().name(), ask.head().askId())) : null;
         parts.clock().after(Math.max(0, ask.deadlineMs() - parts.clock().nowMs()), () -> give(Result.DEADLINE));
@@ -175,7 +176,7 @@
     /** Ends it in spokestall's own words: proven not to have run only if this call sent nothing that may have. */
     private void give(final Result result) {
         final boolean before = Ticket.of(ask.head().askId()) != null;
-        end(edge.deny(result, desk != null || before || mayHaveRun ? Ran.UNDECIDED : Ran.NOT_RUN, goes));
+        end(edge.deny(result, desk != null || before || mayHaveRun ? Ran.UNDECIDED : Ran.NOT_RUN, goes.begun()));
     }
 
     /** Whether the ask may still be sent: fresh, with its key, region, binding and district as they are now. */
@@ -236,7 +237,7 @@
     /** Nothing more is sent. Under a claim that was not used, that is said in its register first, then to the caller. */
     private void stopBefore(final Result why) {
         if (claim != null && !mayHaveRun) {
-            desk.voided(claim, proven -> end(edge.deny(why, proven ? Ran.NOT_RUN : Ran.UNDECIDED, goes)));
+            desk.voided(claim, proven -> end(edge.deny(why, proven ? Ran.NOT_RUN : Ran.UNDECIDED, goes.begun())));
         } else {
             give(why);
         }
@@ -244,16 +245,16 @@
 
     private void go() {
         final Result barred = barred();
-        if (barred != null) {
-            stopBefore(barred);
-            return;
-        }
-        final Upstream to = parts.elector().elect(rule, this::fits, tried);
+        final Upstream to = barred != null ? null : parts.elector().elect(rule, this::fits, tried);
         if (to == null) {
-            stopBefore(mayHaveRun ? Result.LOST : Result.NO_UPSTREAM);
+            if (goes.open() == 0 && held != null) {
+                end(held);
+            } else if (goes.open() == 0) {
+                stopBefore(barred != null ? barred : mayHaveRun ? Result.LOST : Result.NO_UPSTREAM);
+            }
             return;
         }
-        if (goes++ == 0) {
+        if (goes.begin()) {
             // Retries are a share of what upstreams were first asked, not of what was let in.
             edge.budget(rule).asked();
         }
@@ -263,6 +264,10 @@
         final long begunMs = parts.clock().nowMs();
         parts.elector().begun(to.instance());
         release();
+        if (binding.aimMs() > 0 && !ask.binding().runOnce()) {
+            final int number = goes.begun();
+            parts.clock().after(Math.max(1, (long) (LATE * binding.aimMs())), () -> late(to, number));
+        }
         final LongSupplier until = () -> barred() != null ? Long.MIN_VALUE
                 : Math.min(ask.deadlineMs(), parts.follower().freshUntilMs());
         parts.upstreams().go(new Go(head.askId(), ask.tenant() == null ? null : tenantName(), to.instance(), to.service(), to.address(),
@@ -270,6 +275,15 @@
                 () -> counted(), result -> went(to, result, begunMs));
     }
 
+    /** An upstream that is silent for long may be gone. What may be repeated is asked of another one too, once and paid for,
+     * and the first whole answer counts. */
+    private void late(final Upstream silent, final int number) {
+        if (stage == Stage.GOING && goes.open() == 1 && goes.begun() == number) {
+            parts.elector().late(silent.instance());
+            again();
+        }
+    }
+
     private void counted() {
         if (ask.tenant() != null) {
             parts.counter().begun(tenantName());
@@ -277,8 +291,7 @@
     }
 
     private void went(final Upstream to, final GoResult result, final long begunMs) {
-        arrivedLast = !(result instanceof GoResult.NotSent);
-        sent += arrivedLast ? 1 : 0;
+        goes.ended(!(result instanceof GoResult.NotSent));
         mayHaveRun |= result instanceof GoResult.Whole || result instanceof GoResult.Lost;
         final boolean barredHere = result instanceof GoResult.NotSent n && n.why().equals("barred");
         final long slowMs = binding.aimMs() > 0 ? binding.aimMs() : rule.goMs() / 4;
@@ -296,10 +309,16 @@
         final int status = whole.content().status();
         if (claim != null) {
             record(to, whole);
-        } else if (status >= 500 && !ask.binding().runOnce() && again()) {
-            return;
         }
-        end(new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes, 0));
+        final Answer answer = new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes.begun(), 0);
+        final boolean poor = status == 502 || status == 503 || status >= 500 && edge.pace().habits().any500();
+        if (claim == null && poor && !ask.binding().runOnce() && stage != Stage.ENDED) {
+            held = answer;
+            if (goes.open() > 0 || again()) {
+                return;
+            }
+        }
+        end(answer);
     }
 
     private void trouble(final Upstream to, final GoResult result) {
@@ -315,6 +334,13 @@
             give(Result.LOST);
             return;
         }
+        if (goes.open() > 0) {
+            return;
+        }
+        if (held != null) {
+            end(held);
+            return;
+        }
         final Result barred = barred();
         if (barred != null) {
             stopBefore(barred);
@@ -325,8 +351,7 @@
 
     private boolean again() {
         final int most = binding.goesMax() > 0 ? Math.min(binding.goesMax(), edge.pace().goesMax()) : edge.pace().goesMax();
-        if (stage == Stage.ENDED || sent >= most || goes >= GOES_MAX || barred() != null
-                || arrivedLast && !edge.budget(rule).spend()) {
+        if (stage == Stage.ENDED || barred() != null || !goes.again(most, edge.budget(rule))) {
             return false;
         }
         go();
