--- a/proof/src/main/java/spokestall/proof/Ability.java
+++ b/proof/src/main/java/spokestall/proof/Ability.java
@@ -12,6 +12,7 @@
 final class Ability {
     /** The time to recover where nothing that was acknowledged is lost, and where it is. */
     static final long RECOVER_MS = 8000;
+
     static final long RECOVER_LOST_MS = 15_000;
     private static final int LOOK_MS = 20;
     private static final int MAJORITY = 4;
@@ -30,10 +31,15 @@
     void watch() {
         final long nowMs = world.sim.nowMs();
         final List<SimNode> good = world.cores().stream().filter(Ability::good).toList();
-        final boolean able = good.stream().anyMatch(one -> good.stream().filter(other -> one == other
-                || world.net.open(one.address, other.address) && world.net.open(other.address, one.address))
-                .count() >= MAJORITY);
-        lost |= world.cores().stream().filter(c -> c.disk.blank()).count() > world.cores().size() - MAJORITY;
+        final boolean able = good.stream()
+                .anyMatch(one -> good.stream()
+                                .filter(other -> one == other
+                                        || world.net.open(one.address, other.address)
+                                                && world.net.open(other.address, one.address))
+                                .count()
+                        >= MAJORITY);
+        lost |= world.cores().stream().filter(c -> c.disk.blank()).count()
+                > world.cores().size() - MAJORITY;
         if (!able && sinceMs < 0) {
             sinceMs = nowMs;
         } else if (able && sinceMs >= 0) {
--- a/proof/src/main/java/spokestall/proof/Deployment.java
+++ b/proof/src/main/java/spokestall/proof/Deployment.java
@@ -25,8 +25,14 @@
     private final String look;
     private final String other;
 
-    Deployment(final String big, final String small, final long apartMs, final int rate, final String once,
-            final String look, final String other) {
+    Deployment(
+            final String big,
+            final String small,
+            final long apartMs,
+            final int rate,
+            final String once,
+            final String look,
+            final String other) {
         this.big = big;
         this.small = small;
         this.apartMs = apartMs;
@@ -37,12 +43,10 @@
     }
 
     /** One upstream's place. */
-    record Place(String instance, String service, String district, String region) {
-    }
+    record Place(String instance, String service, String district, String region) {}
 
     /** One kind of ask that callers make. */
-    record Kind(String tenant, String key, String path, boolean runOnce, int weight) {
-    }
+    record Kind(String tenant, String key, String path, boolean runOnce, int weight) {}
 
     static String district(final int i) {
         return "d" + (i % DISTRICTS + 1);
@@ -100,7 +104,11 @@
     ArrayNode plan() {
         final ArrayNode list = JSON.createArrayNode();
         for (final Kind k : kinds()) {
-            list.addObject().put("key", k.key).put("path", k.path).put("runOnce", k.runOnce).put("weight", k.weight);
+            list.addObject()
+                    .put("key", k.key)
+                    .put("path", k.path)
+                    .put("runOnce", k.runOnce)
+                    .put("weight", k.weight);
         }
         return list;
     }
@@ -110,8 +118,8 @@
         final ObjectNode cells = policy.putObject("cells");
         for (int i = 0; i < TENANTS; i++) {
             final ObjectNode cell = cells.has(cell(i)) ? (ObjectNode) cells.get(cell(i)) : cells.putObject(cell(i));
-            final ObjectNode tenants = cell.has("tenants") ? (ObjectNode) cell.get("tenants")
-                    : cell.putObject("tenants");
+            final ObjectNode tenants =
+                    cell.has("tenants") ? (ObjectNode) cell.get("tenants") : cell.putObject("tenants");
             final ObjectNode t = tenants.putObject(tenant(i));
             final ArrayNode home = t.putArray("homeRegions");
             home(i).forEach(home::add);
@@ -122,8 +130,14 @@
             bindings.putObject("other").put("path", other).put("service", small);
         }
         final ObjectNode services = policy.putObject("services");
-        services.putObject(big).put("warmPerS", World.WARM_PER_S).put("warmupMs", 10_000).put("goMs", 2000);
-        services.putObject(small).put("warmPerS", World.WARM_PER_S).put("warmupMs", 10_000).put("goMs", 2000);
+        services.putObject(big)
+                .put("warmPerS", World.WARM_PER_S)
+                .put("warmupMs", 10_000)
+                .put("goMs", 2000);
+        services.putObject(small)
+                .put("warmPerS", World.WARM_PER_S)
+                .put("warmupMs", 10_000)
+                .put("goMs", 2000);
         return policy;
     }
 }
--- a/proof/src/main/java/spokestall/proof/Fault.java
+++ b/proof/src/main/java/spokestall/proof/Fault.java
@@ -71,7 +71,8 @@
         void bring(final Fleet fleet, final FleetJudge judge) throws Exception {
             final Fleet.Member holder = fleet.holder();
             Files.createFile(holder.hooks.resolve("gap"));
-            Fleet.until("another holds the duty", 20_000, () -> !fleet.holder().name.equals(holder.name));
+            Fleet.until(
+                    "another holds the duty", 20_000, () -> !fleet.holder().name.equals(holder.name));
             Files.delete(holder.hooks.resolve("gap"));
         }
     },
@@ -132,7 +133,10 @@
             final Fleet.Member core = fleet.members().get("d2-core");
             final Path full = core.hooks.resolve("full");
             Files.createFile(full);
-            Fleet.until("its voter has stopped", 20_000, () -> fleet.status(core).path("voter").asText().equals("STOPPED"));
+            Fleet.until(
+                    "its voter has stopped",
+                    20_000,
+                    () -> fleet.status(core).path("voter").asText().equals("STOPPED"));
             pause(4000);
             // What an operator does: another disk.
             core.process.destroyForcibly().waitFor();
@@ -195,7 +199,8 @@
 
         @Override
         double least() {
-            // A piece in twenty holds its wire up by 0.2 to 0.6 s: counts that are not with a majority in time bar asks.
+            // A piece in twenty holds its wire up by 0.2 to 0.6 s: counts that are not with a majority in time bar
+            // asks.
             return 0.8;
         }
     },
@@ -212,8 +217,11 @@
         void bring(final Fleet fleet, final FleetJudge judge) throws Exception {
             final List<String> lone = List.of("d3-edge");
             fleet.links().part(lone, fleet.names(m -> !lone.contains(m.name)), true);
-            final ObjectNode key = JSON.createObjectNode().put("cell", Deployment.cell(1)).put("tenant",
-                    Deployment.tenant(1)).put("keyId", "main").put("changeId", "gone");
+            final ObjectNode key = JSON.createObjectNode()
+                    .put("cell", Deployment.cell(1))
+                    .put("tenant", Deployment.tenant(1))
+                    .put("keyId", "main")
+                    .put("changeId", "gone");
             accepted(fleet, fleet.anyCore(), "key.withdraw", key);
             final long fromMs = System.currentTimeMillis();
             pause(8000);
@@ -232,14 +240,22 @@
     HOLD_DIES {
         @Override
         void bring(final Fleet fleet, final FleetJudge judge) throws Exception {
-            accepted(fleet, fleet.anyCore(), "hold.set", JSON.createObjectNode().put("district", "d3").put("changeId", "hold"));
+            accepted(
+                    fleet,
+                    fleet.anyCore(),
+                    "hold.set",
+                    JSON.createObjectNode().put("district", "d3").put("changeId", "hold"));
             final long fromMs = System.currentTimeMillis();
             pause(2000);
             down(fleet, fleet.names(m -> m.name.startsWith("d3-")), 4000);
             pause(2000);
             judge.emptied("d3", fromMs, System.currentTimeMillis());
             judge.judge().check(Rule.LEAVING, 0, "held");
-            accepted(fleet, fleet.anyCore(), "hold.clear", JSON.createObjectNode().put("district", "d3").put("changeId", "clear"));
+            accepted(
+                    fleet,
+                    fleet.anyCore(),
+                    "hold.clear",
+                    JSON.createObjectNode().put("district", "d3").put("changeId", "clear"));
         }
     },
     OVERLOAD {
@@ -293,10 +309,16 @@
                 final UpstreamStand old = fleet.stands().get(3 + i * 8);
                 old.stop();
                 final Deployment.Place was = old.place();
-                final String other = was.service().equals(Deployment.PADMA.big) ? Deployment.PADMA.small
-                        : was.service().equals(Deployment.PADMA.small) ? Deployment.PADMA.big
-                        : was.service().equals(Deployment.VERDE.big) ? Deployment.VERDE.small : Deployment.VERDE.big;
-                judge.cold(fleet.replace(old, new Deployment.Place(other + "-new-" + i, other, was.district(), was.region())),
+                final String other = was.service().equals(Deployment.PADMA.big)
+                        ? Deployment.PADMA.small
+                        : was.service().equals(Deployment.PADMA.small)
+                                ? Deployment.PADMA.big
+                                : was.service().equals(Deployment.VERDE.big)
+                                        ? Deployment.VERDE.small
+                                        : Deployment.VERDE.big;
+                judge.cold(
+                        fleet.replace(
+                                old, new Deployment.Place(other + "-new-" + i, other, was.district(), was.region())),
                         System.currentTimeMillis());
                 pause(2500);
             }
@@ -309,8 +331,12 @@
                 if (Integer.parseInt(old.place().instance().replaceAll(".*-", "")) % 2 == 0) {
                     old.stop();
                     final Deployment.Place was = old.place();
-                    judge.cold(fleet.replace(old, new Deployment.Place(was.instance() + "-new", was.service(),
-                            was.district(), was.region())), System.currentTimeMillis());
+                    judge.cold(
+                            fleet.replace(
+                                    old,
+                                    new Deployment.Place(
+                                            was.instance() + "-new", was.service(), was.district(), was.region())),
+                            System.currentTimeMillis());
                 }
             }
             pause(10_000);
@@ -329,8 +355,7 @@
     abstract void bring(Fleet fleet, FleetJudge judge) throws Exception;
 
     /** What must be so before the fleet starts. */
-    void before(final Fleet fleet) throws IOException {
-    }
+    void before(final Fleet fleet) throws IOException {}
 
     /** The share of asks that must run; where a majority is away or a key is withdrawn, asks are denied meanwhile. */
     double least() {
@@ -390,11 +415,15 @@
     }
 
     private static long version(final Fleet fleet, final Fleet.Member core) {
-        return fleet.call(core.operators, "policy.get", JSON.createObjectNode()).path("result").path("version").asLong();
+        return fleet.call(core.operators, "policy.get", JSON.createObjectNode())
+                .path("result")
+                .path("version")
+                .asLong();
     }
 
     /** Has a change accepted, repeating it by its change id, and gives its version. */
-    private static long accepted(final Fleet fleet, final Fleet.Member core, final String method, final ObjectNode params) {
+    private static long accepted(
+            final Fleet fleet, final Fleet.Member core, final String method, final ObjectNode params) {
         final long[] found = {0};
         Fleet.until(method + " is accepted", 20_000, () -> {
             params.put("base", version(fleet, core));
@@ -412,9 +441,15 @@
         final List<Thread> racers = new ArrayList<>();
         for (final String at : List.of("d2-core", "d5-core")) {
             final ObjectNode params = JSON.createObjectNode().put("base", base).put("changeId", "race-" + turn + at);
-            params.putObject("patch").putObject("cells").putObject(Deployment.cell(3)).putObject("tenants")
-                    .putObject(Deployment.tenant(3)).putObject("bindings").putObject("race-" + turn + at)
-                    .put("path", "/race/" + turn + at).put("service", service(fleet));
+            params.putObject("patch")
+                    .putObject("cells")
+                    .putObject(Deployment.cell(3))
+                    .putObject("tenants")
+                    .putObject(Deployment.tenant(3))
+                    .putObject("bindings")
+                    .putObject("race-" + turn + at)
+                    .put("path", "/race/" + turn + at)
+                    .put("service", service(fleet));
             final Thread racer = new Thread(() -> {
                 final JsonNode reply = fleet.call(fleet.members().get(at).operators, "policy.patch", params);
                 synchronized (replies) {
@@ -428,12 +463,17 @@
             racer.join();
         }
         final long atMs = System.currentTimeMillis();
-        final long won = replies.stream().filter(r -> r.path("code").asInt() == 1000).count();
+        final long won =
+                replies.stream().filter(r -> r.path("code").asInt() == 1000).count();
         judge.judge().check(Rule.POLICY, won <= 1 ? 0 : 2, won + " of two were accepted on one base");
         for (final Fleet.Member m : fleet.members().values()) {
             if (won == 1) {
-                Fleet.until("it is in force", 20_000, () -> fleet.status(m).path("version").asLong() > base);
-                judge.judge().check(Rule.POLICY, (System.currentTimeMillis() - atMs) / (double) Rule.POLICY.nearMs, m.name);
+                Fleet.until(
+                        "it is in force",
+                        20_000,
+                        () -> fleet.status(m).path("version").asLong() > base);
+                judge.judge()
+                        .check(Rule.POLICY, (System.currentTimeMillis() - atMs) / (double) Rule.POLICY.nearMs, m.name);
             }
         }
     }
--- a/proof/src/main/java/spokestall/proof/Figure.java
+++ b/proof/src/main/java/spokestall/proof/Figure.java
@@ -5,6 +5,7 @@
     static final String ALL = "all";
 
     String name() {
-        return phase + "." + role + "." + what + (kind.equals(ALL) ? "" : "." + kind) + (zone.equals(ALL) ? "" : "." + zone);
+        return phase + "." + role + "." + what + (kind.equals(ALL) ? "" : "." + kind)
+                + (zone.equals(ALL) ? "" : "." + zone);
     }
 }
--- a/proof/src/main/java/spokestall/proof/Fleet.java
+++ b/proof/src/main/java/spokestall/proof/Fleet.java
@@ -40,8 +40,15 @@
         final Path hooks;
         Process process;
 
-        Member(final String name, final boolean core, final String http, final String operators, final Path settings, final Path data,
-                final Path hooks, final Relay relay) {
+        Member(
+                final String name,
+                final boolean core,
+                final String http,
+                final String operators,
+                final Path settings,
+                final Path data,
+                final Path hooks,
+                final Relay relay) {
             this.hooks = hooks;
             this.name = name;
             this.core = core;
@@ -63,7 +70,8 @@
     private final List<Stand> upstreams = new CopyOnWriteArrayList<>();
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final PlatformStand platform;
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
 
     /** Makes one stand-in for an upstream. */
     interface Maker {
@@ -75,8 +83,15 @@
     }
 
     /** With other upstreams than the deployment's, and settings of its own. */
-    Fleet(final Deployment deployment, final Path folder, final int districts, final long delayMs,
-            final List<Deployment.Place> places, final Maker maker, final Map<String, String> more) throws IOException {
+    Fleet(
+            final Deployment deployment,
+            final Path folder,
+            final int districts,
+            final long delayMs,
+            final List<Deployment.Place> places,
+            final Maker maker,
+            final Map<String, String> more)
+            throws IOException {
         this.deployment = deployment;
         this.folder = folder;
         this.links = new Links(delayMs);
@@ -87,8 +102,10 @@
         platform = new PlatformStand(ports.get(next++), worker, ledger, () -> upstreams, 1000);
         for (final Deployment.Place place : places) {
             final int port = ports.get(next++);
-            upstreams.add(maker != null ? maker.make(place, port)
-                    : new UpstreamStand(place, port, worker, ledger, 5, 60_000));
+            upstreams.add(
+                    maker != null
+                            ? maker.make(place, port)
+                            : new UpstreamStand(place, port, worker, ledger, 5, 60_000));
         }
         final List<String> seeds = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
@@ -104,7 +121,9 @@
                 s.put("http", "127.0.0.1:" + ports.get(next++)).put("district", Deployment.district(i));
                 s.put("operators", "127.0.0.1:" + ports.get(next++));
                 s.put("districts", Deployment.districts()).put("seeds", String.join(",", seeds));
-                s.put("platform", "127.0.0.1:" + ports.get(0)).put("cores", districts).put("edges", districts);
+                s.put("platform", "127.0.0.1:" + ports.get(0))
+                        .put("cores", districts)
+                        .put("edges", districts);
                 more.forEach(s::put);
                 final Path data = folder.resolve(name);
                 if (core) {
@@ -112,8 +131,17 @@
                 }
                 final Path file = folder.resolve(name + ".json");
                 Files.writeString(file, s.toPrettyString());
-                members.put(name, new Member(name, core, s.get("http").asText(), s.get("operators").asText(), file, data,
-                        folder.resolve(name + ".hooks"), new Relay(outside, inside, name, links)));
+                members.put(
+                        name,
+                        new Member(
+                                name,
+                                core,
+                                s.get("http").asText(),
+                                s.get("operators").asText(),
+                                file,
+                                data,
+                                folder.resolve(name + ".hooks"),
+                                new Relay(outside, inside, name, links)));
                 Files.createDirectories(folder.resolve(name + ".hooks"));
             }
         }
@@ -181,12 +209,23 @@
     }
 
     void start(final Member m) throws IOException {
-        final String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        m.process = new ProcessBuilder(java, "-ea", "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), hooked ? "spokestall.proof.HookedNode" : "spokestall.Main",
-                m.core ? "core" : "edge", hooked ? m.settings.toString() : "--settings",
-                hooked ? m.hooks.toString() : m.settings.toString()).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), m.name + ".log"))).start();
+        final String java =
+                Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        m.process = new ProcessBuilder(
+                        java,
+                        "-ea",
+                        "-Xmx256m",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        hooked ? "spokestall.proof.HookedNode" : "spokestall.Main",
+                        m.core ? "core" : "edge",
+                        hooked ? m.settings.toString() : "--settings",
+                        hooked ? m.hooks.toString() : m.settings.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), m.name + ".log")))
+                .start();
         links.node(m.name, m.process.pid());
     }
 
@@ -210,12 +249,14 @@
         return folder.resolve("recorded");
     }
 
-
     JsonNode call(final String to, final String method, final ObjectNode params) {
         try {
-            final HttpResponse<String> got = http.send(HttpRequest.newBuilder(URI.create("http://" + to + "/rpc/"
-                    + method)).timeout(Duration.ofSeconds(6)).POST(HttpRequest.BodyPublishers.ofString(
-                    params.toString())).build(), HttpResponse.BodyHandlers.ofString());
+            final HttpResponse<String> got = http.send(
+                    HttpRequest.newBuilder(URI.create("http://" + to + "/rpc/" + method))
+                            .timeout(Duration.ofSeconds(6))
+                            .POST(HttpRequest.BodyPublishers.ofString(params.toString()))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
             return JSON.readTree(got.body());
         } catch (final IOException e) {
             return JSON.createObjectNode();
@@ -230,7 +271,9 @@
     }
 
     Member anyCore() {
-        return members.values().stream().filter(m -> m.core && m.process != null && m.process.isAlive()).findFirst()
+        return members.values().stream()
+                .filter(m -> m.core && m.process != null && m.process.isAlive())
+                .findFirst()
                 .orElseThrow();
     }
 
@@ -259,7 +302,12 @@
         final long[] version = {-1};
         until("the policy is accepted", 30_000, () -> {
             final String to = anyCore().operators;
-            params.put("base", call(to, "policy.get", JSON.createObjectNode()).path("result").path("version").asLong());
+            params.put(
+                    "base",
+                    call(to, "policy.get", JSON.createObjectNode())
+                            .path("result")
+                            .path("version")
+                            .asLong());
             final JsonNode reply = call(to, "policy.put", params);
             version[0] = reply.path("result").path("version").asLong(-1);
             return reply.path("code").asInt() == 1000;
@@ -269,20 +317,31 @@
 
     /** Waits until every live node is fresh at this version and edges see upstreams. */
     void ready(final long version) {
-        until("every node is fresh at " + version, 30_000, () -> members.values().stream()
-                .filter(m -> m.process != null && m.process.isAlive()).allMatch(m -> {
-                    final JsonNode s = status(m);
-                    return s.path("fresh").asBoolean() && s.path("version").asLong() >= version;
-                }));
-        until("edges see the upstreams", 30_000, () -> members.values().stream().filter(m -> !m.core)
-                .filter(m -> m.process != null && m.process.isAlive()).allMatch(m -> {
-                    int ready = 0;
-                    for (final JsonNode u : call(m.operators, "upstreams", JSON.createObjectNode()).path("result")
-                            .path("upstreams")) {
-                        ready += u.path("status").asText().equals("READY") ? 1 : 0;
-                    }
-                    return ready == upstreams.size();
-                }));
+        until(
+                "every node is fresh at " + version,
+                30_000,
+                () -> members.values().stream()
+                        .filter(m -> m.process != null && m.process.isAlive())
+                        .allMatch(m -> {
+                            final JsonNode s = status(m);
+                            return s.path("fresh").asBoolean()
+                                    && s.path("version").asLong() >= version;
+                        }));
+        until(
+                "edges see the upstreams",
+                30_000,
+                () -> members.values().stream()
+                        .filter(m -> !m.core)
+                        .filter(m -> m.process != null && m.process.isAlive())
+                        .allMatch(m -> {
+                            int ready = 0;
+                            for (final JsonNode u : call(m.operators, "upstreams", JSON.createObjectNode())
+                                    .path("result")
+                                    .path("upstreams")) {
+                                ready += u.path("status").asText().equals("READY") ? 1 : 0;
+                            }
+                            return ready == upstreams.size();
+                        }));
     }
 
     static void until(final String what, final long waitMs, final BooleanSupplier holds) {
@@ -303,11 +362,32 @@
     Process demand(final int seconds, final double least, final int rate, final Path record) throws IOException {
         final Path plan = folder.resolve("plan.json");
         Files.writeString(plan, deployment.plan().toPrettyString());
-        final String nodes = String.join(",", members.values().stream().filter(m -> !m.core).map(m -> m.http).toList());
-        final String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), "spokestall.Main", "demand",
-                "--to", nodes, "--plan", plan.toString(), "--rate", Integer.toString(rate), "--seconds",
-                Integer.toString(seconds), "--least", Double.toString(least), "--echo", "--record", record.toString()).inheritIO().start();
+        final String nodes = String.join(
+                ",",
+                members.values().stream().filter(m -> !m.core).map(m -> m.http).toList());
+        final String java =
+                Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return new ProcessBuilder(
+                        java,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "spokestall.Main",
+                        "demand",
+                        "--to",
+                        nodes,
+                        "--plan",
+                        plan.toString(),
+                        "--rate",
+                        Integer.toString(rate),
+                        "--seconds",
+                        Integer.toString(seconds),
+                        "--least",
+                        Double.toString(least),
+                        "--echo",
+                        "--record",
+                        record.toString())
+                .inheritIO()
+                .start();
     }
 
     /** Stops every node cleanly; true if all ended with 0 in time. */
--- a/proof/src/main/java/spokestall/proof/FleetJudge.java
+++ b/proof/src/main/java/spokestall/proof/FleetJudge.java
@@ -12,7 +12,7 @@
 final class FleetJudge {
     private static final long WINDOW_MS = World.WINDOW_MS;
     private final Fleet fleet;
-    private final Judge judge = new Judge(System::currentTimeMillis, what -> { });
+    private final Judge judge = new Judge(System::currentTimeMillis, what -> {});
     private final List<World.Span> withdrawn = new ArrayList<>();
     private final List<World.Span> emptied = new ArrayList<>();
     private final List<World.Span> unable = new ArrayList<>();
@@ -50,7 +50,8 @@
     void end() throws IOException {
         final List<Ledger.Began> began = fleet.ledger().began();
         final Map<String, List<Long>> begins = new HashMap<>();
-        began.forEach(b -> begins.computeIfAbsent(b.askId(), i -> new ArrayList<>()).add(b.atMs()));
+        began.forEach(
+                b -> begins.computeIfAbsent(b.askId(), i -> new ArrayList<>()).add(b.atMs()));
         begins.forEach((id, at) -> {
             if (id.startsWith("t1-")) {
                 judge.check(Rule.ONCE, at.size() > 1 ? at.size() : 0.5, id + " ran " + at.size() + " times");
@@ -58,8 +59,14 @@
         });
         told(begins);
         for (final Ledger.Began b : began) {
-            judge.check(Rule.HOME, Deployment.home(Integer.parseInt(b.tenant().substring(b.tenant().indexOf('-') + 1)))
-                    .contains(b.region()) ? 0 : 2, b.askId() + " of " + b.tenant() + " in " + b.region());
+            judge.check(
+                    Rule.HOME,
+                    Deployment.home(Integer.parseInt(
+                                            b.tenant().substring(b.tenant().indexOf('-') + 1)))
+                                    .contains(b.region())
+                            ? 0
+                            : 2,
+                    b.askId() + " of " + b.tenant() + " in " + b.region());
             spans(withdrawn, Rule.KEY, b, b.tenant());
             spans(emptied, Rule.LEAVING, b, b.instance());
             spans(emptied, Rule.LEAVING, b, b.district());
@@ -87,8 +94,10 @@
     private void spans(final List<World.Span> spans, final Rule rule, final Ledger.Began b, final String what) {
         for (final World.Span span : spans) {
             if (span.what().equals(what) && b.atMs() > span.fromMs() && b.atMs() < span.untilMs()) {
-                judge.check(rule, (b.atMs() - span.fromMs()) / (double) rule.nearMs, b.askId() + " to " + what + " "
-                        + (b.atMs() - span.fromMs()) + " ms after");
+                judge.check(
+                        rule,
+                        (b.atMs() - span.fromMs()) / (double) rule.nearMs,
+                        b.askId() + " to " + what + " " + (b.atMs() - span.fromMs()) + " ms after");
             }
         }
     }
@@ -98,12 +107,13 @@
         for (final Ledger.Began b : began) {
             final Long ready = readyAtMs.get(b.instance());
             if (ready != null && b.atMs() - ready < World.WARMUP_MS) {
-                perSecond.computeIfAbsent(b.instance(), i -> new TreeMap<>()).merge((b.atMs() - ready) / 1000, 1,
-                        Integer::sum);
+                perSecond
+                        .computeIfAbsent(b.instance(), i -> new TreeMap<>())
+                        .merge((b.atMs() - ready) / 1000, 1, Integer::sum);
             }
         }
-        perSecond.forEach((instance, seconds) -> seconds.forEach((second, n) -> judge.check(Rule.COLD, n / Judge.rampMost(
-                second), instance + " got " + n + " in second " + second)));
+        perSecond.forEach((instance, seconds) -> seconds.forEach((second, n) ->
+                judge.check(Rule.COLD, n / Judge.rampMost(second), instance + " got " + n + " in second " + second)));
     }
 
     private void reports(final List<Ledger.Began> began) {
@@ -114,24 +124,30 @@
             final Map<String, Long> had = counts.putIfAbsent(r.window(), r.counts());
             judge.check(Rule.SAME_COUNTS, had == null || had.equals(r.counts()) ? 0 : 2, "window " + r.window());
             final String other = holders.putIfAbsent(r.token(), r.holder());
-            judge.check(Rule.TOKEN, (other == null || other.equals(r.holder())) && r.token() >= newest ? 0 : 2, "token "
-                    + r.token() + " of " + r.holder());
+            judge.check(
+                    Rule.TOKEN,
+                    (other == null || other.equals(r.holder())) && r.token() >= newest ? 0 : 2,
+                    "token " + r.token() + " of " + r.holder());
             newest = Math.max(newest, r.token());
             if (had == null) {
-                judge.check(Rule.IN_TIME, (r.atMs() - (r.window() + 1) * WINDOW_MS) / (double) Rule.IN_TIME.nearMs, "window "
-                        + r.window() + " came");
+                judge.check(
+                        Rule.IN_TIME,
+                        (r.atMs() - (r.window() + 1) * WINDOW_MS) / (double) Rule.IN_TIME.nearMs,
+                        "window " + r.window() + " came");
             }
         }
-        final long firstWindow = counts.keySet().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+        final long firstWindow =
+                counts.keySet().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
         final Map<Long, Map<String, Long>> truth = new TreeMap<>();
-        began.forEach(b -> truth.computeIfAbsent(b.atMs() / WINDOW_MS, w -> new TreeMap<>()).merge(b.tenant(), 1L, Long::sum));
+        began.forEach(b -> truth.computeIfAbsent(b.atMs() / WINDOW_MS, w -> new TreeMap<>())
+                .merge(b.tenant(), 1L, Long::sum));
         truth.forEach((window, real) -> {
             final long endMs = (window + 1) * WINDOW_MS;
             if (endMs + Rule.IN_TIME.nearMs > System.currentTimeMillis()) {
                 return;
             }
-            final boolean excused = unable.stream().anyMatch(s -> s.fromMs() <= endMs + Rule.IN_TIME.nearMs
-                    && s.untilMs() >= endMs - WINDOW_MS);
+            final boolean excused = unable.stream()
+                    .anyMatch(s -> s.fromMs() <= endMs + Rule.IN_TIME.nearMs && s.untilMs() >= endMs - WINDOW_MS);
             if (counts.containsKey(window)) {
                 if (!excused) {
                     judge.counted(window, real, counts.get(window));
--- a/proof/src/main/java/spokestall/proof/Growth.java
+++ b/proof/src/main/java/spokestall/proof/Growth.java
@@ -15,16 +15,20 @@
 final class Growth {
     private static final int TURNS = 41;
 
-    private Growth() {
-    }
+    private Growth() {}
 
     static int run() {
-        final Rules rules = new Rules(new Calls().file().at("/$defs/policy"), Set.of("r1", "r2", "r3"),
+        final Rules rules = new Rules(
+                new Calls().file().at("/$defs/policy"),
+                Set.of("r1", "r2", "r3"),
                 Set.of("d1", "d2", "d3", "d4", "d5", "d6"));
         double first = 0;
         for (final int bindings : new int[] {100, 100, 1000, 10_000}) {
             final Book book = new Book(1024);
-            book.apply(1, new Change("all", Change.Kind.PUT, policy(bindings).toString().getBytes()));
+            book.apply(
+                    1,
+                    new Change(
+                            "all", Change.Kind.PUT, policy(bindings).toString().getBytes()));
             final long[] us = new long[TURNS];
             int bytes = 0;
             for (int i = 0; i < TURNS; i++) {
@@ -41,7 +45,8 @@
             Arrays.sort(us);
             final double cost = us[TURNS / 2];
             first = first == 0 || bindings == 100 ? cost : first;
-            System.out.printf("bindings=%d acceptAndApplyUs=%.0f overHundred=%.1f feedBytes=%d snapshotBytes=%d heapKiB=%d%n",
+            System.out.printf(
+                    "bindings=%d acceptAndApplyUs=%.0f overHundred=%.1f feedBytes=%d snapshotBytes=%d heapKiB=%d%n",
                     bindings, cost, cost / first, bytes, Codec.bytes(book.snapshot()).length, heap(() -> {
                         final Book other = new Book(1024);
                         other.load(book.snapshot());
@@ -54,33 +59,43 @@
     private static long heap(final Supplier<Book> make) {
         final Book[] kept = new Book[8];
         System.gc();
-        final long before = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+        final long before =
+                Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
         for (int i = 0; i < kept.length; i++) {
             kept[i] = make.get();
         }
         System.gc();
-        final long after = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+        final long after =
+                Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
         return (after - before) / 1024 / kept.length * (kept[0].policy().version() > 0 ? 1 : 0);
     }
 
     private static ObjectNode policy(final int bindings) {
         final ObjectNode policy = Deployment.PADMA.policy();
         for (int i = 0; i < bindings; i++) {
-            bindings(policy, i % Deployment.TENANTS).putObject("more" + i).put("path", "/more/" + i).put("service",
-                    Deployment.PADMA.big);
+            bindings(policy, i % Deployment.TENANTS)
+                    .putObject("more" + i)
+                    .put("path", "/more/" + i)
+                    .put("service", Deployment.PADMA.big);
         }
         return policy;
     }
 
     private static ObjectNode bindings(final ObjectNode policy, final int tenant) {
-        return (ObjectNode) policy.at("/cells/" + Deployment.cell(tenant) + "/tenants/" + Deployment.tenant(tenant)
-                + "/bindings");
+        return (ObjectNode)
+                policy.at("/cells/" + Deployment.cell(tenant) + "/tenants/" + Deployment.tenant(tenant) + "/bindings");
     }
 
     private static Change patch(final int i) {
         final ObjectNode patch = Book.JSON.createObjectNode();
-        patch.putObject("cells").putObject(Deployment.cell(3)).putObject("tenants").putObject(Deployment.tenant(3))
-                .putObject("bindings").putObject("new" + i).put("path", "/new/" + i).put("service", Deployment.PADMA.big);
+        patch.putObject("cells")
+                .putObject(Deployment.cell(3))
+                .putObject("tenants")
+                .putObject(Deployment.tenant(3))
+                .putObject("bindings")
+                .putObject("new" + i)
+                .put("path", "/new/" + i)
+                .put("service", Deployment.PADMA.big);
         return new Change("new" + i, Change.Kind.PATCH, patch.toString().getBytes());
     }
 }
--- a/proof/src/main/java/spokestall/proof/HookedNode.java
+++ b/proof/src/main/java/spokestall/proof/HookedNode.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import spokestall.duty.Reporter;
-import spokestall.duty.Sealed;
 import spokestall.rim.Daemon;
 import spokestall.rim.LogLine;
 import spokestall.rim.Speech;
@@ -25,8 +24,7 @@
     private static final long GAP_MS = 6500;
     private static final Executor FRONT = Executors.newSingleThreadExecutor();
 
-    private HookedNode() {
-    }
+    private HookedNode() {}
 
     /** Example: {@code java ... spokestall.proof.HookedNode core d1-core.json /tmp/hooks} */
     public static void main(final String[] args) throws Exception {
@@ -34,18 +32,24 @@
         final boolean core = args[0].equals("core");
         final Settings settings = ((Settings.Read.Good) Settings.read(Path.of(args[1]), Map.of(), core)).settings();
         final Path hooks = Path.of(args[2]);
-        Runtime.getRuntime().halt(new Daemon(settings, core, new Daemon.Around() {
-            @Override
-            public Segments disk(final Segments disk) {
-                return new Hooked(disk, hooks);
-            }
+        Runtime.getRuntime()
+                .halt(new Daemon(
+                                settings,
+                                core,
+                                new Daemon.Around() {
+                                    @Override
+                                    public Segments disk(final Segments disk) {
+                                        return new Hooked(disk, hooks);
+                                    }
 
-            @Override
-            public Reporter.Platform platform(final Reporter.Platform platform) {
-                return (holder, token, sealed, waitMs, until, done) -> platform.report(holder, token, sealed, waitMs,
-                        gap(hooks, until), done);
-            }
-        }, Speech.own()).run());
+                                    @Override
+                                    public Reporter.Platform platform(final Reporter.Platform platform) {
+                                        return (holder, token, window, waitMs, until, done) ->
+                                                platform.report(holder, token, window, waitMs, gap(hooks, until), done);
+                                    }
+                                },
+                                Speech.own())
+                        .run());
     }
 
     private static LongSupplier gap(final Path hooks, final LongSupplier until) {
--- a/proof/src/main/java/spokestall/proof/Judge.java
+++ b/proof/src/main/java/spokestall/proof/Judge.java
@@ -96,15 +96,21 @@
                     final boolean later = asked.sentMs.stream().anyMatch(s -> s >= t.atMs() && s <= at);
                     broken |= !(at > t.atMs() && later);
                 }
-                check(Rule.NOT_RUN, broken ? 2 : 0, t.askId() + " told not run at " + t.atMs() + " begun at "
-                        + begins.get(t.askId()));
+                check(
+                        Rule.NOT_RUN,
+                        broken ? 2 : 0,
+                        t.askId() + " told not run at " + t.atMs() + " begun at " + begins.get(t.askId()));
             } else if (t.ran() == spokestall.edge.Ran.RAN) {
                 final boolean ran = begins.containsKey(t.askId());
                 final String want = "answer to " + t.askId() + " by " + t.instance();
-                final String body = t.content() == null ? null
-                        : new String(t.content().body(), StandardCharsets.UTF_8);
-                final boolean own = ran && (body == null && t.code() == 1002 || body != null && body.startsWith(want)
-                        && body.endsWith("whole") && t.content().headers().contains(new Header("X-Answer-To", t.askId())));
+                final String body =
+                        t.content() == null ? null : new String(t.content().body(), StandardCharsets.UTF_8);
+                final boolean own = ran
+                        && (body == null && t.code() == 1002
+                                || body != null
+                                        && body.startsWith(want)
+                                        && body.endsWith("whole")
+                                        && t.content().headers().contains(new Header("X-Answer-To", t.askId())));
                 check(Rule.OWN_ANSWER, own ? 0 : 2, t.askId() + " got '" + body + "'");
             }
         }
@@ -114,20 +120,27 @@
         for (final World.Begun b : w.begun) {
             final World.Asked asked = w.asked.get(b.askId());
             final List<String> home = w.home(asked.kind.tenant());
-            check(Rule.HOME, home.contains(b.region()) && home.contains(b.edgeRegion()) ? 0 : 2,
+            check(
+                    Rule.HOME,
+                    home.contains(b.region()) && home.contains(b.edgeRegion()) ? 0 : 2,
                     b.askId() + " of " + asked.kind.tenant() + " in " + b.edgeRegion() + " and " + b.region());
             for (final World.Span span : w.withdrawn) {
                 if (span.what().equals(asked.kind.key()) && b.atMs() > span.fromMs() && b.atMs() < span.untilMs()) {
-                    check(Rule.KEY, (b.atMs() - span.fromMs()) / (double) Rule.KEY.nearMs, b.askId() + " with " + span.what() + " "
-                            + (b.atMs() - span.fromMs()) + " ms after");
+                    check(
+                            Rule.KEY,
+                            (b.atMs() - span.fromMs()) / (double) Rule.KEY.nearMs,
+                            b.askId() + " with " + span.what() + " " + (b.atMs() - span.fromMs()) + " ms after");
                 }
             }
             for (final World.Span span : w.emptied) {
-                final boolean there = span.what().equals(b.instance()) || span.what().equals(b.district())
+                final boolean there = span.what().equals(b.instance())
+                        || span.what().equals(b.district())
                         || span.what().equals(b.edgeDistrict());
                 if (there && b.atMs() > span.fromMs() && b.atMs() < span.untilMs()) {
-                    check(Rule.LEAVING, (b.atMs() - span.fromMs()) / (double) Rule.LEAVING.nearMs, b.askId() + " to " + span.what() + " "
-                            + (b.atMs() - span.fromMs()) + " ms after");
+                    check(
+                            Rule.LEAVING,
+                            (b.atMs() - span.fromMs()) / (double) Rule.LEAVING.nearMs,
+                            b.askId() + " to " + span.what() + " " + (b.atMs() - span.fromMs()) + " ms after");
                 }
             }
         }
@@ -144,7 +157,8 @@
         final Map<String, Map<Long, Integer>> perSecond = new HashMap<>();
         for (final World.Begun b : w.begun) {
             if (b.ageMs() < World.WARMUP_MS) {
-                perSecond.computeIfAbsent(b.instance() + "@" + (b.atMs() - b.ageMs()), i -> new TreeMap<>())
+                perSecond
+                        .computeIfAbsent(b.instance() + "@" + (b.atMs() - b.ageMs()), i -> new TreeMap<>())
                         .merge(b.ageMs() / 1000, 1, Integer::sum);
             }
         }
@@ -161,7 +175,8 @@
 
     private void retries(final World w) {
         final Map<String, List<World.Gone>> byService = new TreeMap<>();
-        w.goes.forEach(g -> byService.computeIfAbsent(g.service(), s -> new ArrayList<>()).add(g));
+        w.goes.forEach(g ->
+                byService.computeIfAbsent(g.service(), s -> new ArrayList<>()).add(g));
         byService.forEach((service, goes) -> {
             int from = 0;
             int first = 0;
@@ -175,8 +190,10 @@
                     again -= goes.get(from).turn() > 1 ? 1 : 0;
                     from++;
                 }
-                check(Rule.RETRIES, again / (0.2 * first + Rule.RETRIES.few), again + " retries on " + first + " asks of " + service
-                        + " until " + g.atMs());
+                check(
+                        Rule.RETRIES,
+                        again / (0.2 * first + Rule.RETRIES.few),
+                        again + " retries on " + first + " asks of " + service + " until " + g.atMs());
             }
         });
     }
@@ -188,18 +205,26 @@
         final Map<Long, Long> firstOf = new TreeMap<>();
         for (final Ledger.Reported r : w.reported) {
             final Map<String, Long> had = counts.putIfAbsent(r.window(), r.counts());
-            check(Rule.SAME_COUNTS, had == null || had.equals(r.counts()) ? 0 : 2, "window " + r.window() + " "
-                    + had + " and " + r.counts());
+            check(
+                    Rule.SAME_COUNTS,
+                    had == null || had.equals(r.counts()) ? 0 : 2,
+                    "window " + r.window() + " " + had + " and " + r.counts());
             final String other = holderOf.putIfAbsent(r.token(), r.holder());
-            check(Rule.TOKEN, other == null || other.equals(r.holder()) ? 0 : 2, "token " + r.token() + " of " + other
-                    + " and " + r.holder());
-            check(Rule.TOKEN, r.token() >= newest ? 0 : 2, r.holder() + " with " + r.token() + " at " + r.atMs()
-                    + " after " + newest);
+            check(
+                    Rule.TOKEN,
+                    other == null || other.equals(r.holder()) ? 0 : 2,
+                    "token " + r.token() + " of " + other + " and " + r.holder());
+            check(
+                    Rule.TOKEN,
+                    r.token() >= newest ? 0 : 2,
+                    r.holder() + " with " + r.token() + " at " + r.atMs() + " after " + newest);
             newest = Math.max(newest, r.token());
             final long endMs = (r.window() + 1) * World.WINDOW_MS - World.EPOCH_MS;
             if (firstOf.putIfAbsent(r.window(), r.atMs()) == null) {
-                check(Rule.IN_TIME, (r.atMs() - endMs) / (double) Rule.IN_TIME.nearMs, "window " + r.window() + " came "
-                        + (r.atMs() - endMs) + " ms after its end");
+                check(
+                        Rule.IN_TIME,
+                        (r.atMs() - endMs) / (double) Rule.IN_TIME.nearMs,
+                        "window " + r.window() + " came " + (r.atMs() - endMs) + " ms after its end");
             }
         }
         final Map<Long, Map<String, Long>> truth = new TreeMap<>();
@@ -230,7 +255,9 @@
         for (final String tenant : tenants) {
             final long was = real.getOrDefault(tenant, 0L);
             final long told = said.getOrDefault(tenant, 0L);
-            check(Rule.IN_TIME, Math.max(0, Math.abs(was - told) - Rule.IN_TIME.few) / Math.max(1, 0.05 * was),
+            check(
+                    Rule.IN_TIME,
+                    Math.max(0, Math.abs(was - told) - Rule.IN_TIME.few) / Math.max(1, 0.05 * was),
                     "window " + window + " has " + was + " of " + tenant + ", told " + told);
         }
     }
--- a/proof/src/main/java/spokestall/proof/Ledger.java
+++ b/proof/src/main/java/spokestall/proof/Ledger.java
@@ -9,12 +9,11 @@
 /** What the stand-ins saw, whole: every ask an upstream began and every report the platform took. */
 public final class Ledger {
     /** One ask that an upstream began. */
-    public record Began(String instance, String service, String district, String region, String tenant, String askId, long atMs) {
-    }
+    public record Began(
+            String instance, String service, String district, String region, String tenant, String askId, long atMs) {}
 
     /** One report that the platform took. */
-    public record Reported(String holder, long token, long window, Map<String, Long> counts, long atMs) {
-    }
+    public record Reported(String holder, long token, long window, Map<String, Long> counts, long atMs) {}
 
     private final List<Began> began = new ArrayList<>();
     private final List<Reported> reported = new ArrayList<>();
@@ -45,8 +44,8 @@
     /** Begun asks by window and tenant. */
     Map<Long, Map<String, Long>> byWindow(final long windowMs) {
         final Map<Long, Map<String, Long>> sums = new TreeMap<>();
-        began().forEach(b -> sums.computeIfAbsent(b.atMs() / windowMs, w -> new TreeMap<>())
-                .merge(b.tenant(), 1L, Long::sum));
+        began().forEach(b ->
+                sums.computeIfAbsent(b.atMs() / windowMs, w -> new TreeMap<>()).merge(b.tenant(), 1L, Long::sum));
         return sums;
     }
 }
--- a/proof/src/main/java/spokestall/proof/Links.java
+++ b/proof/src/main/java/spokestall/proof/Links.java
@@ -82,7 +82,8 @@
         for (final Map.Entry<String, Long> one : pids.entrySet()) {
             try (var all = Files.newDirectoryStream(Path.of("/proc", Long.toString(one.getValue()), "fd"))) {
                 for (final Path fd : all) {
-                    if (Files.isSymbolicLink(fd) && Files.readSymbolicLink(fd).toString().equals(socket)) {
+                    if (Files.isSymbolicLink(fd)
+                            && Files.readSymbolicLink(fd).toString().equals(socket)) {
                         return one.getKey();
                     }
                 }
--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -20,18 +20,25 @@
     static final class FleetFlags {
         @Option(name = "--deployment", usage = "padma or verde")
         private String deployment = "padma";
+
         @Option(name = "--seconds", usage = "how long demand runs")
         private int seconds = 20;
+
         @Option(name = "--distant", usage = "put half the deployment's distance on every wire between nodes")
         private boolean distant;
+
         @Option(name = "--fault", usage = "faults only: one of the faults, or all")
         private String fault = "all";
+
         @Option(name = "--repeat", usage = "faults only: how often each")
         private int repeat = 1;
+
         @Option(name = "--keep", usage = "no demand: keep the fleet up until Ctrl-C")
         private boolean keep;
+
         @Option(name = "--folder", usage = "where settings, data and logs go")
         private Path folder = Path.of("target", "fleet");
+
         @Option(name = "--help", help = true, usage = "this page")
         private boolean help;
     }
@@ -40,24 +47,30 @@
     static final class SimFlags {
         @Option(name = "--scenario", usage = "one of the scenarios, or all")
         private String scenario = "all";
+
         @Option(name = "--deployment", usage = "padma, verde or both")
         private String deployment = "both";
+
         @Option(name = "--seeds", usage = "from-until")
         private String seeds = "1-3";
+
         @Option(name = "--threads", usage = "runs at the same time")
         private int threads = 6;
+
         @Option(name = "--plant", usage = "a fault to plant, to see that the rules' judge finds it")
         private Plant plant = Plant.NONE;
+
         @Option(name = "--trace", usage = "print the trace of the one run")
         private boolean trace;
+
         @Option(name = "--story", usage = "with --trace: print all that is known of this ask")
         private String story;
+
         @Option(name = "--help", help = true, usage = "this page")
         private boolean help;
     }
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Example: {@code java -cp ... spokestall.proof.Main fleet --deployment padma} */
     public static void main(final String[] args) throws Exception {
@@ -106,7 +119,8 @@
         try {
             return Enum.valueOf(type, name.toUpperCase(Locale.ROOT));
         } catch (final IllegalArgumentException e) {
-            throw new IllegalArgumentException("no such " + type.getSimpleName().toLowerCase(Locale.ROOT) + ": " + name, e);
+            throw new IllegalArgumentException(
+                    "no such " + type.getSimpleName().toLowerCase(Locale.ROOT) + ": " + name, e);
         }
     }
 
@@ -117,15 +131,20 @@
             return done;
         }
         final Deployment deployment = named(Deployment.class, flags.deployment);
-        try (Fleet fleet = new Fleet(deployment, flags.folder.resolve(flags.deployment + "-"
-                + System.currentTimeMillis()), Deployment.DISTRICTS,
+        try (Fleet fleet = new Fleet(
+                deployment,
+                flags.folder.resolve(flags.deployment + "-" + System.currentTimeMillis()),
+                Deployment.DISTRICTS,
                 flags.distant ? deployment.apartMs / 2 : 0)) {
             fleet.start();
             final long version = fleet.putPolicy();
             fleet.ready(version);
-            System.out.println("fleet=up folder=" + fleet.folder() + " nodes=" + fleet.members().size() + " version=" + version);
+            System.out.println("fleet=up folder=" + fleet.folder() + " nodes="
+                    + fleet.members().size() + " version=" + version);
             if (flags.keep) {
-                fleet.members().forEach((name, m) -> System.out.println("  " + name + " http=" + m.http + " operators=" + m.operators));
+                fleet.members()
+                        .forEach((name, m) ->
+                                System.out.println("  " + name + " http=" + m.http + " operators=" + m.operators));
                 Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
                 new java.util.concurrent.CountDownLatch(1).await();
             }
@@ -144,7 +163,8 @@
         final List<Fault> faults = new ArrayList<>();
         final Integer done = read(flags, args, () -> {
             named(Deployment.class, flags.deployment);
-            faults.addAll(flags.fault.equals("all") ? List.of(Fault.values()) : List.of(named(Fault.class, flags.fault)));
+            faults.addAll(
+                    flags.fault.equals("all") ? List.of(Fault.values()) : List.of(named(Fault.class, flags.fault)));
         });
         if (done != null) {
             return done;
@@ -161,17 +181,31 @@
         for (final Rule rule : Rule.values()) {
             final long n = checks.getOrDefault(rule, 0L);
             final long broken = violations.getOrDefault(rule, 0L);
-            System.out.printf("rule=%s verdict=%s checks=%d violations=%d worst=%.2f%n", rule,
-                    n == 0 ? "unproven" : broken > 0 ? "broken" : "kept", n, broken, worst.getOrDefault(rule, 0.0));
+            System.out.printf(
+                    "rule=%s verdict=%s checks=%d violations=%d worst=%.2f%n",
+                    rule,
+                    n == 0 ? "unproven" : broken > 0 ? "broken" : "kept",
+                    n,
+                    broken,
+                    worst.getOrDefault(rule, 0.0));
         }
         return bad == 0 ? 0 : 1;
     }
 
     /** One fault on a fleet of its own; whether all came out as it must. */
-    private static boolean one(final FleetFlags flags, final Deployment deployment, final Fault fault,
-            final Map<Rule, Long> checks, final Map<Rule, Long> violations, final Map<Rule, Double> worst) throws Exception {
-        try (Fleet fleet = new Fleet(deployment, flags.folder.resolve("fault-" + fault + "-"
-                + System.currentTimeMillis()), Deployment.DISTRICTS, flags.distant ? deployment.apartMs / 2 : 0)) {
+    private static boolean one(
+            final FleetFlags flags,
+            final Deployment deployment,
+            final Fault fault,
+            final Map<Rule, Long> checks,
+            final Map<Rule, Long> violations,
+            final Map<Rule, Double> worst)
+            throws Exception {
+        try (Fleet fleet = new Fleet(
+                deployment,
+                flags.folder.resolve("fault-" + fault + "-" + System.currentTimeMillis()),
+                Deployment.DISTRICTS,
+                flags.distant ? deployment.apartMs / 2 : 0)) {
             fleet.hooked();
             fault.before(fleet);
             fleet.start();
@@ -195,8 +229,9 @@
                     broken.add(rule + " x" + t.broken + " " + t.first);
                 }
             });
-            System.out.println("fault=" + fault + " deployment=" + deployment + " demand=" + (verdict == 0 ? "good" : "bad")
-                    + " least=" + fault.least() + " broken=" + broken + " stopped=" + (clean ? "clean" : "unclean"));
+            System.out.println("fault=" + fault + " deployment=" + deployment + " demand="
+                    + (verdict == 0 ? "good" : "bad") + " least=" + fault.least() + " broken=" + broken + " stopped="
+                    + (clean ? "clean" : "unclean"));
             return verdict == 0 && broken.isEmpty() && clean;
         } catch (final IllegalStateException e) {
             System.out.println("fault=" + fault + " deployment=" + deployment + " trouble=\"" + e.getMessage() + "\"");
@@ -231,9 +266,12 @@
         final List<Deployment> deployments = new ArrayList<>();
         final long[] seeds = new long[2];
         final Integer done = read(flags, args, () -> {
-            scenarios.addAll(flags.scenario.equals("all") ? Scenario.sweep() : List.of(named(Scenario.class, flags.scenario)));
-            deployments.addAll(flags.deployment.equals("both") ? List.of(Deployment.values())
-                    : List.of(named(Deployment.class, flags.deployment)));
+            scenarios.addAll(
+                    flags.scenario.equals("all") ? Scenario.sweep() : List.of(named(Scenario.class, flags.scenario)));
+            deployments.addAll(
+                    flags.deployment.equals("both")
+                            ? List.of(Deployment.values())
+                            : List.of(named(Deployment.class, flags.deployment)));
             if (!flags.seeds.matches("\\d{1,15}-\\d{1,15}")) {
                 throw new IllegalArgumentException("--seeds: needs from-until, not " + flags.seeds);
             }
--- a/proof/src/main/java/spokestall/proof/PlatformStand.java
+++ b/proof/src/main/java/spokestall/proof/PlatformStand.java
@@ -24,13 +24,20 @@
     private String list = "{\"upstreams\":[]}";
     private long listedMs;
 
-    PlatformStand(final int port, final XnioWorker worker, final Ledger ledger,
-            final Supplier<Collection<Stand>> upstreams, final long lagMs) {
+    PlatformStand(
+            final int port,
+            final XnioWorker worker,
+            final Ledger ledger,
+            final Supplier<Collection<Stand>> upstreams,
+            final long lagMs) {
         this.ledger = ledger;
         this.upstreams = upstreams;
         this.lagMs = lagMs;
-        this.server = Undertow.builder().setWorker(worker).addHttpListener(port, "127.0.0.1")
-                .setHandler(this::handle).build();
+        this.server = Undertow.builder()
+                .setWorker(worker)
+                .addHttpListener(port, "127.0.0.1")
+                .setHandler(this::handle)
+                .build();
     }
 
     void start() {
@@ -48,9 +55,13 @@
             final ObjectNode out = JSON.createObjectNode();
             final ArrayNode all = out.putArray("upstreams");
             for (final Stand u : upstreams.get()) {
-                all.addObject().put("instance", u.place().instance()).put("service", u.place().service())
-                        .put("address", u.address()).put("district", u.place().district())
-                        .put("region", u.place().region()).put("leaving", u.leaving());
+                all.addObject()
+                        .put("instance", u.place().instance())
+                        .put("service", u.place().service())
+                        .put("address", u.address())
+                        .put("district", u.place().district())
+                        .put("region", u.place().region())
+                        .put("leaving", u.leaving());
             }
             list = out.toString();
         }
@@ -72,10 +83,15 @@
         try {
             final JsonNode in = JSON.readTree(body);
             final Map<String, Long> counts = new TreeMap<>();
-            in.path("counts").fields().forEachRemaining(c -> counts.put(c.getKey(), c.getValue().asLong()));
-            ledger.reported(new Ledger.Reported(e.getRequestHeaders().getFirst("Spokestall-Duty-Holder"),
+            in.path("counts")
+                    .fields()
+                    .forEachRemaining(c -> counts.put(c.getKey(), c.getValue().asLong()));
+            ledger.reported(new Ledger.Reported(
+                    e.getRequestHeaders().getFirst("Spokestall-Duty-Holder"),
                     Long.parseLong(e.getRequestHeaders().getFirst("Spokestall-Fence-Token")),
-                    in.path("window").asLong(), counts, System.currentTimeMillis()));
+                    in.path("window").asLong(),
+                    counts,
+                    System.currentTimeMillis()));
             e.setStatusCode(204).endExchange();
         } catch (final IOException | NumberFormatException bad) {
             e.setStatusCode(400).endExchange();
--- a/proof/src/main/java/spokestall/proof/RawUpstream.java
+++ b/proof/src/main/java/spokestall/proof/RawUpstream.java
@@ -136,7 +136,8 @@
     }
 
     private void serve(final Socket wire, final int number) {
-        try (wire; InputStream in = new BufferedInputStream(wire.getInputStream())) {
+        try (wire;
+                InputStream in = new BufferedInputStream(wire.getInputStream())) {
             final Writer out = new Writer() {
                 @Override
                 public void write(final String latin) throws IOException {
--- a/proof/src/main/java/spokestall/proof/Rule.java
+++ b/proof/src/main/java/spokestall/proof/Rule.java
@@ -18,6 +18,7 @@
     final String text;
     /** The nearer end of what the users allow, which the judge goes by, and the farther one. */
     final int nearMs;
+
     final int farMs;
     /** How many are let go beyond a share: what the product itself allows, or asks at the edges of a window. */
     final int few;
@@ -31,7 +32,8 @@
 
     /** The row that docs/never.md must have. */
     String row() {
-        return "| " + name() + " | " + (nearMs == 0 ? "" : nearMs == farMs ? nearMs + " ms" : nearMs + " to " + farMs
-                + " ms") + " | " + (few == 0 ? "" : few) + " |";
+        return "| " + name() + " | "
+                + (nearMs == 0 ? "" : nearMs == farMs ? nearMs + " ms" : nearMs + " to " + farMs + " ms") + " | "
+                + (few == 0 ? "" : few) + " |";
     }
 }
--- a/proof/src/main/java/spokestall/proof/ScaleDay.java
+++ b/proof/src/main/java/spokestall/proof/ScaleDay.java
@@ -34,7 +34,9 @@
             at(spanMs * i / replaced, () -> run.outside.replace(up));
         }
         final int lost = 1 % flags.districts;
-        at(spanMs * 4 / 10, () -> run.nodes.stream().filter(n -> n.district == lost).forEach(n -> down(n, spanMs * 2 / 10)));
+        at(
+                spanMs * 4 / 10,
+                () -> run.nodes.stream().filter(n -> n.district == lost).forEach(n -> down(n, spanMs * 2 / 10)));
         final int region = flags.regions - 1;
         at(spanMs * 7 / 10, () -> run.net.part(region, flags.regions > 1));
         at(spanMs * 9 / 10, () -> run.net.part(region, false));
--- a/proof/src/main/java/spokestall/proof/ScaleFigures.java
+++ b/proof/src/main/java/spokestall/proof/ScaleFigures.java
@@ -41,7 +41,8 @@
         add(phase.name(), "fleet", "spanS", s);
         for (final boolean core : new boolean[] {true, false}) {
             final String role = core ? "core" : "edge";
-            final List<ScaleNode> of = run.nodes.stream().filter(n -> n.core == core).toList();
+            final List<ScaleNode> of =
+                    run.nodes.stream().filter(n -> n.core == core).toList();
             traffic(phase, role, of, s, "notesIn", ScaleTraffic::notesIn);
             traffic(phase, role, of, s, "notesOut", ScaleTraffic::notesOut);
             traffic(phase, role, of, s, "bytesIn", ScaleTraffic::bytesIn);
@@ -50,8 +51,13 @@
             spread(phase.name(), role, "proofMs", run.proofs.get(phase).get(core));
         }
         spread(phase.name(), "edge", "wordMs", run.words.get(phase));
-        add(phase.name(), "edge", "wordNone", run.wordless.getOrDefault(phase, 0L)
-                / (double) Math.max(1, run.words.get(phase).getTotalCount() + run.wordless.getOrDefault(phase, 0L)));
+        add(
+                phase.name(),
+                "edge",
+                "wordNone",
+                run.wordless.getOrDefault(phase, 0L)
+                        / (double) Math.max(
+                                1, run.words.get(phase).getTotalCount() + run.wordless.getOrDefault(phase, 0L)));
         final double asks = Math.max(1, sum(n -> !n.core, n -> n.asks[phase.ordinal()]));
         add(phase.name(), "edge", "deniedStale", sum(n -> !n.core, n -> n.stale[phase.ordinal()]) / asks);
         add(phase.name(), "edge", "deniedUncounted", sum(n -> !n.core, n -> n.uncounted[phase.ordinal()]) / asks);
@@ -83,7 +89,12 @@
         }
     }
 
-    private void traffic(final Phase phase, final String role, final List<ScaleNode> of, final double s, final String what,
+    private void traffic(
+            final Phase phase,
+            final String role,
+            final List<ScaleNode> of,
+            final double s,
+            final String what,
             final Count count) {
         final double per = of.size() * s;
         final TreeMap<String, double[]> byKind = new TreeMap<>();
@@ -119,7 +130,11 @@
 
     /** What a kind of note is called, by any node that sent one. */
     private String name(final int kind) {
-        return run.nodes.stream().map(n -> n.kind(kind)).filter(k -> k != null).findFirst().orElse("kind" + kind);
+        return run.nodes.stream()
+                .map(n -> n.kind(kind))
+                .filter(k -> k != null)
+                .findFirst()
+                .orElse("kind" + kind);
     }
 
     private void cpu(final Phase phase, final String role, final List<ScaleNode> of, final double s) {
@@ -127,7 +142,8 @@
         double most = 0;
         for (int kind = 0; kind < ScaleTraffic.KINDS; kind++) {
             final int k = kind;
-            final double share = of.stream().mapToLong(n -> n.traffic.cpuNs(phase, k)).sum() / 1e9 / s / of.size();
+            final double share =
+                    of.stream().mapToLong(n -> n.traffic.cpuNs(phase, k)).sum() / 1e9 / s / of.size();
             if (share > 0) {
                 found.add(new Figure(phase.name(), role, "cpu", name(kind), Figure.ALL, share));
                 all += share;
@@ -153,22 +169,76 @@
         add(end, "fleet", "readyMs", run.readyMs());
         for (final boolean core : new boolean[] {true, false}) {
             final String role = core ? "core" : "edge";
-            final List<ScaleNode> of = run.nodes.stream().filter(n -> n.core == core && n.up()).toList();
-            add(end, role, "listed", of.stream().mapToInt(n -> n.node().listing().listed().size()).average().orElse(0));
-            add(end, role, "words", of.stream().mapToInt(n -> n.node().listing().reportsAfter(0).size()).average().orElse(0));
-            add(end, role, "listBytes", of.stream().limit(3).mapToLong(n -> n.node().listing().listed().stream()
-                    .mapToLong(l -> Codec.bytes(l).length).sum() + n.node().listing().reportsAfter(0).stream()
-                    .mapToLong(r -> Codec.bytes(r).length).sum()).average().orElse(0));
-            of.stream().limit(1).forEach(n -> n.node().call("status", new com.fasterxml.jackson.databind.ObjectMapper()
-                    .createObjectNode(), reply -> add(end, role, "view", reply.fields().path("nodes").size())));
+            final List<ScaleNode> of =
+                    run.nodes.stream().filter(n -> n.core == core && n.up()).toList();
+            add(
+                    end,
+                    role,
+                    "listed",
+                    of.stream()
+                            .mapToInt(n -> n.node().listing().listed().size())
+                            .average()
+                            .orElse(0));
+            add(
+                    end,
+                    role,
+                    "words",
+                    of.stream()
+                            .mapToInt(n -> n.node().listing().reportsAfter(0).size())
+                            .average()
+                            .orElse(0));
+            add(
+                    end,
+                    role,
+                    "listBytes",
+                    of.stream()
+                            .limit(3)
+                            .mapToLong(n -> n.node().listing().listed().stream()
+                                            .mapToLong(l -> Codec.bytes(l).length)
+                                            .sum()
+                                    + n.node().listing().reportsAfter(0).stream()
+                                            .mapToLong(r -> Codec.bytes(r).length)
+                                            .sum())
+                            .average()
+                            .orElse(0));
+            of.stream()
+                    .limit(1)
+                    .forEach(n -> n.node()
+                            .call(
+                                    "status",
+                                    new com.fasterxml.jackson.databind.ObjectMapper().createObjectNode(),
+                                    reply -> add(
+                                            end,
+                                            role,
+                                            "view",
+                                            reply.fields().path("nodes").size())));
         }
         final List<ScaleNode> cores = run.nodes.stream().filter(n -> n.core).toList();
         final List<ScaleNode> up = cores.stream().filter(ScaleNode::up).toList();
-        add(end, "core", "registers", up.stream().mapToInt(n -> n.node().voter().registers().size()).average().orElse(0));
-        add(end, "core", "registerBytes", up.stream().mapToLong(n -> n.node().voter().registers().values().stream()
-                .mapToLong(r -> Codec.bytes(r).length).sum()).average().orElse(0));
+        add(
+                end,
+                "core",
+                "registers",
+                up.stream()
+                        .mapToInt(n -> n.node().voter().registers().size())
+                        .average()
+                        .orElse(0));
+        add(
+                end,
+                "core",
+                "registerBytes",
+                up.stream()
+                        .mapToLong(n -> n.node().voter().registers().values().stream()
+                                .mapToLong(r -> Codec.bytes(r).length)
+                                .sum())
+                        .average()
+                        .orElse(0));
         add(end, "core", "syncs", cores.stream().mapToLong(n -> n.disk.syncs()).sum() / runS / cores.size());
-        add(end, "core", "diskBytes", cores.stream().mapToLong(n -> n.disk.bytesWritten()).sum() / runS / cores.size());
+        add(
+                end,
+                "core",
+                "diskBytes",
+                cores.stream().mapToLong(n -> n.disk.bytesWritten()).sum() / runS / cores.size());
         add(end, "core", "probes", cores.stream().mapToLong(n -> n.probes).sum() / runS / cores.size());
         run.nodes.stream().filter(n -> !n.core && n.up()).findFirst().ifPresent(n -> {
             final String service = run.shape.service(0);
--- a/proof/src/main/java/spokestall/proof/ScaleFile.java
+++ b/proof/src/main/java/spokestall/proof/ScaleFile.java
@@ -17,19 +17,34 @@
 
     static ObjectNode head(final ScaleRun run) {
         final ScaleFlags f = run.shape.flags;
-        return JSON.createObjectNode().put("nodes", f.nodes).put("cores", f.cores).put("regions", f.regions)
-                .put("districts", f.districts).put("upstreams", f.upstreams).put("services", f.services)
-                .put("bindings", f.bindings).put("tenants", f.tenants).put("rate", f.rate).put("warm", f.warm).put("seconds", f.seconds)
+        return JSON.createObjectNode()
+                .put("nodes", f.nodes)
+                .put("cores", f.cores)
+                .put("regions", f.regions)
+                .put("districts", f.districts)
+                .put("upstreams", f.upstreams)
+                .put("services", f.services)
+                .put("bindings", f.bindings)
+                .put("tenants", f.tenants)
+                .put("rate", f.rate)
+                .put("warm", f.warm)
+                .put("seconds", f.seconds)
                 .put("set", String.join(" ", f.set))
-                .put("seed", f.seed).put("digest", Long.toHexString(run.digest())).put("whole", run.whole())
-                .put("virtualS", run.steps.nowMs() / 1000.0).put("wallS", run.wallS());
+                .put("seed", f.seed)
+                .put("digest", Long.toHexString(run.digest()))
+                .put("whole", run.whole())
+                .put("virtualS", run.steps.nowMs() / 1000.0)
+                .put("wallS", run.wallS());
     }
 
     static void write(final Path file, final JsonNode head, final List<Figure> figures) throws IOException {
         final List<String> lines = new ArrayList<>();
         lines.add(head.toString());
         for (final Figure f : figures) {
-            lines.add(JSON.createObjectNode().put("name", f.name()).put("value", f.value()).toString());
+            lines.add(JSON.createObjectNode()
+                    .put("name", f.name())
+                    .put("value", f.value())
+                    .toString());
         }
         if (file.toAbsolutePath().getParent() != null) {
             Files.createDirectories(file.toAbsolutePath().getParent());
--- a/proof/src/main/java/spokestall/proof/ScaleFit.java
+++ b/proof/src/main/java/spokestall/proof/ScaleFit.java
@@ -11,7 +11,11 @@
 /** Lines through the figures of runs of several sizes, and what they come to at the size that is aimed at. */
 final class ScaleFit {
     /** What a figure grows by: nothing, the size, or its square. */
-    enum Shape { CONST, LINE, SQUARE }
+    enum Shape {
+        CONST,
+        LINE,
+        SQUARE
+    }
 
     /** A figure as base + slope x size^power; off is the worst distance of a measured one, as a share of it. */
     record Line(Shape shape, double base, double slope, double off) {
@@ -20,13 +24,16 @@
         }
     }
 
-    private ScaleFit() {
-    }
+    private ScaleFit() {}
 
     /** How large a run was; a rate is an edge's. */
     private static double size(final ScaleFile file, final String by) {
         final double size = file.run().path(by).asDouble();
-        return by.equals("rate") ? size / (file.run().path("nodes").asDouble() - file.run().path("cores").asDouble()) : size;
+        return by.equals("rate")
+                ? size
+                        / (file.run().path("nodes").asDouble()
+                                - file.run().path("cores").asDouble())
+                : size;
     }
 
     private static double grown(final Shape shape, final double size) {
@@ -47,23 +54,38 @@
         };
         final TreeSet<String> names = new TreeSet<>();
         files.forEach(f -> names.addAll(f.figures().keySet()));
-        System.out.printf("%s of the runs: %s; aimed at: %.0f%n", flags.by, files.stream().map(f -> String.format("%.4g", size(f, flags.by))
-                + (f.run().path("whole").asBoolean() ? "" : " (partial)")).toList(), aim);
+        System.out.printf(
+                "%s of the runs: %s; aimed at: %.0f%n",
+                flags.by,
+                files.stream()
+                        .map(f -> String.format("%.4g", size(f, flags.by))
+                                + (f.run().path("whole").asBoolean() ? "" : " (partial)"))
+                        .toList(),
+                aim);
         System.out.println("| figure | measured | shape | base | slope | worst off | at the aim |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- |");
         for (final String name : names) {
             if (!name.contains(flags.only)) {
                 continue;
             }
-            final List<ScaleFile> of = files.stream().filter(f -> f.figures().containsKey(name)).toList();
+            final List<ScaleFile> of =
+                    files.stream().filter(f -> f.figures().containsKey(name)).toList();
             final double[] x = of.stream().mapToDouble(f -> size(f, flags.by)).toArray();
-            final double[] y = of.stream().mapToDouble(f -> f.figures().get(name)).toArray();
+            final double[] y =
+                    of.stream().mapToDouble(f -> f.figures().get(name)).toArray();
             if (y.length < 3 || Arrays.stream(y).allMatch(v -> v == 0)) {
                 continue;
             }
             final Line line = best(x, y);
-            System.out.printf("| %s | %s | %s | %.4g | %.4g | %.0f%% | %.4g |%n", name, Arrays.stream(y).mapToObj(v -> String.format(
-                    "%.4g", v)).toList(), line.shape, line.base, line.slope, 100 * line.off, line.at(aim));
+            System.out.printf(
+                    "| %s | %s | %s | %.4g | %.4g | %.0f%% | %.4g |%n",
+                    name,
+                    Arrays.stream(y).mapToObj(v -> String.format("%.4g", v)).toList(),
+                    line.shape,
+                    line.base,
+                    line.slope,
+                    100 * line.off,
+                    line.at(aim));
         }
         return 0;
     }
--- a/proof/src/main/java/spokestall/proof/ScaleFlags.java
+++ b/proof/src/main/java/spokestall/proof/ScaleFlags.java
@@ -18,46 +18,76 @@
     static final int AIM_BINDINGS = 860;
     static final int AIM_TENANTS = 19_000;
     static final int AIM_RATE = 77_000;
+
     @Option(name = "--nodes", usage = "how many nodes, 12 to 640")
     int nodes = 12;
+
     @Option(name = "--cores", usage = "how many of them are cores [6 up to 48 nodes, 7 above]")
     int cores;
+
     @Option(name = "--regions", usage = "how many regions")
     int regions = 4;
+
     @Option(name = "--districts", usage = "how many districts")
     int districts = 9;
+
     @Option(name = "--upstreams", usage = "how many upstreams [3900 at 640 nodes, in proportion]")
     int upstreams;
+
     @Option(name = "--services", usage = "how many services [100 at 640 nodes]")
     int services;
+
     @Option(name = "--bindings", usage = "how many bindings [860 at 640 nodes]")
     int bindings;
+
     @Option(name = "--tenants", usage = "how many tenants [19000 at 640 nodes]")
     int tenants;
+
     @Option(name = "--rate", usage = "asks a second in the whole fleet [77000 at 633 edges]")
     int rate = -1;
-    @Option(name = "--seconds", usage = "virtual time once the fleet is up, four tenths of it without failures or changes [60 at 12 nodes, 8 from 120 on]")
+
+    @Option(
+            name = "--seconds",
+            usage =
+                    "virtual time once the fleet is up, four tenths of it without failures or changes [60 at 12 nodes, 8 from 120 on]")
     int seconds;
-    @Option(name = "--warm", usage = "virtual seconds of asks before anything is measured [15 up to 48 nodes, 3 above]: counts are kept for 15")
+
+    @Option(
+            name = "--warm",
+            usage =
+                    "virtual seconds of asks before anything is measured [15 up to 48 nodes, 3 above]: counts are kept for 15")
     int warm = -1;
+
     @Option(name = "--seed", usage = "the same seed gives the same run and digest")
     long seed = 1;
+
     @Option(name = "--threads", usage = "nodes whose events of one virtual millisecond run at the same time")
     int threads = 3;
+
     @Option(name = "--wall", usage = "seconds of real time after which the run is ended, and said to be partial")
     int wall = 300;
+
     @Option(name = "--real", usage = "real processes beside it, with real asks: an even number up to 12")
     int real;
+
     @Option(name = "--set", metaVar = "KEY=VALUE", usage = "a setting of every node; may be given several times")
     List<String> set = new ArrayList<>();
+
     @Option(name = "--out", usage = "where the figures go, a line of JSON each")
     Path out;
-    @Option(name = "--fit", handler = StringArrayOptionHandler.class, usage = "no run: lines through the figures of these files")
+
+    @Option(
+            name = "--fit",
+            handler = StringArrayOptionHandler.class,
+            usage = "no run: lines through the figures of these files")
     List<String> fit;
+
     @Option(name = "--by", usage = "fit only: what grew: nodes, upstreams, tenants or rate")
     String by = "nodes";
+
     @Option(name = "--only", usage = "fit only: figures whose names have this in them")
     String only = "";
+
     @Option(name = "--help", help = true, usage = "this page")
     boolean help;
 
@@ -109,13 +139,29 @@
 
     /** Those that the run gives each node itself can't be given, the others must be what a node would take. */
     private void checkSettings() {
-        final Map<String, String> own = new LinkedHashMap<>(Map.of("name", "n", "address", "10.0.0.1:7100", "http", "10.0.0.1:7200",
-                "district", "d1", "districts", "d1=r1", "seeds", "10.0.0.1:7100,10.0.0.2:7100,10.0.0.3:7100", "data", "/scale",
-                "platform", "10.9.0.1:80"));
+        final Map<String, String> own = new LinkedHashMap<>(Map.of(
+                "name",
+                "n",
+                "address",
+                "10.0.0.1:7100",
+                "http",
+                "10.0.0.1:7200",
+                "district",
+                "d1",
+                "districts",
+                "d1=r1",
+                "seeds",
+                "10.0.0.1:7100,10.0.0.2:7100,10.0.0.3:7100",
+                "data",
+                "/scale",
+                "platform",
+                "10.9.0.1:80"));
         final Map<String, String> given = settings();
-        given.keySet().stream().filter(key -> own.containsKey(key) || key.equals("cores") || key.equals("edges")).forEach(key -> {
-            throw new IllegalArgumentException("--set: " + key + " is given by the run");
-        });
+        given.keySet().stream()
+                .filter(key -> own.containsKey(key) || key.equals("cores") || key.equals("edges"))
+                .forEach(key -> {
+                    throw new IllegalArgumentException("--set: " + key + " is given by the run");
+                });
         own.putAll(given);
         if (Settings.read(null, own, true) instanceof Settings.Read.Bad bad) {
             throw new IllegalArgumentException("--set: " + bad.troubles());
--- a/proof/src/main/java/spokestall/proof/ScaleJudge.java
+++ b/proof/src/main/java/spokestall/proof/ScaleJudge.java
@@ -7,8 +7,7 @@
 
 /** The rules that can be seen at scale, looked at by the world. */
 final class ScaleJudge {
-    private record Report(Map<String, Long> counts, long atMs) {
-    }
+    private record Report(Map<String, Long> counts, long atMs) {}
 
     private final ScaleRun run;
     final Judge judge;
@@ -21,7 +20,7 @@
 
     ScaleJudge(final ScaleRun run) {
         this.run = run;
-        this.judge = new Judge(run.steps::nowMs, line -> { });
+        this.judge = new Judge(run.steps::nowMs, line -> {});
     }
 
     /** Never two versions of one number, and none back. */
@@ -36,16 +35,28 @@
         judge.check(Rule.POLICY, version < before ? 2 : 0, node.name + " went from " + before + " back to " + version);
         node.node().book().kept(before).forEach((v, change) -> {
             final Change had = versions.putIfAbsent(v, change);
-            judge.check(Rule.POLICY, had == null || had.changeId().equals(change.changeId())
-                    && java.util.Arrays.equals(had.json(), change.json()) ? 0 : 2, "two versions " + v + " at " + node.name);
+            judge.check(
+                    Rule.POLICY,
+                    had == null
+                                    || had.changeId().equals(change.changeId())
+                                            && java.util.Arrays.equals(had.json(), change.json())
+                            ? 0
+                            : 2,
+                    "two versions " + v + " at " + node.name);
         });
     }
 
     /** One window is reported with one count, and no token falls or is shared. */
     void reported(final String by, final long with, final long window, final Map<String, Long> counts) {
         final Report had = reports.putIfAbsent(window, new Report(counts, run.steps.nowMs()));
-        judge.check(Rule.SAME_COUNTS, had == null || had.counts.equals(counts) ? 0 : 2, "window " + window + " twice, differing");
-        judge.check(Rule.TOKEN, with < token || with == token && !by.equals(holder) ? 2 : 0, by + " with " + with + " after " + token);
+        judge.check(
+                Rule.SAME_COUNTS,
+                had == null || had.counts.equals(counts) ? 0 : 2,
+                "window " + window + " twice, differing");
+        judge.check(
+                Rule.TOKEN,
+                with < token || with == token && !by.equals(holder) ? 2 : 0,
+                by + " with " + with + " after " + token);
         token = Math.max(token, with);
         holder = by;
     }
@@ -59,17 +70,25 @@
         final Map<Long, Long> counted = new TreeMap<>();
         nodes.forEach(n -> n.counted.forEach((w, c) -> counted.merge(w, c, Long::sum)));
         reports.forEach((window, report) -> {
-            final long told = report.counts.values().stream().mapToLong(Long::longValue).sum();
+            final long told =
+                    report.counts.values().stream().mapToLong(Long::longValue).sum();
             final long was = counted.getOrDefault(window, 0L);
-            judge.check(Rule.IN_TIME, was == 0 ? 0 : Math.abs(told - was) / (0.05 * was), "window " + window + " has " + was
-                    + ", told " + told);
+            judge.check(
+                    Rule.IN_TIME,
+                    was == 0 ? 0 : Math.abs(told - was) / (0.05 * was),
+                    "window " + window + " has " + was + ", told " + told);
             final long lateMs = report.atMs + World.EPOCH_MS - (window + 1) * run.windowMs;
-            judge.check(Rule.IN_TIME, lateMs / (double) Rule.IN_TIME.nearMs, "window " + window + " " + lateMs + " ms after its end");
+            judge.check(
+                    Rule.IN_TIME,
+                    lateMs / (double) Rule.IN_TIME.nearMs,
+                    "window " + window + " " + lateMs + " ms after its end");
         });
         nodes.forEach(n -> {
             if (!n.core && n.acted > 0) {
-                judge.check(Rule.KEY, n.actedLateMs / (double) run.keyBoundMs, n.name + " acted by a version "
-                        + n.actedLateMs + " ms after a newer one was told as accepted");
+                judge.check(
+                        Rule.KEY,
+                        n.actedLateMs / (double) run.keyBoundMs,
+                        n.name + " acted by a version " + n.actedLateMs + " ms after a newer one was told as accepted");
             }
         });
     }
--- a/proof/src/main/java/spokestall/proof/ScaleNet.java
+++ b/proof/src/main/java/spokestall/proof/ScaleNet.java
@@ -25,7 +25,9 @@
     }
 
     static Zone zone(final ScaleNode one, final ScaleNode other) {
-        return one.district == other.district ? Zone.DISTRICT : one.region == other.region ? Zone.DISTRICTS : Zone.REGIONS;
+        return one.district == other.district
+                ? Zone.DISTRICT
+                : one.region == other.region ? Zone.DISTRICTS : Zone.REGIONS;
     }
 
     static long wayMs(final Zone zone, final Random random) {
--- a/proof/src/main/java/spokestall/proof/ScaleNode.java
+++ b/proof/src/main/java/spokestall/proof/ScaleNode.java
@@ -39,13 +39,16 @@
     final ScaleDisk disk;
     /** Asks that this edge counted, by window, over all its lives. */
     final Map<Long, Long> counted = new TreeMap<>();
+
     final CRC32 digest = new CRC32();
     /** Asks that came, and those not let in: the proof too old, or counts not with a majority in time. */
     final long[] asks = new long[Phase.values().length];
+
     final long[] stale = new long[Phase.values().length];
     final long[] uncounted = new long[Phase.values().length];
     /** How old a version was that was acted by after a newer one had been acknowledged, at the most. */
     long actedLateMs;
+
     long acted;
     long probes;
     private final ScaleRun run;
@@ -135,8 +138,18 @@
             disk.life((waitMs, what) -> later(mine, waitMs, ScaleTraffic.DISK, what));
         }
         final Hollow hollow = new Hollow(mine);
-        node = new Node(settings, core, new Node.Rim(clock, run.random(name + "/" + mine), (to, note) -> send(mine, to, note),
-                disk, hollow, hollow, hollow, Audit.NONE));
+        node = new Node(
+                settings,
+                core,
+                new Node.Rim(
+                        clock,
+                        run.random(name + "/" + mine),
+                        (to, note) -> send(mine, to, note),
+                        disk,
+                        hollow,
+                        hollow,
+                        hollow,
+                        Audit.NONE));
         node.start();
         if (!core) {
             counter = counterOf(node);
@@ -210,7 +223,8 @@
         traffic.out(run.phase(), zone, kind, frame.length);
         if (run.net.open(this, target)) {
             final long theirs = target.life;
-            run.steps.byNode(lane, target.lane, ScaleNet.wayMs(zone, chance), () -> target.hear(theirs, zone, kind, frame));
+            run.steps.byNode(
+                    lane, target.lane, ScaleNet.wayMs(zone, chance), () -> target.hear(theirs, zone, kind, frame));
         }
     }
 
@@ -276,8 +290,13 @@
         }
 
         @Override
-        public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
-                final LongSupplier until, final Consumer<Boolean> done) {
+        public void report(
+                final String holder,
+                final long token,
+                final Sealed sealed,
+                final long waitMs,
+                final LongSupplier until,
+                final Consumer<Boolean> done) {
             final Map<String, Long> counts = Map.copyOf(sealed.counts());
             tell(() -> run.judge.reported(holder, token, sealed.window(), counts));
             later(mine, PLATFORM_MS, ScaleTraffic.OUTSIDE, () -> done.accept(true));
--- a/proof/src/main/java/spokestall/proof/ScaleOutside.java
+++ b/proof/src/main/java/spokestall/proof/ScaleOutside.java
@@ -23,11 +23,15 @@
         list = List.copyOf(listed);
     }
 
-    private Listed add(final String instance, final String service, final String district, final String region,
+    private Listed add(
+            final String instance,
+            final String service,
+            final String district,
+            final String region,
             final long readyAtMs) {
         final int i = made++;
-        final Listed up = Listed.read(instance, service, "10.1." + i / 200 + "." + (i % 200 + 1) + ":80", district, region,
-                false, -1, 0);
+        final Listed up = Listed.read(
+                instance, service, "10.1." + i / 200 + "." + (i % 200 + 1) + ":80", district, region, false, -1, 0);
         byAddress.put(up.address(), up);
         readyMs.put(up.instance(), readyAtMs);
         return up;
@@ -39,15 +43,18 @@
 
     Prober.Probe probe(final String address) {
         final Listed up = byAddress.get(address);
-        return up == null ? null : new Prober.Probe(up.instance(), up.service(), false,
-                steps.nowMs() - readyMs.get(up.instance()));
+        return up == null
+                ? null
+                : new Prober.Probe(up.instance(), up.service(), false, steps.nowMs() - readyMs.get(up.instance()));
     }
 
     /** One upstream goes, and another comes in its place. */
     void replace(final int i) {
         final Listed old = listed.get(i % listed.size());
         byAddress.remove(old.address());
-        listed.set(i % listed.size(), add(old.service() + "-r" + made, old.service(), old.district(), old.region(), steps.nowMs()));
+        listed.set(
+                i % listed.size(),
+                add(old.service() + "-r" + made, old.service(), old.district(), old.region(), steps.nowMs()));
         list = List.copyOf(listed);
     }
 }
--- a/proof/src/main/java/spokestall/proof/ScaleRun.java
+++ b/proof/src/main/java/spokestall/proof/ScaleRun.java
@@ -23,6 +23,7 @@
     private static final long LOOK_MS = 100;
     /** Changes while nothing fails, before anything is measured: at 830 a day they are no part of a calm second. */
     private static final int QUIET_CHANGES = 2;
+
     private static final int CHANGES = 6;
     private static final double CALM_SHARE = 0.4;
     private static final int SAMPLED = 8;
@@ -69,8 +70,10 @@
         }
         final Map<String, String> shared = new TreeMap<>(flags.settings());
         shared.put("districts", shape.districts());
-        shared.put("seeds", ScaleShape.address(0) + "," + ScaleShape.address(flags.cores / 2) + ","
-                + ScaleShape.address(flags.cores - 1));
+        shared.put(
+                "seeds",
+                ScaleShape.address(0) + "," + ScaleShape.address(flags.cores / 2) + ","
+                        + ScaleShape.address(flags.cores - 1));
         shared.put("platform", "10.9.0.1:80");
         shared.put("cores", Integer.toString(flags.cores));
         shared.put("edges", Integer.toString(edges()));
@@ -116,7 +119,9 @@
     long lateMs(final long version) {
         for (int i = changes.size() - 1; i >= 0; i--) {
             if (changes.get(i).version() <= version) {
-                return i == changes.size() - 1 ? 0 : steps.nowMs() - changes.get(i + 1).toldMs();
+                return i == changes.size() - 1
+                        ? 0
+                        : steps.nowMs() - changes.get(i + 1).toldMs();
             }
         }
         return 0;
@@ -141,10 +146,19 @@
         if (steps.nowMs() % LOOK_MS == 0 && nowNs - toldNs > 3_000_000_000L) {
             toldNs = nowNs;
             final List<ScaleNode> up = nodes.stream().filter(ScaleNode::up).toList();
-            System.out.printf("wall=%ds virtual=%.1fs phase=%s up=%d fresh=%d oldest=%d changes=%d reports=%d%n",
-                    (nowNs - beganNs) / 1_000_000_000L, steps.nowMs() / 1000.0, phase, up.size(),
+            System.out.printf(
+                    "wall=%ds virtual=%.1fs phase=%s up=%d fresh=%d oldest=%d changes=%d reports=%d%n",
+                    (nowNs - beganNs) / 1_000_000_000L,
+                    steps.nowMs() / 1000.0,
+                    phase,
+                    up.size(),
                     up.stream().filter(n -> n.node().follower().fresh()).count(),
-                    up.stream().mapToLong(n -> n.node().book().policy().version()).min().orElse(0) & 0xffff, changes.size(),
+                    up.stream()
+                                    .mapToLong(n -> n.node().book().policy().version())
+                                    .min()
+                                    .orElse(0)
+                            & 0xffff,
+                    changes.size(),
                     judge.reports());
         }
     }
@@ -157,22 +171,31 @@
 
     /** Tries on one core after another until a change is told as accepted. */
     private void change(final String method, final String id, final ObjectNode params, final long sentMs) {
-        final List<ScaleNode> able = nodes.stream().filter(n -> n.core && n.up() && !net.cutOff(n)
-                && n.node().voter().state() == Voter.State.VOTING).toList();
+        final List<ScaleNode> able = nodes.stream()
+                .filter(n ->
+                        n.core && n.up() && !net.cutOff(n) && n.node().voter().state() == Voter.State.VOTING)
+                .toList();
         if (able.isEmpty()) {
             steps.byWorld(Steps.WORLD, 500, () -> change(method, id, params, sentMs));
             return;
         }
         final ScaleNode to = able.get(chance.nextInt(able.size()));
         final boolean[] answered = {false};
-        to.call(node -> node.call(method, params.deepCopy().put("changeId", id).put("base", node.book().policy().version()),
+        to.call(node -> node.call(
+                method,
+                params.deepCopy()
+                        .put("changeId", id)
+                        .put("base", node.book().policy().version()),
                 reply -> to.tell(() -> {
                     if (answered[0]) {
                         return;
                     }
                     answered[0] = true;
                     if (reply.result().number() == 1000) {
-                        changes.add(new Acknowledged(reply.fields().path("version").asLong(), sentMs, steps.nowMs(),
+                        changes.add(new Acknowledged(
+                                reply.fields().path("version").asLong(),
+                                sentMs,
+                                steps.nowMs(),
                                 asking && phase == Phase.BOOT ? Phase.CALM : phase));
                     } else {
                         steps.byWorld(Steps.WORLD, 500, () -> change(method, id, params, sentMs));
@@ -193,14 +216,21 @@
         for (final ScaleNode n : nodes) {
             if (n.up()) {
                 judge.versions(n);
-                proofs.get(phase).get(n.core).recordValue(Math.min(3_600_000, Math.max(0, n.node().follower().ageMs())));
+                proofs.get(phase)
+                        .get(n.core)
+                        .recordValue(Math.min(
+                                3_600_000, Math.max(0, n.node().follower().ageMs())));
             }
         }
         for (final Acknowledged a : changes) {
             final long[] at = inForce.computeIfAbsent(a, x -> new long[] {-1, -1});
             if (at[1] < 0) {
-                final List<ScaleNode> of = nodes.stream().filter(n -> n.up() && n.upSinceMs() < a.sentMs() && !net.cutOff(n)).toList();
-                final long have = of.stream().filter(n -> n.node().book().policy().version() >= a.version()).count();
+                final List<ScaleNode> of = nodes.stream()
+                        .filter(n -> n.up() && n.upSinceMs() < a.sentMs() && !net.cutOff(n))
+                        .toList();
+                final long have = of.stream()
+                        .filter(n -> n.node().book().policy().version() >= a.version())
+                        .count();
                 at[0] = at[0] < 0 && have >= 0.99 * of.size() ? nowMs : at[0];
                 at[1] = have == of.size() ? nowMs : at[1];
             }
@@ -215,10 +245,15 @@
     }
 
     private boolean ready() {
-        return !changes.isEmpty() && nodes.stream().allMatch(n -> n.up() && n.node().follower().fresh()
-                && n.node().book().policy().version() >= changes.get(0).version()
-                && (n.core ? n.node().voter().state() == Voter.State.VOTING
-                : n.node().listing().listed().size() == shape.flags.upstreams));
+        return !changes.isEmpty()
+                && nodes.stream()
+                        .allMatch(n -> n.up()
+                                && n.node().follower().fresh()
+                                && n.node().book().policy().version()
+                                        >= changes.get(0).version()
+                                && (n.core
+                                        ? n.node().voter().state() == Voter.State.VOTING
+                                        : n.node().listing().listed().size() == shape.flags.upstreams));
     }
 
     /** How old the newest word on some upstreams is at each edge. */
@@ -226,8 +261,11 @@
         for (final ScaleNode n : nodes) {
             if (!n.core && n.up()) {
                 for (int i = 0; i < SAMPLED; i++) {
-                    final String instance = outside.list().get(chance.nextInt(outside.list().size())).instance();
-                    final Report word = n.node().listing().word(instance, n.node().fleetMs());
+                    final String instance = outside.list()
+                            .get(chance.nextInt(outside.list().size()))
+                            .instance();
+                    final Report word =
+                            n.node().listing().word(instance, n.node().fleetMs());
                     if (word == null) {
                         wordless.merge(phase, 1L, Long::sum);
                     } else {
@@ -276,14 +314,19 @@
     long digest() {
         final CRC32 crc = new CRC32();
         for (final ScaleNode n : nodes) {
-            crc.update((n.name + " " + n.digest.getValue() + " " + (n.up() ? n.node().book().policy().version() : -1)).getBytes());
+            crc.update((n.name + " " + n.digest.getValue() + " "
+                            + (n.up() ? n.node().book().policy().version() : -1))
+                    .getBytes());
         }
         return crc.getValue();
     }
 
     String kinds() {
-        return nodes.stream().filter(ScaleNode::up).map(n -> n.core ? "core" : "edge")
-                .collect(Collectors.groupingBy(k -> k, TreeMap::new, Collectors.counting())).toString();
+        return nodes.stream()
+                .filter(ScaleNode::up)
+                .map(n -> n.core ? "core" : "edge")
+                .collect(Collectors.groupingBy(k -> k, TreeMap::new, Collectors.counting()))
+                .toString();
     }
 
     long wallS() {
--- a/proof/src/main/java/spokestall/proof/ScaleShape.java
+++ b/proof/src/main/java/spokestall/proof/ScaleShape.java
@@ -95,7 +95,10 @@
         }
         final ObjectNode services = policy.putObject("services");
         for (int i = 0; i < flags.services; i++) {
-            services.putObject(service(i)).put("warmPerS", 5).put("warmupMs", 10_000).put("goMs", 2000);
+            services.putObject(service(i))
+                    .put("warmPerS", 5)
+                    .put("warmupMs", 10_000)
+                    .put("goMs", 2000);
         }
         return policy;
     }
@@ -104,8 +107,14 @@
     ObjectNode patch(final int n) {
         final int tenant = (int) (n * 7919L % flags.tenants);
         final ObjectNode patch = JSON.createObjectNode();
-        patch.putObject("cells").putObject(cell(tenant)).putObject("tenants").putObject(tenants[tenant])
-                .putObject("bindings").putObject("n" + n).put("path", "/n" + n).put("service", service(n));
+        patch.putObject("cells")
+                .putObject(cell(tenant))
+                .putObject("tenants")
+                .putObject(tenants[tenant])
+                .putObject("bindings")
+                .putObject("n" + n)
+                .put("path", "/n" + n)
+                .put("service", service(n));
         return patch;
     }
 }
--- a/proof/src/main/java/spokestall/proof/ScaleTraffic.java
+++ b/proof/src/main/java/spokestall/proof/ScaleTraffic.java
@@ -4,6 +4,7 @@
 final class ScaleTraffic {
     /** Kinds above the notes' own numbers. */
     static final int TIMER = 64;
+
     static final int DISK = 65;
     static final int OUTSIDE = 66;
     static final int START = 67;
@@ -15,6 +16,7 @@
     private static final String[] OTHERS = {"beats", "disk", "outside", "start", "asks", "calls"};
     /** Bytes that a wire puts before each note. */
     private static final int HEAD_BYTES = 4;
+
     private final long[] notesIn = new long[PHASES * ZONES * KINDS];
     private final long[] notesOut = new long[PHASES * ZONES * KINDS];
     private final long[] bytesIn = new long[PHASES * ZONES * KINDS];
--- a/proof/src/main/java/spokestall/proof/Scenario.java
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -172,8 +172,19 @@
 
         @Override
         Map<String, String> settings() {
-            return Map.of("probes", "0", "proofMs", "800", "freshMs", "2000", "countPushMs", "250", "uncountedMs", "0",
-                    "listMs", "1000");
+            return Map.of(
+                    "probes",
+                    "0",
+                    "proofMs",
+                    "800",
+                    "freshMs",
+                    "2000",
+                    "countPushMs",
+                    "250",
+                    "uncountedMs",
+                    "0",
+                    "listMs",
+                    "1000");
         }
     },
     MOVED {
@@ -195,7 +206,8 @@
     UNKNOWN {
         @Override
         void play(final SimRun run) {
-            // Nobody was told how many there are. A seed came late, a core joined after the founding; now a disk goes, a core
+            // Nobody was told how many there are. A seed came late, a core joined after the founding; now a disk goes,
+            // a core
             // under a new name comes, and a seed is restarted.
             run.later(1000, () -> run.loseDisk(run.world.nodes.get("d4-core"), 2000));
             run.later(9000, () -> run.grow("d2-core2", 7));
--- a/proof/src/main/java/spokestall/proof/SimCallers.java
+++ b/proof/src/main/java/spokestall/proof/SimCallers.java
@@ -19,8 +19,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long SPAN_MS = 5000;
 
-    private record Place(List<SimNode> edges, String ticket, long untilMs) {
-    }
+    private record Place(List<SimNode> edges, String ticket, long untilMs) {}
 
     private final World world;
     private final Random random;
@@ -68,8 +67,8 @@
         });
     }
 
-    private void ask(final Deployment.Kind kind, final String who, final String id, final int turn,
-            final long begunMs) {
+    private void ask(
+            final Deployment.Kind kind, final String who, final String id, final int turn, final long begunMs) {
         final String place = who + "/" + kind.key();
         final Place known = places.get(place);
         // One client in ten is connected to an edge and stays with it, whatever where would say by now.
@@ -78,7 +77,8 @@
             send(kind, who, id, turn, begunMs, known);
             return;
         }
-        final List<SimNode> up = world.nodes.values().stream().filter(SimNode::running).toList();
+        final List<SimNode> up =
+                world.nodes.values().stream().filter(SimNode::running).toList();
         if (up.isEmpty()) {
             return;
         }
@@ -101,9 +101,12 @@
                 return;
             }
             final List<SimNode> edges = new ArrayList<>();
-            r.path("edges").forEach(e -> edges.add(world.nodes.get(e.path("name").asText())));
-            final Place found = new Place(edges, r.path("ticket").asText(), world.sim.nowMs() + r.path("forMs")
-                    .asLong());
+            r.path("edges")
+                    .forEach(e -> edges.add(world.nodes.get(e.path("name").asText())));
+            final Place found = new Place(
+                    edges,
+                    r.path("ticket").asText(),
+                    world.sim.nowMs() + r.path("forMs").asLong());
             if (!who.endsWith("7") || !places.containsKey(place)) {
                 places.put(place, found);
             }
@@ -117,24 +120,33 @@
         return ("do " + id + " ".repeat(Math.floorMod(id.hashCode(), 200) + long1)).getBytes(StandardCharsets.UTF_8);
     }
 
-    private void again(final Deployment.Kind kind, final String who, final String id, final int turn,
-            final long begunMs, final long waitMs) {
+    private void again(
+            final Deployment.Kind kind,
+            final String who,
+            final String id,
+            final int turn,
+            final long begunMs,
+            final long waitMs) {
         if (turn < 6 && world.sim.nowMs() + waitMs - begunMs < SPAN_MS) {
             world.sim.after(waitMs, () -> ask(kind, who, id, turn + 1, begunMs));
         }
     }
 
-    private void send(final Deployment.Kind kind, final String who, final String id, final int turn,
-            final long begunMs, final Place place) {
-        final String askId = kind.runOnce() ? named.computeIfAbsent(id, i -> place.ticket + "." + i)
-                : id + "." + turn;
+    private void send(
+            final Deployment.Kind kind,
+            final String who,
+            final String id,
+            final int turn,
+            final long begunMs,
+            final Place place) {
+        final String askId = kind.runOnce() ? named.computeIfAbsent(id, i -> place.ticket + "." + i) : id + "." + turn;
         final World.Asked asked = world.asked.computeIfAbsent(askId, i -> new World.Asked(askId, kind));
         asked.sentMs.add(world.sim.nowMs());
         final SimNode edge = place.edges.get(turn % place.edges.size());
         final byte[] body = kind.runOnce() ? body(id) : new byte[0];
         final long spanMs = SPAN_MS - (world.sim.nowMs() - begunMs);
-        final AskHead head = new AskHead(kind.runOnce() ? "POST" : "GET", "", kind.path(), kind.key(), askId, spanMs,
-                body.length, List.of());
+        final AskHead head = new AskHead(
+                kind.runOnce() ? "POST" : "GET", "", kind.path(), kind.key(), askId, spanMs, body.length, List.of());
         final boolean[] back = {false};
         final Runnable nothing = () -> {
             if (!back[0]) {
@@ -152,27 +164,39 @@
                 return;
             }
             final long life = edge.life();
-            edge.run(life, () -> take(edge, life, head, body, answer -> {
-                if (!back[0]) {
-                    back[0] = true;
-                    told(kind, who, id, asked, turn, begunMs, answer);
-                }
-            }));
+            edge.run(
+                    life,
+                    () -> take(edge, life, head, body, answer -> {
+                        if (!back[0]) {
+                            back[0] = true;
+                            told(kind, who, id, asked, turn, begunMs, answer);
+                        }
+                    }));
         });
     }
 
-    private void take(final SimNode edge, final long life, final AskHead head, final byte[] body,
+    private void take(
+            final SimNode edge,
+            final long life,
+            final AskHead head,
+            final byte[] body,
             final java.util.function.Consumer<Answer> done) {
         final Admitted[] mine = {null};
-        final Opened opened = edge.node().edge().open(head, answer -> world.sim.after(1 + random.nextInt(20), () -> {
-            done.accept(answer);
-            edge.run(life, () -> mine[0].written());
-        }));
+        final Opened opened = edge.node()
+                .edge()
+                .open(
+                        head,
+                        answer -> world.sim.after(1 + random.nextInt(20), () -> {
+                            done.accept(answer);
+                            edge.run(life, () -> mine[0].written());
+                        }));
         if (opened instanceof Opened.Deny deny) {
             world.sim.after(1 + random.nextInt(20), () -> done.accept(deny.answer()));
             return;
         }
-        world.judge.check(Rule.HOME, world.home(world.asked.get(head.askId()).kind.tenant()).contains(edge.region) ? 0 : 2,
+        world.judge.check(
+                Rule.HOME,
+                world.home(world.asked.get(head.askId()).kind.tenant()).contains(edge.region) ? 0 : 2,
                 "body of " + head.askId() + " carried to " + edge.region);
         // The body comes a little later than the head.
         mine[0] = ((Opened.Admit) opened).ask();
@@ -181,9 +205,19 @@
         world.sim.after(1 + random.nextInt(5), () -> edge.run(life, () -> mine[0].run(body)));
     }
 
-    private void told(final Deployment.Kind kind, final String who, final String id, final World.Asked asked,
-            final int turn, final long begunMs, final Answer answer) {
-        world.told.add(new World.Told(asked.askId, answer.result().number(), answer.ran(), answer.instance(),
+    private void told(
+            final Deployment.Kind kind,
+            final String who,
+            final String id,
+            final World.Asked asked,
+            final int turn,
+            final long begunMs,
+            final Answer answer) {
+        world.told.add(new World.Told(
+                asked.askId,
+                answer.result().number(),
+                answer.ran(),
+                answer.instance(),
                 answer.content(),
                 world.sim.nowMs()));
         asked.ran |= answer.ran() == Ran.RAN;
@@ -196,7 +230,8 @@
             again(kind, who, id, turn, begunMs, Math.max(100, answer.retryAfterMs()));
         } else if (kind.runOnce() && turn == 0 && random.nextInt(10) == 0) {
             // A person who saw no answer, or doubts it, sends the same order again, at once or much later.
-            world.sim.after(random.nextBoolean() ? 100 : 3000 + random.nextInt(15_000),
+            world.sim.after(
+                    random.nextBoolean() ? 100 : 3000 + random.nextInt(15_000),
                     () -> ask(kind, who, id, 1, world.sim.nowMs()));
         }
     }
--- a/proof/src/main/java/spokestall/proof/SimDisk.java
+++ b/proof/src/main/java/spokestall/proof/SimDisk.java
@@ -75,8 +75,12 @@
         };
     }
 
-    private void commit(final List<Piece> pieces, final Consumer<Boolean> done, final BooleanSupplier alive,
-            final Consumer<Runnable> back, final boolean lies) {
+    private void commit(
+            final List<Piece> pieces,
+            final Consumer<Boolean> done,
+            final BooleanSupplier alive,
+            final Consumer<Runnable> back,
+            final boolean lies) {
         commits++;
         lied = lies;
         if (lies) {
--- a/proof/src/main/java/spokestall/proof/SimNet.java
+++ b/proof/src/main/java/spokestall/proof/SimNet.java
@@ -82,7 +82,11 @@
     }
 
     /** Carries a note as the bytes it would be, and says how many. */
-    int carry(final String from, final String to, final Note note, final int version,
+    int carry(
+            final String from,
+            final String to,
+            final Note note,
+            final int version,
             final java.util.function.Consumer<Note> arrive) {
         final long ms = wayMs(from, to);
         final byte[] frame = Codec.note(note, version);
--- a/proof/src/main/java/spokestall/proof/SimNode.java
+++ b/proof/src/main/java/spokestall/proof/SimNode.java
@@ -119,10 +119,18 @@
         };
         final Random random = world.sim.random(name + "/" + life);
         world.sim.trace("start " + name + " life " + life);
-        final Node.Rim rim = new Node.Rim(clock, random, (to, note) -> world.send(this, mine, to, note),
-                core ? disk.life(() -> life == mine && node != null, e -> run(mine, e), world.plant == Plant.LYING_DISK)
-                : null,
-                world.outside.of(this, mine), world.outside.of(this, mine), world.outside.of(this, mine), Audit.NONE);
+        final Node.Rim rim = new Node.Rim(
+                clock,
+                random,
+                (to, note) -> world.send(this, mine, to, note),
+                core
+                        ? disk.life(
+                                () -> life == mine && node != null, e -> run(mine, e), world.plant == Plant.LYING_DISK)
+                        : null,
+                world.outside.of(this, mine),
+                world.outside.of(this, mine),
+                world.outside.of(this, mine),
+                Audit.NONE);
         node = new Node(settings, core, rim);
         node.start();
         versionSeen = 0;
--- a/proof/src/main/java/spokestall/proof/SimOperator.java
+++ b/proof/src/main/java/spokestall/proof/SimOperator.java
@@ -45,19 +45,23 @@
 
     private void bind(final long untilMs) {
         final String id = "bind-" + made++;
-        change("policy.patch", patch(id, 1), id, untilMs, at -> { });
+        change("policy.patch", patch(id, 1), id, untilMs, at -> {});
     }
 
     /** Adds very many bindings at once. */
     void grow(final int bindings) {
         final String id = "bind-" + made++;
-        change("policy.patch", patch(id, bindings), id, world.sim.nowMs() + 8000, at -> { });
+        change("policy.patch", patch(id, bindings), id, world.sim.nowMs() + 8000, at -> {});
     }
 
     private ObjectNode patch(final String id, final int bindings) {
         final ObjectNode params = JSON.createObjectNode();
-        final ObjectNode at = params.putObject("patch").putObject("cells").putObject(Deployment.cell(3))
-                .putObject("tenants").putObject(Deployment.tenant(3)).putObject("bindings");
+        final ObjectNode at = params.putObject("patch")
+                .putObject("cells")
+                .putObject(Deployment.cell(3))
+                .putObject("tenants")
+                .putObject(Deployment.tenant(3))
+                .putObject("bindings");
         at.putObject(id).put("path", "/more/" + id).put("service", world.deployment.big);
         for (int i = 1; i < bindings; i++) {
             at.putObject(id + "." + i).put("path", "/more/" + id + "/" + i).put("service", world.deployment.big);
@@ -76,8 +80,13 @@
         final String bad = "bad-" + made++;
         final ObjectNode invalid = patch(bad, 1);
         ((ObjectNode) invalid.at("/patch/cells/" + Deployment.cell(3) + "/tenants/" + Deployment.tenant(3)))
-                .putArray("homeRegions").add("nowhere");
-        change("policy.patch", invalid, bad, world.sim.nowMs() + 3000,
+                .putArray("homeRegions")
+                .add("nowhere");
+        change(
+                "policy.patch",
+                invalid,
+                bad,
+                world.sim.nowMs() + 3000,
                 at -> world.judge.violated(Rule.POLICY, bad + " is invalid and was accepted"));
         final String stale = "stale-" + made++;
         final SimNode core = world.any(world.cores(), random);
@@ -96,8 +105,12 @@
             world.emptied.add(new World.Span(district, at, Long.MAX_VALUE));
             world.sim.after(spanMs, () -> {
                 world.emptied.set(slot, new World.Span(district, at, world.sim.nowMs()));
-                change("hold.clear", JSON.createObjectNode().put("district", district), "clear-" + made++,
-                        world.sim.nowMs() + 30_000, done -> { });
+                change(
+                        "hold.clear",
+                        JSON.createObjectNode().put("district", district),
+                        "clear-" + made++,
+                        world.sim.nowMs() + 30_000,
+                        done -> {});
             });
         });
     }
@@ -109,19 +122,29 @@
             world.withdrawn.add(new World.Span(Deployment.key(tenant), at, Long.MAX_VALUE));
             world.sim.after(spanMs, () -> {
                 world.withdrawn.set(slot, new World.Span(Deployment.key(tenant), at, world.sim.nowMs()));
-                change("key.add", key(tenant).put("key", Deployment.key(tenant)), "add-" + made++,
-                        world.sim.nowMs() + 30_000, done -> { });
+                change(
+                        "key.add",
+                        key(tenant).put("key", Deployment.key(tenant)),
+                        "add-" + made++,
+                        world.sim.nowMs() + 30_000,
+                        done -> {});
             });
         });
     }
 
     private static ObjectNode key(final int tenant) {
-        return JSON.createObjectNode().put("cell", Deployment.cell(tenant)).put("tenant", Deployment.tenant(tenant))
+        return JSON.createObjectNode()
+                .put("cell", Deployment.cell(tenant))
+                .put("tenant", Deployment.tenant(tenant))
                 .put("keyId", "main");
     }
 
     /** One change from its first try until its outcome is known or the time is over. */
-    private void change(final String method, final ObjectNode params, final String id, final long untilMs,
+    private void change(
+            final String method,
+            final ObjectNode params,
+            final String id,
+            final long untilMs,
             final LongConsumer then) {
         new Try(method, params, id, untilMs, then).fresh();
     }
@@ -136,7 +159,11 @@
         private int calls;
         private boolean unclear;
 
-        Try(final String method, final ObjectNode params, final String id, final long untilMs,
+        Try(
+                final String method,
+                final ObjectNode params,
+                final String id,
+                final long untilMs,
                 final LongConsumer then) {
             this.method = method;
             this.params = params;
@@ -148,13 +175,23 @@
         /** Begins against the newest version a core tells. */
         void fresh() {
             final SimNode core = world.any(world.cores(), random);
-            ask(core, "policy.get", JSON.createObjectNode(), reply -> {
-                params.put("base", reply.fields().path("version").asLong()).put("changeId", id);
-                send(core);
-            }, this::fresh);
+            ask(
+                    core,
+                    "policy.get",
+                    JSON.createObjectNode(),
+                    reply -> {
+                        params.put("base", reply.fields().path("version").asLong())
+                                .put("changeId", id);
+                        send(core);
+                    },
+                    this::fresh);
         }
 
-        private void ask(final SimNode core, final String what, final ObjectNode with, final Consumer<Reply> done,
+        private void ask(
+                final SimNode core,
+                final String what,
+                final ObjectNode with,
+                final Consumer<Reply> done,
                 final Runnable silent) {
             if (world.sim.nowMs() > untilMs) {
                 world.sim.trace("change " + id + " given up, unclear " + unclear);
@@ -208,7 +245,8 @@
                     });
                 }
                 case STALE_BASE -> {
-                    // Its one place went to another change: it may be tried anew under a new name, as an operator would.
+                    // Its one place went to another change: it may be tried anew under a new name, as an operator
+                    // would.
                     denied.add(id);
                     if (!id.startsWith("bind")) {
                         new Try(method, params, id + "+", untilMs, then).fresh();
@@ -228,8 +266,10 @@
                 }
                 if (edge.node().book().policy().version() >= version) {
                     slowestMs = Math.max(slowestMs, spentMs);
-                    world.judge.check(Rule.POLICY, spentMs / (double) Rule.POLICY.nearMs, edge.name + " had " + id + " after "
-                            + spentMs + " ms");
+                    world.judge.check(
+                            Rule.POLICY,
+                            spentMs / (double) Rule.POLICY.nearMs,
+                            edge.name + " had " + id + " after " + spentMs + " ms");
                 } else {
                     left.add(edge);
                 }
@@ -247,8 +287,11 @@
                         final boolean has = edge.node().book().policy().version() >= version;
                         final boolean serves = edge.node().follower().fresh();
                         final boolean alone = world.undisturbed(edge, atMs);
-                        world.judge.check(Rule.POLICY, !has && (serves || alone) ? 2 : 0, edge.name + " lacks "
-                                + version + " of " + id + " after " + IN_FORCE_MS + " ms, serves " + serves);
+                        world.judge.check(
+                                Rule.POLICY,
+                                !has && (serves || alone) ? 2 : 0,
+                                edge.name + " lacks " + version + " of " + id + " after " + IN_FORCE_MS + " ms, serves "
+                                        + serves);
                     }
                 }
             });
@@ -261,8 +304,15 @@
             if (!node.running() || !node.node().follower().fresh()) {
                 continue;
             }
-            final var bindings = node.node().book().policy().tree().path("cells").path(Deployment.cell(3))
-                    .path("tenants").path(Deployment.tenant(3)).path("bindings");
+            final var bindings = node.node()
+                    .book()
+                    .policy()
+                    .tree()
+                    .path("cells")
+                    .path(Deployment.cell(3))
+                    .path("tenants")
+                    .path(Deployment.tenant(3))
+                    .path("bindings");
             for (final String id : List.copyOf(accepted)) {
                 if (id.startsWith("bind")) {
                     world.judge.check(Rule.POLICY, bindings.has(id) || wiped ? 0 : 2, node.name + " lost " + id);
--- a/proof/src/main/java/spokestall/proof/SimOutside.java
+++ b/proof/src/main/java/spokestall/proof/SimOutside.java
@@ -35,10 +35,16 @@
         UpstreamStand.Manner manner = UpstreamStand.Manner.WELL;
         /** How long one ask keeps it busy, one at a time; 0 is without limit. */
         long eachMs;
+
         private long busyUntilMs;
 
-        Up(final String instance, final String service, final String address, final String district,
-                final String region, final long readyAtMs) {
+        Up(
+                final String instance,
+                final String service,
+                final String address,
+                final String district,
+                final String region,
+                final long readyAtMs) {
             this.instance = instance;
             this.service = service;
             this.address = address;
@@ -70,7 +76,11 @@
         return "10.1." + (i / 200) + "." + (i % 200 + 1) + ":80";
     }
 
-    Up add(final String service, final String address, final String district, final String region,
+    Up add(
+            final String service,
+            final String address,
+            final String district,
+            final String region,
             final long readyAtMs) {
         final Up up = new Up(service + "-" + made++, service, address, district, region, readyAtMs);
         byAddress.put(address, up);
@@ -101,8 +111,15 @@
         final List<Listed> now = new ArrayList<>();
         byInstance.values().forEach(u -> {
             if (u.listed) {
-                now.add(Listed.read(u.instance, u.service, u.address, u.district, u.region, u.leaving,
-                        Math.max(0, u.readyAtMs + World.WARMUP_MS - world.sim.nowMs()), 0));
+                now.add(Listed.read(
+                        u.instance,
+                        u.service,
+                        u.address,
+                        u.district,
+                        u.region,
+                        u.leaving,
+                        Math.max(0, u.readyAtMs + World.WARMUP_MS - world.sim.nowMs()),
+                        0));
             }
         });
         list = now;
@@ -142,13 +159,23 @@
                 back(way < 0 ? waitMs : 2 * way, () -> done.accept(null));
                 return;
             }
-            back(2 * way + 1, () -> done.accept(!up.running ? null : new Prober.Probe(up.instance, up.service,
-                    up.leaving, world.sim.nowMs() - up.readyAtMs)));
+            back(
+                    2 * way + 1,
+                    () -> done.accept(
+                            !up.running
+                                    ? null
+                                    : new Prober.Probe(
+                                            up.instance, up.service, up.leaving, world.sim.nowMs() - up.readyAtMs)));
         }
 
         @Override
-        public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
-                final LongSupplier until, final Consumer<Boolean> done) {
+        public void report(
+                final String holder,
+                final long token,
+                final Sealed sealed,
+                final long waitMs,
+                final LongSupplier until,
+                final Consumer<Boolean> done) {
             final long way = 5 + random.nextInt(20);
             // Connecting takes a round trip; the check is made when the bytes are about to leave.
             leave(2 * way, until, () -> done.accept(false), () -> {
@@ -159,8 +186,10 @@
                     counts.put(Deployment.tenant(5), first);
                 }
                 if (world.plant != Plant.DEAF_PLATFORM || world.sim.nowMs() > 35_000) {
-                    world.sim.after(way, () -> world.reported.add(new Ledger.Reported(holder, token, sealed.window(),
-                            counts, world.sim.nowMs())));
+                    world.sim.after(
+                            way,
+                            () -> world.reported.add(
+                                    new Ledger.Reported(holder, token, sealed.window(), counts, world.sim.nowMs())));
                 }
                 final boolean lost = random.nextInt(50) == 0;
                 back(lost ? waitMs : 2 * way, () -> done.accept(!lost));
@@ -168,12 +197,11 @@
         }
 
         @Override
-        public void go(final Go go, final LongSupplier until, final Runnable counted,
-                final Consumer<GoResult> done) {
+        public void go(final Go go, final LongSupplier until, final Runnable counted, final Consumer<GoResult> done) {
             final int turn = turns.merge(go.askId(), 1, Integer::sum);
             final World.Asked asked = world.asked.get(go.askId());
-            world.goes.add(new World.Gone(go.askId(), go.service(), asked.kind.runOnce() ? 1 : turn,
-                    world.sim.nowMs()));
+            world.goes.add(
+                    new World.Gone(go.askId(), go.service(), asked.kind.runOnce() ? 1 : turn, world.sim.nowMs()));
             final long way = world.net.wayMs(node.address, go.address());
             final boolean[] over = {false};
             final boolean[] sent = {false};
@@ -238,8 +266,10 @@
         }
 
         private GoResult whole(final Go go, final String body) {
-            return new GoResult.Whole(new Content(200, List.of(new Header("Content-Type", "text/plain"),
-                    new Header("X-Answer-To", askOf(go))), body.getBytes(StandardCharsets.UTF_8)));
+            return new GoResult.Whole(new Content(
+                    200,
+                    List.of(new Header("Content-Type", "text/plain"), new Header("X-Answer-To", askOf(go))),
+                    body.getBytes(StandardCharsets.UTF_8)));
         }
 
         private void travel(final Go go, final Consumer<GoResult> once) {
@@ -260,11 +290,21 @@
         }
 
         private void work(final Go go, final Up up, final Consumer<GoResult> once) {
-            world.begun.add(new World.Begun(go.askId(), up.instance, up.district, up.region, node.district,
-                    node.region, world.sim.nowMs() - up.readyAtMs, world.sim.nowMs()));
+            world.begun.add(new World.Begun(
+                    go.askId(),
+                    up.instance,
+                    up.district,
+                    up.region,
+                    node.district,
+                    node.region,
+                    world.sim.nowMs() - up.readyAtMs,
+                    world.sim.nowMs()));
             final boolean cold = world.sim.nowMs() - up.readyAtMs < World.WARMUP_MS;
             up.busyUntilMs = Math.max(up.busyUntilMs, world.sim.nowMs()) + up.eachMs;
-            final long workMs = up.busyUntilMs - world.sim.nowMs() + (cold ? 20 : 3) + random.nextInt(10)
+            final long workMs = up.busyUntilMs
+                    - world.sim.nowMs()
+                    + (cold ? 20 : 3)
+                    + random.nextInt(10)
                     + (up.manner == UpstreamStand.Manner.SLOW ? 1500 : 0);
             world.sim.after(workMs, () -> {
                 final long way = world.net.sureMs(go.address(), node.address);
@@ -272,15 +312,21 @@
                     return;
                 }
                 final String whole = "answer to " + go.askId() + " by " + up.instance + " whole";
-                final GoResult result = !up.running ? new GoResult.Lost("reset") : switch (up.manner) {
-                    case LOSE -> world.plant == Plant.LOST_AS_NOT_SENT ? new GoResult.NotSent("closed")
-                            : new GoResult.Lost("closed");
-                    case FLAKY -> random.nextBoolean() ? new GoResult.Lost("closed")
-                            : whole(go, whole);
-                    case GARBAGE -> world.plant == Plant.GARBAGE_PASSED ? whole(go, "garbage") : new GoResult.Lost("answer of another instance");
-                    case TRUNCATE -> new GoResult.Lost("answer: truncated");
-                    default -> whole(go, whole);
-                };
+                final GoResult result = !up.running
+                        ? new GoResult.Lost("reset")
+                        : switch (up.manner) {
+                            case LOSE ->
+                                world.plant == Plant.LOST_AS_NOT_SENT
+                                        ? new GoResult.NotSent("closed")
+                                        : new GoResult.Lost("closed");
+                            case FLAKY -> random.nextBoolean() ? new GoResult.Lost("closed") : whole(go, whole);
+                            case GARBAGE ->
+                                world.plant == Plant.GARBAGE_PASSED
+                                        ? whole(go, "garbage")
+                                        : new GoResult.Lost("answer of another instance");
+                            case TRUNCATE -> new GoResult.Lost("answer: truncated");
+                            default -> whole(go, whole);
+                        };
                 back(way, () -> once.accept(result));
             });
         }
--- a/proof/src/main/java/spokestall/proof/SimRun.java
+++ b/proof/src/main/java/spokestall/proof/SimRun.java
@@ -23,7 +23,11 @@
     private long votingMs = -1;
     private long gapMs;
 
-    SimRun(final long seed, final Deployment deployment, final Scenario scenario, final boolean traced,
+    SimRun(
+            final long seed,
+            final Deployment deployment,
+            final Scenario scenario,
+            final boolean traced,
             final Plant plant) {
         this.world = new World(seed, deployment, traced, plant, scenario);
         this.operator = new SimOperator(world);
@@ -68,7 +72,8 @@
     private void watchHolder() {
         final long nowMs = world.sim.nowMs();
         for (final SimNode c : world.cores()) {
-            if (c.running() && c.node().keeper().execution() != null
+            if (c.running()
+                    && c.node().keeper().execution() != null
                     && c.node().keeper().execution().mayWork(c.nowMs())) {
                 gapMs = heldMs < 0 ? 0 : Math.max(gapMs, nowMs - heldMs);
                 heldMs = nowMs;
@@ -76,12 +81,16 @@
         }
         final long fromMs = recoverFromMs();
         if (mendedMs > 0 || fromMs > 0) {
-            if (world.reported.stream().skip(Math.max(0, world.reported.size() - 3)).anyMatch(r -> r.atMs() > fromMs)
+            if (world.reported.stream()
+                            .skip(Math.max(0, world.reported.size() - 3))
+                            .anyMatch(r -> r.atMs() > fromMs)
                     && heldAgainMs < fromMs) {
                 heldAgainMs = nowMs;
             }
-            if (world.cores().stream().filter(SimNode::running).allMatch(c -> c.node().voter().state()
-                    == spokestall.ballot.Voter.State.VOTING) && votingMs < fromMs) {
+            if (world.cores().stream()
+                            .filter(SimNode::running)
+                            .allMatch(c -> c.node().voter().state() == spokestall.ballot.Voter.State.VOTING)
+                    && votingMs < fromMs) {
                 votingMs = nowMs;
             }
         }
@@ -117,28 +126,35 @@
 
     /** The most any edge had, over what an even share would be. */
     double unevenEdges() {
-        return uneven(world.begun.stream().filter(b -> b.atMs() >= begunMs + 3000)
-                .collect(java.util.stream.Collectors.groupingBy(World.Begun::edgeDistrict,
-                        java.util.stream.Collectors.counting())));
+        return uneven(world.begun.stream()
+                .filter(b -> b.atMs() >= begunMs + 3000)
+                .collect(java.util.stream.Collectors.groupingBy(
+                        World.Begun::edgeDistrict, java.util.stream.Collectors.counting())));
     }
 
     /** The most any upstream of the larger service had, over an even share. */
     double unevenUpstreams() {
-        return uneven(world.begun.stream().filter(b -> b.instance().startsWith(world.deployment.big))
-                .collect(java.util.stream.Collectors.groupingBy(World.Begun::instance,
-                        java.util.stream.Collectors.counting())));
+        return uneven(world.begun.stream()
+                .filter(b -> b.instance().startsWith(world.deployment.big))
+                .collect(java.util.stream.Collectors.groupingBy(
+                        World.Begun::instance, java.util.stream.Collectors.counting())));
     }
 
     private static double uneven(final Map<String, Long> counts) {
         final double sum = counts.values().stream().mapToLong(Long::longValue).sum();
-        return counts.isEmpty() ? 0 : counts.values().stream().mapToLong(Long::longValue).max().getAsLong()
-                / (sum / counts.size());
+        return counts.isEmpty()
+                ? 0
+                : counts.values().stream().mapToLong(Long::longValue).max().getAsLong() / (sum / counts.size());
     }
 
     /** Synced commits of all cores for each run-once ask that ran. */
     double commitsPerOrder() {
-        final long orders = world.begun.stream().filter(b -> world.asked.get(b.askId()).kind.runOnce()).count();
-        return orders == 0 ? 0 : world.cores().stream().mapToLong(c -> c.disk.commits()).sum() / (double) orders;
+        final long orders = world.begun.stream()
+                .filter(b -> world.asked.get(b.askId()).kind.runOnce())
+                .count();
+        return orders == 0
+                ? 0
+                : world.cores().stream().mapToLong(c -> c.disk.commits()).sum() / (double) orders;
     }
 
     private void mend() {
@@ -164,18 +180,24 @@
     String sizes() {
         final Map<String, Double> most = new java.util.TreeMap<>();
         for (final SimNode node : world.nodes.values()) {
-            world.call(node, "status", com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.objectNode(), reply -> {
-                for (final String name : List.of("registers", "ringFill", "open", "heldBytes")) {
-                    most.merge(name, reply.fields().path(name).asDouble(), Math::max);
-                }
-                most.merge("nodes", (double) reply.fields().path("nodes").size(), Math::max);
-                reply.fields().path("hints").forEach(h -> most.merge("hints", h.asDouble(), Math::max));
-            });
+            world.call(
+                    node,
+                    "status",
+                    com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.objectNode(),
+                    reply -> {
+                        for (final String name : List.of("registers", "ringFill", "open", "heldBytes")) {
+                            most.merge(name, reply.fields().path(name).asDouble(), Math::max);
+                        }
+                        most.merge(
+                                "nodes", (double) reply.fields().path("nodes").size(), Math::max);
+                        reply.fields().path("hints").forEach(h -> most.merge("hints", h.asDouble(), Math::max));
+                    });
             if (node.running()) {
                 most.merge("listed", (double) node.node().listing().listed().size(), Math::max);
             }
         }
-        return "sizes atS=" + (world.sim.nowMs() - begunMs) / 1000 + " " + most + " asks=" + world.asked.size() + " heapMiB="
+        return "sizes atS=" + (world.sim.nowMs() - begunMs) / 1000 + " " + most + " asks=" + world.asked.size()
+                + " heapMiB="
                 + (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory() >> 20);
     }
 
@@ -201,7 +223,9 @@
     Map<String, Integer> results() {
         final Map<String, Integer> found = new java.util.TreeMap<>();
         for (final World.Told t : world.told) {
-            final String of = t.ran() == spokestall.edge.Ran.RAN ? "" : " " + world.asked.get(t.askId()).kind.tenant();
+            final String of = t.ran() == spokestall.edge.Ran.RAN
+                    ? ""
+                    : " " + world.asked.get(t.askId()).kind.tenant();
             found.merge(t.code() + " " + t.ran() + of, 1, Integer::sum);
         }
         return found;
@@ -210,7 +234,8 @@
     /** Begun asks of one window by the district of the edge they came through. */
     Map<String, Integer> byEdge(final long window) {
         final Map<String, Integer> found = new java.util.TreeMap<>();
-        world.begun.stream().filter(b -> (World.EPOCH_MS + b.atMs()) / World.WINDOW_MS == window)
+        world.begun.stream()
+                .filter(b -> (World.EPOCH_MS + b.atMs()) / World.WINDOW_MS == window)
                 .forEach(b -> found.merge(b.edgeDistrict(), 1, Integer::sum));
         return found;
     }
@@ -218,25 +243,36 @@
     /** All that is known of one ask. */
     String story(final String askId) {
         final StringBuilder out = new StringBuilder(askId + " sent " + world.asked.get(askId).sentMs);
-        world.goes.stream().filter(g -> g.askId().equals(askId)).forEach(g -> out.append("\n  ").append(g));
-        world.begun.stream().filter(g -> g.askId().equals(askId)).forEach(g -> out.append("\n  ").append(g));
-        world.told.stream().filter(g -> g.askId().equals(askId)).forEach(g -> out.append("\n  ").append(g));
+        world.goes.stream()
+                .filter(g -> g.askId().equals(askId))
+                .forEach(g -> out.append("\n  ").append(g));
+        world.begun.stream()
+                .filter(g -> g.askId().equals(askId))
+                .forEach(g -> out.append("\n  ").append(g));
+        world.told.stream()
+                .filter(g -> g.askId().equals(askId))
+                .forEach(g -> out.append("\n  ").append(g));
         return out.toString();
     }
 
     /** Of the asks that were admitted while the scenario was played, the share that ran within their deadline. */
     double inDeadline() {
-        final List<World.Asked> admitted = world.asked.values().stream().filter(a -> a.admittedMs >= begunMs + 3000
-                && a.admittedMs < begunMs + 3000 + scenario.playMs()).toList();
-        return admitted.isEmpty() ? 1 : admitted.stream().filter(a -> a.answeredMs >= 0
-                && a.answeredMs - a.admittedMs <= a.spanMs + 50).count() / (double) admitted.size();
+        final List<World.Asked> admitted = world.asked.values().stream()
+                .filter(a -> a.admittedMs >= begunMs + 3000 && a.admittedMs < begunMs + 3000 + scenario.playMs())
+                .toList();
+        return admitted.isEmpty()
+                ? 1
+                : admitted.stream()
+                                .filter(a -> a.answeredMs >= 0 && a.answeredMs - a.admittedMs <= a.spanMs + 50)
+                                .count()
+                        / (double) admitted.size();
     }
 
     /** Share of asks that ran while the scenario was played, of the small tenants and of the large ones. */
     String byTenant() {
-        final Map<Boolean, List<World.Asked>> of = world.asked.values().stream().filter(a -> a.sentMs.get(0) >= begunMs + 3000
-                && a.sentMs.get(0) < begunMs + 3000 + scenario.playMs()).collect(java.util.stream.Collectors.partitioningBy(
-                a -> a.kind.weight() < 10));
+        final Map<Boolean, List<World.Asked>> of = world.asked.values().stream()
+                .filter(a -> a.sentMs.get(0) >= begunMs + 3000 && a.sentMs.get(0) < begunMs + 3000 + scenario.playMs())
+                .collect(java.util.stream.Collectors.partitioningBy(a -> a.kind.weight() < 10));
         return String.format("%.2f/%.2f", ranShare(of.get(true)), ranShare(of.get(false)));
     }
 
@@ -253,17 +289,21 @@
         final Map<String, spokestall.ballot.Ballot> newest = new java.util.HashMap<>();
         for (final SimNode c : world.cores()) {
             if (c.running()) {
-                c.node().voter().registers().forEach((k, r) -> newest.merge(k, r.accepted(),
-                        (a, o) -> a.compareTo(o) >= 0 ? a : o));
+                c.node()
+                        .voter()
+                        .registers()
+                        .forEach((k, r) -> newest.merge(k, r.accepted(), (a, o) -> a.compareTo(o) >= 0 ? a : o));
             }
         }
         double worst = 0;
         for (final SimNode c : world.cores()) {
             if (c.running() && !newest.isEmpty()) {
-                final long lacks = newest.entrySet().stream().filter(e -> {
-                    final var r = c.node().voter().registers().get(e.getKey());
-                    return r == null || r.accepted().compareTo(e.getValue()) < 0;
-                }).count();
+                final long lacks = newest.entrySet().stream()
+                        .filter(e -> {
+                            final var r = c.node().voter().registers().get(e.getKey());
+                            return r == null || r.accepted().compareTo(e.getValue()) < 0;
+                        })
+                        .count();
                 worst = Math.max(worst, (double) lacks / newest.size());
             }
         }
@@ -337,8 +377,7 @@
     /** Stops, and its address passes at once to an upstream of the other service. */
     void pass(final SimOutside.Up up) {
         world.outside.stop(up);
-        final String other = up.service.equals(world.deployment.big) ? world.deployment.small
-                : world.deployment.big;
+        final String other = up.service.equals(world.deployment.big) ? world.deployment.small : world.deployment.big;
         world.outside.add(other, up.address, up.district, up.region, world.sim.nowMs());
         later(2000, () -> up.listed = false);
     }
--- a/proof/src/main/java/spokestall/proof/Steps.java
+++ b/proof/src/main/java/spokestall/proof/Steps.java
@@ -17,10 +17,10 @@
 final class Steps implements AutoCloseable {
     /** The lane of what is no node's. */
     static final int WORLD = -1;
+
     private static final int FEW = 6;
 
-    private record Event(int lane, long atMs, Runnable what) {
-    }
+    private record Event(int lane, long atMs, Runnable what) {}
 
     private static final class Lane {
         private final List<Event> due = new ArrayList<>();
@@ -41,11 +41,13 @@
         for (int i = 0; i < nodes; i++) {
             lanes[i] = new Lane();
         }
-        this.pool = threads == 1 ? null : Executors.newFixedThreadPool(threads - 1, r -> {
-            final Thread t = new Thread(r, "step");
-            t.setDaemon(true);
-            return t;
-        });
+        this.pool = threads == 1
+                ? null
+                : Executors.newFixedThreadPool(threads - 1, r -> {
+                    final Thread t = new Thread(r, "step");
+                    t.setDaemon(true);
+                    return t;
+                });
     }
 
     /** From that real time on no event is run any more: what is under way is left as it is. */
--- a/proof/src/main/java/spokestall/proof/Sweep.java
+++ b/proof/src/main/java/spokestall/proof/Sweep.java
@@ -11,10 +11,25 @@
 /** Runs scenarios over a range of seeds and prints, for each rule, checks, violations and the worst margin. */
 final class Sweep {
     /** What came of one run. */
-    record Outcome(Scenario scenario, Deployment deployment, long seed, boolean up, long digest, double playShare,
-            double lastShare, double lacking, double commits,
-            double takeover, double feed, double edges, double upstreams, double inDeadline, String byTenant, long[] recoveryMs, long recoverMaxMs, Map<Rule, Judge.Tally> tallies) {
-    }
+    record Outcome(
+            Scenario scenario,
+            Deployment deployment,
+            long seed,
+            boolean up,
+            long digest,
+            double playShare,
+            double lastShare,
+            double lacking,
+            double commits,
+            double takeover,
+            double feed,
+            double edges,
+            double upstreams,
+            double inDeadline,
+            String byTenant,
+            long[] recoveryMs,
+            long recoverMaxMs,
+            Map<Rule, Judge.Tally> tallies) {}
 
     /** Whether asks ran again, a report had come and all voters voted in time; null if so. */
     static String notBack(final Outcome o) {
@@ -37,20 +52,41 @@
         private String worstWhat = "";
     }
 
-    private Sweep() {
-    }
+    private Sweep() {}
 
     static Outcome one(final long seed, final Deployment deployment, final Scenario scenario, final Plant plant) {
         final SimRun run = new SimRun(seed, deployment, scenario, false, plant);
         final boolean up = run.play();
-        return new Outcome(scenario, deployment, seed, up, run.world.sim.digest(), run.playShare(), run.lastShare(), run.lacking(),
-                run.commitsPerOrder(), run.takeover(), run.operator.slowestMs / 4000.0, run.unevenEdges(),
-                run.unevenUpstreams(), run.inDeadline(), run.byTenant(), run.recoveryMs(), run.recoverMaxMs(), run.world.judge.tallies());
+        return new Outcome(
+                scenario,
+                deployment,
+                seed,
+                up,
+                run.world.sim.digest(),
+                run.playShare(),
+                run.lastShare(),
+                run.lacking(),
+                run.commitsPerOrder(),
+                run.takeover(),
+                run.operator.slowestMs / 4000.0,
+                run.unevenEdges(),
+                run.unevenUpstreams(),
+                run.inDeadline(),
+                run.byTenant(),
+                run.recoveryMs(),
+                run.recoverMaxMs(),
+                run.world.judge.tallies());
     }
 
     /** The number of violations and of runs that did not come back. */
-    static int run(final List<Scenario> scenarios, final List<Deployment> deployments, final long from,
-            final long until, final int threads, final Plant plant) throws InterruptedException {
+    static int run(
+            final List<Scenario> scenarios,
+            final List<Deployment> deployments,
+            final long from,
+            final long until,
+            final int threads,
+            final Plant plant)
+            throws InterruptedException {
         final ExecutorService pool = Executors.newFixedThreadPool(threads);
         final Map<Rule, Sum> sums = new EnumMap<>(Rule.class);
         for (final Rule rule : Rule.values()) {
@@ -80,9 +116,16 @@
         }
         pool.shutdown();
         pool.awaitTermination(10, TimeUnit.HOURS);
-        sums.forEach((rule, sum) -> System.out.printf("rule=%s verdict=%s checks=%d violations=%d worst=%.2f worstFar=%.2f run=\"%s\""
-                + " what=\"%s\"%n", rule, sum.checks == 0 ? "unproven" : sum.broken > 0 ? "broken" : "kept", sum.checks,
-                sum.broken, sum.worst, rule.nearMs == 0 ? sum.worst : sum.worst * rule.nearMs / rule.farMs, sum.worstRun, sum.worstWhat));
+        sums.forEach((rule, sum) -> System.out.printf(
+                "rule=%s verdict=%s checks=%d violations=%d worst=%.2f worstFar=%.2f run=\"%s\"" + " what=\"%s\"%n",
+                rule,
+                sum.checks == 0 ? "unproven" : sum.broken > 0 ? "broken" : "kept",
+                sum.checks,
+                sum.broken,
+                sum.worst,
+                rule.nearMs == 0 ? sum.worst : sum.worst * rule.nearMs / rule.farMs,
+                sum.worstRun,
+                sum.worstWhat));
         return bad[0];
     }
 
@@ -112,9 +155,23 @@
                 bad++;
             }
         }
-        System.out.printf("run scenario=%s deployment=%s seed=%d digest=%x served=%.3f last=%.3f lacking=%.4f commitsPerOrder=%.1f"
-                + " takeover=%.2f feed=%.3f edges=%.2f upstreams=%.2f inDeadline=%.3f smallLarge=%s recoverMs=%s%n", o.scenario,
-                o.deployment, o.seed, o.digest, o.playShare, o.lastShare, o.lacking, o.commits, o.takeover, o.feed, o.edges, o.upstreams, o.inDeadline, o.byTenant,
+        System.out.printf(
+                "run scenario=%s deployment=%s seed=%d digest=%x served=%.3f last=%.3f lacking=%.4f commitsPerOrder=%.1f"
+                        + " takeover=%.2f feed=%.3f edges=%.2f upstreams=%.2f inDeadline=%.3f smallLarge=%s recoverMs=%s%n",
+                o.scenario,
+                o.deployment,
+                o.seed,
+                o.digest,
+                o.playShare,
+                o.lastShare,
+                o.lacking,
+                o.commits,
+                o.takeover,
+                o.feed,
+                o.edges,
+                o.upstreams,
+                o.inDeadline,
+                o.byTenant,
                 Arrays.toString(o.recoveryMs));
         return bad;
     }
--- a/proof/src/main/java/spokestall/proof/Traffic.java
+++ b/proof/src/main/java/spokestall/proof/Traffic.java
@@ -44,23 +44,30 @@
 
     /** Bytes a second between regions of one node, of the kinds given, or of all. */
     static double regionsPerNode(final Map<String, Sum> sums, final String... kinds) {
-        return sums.entrySet().stream().filter(e -> kinds.length == 0 || java.util.List.of(kinds).contains(e.getKey()))
-                .mapToLong(e -> e.getValue().regions).sum() / (REST_MS / 1000.0) / (2 * Deployment.DISTRICTS);
+        return sums.entrySet().stream()
+                        .filter(e ->
+                                kinds.length == 0 || java.util.List.of(kinds).contains(e.getKey()))
+                        .mapToLong(e -> e.getValue().regions)
+                        .sum()
+                / (REST_MS / 1000.0)
+                / (2 * Deployment.DISTRICTS);
     }
 
     /** Half a minute of a fleet that has come up: with asks at the deployment's rate, or at rest. */
-    static Map<String, Sum> of(final long seed, final Deployment deployment, final boolean asks,
-            final Map<String, String> settings) {
+    static Map<String, Sum> of(
+            final long seed, final Deployment deployment, final boolean asks, final Map<String, String> settings) {
         final World world = new World(seed, deployment, false, Plant.NONE, Scenario.CALM, settings);
         final SimOperator operator = new SimOperator(world);
         for (final SimNode node : world.nodes.values()) {
             world.sim.after(world.sim.random(node.name).nextInt(1500), node::start);
         }
-        world.sim.after(2000, () -> operator.first(() -> {
-            if (asks) {
-                world.sim.after(2500, world.callers::start);
-            }
-        }));
+        world.sim.after(
+                2000,
+                () -> operator.first(() -> {
+                    if (asks) {
+                        world.sim.after(2500, world.callers::start);
+                    }
+                }));
         world.sim.run(30_000);
         world.traffic.clear();
         world.sim.run(30_000 + REST_MS);
@@ -72,7 +79,8 @@
         for (final boolean asks : new boolean[] {false, true}) {
             final Map<String, Sum> sums = of(seed, deployment, asks, settings);
             final Sum all = new Sum();
-            System.out.printf("| %s | notes | bytes each | regions | districts | within |%n| --- | --- | --- | --- | --- | --- |%n",
+            System.out.printf(
+                    "| %s | notes | bytes each | regions | districts | within |%n| --- | --- | --- | --- | --- | --- |%n",
                     asks ? "with asks" : "at rest");
             sums.forEach((kind, sum) -> {
                 line(kind, sum);
@@ -87,7 +95,13 @@
 
     private static void line(final String kind, final Sum sum) {
         final double per = REST_MS / 1000.0 * 2 * Deployment.DISTRICTS;
-        System.out.printf("| %s | %.2f | %.0f | %.0f | %.0f | %.0f |%n", kind, sum.notes / per,
-                sum.bytes() / (double) sum.notes, sum.regions / per, sum.districts / per, sum.within / per);
+        System.out.printf(
+                "| %s | %.2f | %.0f | %.0f | %.0f | %.0f |%n",
+                kind,
+                sum.notes / per,
+                sum.bytes() / (double) sum.notes,
+                sum.regions / per,
+                sum.districts / per,
+                sum.within / per);
     }
 }
--- a/proof/src/main/java/spokestall/proof/UpstreamStand.java
+++ b/proof/src/main/java/spokestall/proof/UpstreamStand.java
@@ -14,7 +14,14 @@
 /** A stand-in upstream: warms up slowly, keeps a ledger, and misbehaves when told to. */
 final class UpstreamStand implements Stand {
     /** How it behaves. */
-    enum Manner { WELL, LOSE, GARBAGE, TRUNCATE, SLOW, FLAKY }
+    enum Manner {
+        WELL,
+        LOSE,
+        GARBAGE,
+        TRUNCATE,
+        SLOW,
+        FLAKY
+    }
 
     private static final HttpString INSTANCE = new HttpString("Spokestall-Instance");
     private static final HttpString ASK = new HttpString("Spokestall-Ask-Id");
@@ -29,15 +36,23 @@
     private volatile long eachMs;
     private long busyUntilMs;
 
-    UpstreamStand(final Deployment.Place place, final int port, final XnioWorker worker, final Ledger ledger,
-            final long workMs, final long warmForMs) {
+    UpstreamStand(
+            final Deployment.Place place,
+            final int port,
+            final XnioWorker worker,
+            final Ledger ledger,
+            final long workMs,
+            final long warmForMs) {
         this.place = place;
         this.address = "127.0.0.1:" + port;
         this.ledger = ledger;
         this.workMs = workMs;
         this.readyAtMs = System.currentTimeMillis() - warmForMs;
-        this.server = Undertow.builder().setWorker(worker).addHttpListener(port, "127.0.0.1")
-                .setHandler(this::handle).build();
+        this.server = Undertow.builder()
+                .setWorker(worker)
+                .addHttpListener(port, "127.0.0.1")
+                .setHandler(this::handle)
+                .build();
     }
 
     @Override
@@ -87,9 +102,10 @@
     private void handle(final HttpServerExchange exchange) {
         if (exchange.getRequestPath().equals("/spokestall/status")) {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-            exchange.getResponseSender().send("{\"instance\":\"" + place.instance() + "\",\"service\":\""
-                    + place.service() + "\",\"leaving\":" + leaving + ",\"readyForMs\":"
-                    + (System.currentTimeMillis() - readyAtMs) + "}");
+            exchange.getResponseSender()
+                    .send("{\"instance\":\"" + place.instance() + "\",\"service\":\""
+                            + place.service() + "\",\"leaving\":" + leaving + ",\"readyForMs\":"
+                            + (System.currentTimeMillis() - readyAtMs) + "}");
             return;
         }
         final String askId = exchange.getRequestHeaders().getFirst(ASK);
@@ -101,11 +117,21 @@
             return;
         }
         exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
-            ledger.began(new Ledger.Began(place.instance(), place.service(), place.district(),
+            ledger.began(new Ledger.Began(
+                    place.instance(),
+                    place.service(),
+                    place.district(),
                     place.region(),
-                    e.getRequestHeaders().getFirst("Spokestall-Tenant"), askId, System.currentTimeMillis()));
-            e.dispatch(SameThreadExecutor.INSTANCE, () -> e.getIoThread().executeAfter(() -> answer(e, askId),
-                    waitMs() + (manner == Manner.SLOW ? 50 * workMs : workMs), TimeUnit.MILLISECONDS));
+                    e.getRequestHeaders().getFirst("Spokestall-Tenant"),
+                    askId,
+                    System.currentTimeMillis()));
+            e.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () -> e.getIoThread()
+                            .executeAfter(
+                                    () -> answer(e, askId),
+                                    waitMs() + (manner == Manner.SLOW ? 50 * workMs : workMs),
+                                    TimeUnit.MILLISECONDS));
         });
     }
 
--- a/proof/src/main/java/spokestall/proof/World.java
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -23,21 +23,24 @@
     static final double WARM_PER_S = 5;
 
     /** One ask that an upstream began, and through which edge. */
-    record Begun(String askId, String instance, String district, String region, String edgeDistrict,
-            String edgeRegion, long ageMs, long atMs) {
-    }
+    record Begun(
+            String askId,
+            String instance,
+            String district,
+            String region,
+            String edgeDistrict,
+            String edgeRegion,
+            long ageMs,
+            long atMs) {}
 
     /** One go that an edge sent out. */
-    record Gone(String askId, String service, int turn, long atMs) {
-    }
+    record Gone(String askId, String service, int turn, long atMs) {}
 
     /** One final answer that a caller got. */
-    record Told(String askId, int code, Ran ran, String instance, Content content, long atMs) {
-    }
+    record Told(String askId, int code, Ran ran, String instance, Content content, long atMs) {}
 
     /** Something held from one time to another. */
-    record Span(String what, long fromMs, long untilMs) {
-    }
+    record Span(String what, long fromMs, long untilMs) {}
 
     /** One ask as its caller knows it. */
     static final class Asked {
@@ -46,6 +49,7 @@
         final List<Long> sentMs = new ArrayList<>();
         /** When it was admitted, and its span from there; -1 if it never was. */
         long admittedMs = -1;
+
         long spanMs;
         long answeredMs = -1;
         boolean ran;
@@ -61,6 +65,7 @@
     private final Map<String, String> settings;
     /** How often, and for how long, a machine freezes just between its last check and its bytes leaving. */
     double gapShare;
+
     long gapMs;
     final Sim sim;
     final Deployment deployment;
@@ -82,13 +87,22 @@
     final List<Span> emptied = new ArrayList<>();
     private final Map<String, Long> disturbedMs = new TreeMap<>();
 
-    World(final long seed, final Deployment deployment, final boolean traced, final Plant plant,
+    World(
+            final long seed,
+            final Deployment deployment,
+            final boolean traced,
+            final Plant plant,
             final Scenario scenario) {
         this(seed, deployment, traced, plant, scenario, Map.of());
     }
 
-    World(final long seed, final Deployment deployment, final boolean traced, final Plant plant,
-            final Scenario scenario, final Map<String, String> more) {
+    World(
+            final long seed,
+            final Deployment deployment,
+            final boolean traced,
+            final Plant plant,
+            final Scenario scenario,
+            final Map<String, String> more) {
         this.settings = new TreeMap<>(scenario.settings());
         settings.putAll(plant.settings());
         settings.putAll(more);
@@ -105,7 +119,9 @@
         for (int i = 0; i < Deployment.TENANTS; i++) {
             final List<String> all = new ArrayList<>(Deployment.home(0));
             Collections.shuffle(all, shape);
-            homes.put(Deployment.tenant(i), i < 2 ? Deployment.home(i) : List.copyOf(all.subList(0, 1 + shape.nextInt(3))));
+            homes.put(
+                    Deployment.tenant(i),
+                    i < 2 ? Deployment.home(i) : List.copyOf(all.subList(0, 1 + shape.nextInt(3))));
         }
         for (int i = 0; i < Deployment.DISTRICTS; i++) {
             add(new SimNode(this, Deployment.district(i) + "-core", true, i, settings));
@@ -122,14 +138,15 @@
     ObjectNode policy() {
         final ObjectNode policy = deployment.policy();
         final Random shape = sim.random("policy");
-        policy.path("cells").forEach(c -> c.path("tenants").fields().forEachRemaining(t -> {
-            final ArrayNode at = ((ObjectNode) t.getValue()).putArray("homeRegions");
-            homes.get(t.getKey()).forEach(at::add);
-            final ObjectNode bindings = (ObjectNode) t.getValue().get("bindings");
-            for (int i = shape.nextInt(1 << shape.nextInt(8)); i > 0; i--) {
-                bindings.putObject("idle" + i).put("path", "/idle/" + i).put("service", deployment.small);
-            }
-        }));
+        policy.path("cells")
+                .forEach(c -> c.path("tenants").fields().forEachRemaining(t -> {
+                    final ArrayNode at = ((ObjectNode) t.getValue()).putArray("homeRegions");
+                    homes.get(t.getKey()).forEach(at::add);
+                    final ObjectNode bindings = (ObjectNode) t.getValue().get("bindings");
+                    for (int i = shape.nextInt(1 << shape.nextInt(8)); i > 0; i--) {
+                        bindings.putObject("idle" + i).put("path", "/idle/" + i).put("service", deployment.small);
+                    }
+                }));
         return policy;
     }
 
@@ -190,7 +207,11 @@
         } else if (note instanceof HandNote.Back back && back.content() != null) {
             carried(back.key(), target);
         }
-        traffic.sent(from, target, note, net.carry(from.address, to, note, from.noteVersion(), arrived -> target.hear(targetLife, arrived)));
+        traffic.sent(
+                from,
+                target,
+                note,
+                net.carry(from.address, to, note, from.noteVersion(), arrived -> target.hear(targetLife, arrived)));
     }
 
     /** A kept answer goes to a node: it must be at home there. */
@@ -229,7 +250,10 @@
         return null;
     }
 
-    void call(final SimNode to, final String method, final JsonNode params,
+    void call(
+            final SimNode to,
+            final String method,
+            final JsonNode params,
             final java.util.function.Consumer<spokestall.rpc.Reply> done) {
         if (to.running()) {
             to.run(to.life(), () -> to.node().call(method, params, done));
--- a/proof/src/main/java/spokestall/proof/Zone.java
+++ b/proof/src/main/java/spokestall/proof/Zone.java
@@ -1,4 +1,8 @@
 package spokestall.proof;
 
 /** How far a note goes. */
-enum Zone { DISTRICT, DISTRICTS, REGIONS }
+enum Zone {
+    DISTRICT,
+    DISTRICTS,
+    REGIONS
+}
--- a/proof/src/test/java/spokestall/proof/CallersTest.java
+++ b/proof/src/test/java/spokestall/proof/CallersTest.java
@@ -28,9 +28,14 @@
 
     @BeforeAll
     static void start(@TempDir final Path folder) throws Exception {
-        fleet = new Fleet(Deployment.PADMA, folder, 3, 0, List.of(new Deployment.Place("transfers-0", "transfers",
-                "d1", "r1")), (place, port) -> up = new RawUpstream(place, port), Map.of(
-                "askOpenMax", Integer.toString(PLACES), "askSpanMaxMs", "6000"));
+        fleet = new Fleet(
+                Deployment.PADMA,
+                folder,
+                3,
+                0,
+                List.of(new Deployment.Place("transfers-0", "transfers", "d1", "r1")),
+                (place, port) -> up = new RawUpstream(place, port),
+                Map.of("askOpenMax", Integer.toString(PLACES), "askSpanMaxMs", "6000"));
         fleet.start();
         fleet.ready(fleet.putPolicy("raw", policy()));
         edge = fleet.members().get("d1-edge").http;
@@ -45,7 +50,10 @@
             t.putObject("keys").putObject("main").put("sha256", KeyHash.of("key-" + name + "-0001"));
             final ObjectNode bindings = t.putObject("bindings");
             bindings.putObject("all").put("path", "/transfers").put("service", "transfers");
-            bindings.putObject("once").put("path", "/transfers/payout").put("service", "transfers").put("runOnce", true);
+            bindings.putObject("once")
+                    .put("path", "/transfers/payout")
+                    .put("service", "transfers")
+                    .put("runOnce", true);
         }
         policy.putObject("services").putObject("transfers").put("goMs", 2000).put("answerMaxBytes", 8 << 20);
         return policy;
@@ -77,17 +85,28 @@
 
     @Test
     void aCallerCannotMakeAnOperatorsCall() throws Exception {
-        final long before = fleet.status(fleet.members().get("d1-edge")).path("version").asLong();
+        final long before =
+                fleet.status(fleet.members().get("d1-edge")).path("version").asLong();
         for (final String node : List.of(edge, fleet.members().get("d1-core").http)) {
-            for (final String method : List.of("policy.put", "policy.patch", "hold.set", "key.add", "status", "nothing")) {
-                final ObjectNode params = JSON.createObjectNode().put("base", before).put("changeId", "bad");
+            for (final String method :
+                    List.of("policy.put", "policy.patch", "hold.set", "key.add", "status", "nothing")) {
+                final ObjectNode params =
+                        JSON.createObjectNode().put("base", before).put("changeId", "bad");
                 params.set("policy", policy());
-                assertThat(fleet.call(node, method, params).path("code").asInt()).as(method).isEqualTo(4004);
+                assertThat(fleet.call(node, method, params).path("code").asInt())
+                        .as(method)
+                        .isEqualTo(4004);
             }
-            assertThat(fleet.call(node, "where", JSON.createObjectNode().put("client", "me").put("key", KEY)).path("code")
-                    .asInt()).isEqualTo(1000);
+            assertThat(fleet.call(
+                                    node,
+                                    "where",
+                                    JSON.createObjectNode().put("client", "me").put("key", KEY))
+                            .path("code")
+                            .asInt())
+                    .isEqualTo(1000);
         }
-        assertThat(fleet.status(fleet.members().get("d1-edge")).path("version").asLong()).isEqualTo(before);
+        assertThat(fleet.status(fleet.members().get("d1-edge")).path("version").asLong())
+                .isEqualTo(before);
     }
 
     /** Nothing came before an ask that is sent now. */
@@ -98,8 +117,11 @@
 
     @Test
     void theTargetIsForwardedAsItCame() throws Exception {
-        for (final String target : List.of("/transfers/a%20b%3fc%23d%25", "/transfers/x?q=%0d%0ay&z=a+b&&e=%C3%A9?/",
-                "/transfers/caf%c3%a9/", "/transfers/a:b@c!$&'()*+,=~-._")) {
+        for (final String target : List.of(
+                "/transfers/a%20b%3fc%23d%25",
+                "/transfers/x?q=%0d%0ay&z=a+b&&e=%C3%A9?/",
+                "/transfers/caf%c3%a9/",
+                "/transfers/a:b@c!$&'()*+,=~-._")) {
             assertThat(ask("GET", target, "").status()).as(target).isEqualTo(200);
             assertThat(came().line()).isEqualTo("GET " + target + " HTTP/1.1");
         }
@@ -107,15 +129,35 @@
 
     @Test
     void aTargetWithoutOneCanonicalFormIsDeniedAndNeverForwarded() throws Exception {
-        for (final String target : List.of("/x/../transfers/payout", "//transfers/payout", "/transfers//payout",
-                "/transfers/./payout", "/transfers/..", "/transfers/%70ayout", "/transfers/%2e%2e/payout",
-                "/transfers%2fpayout", "/transfers%5Cpayout", "/transfers\\payout", "/transfers/a%0d%0aX: y",
-                "/transfers/a%00", "/transfers/%zz", "/transfers/%4", "/transfers/a#b", "/transfers/payout;v=1",
-                "/transfers/payout%3Bv=1", "/transfers/a?b=%zz", "/transfers/a?b#c", "/transfers/a%7fb",
-                "http://edge/transfers/payout", "transfers/payout", "*")) {
+        for (final String target : List.of(
+                "/x/../transfers/payout",
+                "//transfers/payout",
+                "/transfers//payout",
+                "/transfers/./payout",
+                "/transfers/..",
+                "/transfers/%70ayout",
+                "/transfers/%2e%2e/payout",
+                "/transfers%2fpayout",
+                "/transfers%5Cpayout",
+                "/transfers\\payout",
+                "/transfers/a%0d%0aX: y",
+                "/transfers/a%00",
+                "/transfers/%zz",
+                "/transfers/%4",
+                "/transfers/a#b",
+                "/transfers/payout;v=1",
+                "/transfers/payout%3Bv=1",
+                "/transfers/a?b=%zz",
+                "/transfers/a?b#c",
+                "/transfers/a%7fb",
+                "http://edge/transfers/payout",
+                "transfers/payout",
+                "*")) {
             final RawCaller.Got got = ask("GET", target, "");
             assertThat(got == null ? 400 : got.status()).as(target).isEqualTo(400);
-            assertThat(got == null || got.code() == null ? "2014" : got.code()).as(target).isEqualTo("2014");
+            assertThat(got == null || got.code() == null ? "2014" : got.code())
+                    .as(target)
+                    .isEqualTo("2014");
         }
         for (final String line : List.of("CONNECT edge:80", "TRACE /transfers/a")) {
             final RawCaller.Got got = ask(line.split(" ")[0], line.split(" ")[1], "");
@@ -132,10 +174,13 @@
                 + "Cache-Control: max-age=60\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nLocation: /transfers/9\r\n"
                 + "Connection: X-Hop, keep-alive\r\nX-Hop: no\r\nKeep-Alive: timeout=9\r\nProxy-Authenticate: Basic\r\n"
                 + "Spokestall-Code: 9999\r\nSpokestall-Outcome: ran\r\nSpokestall-Other: x\r\n\r\nok");
-        final RawCaller.Got got = ask("GET", "/transfers/a", "Accept: text/calendar\r\nAccept-Language: de\r\n"
-                + "If-None-Match: \"v0\"\r\nRange: bytes=0-1\r\nAuthorization: Bearer t\r\nCookie: c=3\r\nX-Two: 1\r\nX-Two: 2\r\n"
-                + "Connection: X-Mine\r\nX-Mine: no\r\nTE: trailers\r\nProxy-Authorization: Basic x\r\nUpgrade: h2c\r\n"
-                + "Spokestall-Tenant: two\r\nspokestall-instance: else\r\nSpokestall-Service: records\r\nSpokestall-X: 1\r\n");
+        final RawCaller.Got got = ask(
+                "GET",
+                "/transfers/a",
+                "Accept: text/calendar\r\nAccept-Language: de\r\n"
+                        + "If-None-Match: \"v0\"\r\nRange: bytes=0-1\r\nAuthorization: Bearer t\r\nCookie: c=3\r\nX-Two: 1\r\nX-Two: 2\r\n"
+                        + "Connection: X-Mine\r\nX-Mine: no\r\nTE: trailers\r\nProxy-Authorization: Basic x\r\nUpgrade: h2c\r\n"
+                        + "Spokestall-Tenant: two\r\nspokestall-instance: else\r\nSpokestall-Service: records\r\nSpokestall-X: 1\r\n");
         final RawUpstream.Came came = came();
         assertThat(came.header("Accept")).isEqualTo("text/calendar");
         assertThat(came.header("Accept-Language")).isEqualTo("de");
@@ -144,8 +189,8 @@
         assertThat(came.header("Authorization")).isEqualTo("Bearer t");
         assertThat(came.header("Cookie")).isEqualTo("c=3");
         assertThat(came.head()).contains("X-Two: 1\r\nX-Two: 2");
-        for (final String hop : List.of("X-Mine", "TE", "Proxy-Authorization", "Upgrade", "Spokestall-Key",
-                "Spokestall-X")) {
+        for (final String hop :
+                List.of("X-Mine", "TE", "Proxy-Authorization", "Upgrade", "Spokestall-Key", "Spokestall-X")) {
             assertThat(came.header(hop)).as(hop).isNull();
         }
         assertThat(came.header("Spokestall-Tenant")).isEqualTo("one");
@@ -173,18 +218,25 @@
     void aKeptAnswerHasTheHeadersOfTheFirstOne() throws Exception {
         up.manner = (c, out) -> out.write("HTTP/1.1 201 Created\r\n" + RawUpstream.names(c)
                 + "Content-Length: 4\r\nLocation: /transfers/7\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n\r\npaid");
-        final String ticket = fleet.call(fleet.members().get("d1-core").operators, "where", JSON.createObjectNode()
-                .put("client", "me").put("key", KEY)).path("result").path("ticket").asText();
+        final String ticket = fleet.call(
+                        fleet.members().get("d1-core").operators,
+                        "where",
+                        JSON.createObjectNode().put("client", "me").put("key", KEY))
+                .path("result")
+                .path("ticket")
+                .asText();
         final List<RawCaller.Got> got = new ArrayList<>();
         try (RawCaller caller = new RawCaller(edge)) {
-            caller.send(RawCaller.head("POST", "/transfers/payout", KEY, ticket + ".pay-1") + "Content-Length: 2\r\n\r\nhi");
+            caller.send(RawCaller.head("POST", "/transfers/payout", KEY, ticket + ".pay-1")
+                    + "Content-Length: 2\r\n\r\nhi");
             got.add(caller.got());
         }
         assertThat(got.get(0).code()).isEqualTo("1000");
         came();
         Fleet.until("the repeat finds the recorded answer", 5000, () -> {
             try (RawCaller caller = new RawCaller(edge)) {
-                caller.send(RawCaller.head("POST", "/transfers/payout", KEY, ticket + ".pay-1") + "Content-Length: 2\r\n\r\nhi");
+                caller.send(RawCaller.head("POST", "/transfers/payout", KEY, ticket + ".pay-1")
+                        + "Content-Length: 2\r\n\r\nhi");
                 got.add(caller.got());
                 return "1001".equals(got.get(got.size() - 1).code());
             } catch (final IOException e) {
@@ -202,7 +254,8 @@
 
     @Test
     void answersWithoutBodyAndInterimOnesAreFramedRight() throws Exception {
-        up.manner = (c, out) -> out.write("HTTP/1.1 200 OK\r\n" + RawUpstream.names(c) + "Content-Length: 5000\r\n\r\n");
+        up.manner =
+                (c, out) -> out.write("HTTP/1.1 200 OK\r\n" + RawUpstream.names(c) + "Content-Length: 5000\r\n\r\n");
         final RawCaller.Got head = ask("HEAD", "/transfers/a", "");
         assertThat(head.status()).isEqualTo(200);
         assertThat(head.header("Content-Length")).isEqualTo("5000");
@@ -212,7 +265,8 @@
             final RawCaller.Got none = caller.got();
             assertThat(none.status()).isEqualTo(204);
             assertThat(none.header("Content-Length")).isNull();
-            up.manner = (c, out) -> out.write("HTTP/1.1 304 Not Modified\r\nETag: \"v1\"\r\n" + RawUpstream.names(c) + "\r\n");
+            up.manner = (c, out) ->
+                    out.write("HTTP/1.1 304 Not Modified\r\nETag: \"v1\"\r\n" + RawUpstream.names(c) + "\r\n");
             caller.send(RawCaller.head("GET", "/transfers/a", KEY, RawCaller.freshId()) + "\r\n");
             final RawCaller.Got same = caller.got();
             assertThat(same.status()).isEqualTo(304);
@@ -230,20 +284,28 @@
             RawUpstream.well(c, out);
         };
         final RawCaller.Got after = ask("GET", "/transfers/a", "");
-        assertThat(after.status()).as("never an interim answer as the final one").isEqualTo(502);
+        assertThat(after.status())
+                .as("never an interim answer as the final one")
+                .isEqualTo(502);
         up.manner = RawUpstream::well;
         assertThat(ask("GET", "/transfers/a", "").status()).isEqualTo(200);
     }
 
     @Test
     void anAskWithAmbiguousFramingIsDeniedAndItsWireEnds() throws Exception {
-        for (final String framing : List.of("Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-                "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "Content-Length: 3, 3\r\n\r\nabc",
+        for (final String framing : List.of(
+                "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+                "Content-Length: 3, 3\r\n\r\nabc",
                 "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "Transfer-Encoding: identity\r\n\r\n",
-                "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", "Content-Length: +3\r\n\r\nabc",
-                "Content-Length: -1\r\n\r\n", "Content-Length : 3\r\n\r\nabc", "Host: other\r\n\r\n")) {
+                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: identity\r\n\r\n",
+                "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+                "Content-Length: +3\r\n\r\nabc",
+                "Content-Length: -1\r\n\r\n",
+                "Content-Length : 3\r\n\r\nabc",
+                "Host: other\r\n\r\n")) {
             try (RawCaller caller = new RawCaller(edge)) {
                 caller.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId()) + framing
                         + "GET /transfers/smuggled HTTP/1.1\r\n\r\n");
@@ -257,11 +319,16 @@
 
     @Test
     void anAnswerWithAmbiguousFramingIsNeverPassedOn() throws Exception {
-        for (final String framing : List.of("Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
-                "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab", "Content-Length: 2, 2\r\n\r\nab",
+        for (final String framing : List.of(
+                "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+                "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+                "Content-Length: 2, 2\r\n\r\nab",
                 "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
-                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "\r\nabc", "Content-Length: x\r\n\r\nab",
-                "Content-Length: -2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n")) {
+                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                "\r\nabc",
+                "Content-Length: x\r\n\r\nab",
+                "Content-Length: -2\r\n\r\nab",
+                "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n")) {
             up.manner = (c, out) -> {
                 out.write("HTTP/1.1 200 OK\r\n" + RawUpstream.names(c) + framing);
                 out.close();
@@ -289,11 +356,17 @@
             for (int i = 0; i < PLACES; i++) {
                 final RawCaller half = new RawCaller(edge);
                 halves.add(half);
-                half.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId()).replace("4000", "1500")
-                        + "Content-Length: 100\r\n\r\nabc");
+                half.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId())
+                                .replace("4000", "1500") + "Content-Length: 100\r\n\r\nabc");
             }
             // Another tenant has a place though one has taken all it can, and so has the one itself once they are over.
-            Fleet.until("the halves are in", 5000, () -> fleet.status(fleet.members().get("d1-edge")).path("open").asInt() > 2);
+            Fleet.until(
+                    "the halves are in",
+                    5000,
+                    () -> fleet.status(fleet.members().get("d1-edge"))
+                                    .path("open")
+                                    .asInt()
+                            > 2);
             try (RawCaller other = new RawCaller(edge)) {
                 other.send(RawCaller.head("GET", "/transfers/a", "key-two-0001", RawCaller.freshId()) + "\r\n");
                 assertThat(other.got().status()).isEqualTo(200);
@@ -307,7 +380,8 @@
                 assertThat(half.ended()).isTrue();
             }
             assertThat(late).isPositive();
-            assertThat(fleet.status(fleet.members().get("d1-edge")).path("open").asInt()).isZero();
+            assertThat(fleet.status(fleet.members().get("d1-edge")).path("open").asInt())
+                    .isZero();
         } finally {
             for (final RawCaller half : halves) {
                 half.close();
@@ -320,12 +394,14 @@
     void callersThatLeaveInMidBodyLoseTheirPlacesAtOnce() throws Exception {
         for (int i = 0; i < PLACES; i++) {
             try (RawCaller half = new RawCaller(edge)) {
-                half.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId()).replace("4000", "25000")
-                        + "Content-Length: 100\r\n\r\nabc");
+                half.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId())
+                                .replace("4000", "25000") + "Content-Length: 100\r\n\r\nabc");
             }
         }
-        Fleet.until("all places are free", 5000, () -> fleet.status(fleet.members().get("d1-edge")).path("open")
-                .asInt() == 0);
+        Fleet.until(
+                "all places are free",
+                5000,
+                () -> fleet.status(fleet.members().get("d1-edge")).path("open").asInt() == 0);
         nothingCame();
     }
 
@@ -342,20 +418,27 @@
                 final JsonNode s = fleet.status(fleet.members().get("d1-edge"));
                 return s.path("open").asInt() == 0 && s.path("heldBytes").asLong() == 8_000_000;
             });
-            Fleet.until("the bytes are given back", 15_000, () -> fleet.status(fleet.members().get("d1-edge"))
-                    .path("heldBytes").asLong() == 0);
+            Fleet.until(
+                    "the bytes are given back",
+                    15_000,
+                    () -> fleet.status(fleet.members().get("d1-edge"))
+                                    .path("heldBytes")
+                                    .asLong()
+                            == 0);
         }
     }
 
     @Test
     void anUpstreamThatAnswersTwiceEarlyOrSlowlyNeverGivesAnotherAsksAnswer() throws Exception {
-        final List<RawUpstream.Manner> manners = List.of((c, out) -> {
-            RawUpstream.well(c, out);
-            RawUpstream.well(c, out);
-        }, (c, out) -> {
-            RawUpstream.well(c, out);
-            out.write("left over");
-        });
+        final List<RawUpstream.Manner> manners = List.of(
+                (c, out) -> {
+                    RawUpstream.well(c, out);
+                    RawUpstream.well(c, out);
+                },
+                (c, out) -> {
+                    RawUpstream.well(c, out);
+                    out.write("left over");
+                });
         for (final RawUpstream.Manner manner : manners) {
             for (int i = 0; i < 5; i++) {
                 up.manner = manner;
@@ -366,19 +449,23 @@
                     caller.send(RawCaller.head("GET", "/transfers/b", KEY, id) + "\r\n");
                     final RawCaller.Got got = caller.got();
                     assertThat(got.body()).as("turn " + i + " " + got).isEqualTo("answer to " + id);
-                    assertThat(got.header("Spokestall-Goes")).as("no go was lost to what an earlier one left").isEqualTo("1");
+                    assertThat(got.header("Spokestall-Goes"))
+                            .as("no go was lost to what an earlier one left")
+                            .isEqualTo("1");
                 }
             }
         }
         up.early = true;
         try (RawCaller caller = new RawCaller(edge)) {
             final String body = "x".repeat(60_000);
-            caller.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId()) + "Content-Length: 60000\r\n\r\n" + body);
+            caller.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId())
+                    + "Content-Length: 60000\r\n\r\n" + body);
             assertThat(caller.got().status()).isIn(200, 502);
         }
         up.reset();
         up.manner = (c, out) -> {
-            for (final char one : ("HTTP/1.1 200 OK\r\n" + RawUpstream.names(c) + "Content-Length: 900\r\n\r\n").toCharArray()) {
+            for (final char one :
+                    ("HTTP/1.1 200 OK\r\n" + RawUpstream.names(c) + "Content-Length: 900\r\n\r\n").toCharArray()) {
                 out.write(String.valueOf(one));
             }
             for (int i = 0; i < 899; i++) {
@@ -388,7 +475,9 @@
         final long fromNs = System.nanoTime();
         final RawCaller.Got slow = ask("GET", "/transfers/a", "");
         assertThat(slow.code()).isEqualTo("3001");
-        assertThat((System.nanoTime() - fromNs) / 1_000_000).as("ends with the go's span").isLessThan(8000);
+        assertThat((System.nanoTime() - fromNs) / 1_000_000)
+                .as("ends with the go's span")
+                .isLessThan(8000);
         up.reset();
         Fleet.until("the upstream is used again", 8000, CallersTest::usable);
     }
@@ -399,8 +488,9 @@
         up.manner = (c, out) -> {
             if (elsewhere[0] < 0 || c.wire() == elsewhere[0]) {
                 elsewhere[0] = c.wire();
-                out.write("HTTP/1.1 421 Misdirected\r\nSpokestall-Ask-Id: " + c.header("Spokestall-Ask-Id")
-                        + "\r\nSpokestall-Instance: another\r\nSpokestall-Outcome: not-run\r\nContent-Length: 0\r\n\r\n");
+                out.write(
+                        "HTTP/1.1 421 Misdirected\r\nSpokestall-Ask-Id: " + c.header("Spokestall-Ask-Id")
+                                + "\r\nSpokestall-Instance: another\r\nSpokestall-Outcome: not-run\r\nContent-Length: 0\r\n\r\n");
             } else {
                 RawUpstream.well(c, out);
             }
@@ -418,24 +508,57 @@
 
     @Test
     void aWithdrawnKeyStopsOnAnOpenWireWithAsksPipelinedAndInMidBody() throws Exception {
-        final ObjectNode params = JSON.createObjectNode().put("changeId", "add-gone").put("cell", "cell")
-                .put("tenant", "two").put("keyId", "gone").put("key", "key-gone-0001");
+        final ObjectNode params = JSON.createObjectNode()
+                .put("changeId", "add-gone")
+                .put("cell", "cell")
+                .put("tenant", "two")
+                .put("keyId", "gone")
+                .put("key", "key-gone-0001");
         final String core = fleet.members().get("d1-core").operators;
-        params.put("base", fleet.call(core, "policy.get", JSON.createObjectNode()).path("result").path("version").asLong());
-        final long added = fleet.call(core, "key.add", params).path("result").path("version").asLong();
-        Fleet.until("the key is in force", 5000, () -> fleet.status(fleet.members().get("d1-edge")).path("version")
-                .asLong() >= added);
-        try (RawCaller open = new RawCaller(edge); RawCaller half = new RawCaller(edge)) {
+        params.put(
+                "base",
+                fleet.call(core, "policy.get", JSON.createObjectNode())
+                        .path("result")
+                        .path("version")
+                        .asLong());
+        final long added = fleet.call(core, "key.add", params)
+                .path("result")
+                .path("version")
+                .asLong();
+        Fleet.until(
+                "the key is in force",
+                5000,
+                () -> fleet.status(fleet.members().get("d1-edge"))
+                                .path("version")
+                                .asLong()
+                        >= added);
+        try (RawCaller open = new RawCaller(edge);
+                RawCaller half = new RawCaller(edge)) {
             open.send(RawCaller.head("GET", "/transfers/a", "key-gone-0001", RawCaller.freshId()) + "\r\n");
             assertThat(open.got().status()).isEqualTo(200);
-            half.send(RawCaller.head("POST", "/transfers/a", "key-gone-0001", RawCaller.freshId()).replace("4000", "20000")
+            half.send(RawCaller.head("POST", "/transfers/a", "key-gone-0001", RawCaller.freshId())
+                            .replace("4000", "20000")
                     + "Content-Length: 4\r\n\r\nab");
-            Fleet.until("the half is in", 5000, () -> fleet.status(fleet.members().get("d1-edge")).path("open").asInt() == 1);
+            Fleet.until(
+                    "the half is in",
+                    5000,
+                    () -> fleet.status(fleet.members().get("d1-edge"))
+                                    .path("open")
+                                    .asInt()
+                            == 1);
             params.put("changeId", "take-gone").put("base", added).remove("key");
-            final long taken = fleet.call(core, "key.withdraw", params).path("result").path("version").asLong();
+            final long taken = fleet.call(core, "key.withdraw", params)
+                    .path("result")
+                    .path("version")
+                    .asLong();
             assertThat(taken).isGreaterThan(added);
-            Fleet.until("the withdrawal is in force", 5000, () -> fleet.status(fleet.members().get("d1-edge"))
-                    .path("version").asLong() >= taken);
+            Fleet.until(
+                    "the withdrawal is in force",
+                    5000,
+                    () -> fleet.status(fleet.members().get("d1-edge"))
+                                    .path("version")
+                                    .asLong()
+                            >= taken);
             up.came.clear();
             half.send("cd");
             assertThat(half.got().code()).isEqualTo("2002");
