--- a/proof/src/test/java/spokestall/proof/FleetTest.java
+++ b/proof/src/test/java/spokestall/proof/FleetTest.java
@@ -3,12 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.nimbusds.jose.jwk.ECKey;
 import java.io.ByteArrayInputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import com.nimbusds.jose.jwk.ECKey;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -40,27 +40,46 @@
                 final JsonNode s = fleet.status(fleet.members().get("d2-core"));
                 return s.path("voter").asText().equals("VOTING");
             });
-            Fleet.until("a window is reported", 20_000, () -> !fleet.ledger().reported().isEmpty());
+            Fleet.until(
+                    "a window is reported",
+                    20_000,
+                    () -> !fleet.ledger().reported().isEmpty());
             final FleetJudge judge = new FleetJudge(fleet);
             judge.end();
-            judge.judge().tallies().forEach((rule, t) -> assertThat(t.broken).as(rule + " " + t.first).isZero());
+            judge.judge()
+                    .tallies()
+                    .forEach((rule, t) ->
+                            assertThat(t.broken).as(rule + " " + t.first).isZero());
             assertThat(judge.judge().tallies().get(Rule.ONCE).checks).isPositive();
-            final HttpResponse<String> tooLarge = HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create(
-                    "http://" + fleet.members().get("d1-edge").http + "/transfers/status")).header("Spokestall-Key",
-                    Deployment.key(0)).header("Spokestall-Ask-Id", "big").header("Spokestall-Deadline-Ms", "5000")
-                    .POST(HttpRequest.BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(new byte[100_000])))
-                    .build(), HttpResponse.BodyHandlers.ofString());
+            final HttpResponse<String> tooLarge = HttpClient.newHttpClient()
+                    .send(
+                            HttpRequest.newBuilder(URI.create(
+                                            "http://" + fleet.members().get("d1-edge").http + "/transfers/status"))
+                                    .header("Spokestall-Key", Deployment.key(0))
+                                    .header("Spokestall-Ask-Id", "big")
+                                    .header("Spokestall-Deadline-Ms", "5000")
+                                    .POST(HttpRequest.BodyPublishers.ofInputStream(
+                                            () -> new ByteArrayInputStream(new byte[100_000])))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString());
             assertThat(tooLarge.statusCode()).isEqualTo(413);
             assertThat(tooLarge.headers().firstValue("Spokestall-Code")).contains("2007");
             assertThat(fleet.stopAll()).as("stopped cleanly").isTrue();
             final Path audit = folder.resolve("d1-core").resolve("audit");
-            final List<String> lines = Files.readAllLines(AuditFiles.files(audit).get(0));
+            final List<String> lines =
+                    Files.readAllLines(AuditFiles.files(audit).get(0));
             final ECKey key = ECKey.parse(Files.readString(audit.resolve("public.jwk")));
             assertThat(Chain.check(key, lines, true)).isInstanceOf(Chain.Verdict.Good.class);
-            assertThat(lines.stream().map(l -> new String(Base64.getUrlDecoder().decode(l.split("\\.")[1]),
-                    StandardCharsets.UTF_8)).toList()).as("all kinds of decisions").anyMatch(l -> l.contains("\"voters\""))
-                    .anyMatch(l -> l.contains("\"first-policy\"")).anyMatch(l -> l.contains("\"lease\""))
-                    .anyMatch(l -> l.contains("\"keys\"")).anyMatch(l -> l.contains("\"window\""));
+            assertThat(lines.stream()
+                            .map(l -> new String(
+                                    Base64.getUrlDecoder().decode(l.split("\\.")[1]), StandardCharsets.UTF_8))
+                            .toList())
+                    .as("all kinds of decisions")
+                    .anyMatch(l -> l.contains("\"voters\""))
+                    .anyMatch(l -> l.contains("\"first-policy\""))
+                    .anyMatch(l -> l.contains("\"lease\""))
+                    .anyMatch(l -> l.contains("\"keys\""))
+                    .anyMatch(l -> l.contains("\"window\""));
         }
     }
 }
--- a/proof/src/test/java/spokestall/proof/PlantTest.java
+++ b/proof/src/test/java/spokestall/proof/PlantTest.java
@@ -16,8 +16,7 @@
 
 /** A judge that can't find anything is worth nothing: with a fault planted, each rule must be seen to break. */
 class PlantTest {
-    private record Case(Rule rule, Plant plant, Scenario scenario, long seeds) {
-    }
+    private record Case(Rule rule, Plant plant, Scenario scenario, long seeds) {}
 
     private static final List<Case> CASES = List.of(
             new Case(Rule.ONCE, Plant.LYING_DISK, Scenario.RESTART_ALL, 1),
@@ -42,8 +41,8 @@
     @Test
     void eachRuleIsSeenToBreakUnderItsPlantedFault() throws Exception {
         Logger.getLogger("").setLevel(Level.OFF);
-        final ExecutorService pool = Executors.newFixedThreadPool(Math.max(2,
-                Runtime.getRuntime().availableProcessors() - 1));
+        final ExecutorService pool =
+                Executors.newFixedThreadPool(Math.max(2, Runtime.getRuntime().availableProcessors() - 1));
         final List<Future<Set<Rule>>> runs = new ArrayList<>();
         final List<Case> of = new ArrayList<>();
         for (final Case c : CASES) {
@@ -52,11 +51,13 @@
                 of.add(c);
                 runs.add(pool.submit(() -> {
                     final Set<Rule> broken = EnumSet.noneOf(Rule.class);
-                    Sweep.one(s, Deployment.PADMA, c.scenario, c.plant).tallies().forEach((rule, t) -> {
-                        if (t.broken > 0) {
-                            broken.add(rule);
-                        }
-                    });
+                    Sweep.one(s, Deployment.PADMA, c.scenario, c.plant)
+                            .tallies()
+                            .forEach((rule, t) -> {
+                                if (t.broken > 0) {
+                                    broken.add(rule);
+                                }
+                            });
                     return broken;
                 }));
             }
--- a/proof/src/test/java/spokestall/proof/RawCaller.java
+++ b/proof/src/test/java/spokestall/proof/RawCaller.java
@@ -20,8 +20,10 @@
 
         List<String> all(final String name) {
             final String start = name.toLowerCase(Locale.ROOT) + ":";
-            return headers.stream().filter(h -> h.toLowerCase(Locale.ROOT).startsWith(start))
-                    .map(h -> h.substring(start.length()).trim()).toList();
+            return headers.stream()
+                    .filter(h -> h.toLowerCase(Locale.ROOT).startsWith(start))
+                    .map(h -> h.substring(start.length()).trim())
+                    .toList();
         }
 
         String code() {
--- a/proof/src/test/java/spokestall/proof/ScaleTest.java
+++ b/proof/src/test/java/spokestall/proof/ScaleTest.java
@@ -38,15 +38,23 @@
                 assertThat(run.whole()).isTrue();
                 assertThat(run.readyMs()).as("came up").isPositive();
                 digests[i] = run.digest();
-                run.judge.judge.tallies().forEach((rule, t) -> assertThat(t.broken).as(rule + " " + t.first).isZero());
+                run.judge
+                        .judge
+                        .tallies()
+                        .forEach((rule, t) ->
+                                assertThat(t.broken).as(rule + " " + t.first).isZero());
                 assertThat(run.judge.judge.tallies().get(Rule.POLICY).checks).isPositive();
-                assertThat(run.judge.judge.tallies().get(Rule.SAME_COUNTS).checks).isPositive();
+                assertThat(run.judge.judge.tallies().get(Rule.SAME_COUNTS).checks)
+                        .isPositive();
                 assertThat(run.judge.judge.tallies().get(Rule.KEY).checks).isPositive();
-                assertThat(run.judge.judge.tallies().get(Rule.IN_TIME).checks).as("windows counted as asked").isPositive();
+                assertThat(run.judge.judge.tallies().get(Rule.IN_TIME).checks)
+                        .as("windows counted as asked")
+                        .isPositive();
                 assertThat(run.nodes).filteredOn(n -> !n.core).allMatch(n -> !n.counted.isEmpty());
                 final List<Figure> figures = ScaleFigures.of(run, 0);
-                assertThat(figures).as("what a core answers to followers").anyMatch(f -> f.name().equals(
-                        "CALM.core.bytesOut.FeedBack.REGIONS") && f.value() > 0);
+                assertThat(figures)
+                        .as("what a core answers to followers")
+                        .anyMatch(f -> f.name().equals("CALM.core.bytesOut.FeedBack.REGIONS") && f.value() > 0);
                 assertThat(figures).anyMatch(f -> f.name().equals("CALM.fleet.inForceAllMsMax") && f.value() > 0);
                 assertThat(figures).anyMatch(f -> f.name().equals("CALM.edge.proofMsP99") && f.value() < 1000);
             }
@@ -74,7 +82,8 @@
         assertThat(Main.scale(new String[] {"--by", "hope"})).isEqualTo(2);
         assertThat(Main.scale(new String[] {"--set", "probes"})).isEqualTo(2);
         assertThat(Main.scale(new String[] {"--set", "prob=0"})).isEqualTo(2);
-        assertThat(Main.scale(new String[] {"--set", "proofMs=500", "--set", "freshMs=100"})).isEqualTo(2);
+        assertThat(Main.scale(new String[] {"--set", "proofMs=500", "--set", "freshMs=100"}))
+                .isEqualTo(2);
         assertThat(Main.scale(new String[] {"--set", "edges=3"})).isEqualTo(2);
     }
 
@@ -95,7 +104,8 @@
     @Test
     void aLineIsFoundThroughWhatGrowsByTheSizeAndASquareThroughWhatGrowsByItsSquare() {
         final double[] x = {12, 48, 120};
-        assertThat(ScaleFit.best(x, new double[] {34, 106, 250}).at(640)).isCloseTo(1290, org.assertj.core.data.Offset.offset(1.0));
+        assertThat(ScaleFit.best(x, new double[] {34, 106, 250}).at(640))
+                .isCloseTo(1290, org.assertj.core.data.Offset.offset(1.0));
         final ScaleFit.Line square = ScaleFit.best(x, new double[] {144, 2304, 14_400});
         assertThat(square.shape()).isEqualTo(ScaleFit.Shape.SQUARE);
         assertThat(square.at(640)).isCloseTo(409_600, org.assertj.core.data.Offset.offset(1.0));
@@ -105,7 +115,11 @@
     @Test
     void figuresAreReadBackAsTheyWereWritten(@TempDir final Path folder) throws Exception {
         final Path file = folder.resolve("one.jsonl");
-        ScaleFile.write(file, new com.fasterxml.jackson.databind.ObjectMapper().createObjectNode().put("nodes", 12),
+        ScaleFile.write(
+                file,
+                new com.fasterxml.jackson.databind.ObjectMapper()
+                        .createObjectNode()
+                        .put("nodes", 12),
                 List.of(new Figure("CALM", "core", "cpu", Figure.ALL, Figure.ALL, 0.5)));
         assertThat(Files.readAllLines(file)).hasSize(2);
         assertThat(ScaleFile.read(file).figures()).containsEntry("CALM.core.cpu", 0.5);
--- a/proof/src/test/java/spokestall/proof/SimTest.java
+++ b/proof/src/test/java/spokestall/proof/SimTest.java
@@ -23,8 +23,8 @@
 
     @Test
     void noRuleIsBrokenAndServiceComesBackInEveryScenario() throws Exception {
-        final ExecutorService pool = Executors.newFixedThreadPool(Math.max(2,
-                Runtime.getRuntime().availableProcessors() - 1));
+        final ExecutorService pool =
+                Executors.newFixedThreadPool(Math.max(2, Runtime.getRuntime().availableProcessors() - 1));
         final List<Future<Sweep.Outcome>> runs = new ArrayList<>();
         for (final Scenario scenario : Scenario.sweep()) {
             for (final Deployment deployment : Deployment.values()) {
@@ -54,19 +54,24 @@
         }
         pool.shutdown();
         final List<String> known = KnownRed.of("SimTest");
-        final List<String> redStill = known.stream().filter(k -> bad.stream().anyMatch(b -> isThat(b, k))).toList();
+        final List<String> redStill = known.stream()
+                .filter(k -> bad.stream().anyMatch(b -> isThat(b, k)))
+                .toList();
         redStill.forEach(k -> System.out.println("known red: SimTest " + k));
         assertThat(redStill).as("what is mended is taken out of KNOWN-RED.txt").isEqualTo(known);
         bad.removeIf(b -> known.stream().anyMatch(k -> isThat(b, k)));
         assertThat(bad).isEmpty();
-        assertThat(checks).as("every rule was looked at").allSatisfy((rule, n) -> assertThat(n).isPositive());
+        assertThat(checks)
+                .as("every rule was looked at")
+                .allSatisfy((rule, n) -> assertThat(n).isPositive());
     }
 
     /** Whether a broken check is the one that a line names: its rule, scenario, deployment and seed. */
     private static boolean isThat(final String bad, final String line) {
         final String[] words = line.substring(0, line.indexOf(':')).split(" ");
-        return bad.startsWith(words[0] + " ") && bad.endsWith("--scenario " + words[1] + " --deployment " + words[2]
-                + " --seeds " + words[3] + "-" + words[3]);
+        return bad.startsWith(words[0] + " ")
+                && bad.endsWith("--scenario " + words[1] + " --deployment " + words[2] + " --seeds " + words[3] + "-"
+                        + words[3]);
     }
 
     @Test
--- a/proof/src/test/java/spokestall/proof/TrafficTest.java
+++ b/proof/src/test/java/spokestall/proof/TrafficTest.java
@@ -11,8 +11,19 @@
 
 /** What control sends between regions is the dearest thing, so it has bounds. The figures are in measurements.md. */
 class TrafficTest {
-    private static final Map<String, String> SPARING = Map.of("probes", "0", "proofMs", "800", "freshMs", "2000",
-            "countPushMs", "250", "uncountedMs", "0", "listMs", "5000");
+    private static final Map<String, String> SPARING = Map.of(
+            "probes",
+            "0",
+            "proofMs",
+            "800",
+            "freshMs",
+            "2000",
+            "countPushMs",
+            "250",
+            "uncountedMs",
+            "0",
+            "listMs",
+            "5000");
 
     @BeforeAll
     static void quiet() {
@@ -29,7 +40,8 @@
         assertThat(of(rest, "ProofAsk", "ProofBack")).isLessThan(900);
         assertThat(of(rest, "FeedAsk", "FeedBack")).isLessThan(900);
         assertThat(of(rest, "Counts", "CountsHad")).isLessThan(40);
-        assertThat(of(rest, "Prepare", "Promise", "Accept", "Accepted", "Chosen")).isLessThan(350);
+        assertThat(of(rest, "Prepare", "Promise", "Accept", "Accepted", "Chosen"))
+                .isLessThan(350);
         assertThat(of(rest, "Push")).isLessThan(1000);
         assertThat(of(rest, "Shuffle")).isLessThan(600);
         assertThat(rest.get("ProofAsk").bytes() / rest.get("ProofAsk").notes).isLessThan(60);
@@ -43,7 +55,8 @@
     void withAsksCountsAreSmall() {
         final Map<String, Traffic.Sum> asks = Traffic.of(1, Deployment.PADMA, true, Map.of());
         assertThat(of(asks, "Counts", "CountsHad")).isLessThan(3500);
-        assertThat(of(asks, "ProofAsk", "ProofBack", "FeedAsk", "FeedBack", "Push", "Shuffle")).isLessThan(3400);
+        assertThat(of(asks, "ProofAsk", "ProofBack", "FeedAsk", "FeedBack", "Push", "Shuffle"))
+                .isLessThan(3400);
         final Map<String, Traffic.Sum> sparing = Traffic.of(1, Deployment.PADMA, true, SPARING);
         assertThat(of(sparing, "Counts", "CountsHad")).isLessThan(1200);
     }
@@ -73,7 +86,10 @@
         final int[] found = {0};
         for (final SimNode node : world.nodes.values()) {
             if (!node.name.equals(name)) {
-                world.call(node, "status", JsonNodeFactory.instance.objectNode(),
+                world.call(
+                        node,
+                        "status",
+                        JsonNodeFactory.instance.objectNode(),
                         reply -> found[0] += reply.fields().path("nodes").has(name) ? 1 : 0);
             }
         }
--- a/spokestall/src/main/java/spokestall/AuditCheck.java
+++ b/spokestall/src/main/java/spokestall/AuditCheck.java
@@ -19,16 +19,25 @@
 final class AuditCheck {
     /** The flags. */
     static final class Flags {
-        @Option(name = "--check", required = true, metaVar = "FILE", usage = "an audit file, or a folder of them in their order")
+        @Option(
+                name = "--check",
+                required = true,
+                metaVar = "FILE",
+                usage = "an audit file, or a folder of them in their order")
         private Path file;
-        @Option(name = "--key", required = true, metaVar = "FILE", usage = "the core's public key, as public.jwk; keep a copy elsewhere")
+
+        @Option(
+                name = "--key",
+                required = true,
+                metaVar = "FILE",
+                usage = "the core's public key, as public.jwk; keep a copy elsewhere")
         private Path key;
+
         @Option(name = "--help", help = true, usage = "this page")
         private boolean help;
     }
 
-    private AuditCheck() {
-    }
+    private AuditCheck() {}
 
     static int run(final String[] args) {
         final Flags flags = new Flags();
@@ -49,7 +58,8 @@
             for (final Path path : Files.isDirectory(flags.file) ? AuditFiles.files(flags.file) : List.of(flags.file)) {
                 text.append(Files.readString(path, StandardCharsets.ISO_8859_1));
             }
-            return verdict(Chain.check(key, lines(text.toString()), text.length() == 0 || text.charAt(text.length() - 1) == '\n'));
+            return verdict(Chain.check(
+                    key, lines(text.toString()), text.length() == 0 || text.charAt(text.length() - 1) == '\n'));
         } catch (final IOException | ParseException e) {
             System.err.println("can't be checked: " + e.toString().split("\n")[0]);
             return 2;
@@ -65,7 +75,8 @@
     }
 
     private static int verdict(final Chain.Verdict verdict) {
-        System.out.println("audit=" + verdict.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT) + " " + verdict);
+        System.out.println(
+                "audit=" + verdict.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT) + " " + verdict);
         return verdict instanceof Chain.Verdict.Good ? 0 : verdict instanceof Chain.Verdict.Torn ? 3 : 1;
     }
 }
--- a/spokestall/src/main/java/spokestall/Demand.java
+++ b/spokestall/src/main/java/spokestall/Demand.java
@@ -42,33 +42,43 @@
     static final class Flags {
         @Option(name = "--to", required = true, metaVar = "IP:PORT,...", usage = "nodes to ask where to go")
         private String to;
+
         @Option(name = "--plan", required = true, metaVar = "FILE", usage = "JSON list of {key, path, runOnce, weight}")
         private Path plan;
+
         @Option(name = "--rate", usage = "asks a second")
         private double rate = 200;
+
         @Option(name = "--seconds", usage = "how long")
         private int seconds = 20;
+
         @Option(name = "--clients", usage = "how many clients ask in turn")
         private int clients = 200;
+
         @Option(name = "--deadlineMs", usage = "each ask's span")
         private long deadlineMs = 5000;
+
         @Option(name = "--least", usage = "share of asks that must run for a good verdict")
         private double least = 0.99;
+
         @Option(name = "--seed", usage = "seed of the order of asks")
         private long seed = 1;
-        @Option(name = "--echo", usage = "answers are JSON whose answerTo must be the ask's id; any other is a bad verdict")
+
+        @Option(
+                name = "--echo",
+                usage = "answers are JSON whose answerTo must be the ask's id; any other is a bad verdict")
         private boolean echo;
+
         @Option(name = "--record", metaVar = "FILE", usage = "writes a line for each answer: id, outcome, code, time")
         private Path record;
+
         @Option(name = "--help", help = true, usage = "this page")
         private boolean help;
     }
 
-    private record Kind(String key, String path, boolean runOnce, int weight) {
-    }
+    private record Kind(String key, String path, boolean runOnce, int weight) {}
 
-    private record Place(List<String> edges, String ticket, long untilMs) {
-    }
+    private record Place(List<String> edges, String ticket, long untilMs) {}
 
     private final Flags flags;
     private final HttpClient client = client(4);
@@ -89,15 +99,21 @@
         this.left = new CountDownLatch(total);
         for (final JsonNode k : Book.JSON.readTree(flags.plan.toFile())) {
             for (int i = 0; i < k.path("weight").asInt(1); i++) {
-                kinds.add(new Kind(k.path("key").asText(), k.path("path").asText(), k.path("runOnce").asBoolean(), 1));
+                kinds.add(new Kind(
+                        k.path("key").asText(),
+                        k.path("path").asText(),
+                        k.path("runOnce").asBoolean(),
+                        1));
             }
         }
     }
 
     static HttpClient client(final int threads) {
         try {
-            return new HttpClient(Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, threads)),
-                    new DefaultByteBufferPool(true, 16 << 10), 1000);
+            return new HttpClient(
+                    Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, threads)),
+                    new DefaultByteBufferPool(true, 16 << 10),
+                    1000);
         } catch (final IOException e) {
             throw new IllegalStateException(e);
         }
@@ -137,7 +153,9 @@
             final Kind kind = kinds.get(random.nextInt(kinds.size()));
             final String who = "client-" + random.nextInt(flags.clients);
             final String askId = run + "-" + i;
-            timer.schedule(() -> ask(timer, kind, who, askId, 0, nowMs()), (long) (i * 1000 / flags.rate),
+            timer.schedule(
+                    () -> ask(timer, kind, who, askId, 0, nowMs()),
+                    (long) (i * 1000 / flags.rate),
                     TimeUnit.MILLISECONDS);
         }
         left.await(flags.seconds * 1000L + 4 * flags.deadlineMs, TimeUnit.MILLISECONDS);
@@ -152,8 +170,13 @@
         return System.nanoTime() / 1_000_000;
     }
 
-    private void ask(final ScheduledExecutorService timer, final Kind kind, final String who, final String askId,
-            final int turn, final long begunMs) {
+    private void ask(
+            final ScheduledExecutorService timer,
+            final Kind kind,
+            final String who,
+            final String askId,
+            final int turn,
+            final long begunMs) {
         final String place = who + "/" + kind.key;
         final Place known = places.get(place);
         if (known != null && nowMs() < known.untilMs) {
@@ -162,9 +185,18 @@
         }
         final String[] nodes = flags.to.split(",");
         final String node = nodes[Math.floorMod(askId.hashCode() + turn, nodes.length)];
-        final ObjectNode params = Book.JSON.createObjectNode().put("client", who).put("key", kind.key);
-        client.call(HttpCall.plain(node, "POST", "/rpc/where", Map.of("Content-Type", "application/json"),
-                params.toString().getBytes(StandardCharsets.UTF_8), 1000, ANSWER_MAX), r -> {
+        final ObjectNode params =
+                Book.JSON.createObjectNode().put("client", who).put("key", kind.key);
+        client.call(
+                HttpCall.plain(
+                        node,
+                        "POST",
+                        "/rpc/where",
+                        Map.of("Content-Type", "application/json"),
+                        params.toString().getBytes(StandardCharsets.UTF_8),
+                        1000,
+                        ANSWER_MAX),
+                r -> {
                     final Place found = place(r);
                     if (found != null) {
                         places.put(place, found);
@@ -181,7 +213,10 @@
                 final JsonNode r = Book.JSON.readTree(whole.body()).path("result");
                 final List<String> edges = new ArrayList<>();
                 r.path("edges").forEach(e -> edges.add(e.path("address").asText()));
-                return new Place(edges, r.path("ticket").asText(), nowMs() + r.path("forMs").asLong());
+                return new Place(
+                        edges,
+                        r.path("ticket").asText(),
+                        nowMs() + r.path("forMs").asLong());
             }
         } catch (final IOException e) {
             return null;
@@ -189,8 +224,14 @@
         return null;
     }
 
-    private void send(final ScheduledExecutorService timer, final Kind kind, final String who, final String askId,
-            final int turn, final long begunMs, final Place place) {
+    private void send(
+            final ScheduledExecutorService timer,
+            final Kind kind,
+            final String who,
+            final String askId,
+            final int turn,
+            final long begunMs,
+            final Place place) {
         final long spanMs = flags.deadlineMs - (nowMs() - begunMs);
         if (spanMs <= 0) {
             end("out-of-time", begunMs, null);
@@ -203,15 +244,20 @@
         final String name = kind.runOnce ? named.computeIfAbsent(askId, a -> place.ticket + "." + a) : askId;
         headers.put("Spokestall-Ask-Id", name);
         headers.put("Spokestall-Deadline-Ms", Long.toString(spanMs));
-        final byte[] body = kind.runOnce ? ("{\"do\":\"" + askId + "\"}").getBytes(StandardCharsets.UTF_8) : new byte[0];
-        client.call(HttpCall.plain(edge, kind.runOnce ? "POST" : "GET", kind.path, headers, body, spanMs + 500, ANSWER_MAX), r -> {
+        final byte[] body =
+                kind.runOnce ? ("{\"do\":\"" + askId + "\"}").getBytes(StandardCharsets.UTF_8) : new byte[0];
+        client.call(
+                HttpCall.plain(edge, kind.runOnce ? "POST" : "GET", kind.path, headers, body, spanMs + 500, ANSWER_MAX),
+                r -> {
                     if (r instanceof HttpResult.Whole whole) {
                         final String outcome = whole.header("Spokestall-Outcome");
                         if (flags.record != null) {
                             recorded.add(name + " " + outcome + " " + whole.header("Spokestall-Code") + " "
                                     + System.currentTimeMillis());
                         }
-                        if ("ran".equals(outcome) && flags.echo && whole.status() == 200
+                        if ("ran".equals(outcome)
+                                && flags.echo
+                                && whole.status() == 200
                                 && !echoes(whole.body(), name)) {
                             end(WRONG, begunMs, edge);
                             return;
@@ -224,7 +270,14 @@
                         places.remove(who + "/" + kind.key);
                         if ("not-run".equals(outcome) || !kind.runOnce) {
                             final String after = whole.header("Retry-After");
-                            later(timer, kind, who, askId, turn, begunMs, outcome + "-" + code,
+                            later(
+                                    timer,
+                                    kind,
+                                    who,
+                                    askId,
+                                    turn,
+                                    begunMs,
+                                    outcome + "-" + code,
                                     after == null ? 100 : 1000 * Long.parseLong(after));
                         } else {
                             end(outcome + "-" + code, begunMs, edge);
@@ -247,8 +300,15 @@
         }
     }
 
-    private void later(final ScheduledExecutorService timer, final Kind kind, final String who, final String askId,
-            final int turn, final long begunMs, final String why, final long waitMs) {
+    private void later(
+            final ScheduledExecutorService timer,
+            final Kind kind,
+            final String who,
+            final String askId,
+            final int turn,
+            final long begunMs,
+            final String why,
+            final long waitMs) {
         if (turn >= 4 || nowMs() + waitMs - begunMs >= flags.deadlineMs || timer.isShutdown()) {
             end(why, begunMs, null);
             return;
--- a/spokestall/src/main/java/spokestall/Desk.java
+++ b/spokestall/src/main/java/spokestall/Desk.java
@@ -34,8 +34,11 @@
     void open() {
         node.calls.on("where", this::where);
         node.calls.on("policy.get", (p, done) -> {
-            final ObjectNode out = Book.JSON.createObjectNode().put("version", node.book.policy().version());
-            out.put("ageMs", node.follower.ageMs()).set("policy", node.book.policy().tree());
+            final ObjectNode out = Book.JSON
+                    .createObjectNode()
+                    .put("version", node.book.policy().version());
+            out.put("ageMs", node.follower.ageMs())
+                    .set("policy", node.book.policy().tree());
             done.accept(Reply.of(Result.OK, out));
         });
         node.calls.on("status", (p, done) -> done.accept(Reply.of(Result.OK, status())));
@@ -44,11 +47,23 @@
         if (node.core) {
             node.calls.on("policy.put", (p, done) -> change(Change.Kind.PUT, p, p.get("policy"), done));
             node.calls.on("policy.patch", (p, done) -> change(Change.Kind.PATCH, p, p.get("patch"), done));
-            node.calls.on("key.add", (p, done) -> key(p, Book.JSON.createObjectNode()
-                    .put("sha256", KeyHash.of(p.get("key").asText())), done));
+            node.calls.on(
+                    "key.add",
+                    (p, done) -> key(
+                            p,
+                            Book.JSON
+                                    .createObjectNode()
+                                    .put("sha256", KeyHash.of(p.get("key").asText())),
+                            done));
             node.calls.on("key.withdraw", (p, done) -> key(p, Book.JSON.nullNode(), done));
-            node.calls.on("hold.set", (p, done) -> hold(p, Book.JSON.createObjectNode()
-                    .put("reason", p.path("reason").asText("")), done));
+            node.calls.on(
+                    "hold.set",
+                    (p, done) -> hold(
+                            p,
+                            Book.JSON
+                                    .createObjectNode()
+                                    .put("reason", p.path("reason").asText("")),
+                            done));
             node.calls.on("audit.get", (p, done) -> {
                 final ObjectNode newest = node.audit.newest(p.path("most").asInt(50));
                 done.accept(newest == null ? Reply.of(Result.NOT_FOUND, null) : Reply.of(Result.OK, newest));
@@ -65,15 +80,29 @@
         final String cell = p.get("cell").asText();
         final String tenant = p.get("tenant").asText();
         final String keyId = p.get("keyId").asText();
-        final JsonNode keys = node.book.policy().tree().path("cells").path(cell).path("tenants").path(tenant);
+        final JsonNode keys = node.book
+                .policy()
+                .tree()
+                .path("cells")
+                .path(cell)
+                .path("tenants")
+                .path(tenant);
         final boolean known = node.book.versionOf(p.get("changeId").asText()) != null;
-        if (!known && (keys.isMissingNode() || value.isNull() && !keys.path("keys").has(keyId))) {
-            done.accept(Reply.of(Result.NOT_FOUND, Book.JSON.createObjectNode()
-                    .put("current", node.book.policy().version())));
+        if (!known
+                && (keys.isMissingNode() || value.isNull() && !keys.path("keys").has(keyId))) {
+            done.accept(Reply.of(
+                    Result.NOT_FOUND,
+                    Book.JSON
+                            .createObjectNode()
+                            .put("current", node.book.policy().version())));
             return;
         }
         final ObjectNode patch = Book.JSON.createObjectNode();
-        patch.putObject("cells").putObject(cell).putObject("tenants").putObject(tenant).putObject("keys")
+        patch.putObject("cells")
+                .putObject(cell)
+                .putObject("tenants")
+                .putObject(tenant)
+                .putObject("keys")
                 .set(keyId, value);
         change(Change.Kind.PATCH, p, patch, done);
     }
@@ -89,20 +118,27 @@
             done.accept(Reply.of(Result.NOT_FRESH, null));
             return;
         }
-        final Tenant tenant = node.book.policy().tenantOf(KeyHash.of(p.get("key").asText()));
+        final Tenant tenant =
+                node.book.policy().tenantOf(KeyHash.of(p.get("key").asText()));
         if (tenant == null) {
             done.accept(Reply.of(Result.BAD_KEY, null));
             return;
         }
-        final List<Member> found = Where.elect(p.get("client").asText(), node.edgesForClients(), tenant.homeRegions(),
-                node.book.policy().holds(), 2);
+        final List<Member> found = Where.elect(
+                p.get("client").asText(),
+                node.edgesForClients(),
+                tenant.homeRegions(),
+                node.book.policy().holds(),
+                2);
         if (found.isEmpty()) {
             done.accept(Reply.of(Result.NO_UPSTREAM, null));
             return;
         }
         final ObjectNode out = Book.JSON.createObjectNode();
         final ArrayNode list = out.putArray("edges");
-        found.forEach(m -> list.addObject().put("name", m.name()).put("address", m.httpAddress())
+        found.forEach(m -> list.addObject()
+                .put("name", m.name())
+                .put("address", m.httpAddress())
                 .put("region", m.region()));
         out.put("forMs", node.settings.part("leaveBoundMs", 0.4));
         out.put("ticket", new Ticket(node.voters().generation(), node.fleet.nowMs()).text());
@@ -113,14 +149,20 @@
         node.proposer.read(Sealed.key(p.get("window").asLong()), node.settings.ms("policyBoundMs"), outcome -> {
             if (outcome instanceof Outcome.Done d && d.value() != null) {
                 final Sealed sealed = Codec.record(d.value(), Sealed.class);
-                final ObjectNode out = Book.JSON.createObjectNode().put("window", sealed.window())
-                        .put("completed", sealed.completed()).put("token", sealed.token());
+                final ObjectNode out = Book.JSON
+                        .createObjectNode()
+                        .put("window", sealed.window())
+                        .put("completed", sealed.completed())
+                        .put("token", sealed.token());
                 final ObjectNode counts = out.putObject("counts");
                 sealed.counts().forEach(counts::put);
                 done.accept(Reply.of(Result.OK, out));
             } else {
-                done.accept(Reply.of(outcome instanceof Outcome.Done || outcome instanceof Outcome.Gone
-                        ? Result.NOT_FOUND : Result.NOT_READY, null));
+                done.accept(Reply.of(
+                        outcome instanceof Outcome.Done || outcome instanceof Outcome.Gone
+                                ? Result.NOT_FOUND
+                                : Result.NOT_READY,
+                        null));
             }
         });
     }
@@ -130,8 +172,13 @@
         final ArrayNode list = out.putArray("upstreams");
         for (final Listed l : node.listing.listed()) {
             final Report word = node.listing.word(l.instance(), node.fleet.nowMs());
-            list.addObject().put("instance", l.instance()).put("service", l.service()).put("address", l.address())
-                    .put("district", l.district()).put("listed", l.present()).put("leaving", l.leaving())
+            list.addObject()
+                    .put("instance", l.instance())
+                    .put("service", l.service())
+                    .put("address", l.address())
+                    .put("district", l.district())
+                    .put("listed", l.present())
+                    .put("leaving", l.leaving())
                     .put("status", word == null ? "UNKNOWN" : word.status().name());
         }
         return out;
@@ -140,30 +187,46 @@
     private ObjectNode status() {
         final ObjectNode out = Book.JSON.createObjectNode();
         out.put("node", node.name).put("role", node.core ? "core" : "edge").put("fleetMs", node.fleet.nowMs());
-        out.put("version", node.book.policy().version()).put("proofAgeMs", node.follower.ageMs())
+        out.put("version", node.book.policy().version())
+                .put("proofAgeMs", node.follower.ageMs())
                 .put("fresh", node.follower.fresh());
         final ObjectNode nodes = out.putObject("nodes");
         for (final Member m : node.view.members()) {
-            nodes.putObject(m.name()).put("role", m.core() ? "core" : "edge").put("address", m.address())
-                    .put("http", m.httpAddress()).put("district", m.district()).put("leaving", m.leaving())
+            nodes.putObject(m.name())
+                    .put("role", m.core() ? "core" : "edge")
+                    .put("address", m.address())
+                    .put("http", m.httpAddress())
+                    .put("district", m.district())
+                    .put("leaving", m.leaving())
                     .put("heardMs", node.fleet.nowMs() - m.heardMs());
         }
         node.differing().forEach(out.putArray("differing")::add);
         if (node.voters() != null) {
-            final ObjectNode table = out.putObject("voters").put("generation", node.voters().generation())
+            final ObjectNode table = out.putObject("voters")
+                    .put("generation", node.voters().generation())
                     .put("epoch", node.voters().epoch());
             for (final Seat s : node.voters().seats()) {
                 final Follower.Word back = node.follower.last().get(s.name());
-                final boolean heard = back != null && node.follower.heardMs(s.name())
-                        < Math.max(node.settings.ms("leaveBoundMs"), node.settings.heardMs());
-                table.putObject(s.name()).put("state", !heard ? "unheard" : back.voting() ? "voting" : "blank")
+                final boolean heard = back != null
+                        && node.follower.heardMs(s.name())
+                                < Math.max(node.settings.ms("leaveBoundMs"), node.settings.heardMs());
+                table.putObject(s.name())
+                        .put("state", !heard ? "unheard" : back.voting() ? "voting" : "blank")
                         .put("applied", heard ? back.applied() : 0);
             }
         }
         final ObjectNode holds = out.putObject("holds");
         for (final String district : node.book.policy().holds()) {
-            final ObjectNode hold = holds.putObject(district).put("reason",
-                    node.book.policy().tree().path("holds").path(district).path("reason").asText());
+            final ObjectNode hold = holds.putObject(district)
+                    .put(
+                            "reason",
+                            node.book
+                                    .policy()
+                                    .tree()
+                                    .path("holds")
+                                    .path(district)
+                                    .path("reason")
+                                    .asText());
             if (node.core) {
                 int open = 0;
                 for (final Feeds.Present p : node.feeds.edges().values()) {
@@ -173,18 +236,27 @@
             }
         }
         if (node.core) {
-            out.put("voter", node.voter.state().name()).put("ring", node.ring.state().name()).put("ringFill", node.ring.fill())
+            out.put("voter", node.voter.state().name())
+                    .put("ring", node.ring.state().name())
+                    .put("ringFill", node.ring.fill())
                     .put("registers", node.voter.registers().size());
-            final ObjectNode duty = out.putObject("duty").put("state", node.keeper.state().name());
+            final ObjectNode duty =
+                    out.putObject("duty").put("state", node.keeper.state().name());
             if (node.keeper.seen() != null) {
-                duty.put("holder", node.keeper.seen().holder()).put("token", node.keeper.seen().token());
+                duty.put("holder", node.keeper.seen().holder())
+                        .put("token", node.keeper.seen().token());
             }
             final ObjectNode kept = out.putObject("hints");
             node.hints.sizes().forEach(kept::put);
             duty.put("lastSealed", node.reporter.lastSealed()).put("missed", node.reporter.missed());
             final ObjectNode present = out.putObject("edges");
-            node.feeds.edges().forEach((n, p) -> present.putObject(n).put("fresh", p.fresh()).put("open", p.open()).put("leaving", p.member().leaving())
-                    .put("heardMs", node.clock.nowMs() - p.heardMs()));
+            node.feeds
+                    .edges()
+                    .forEach((n, p) -> present.putObject(n)
+                            .put("fresh", p.fresh())
+                            .put("open", p.open())
+                            .put("leaving", p.member().leaving())
+                            .put("heardMs", node.clock.nowMs() - p.heardMs()));
         } else {
             out.put("open", node.edge.open()).put("heldBytes", node.edge.heldBytes());
             final ObjectNode told = out.putObject("told");
--- a/spokestall/src/main/java/spokestall/Feeds.java
+++ b/spokestall/src/main/java/spokestall/Feeds.java
@@ -20,13 +20,13 @@
 /** What a core tells those who follow the feed, and what it learns of edges by their asking. */
 final class Feeds {
     /** An edge as it last asked. */
-    record Present(Member member, boolean fresh, int open, long heardMs) {
-    }
+    record Present(Member member, boolean fresh, int open, long heardMs) {}
 
     /** A larger change is fetched, not told to all. */
     private static final int NEWS_BYTES_MAX = 16 << 10;
     /** The version of notes since which what an asker has already can be left out. */
     private static final int TERSE = 3;
+
     private final Node node;
     private final Map<String, Present> edges = new TreeMap<>();
 
@@ -50,8 +50,8 @@
         edges.values().forEach(p -> all.add(p.member().address()));
         final Map<Long, Change> after = node.book.after(version - 1);
         final Change change = after == null ? null : after.get(version);
-        final FeedNote.FeedNews news = new FeedNote.FeedNews(version,
-                change == null || change.json().length > NEWS_BYTES_MAX ? null : Codec.bytes(change));
+        final FeedNote.FeedNews news = new FeedNote.FeedNews(
+                version, change == null || change.json().length > NEWS_BYTES_MAX ? null : Codec.bytes(change));
         all.forEach(to -> node.post.send(to, news));
     }
 
@@ -81,11 +81,27 @@
         final Collection<Member> fresh = freshEdges();
         final long mark = terse ? Marks.of(fresh) : 0;
         final boolean brief = terse && (ask.edgesMark() == mark || !ask.news());
-        node.post.send(ask.from(), new FeedNote.FeedBack(node.name, node.voter.diskId(), ask.askId(), had ? null : table,
-                voting, ready ? applied : 0, newest(), changes, snapshot, brief ? List.of() : List.copyOf(fresh),
-                news ? node.listing.life() : 0, node.listing.place(), news ? node.listing.listedAfter(from) : List.of(),
-                news ? node.listing.reportsAfter(from) : List.of(), table == null ? 0 : table.generation(),
-                table == null ? 0 : table.epoch(), brief, mark));
+        node.post.send(
+                ask.from(),
+                new FeedNote.FeedBack(
+                        node.name,
+                        node.voter.diskId(),
+                        ask.askId(),
+                        had ? null : table,
+                        voting,
+                        ready ? applied : 0,
+                        newest(),
+                        changes,
+                        snapshot,
+                        brief ? List.of() : List.copyOf(fresh),
+                        news ? node.listing.life() : 0,
+                        node.listing.place(),
+                        news ? node.listing.listedAfter(from) : List.of(),
+                        news ? node.listing.reportsAfter(from) : List.of(),
+                        table == null ? 0 : table.generation(),
+                        table == null ? 0 : table.epoch(),
+                        brief,
+                        mark));
     }
 
     /** Answers one who wants a proof alone; one whose table is older gets this one's. */
@@ -96,14 +112,41 @@
         final long applied = ready() ? node.book.policy().version() : 0;
         final boolean stranger = ask.serves() && !present(ask);
         if (table != null && table.newerThan(new Voters(ask.generation(), ask.epoch(), List.of()))) {
-            node.post.send(ask.from(), new FeedNote.FeedBack(node.name, node.voter.diskId(), ask.askId(), table, voting,
-                    applied, newest, List.of(), null, List.of(), 0, 0, List.of(), List.of(), table.generation(),
-                    table.epoch(), true, 0));
+            node.post.send(
+                    ask.from(),
+                    new FeedNote.FeedBack(
+                            node.name,
+                            node.voter.diskId(),
+                            ask.askId(),
+                            table,
+                            voting,
+                            applied,
+                            newest,
+                            List.of(),
+                            null,
+                            List.of(),
+                            0,
+                            0,
+                            List.of(),
+                            List.of(),
+                            table.generation(),
+                            table.epoch(),
+                            true,
+                            0));
             return;
         }
-        node.post.send(ask.from(), new FeedNote.ProofBack(node.name, ask.askId(), table == null ? 0 : table.generation(),
-                table == null ? 0 : table.epoch(), Marks.of(node.voter.diskId()), voting, stranger, newest,
-                newest - applied));
+        node.post.send(
+                ask.from(),
+                new FeedNote.ProofBack(
+                        node.name,
+                        ask.askId(),
+                        table == null ? 0 : table.generation(),
+                        table == null ? 0 : table.epoch(),
+                        Marks.of(node.voter.diskId()),
+                        voting,
+                        stranger,
+                        newest,
+                        newest - applied));
     }
 
     private boolean ready() {
@@ -114,7 +157,8 @@
     private long newest() {
         final long applied = node.book.policy().version();
         return node.voter.state() == Voter.State.VOTING
-                ? Math.max(applied, Versions.newest(node.voter.registers())) : applied;
+                ? Math.max(applied, Versions.newest(node.voter.registers()))
+                : applied;
     }
 
     /** Whether the asker is known, as the same life; then it was heard now. */
@@ -131,8 +175,9 @@
         if (found == null) {
             return false;
         }
-        edges.put(found.name(), new Present(found.at(node.fleet.nowMs(), ask.leaving()), ask.fresh(), ask.open(),
-                node.clock.nowMs()));
+        edges.put(
+                found.name(),
+                new Present(found.at(node.fleet.nowMs(), ask.leaving()), ask.fresh(), ask.open(), node.clock.nowMs()));
         return true;
     }
 
@@ -140,8 +185,7 @@
     Collection<Member> freshEdges() {
         final List<Member> found = new ArrayList<>();
         for (final Present p : edges.values()) {
-            if (p.fresh() && !p.member().leaving()
-                    && node.clock.nowMs() - p.heardMs() <= node.settings.heardMs()) {
+            if (p.fresh() && !p.member().leaving() && node.clock.nowMs() - p.heardMs() <= node.settings.heardMs()) {
                 found.add(p.member());
             }
         }
--- a/spokestall/src/main/java/spokestall/Keeping.java
+++ b/spokestall/src/main/java/spokestall/Keeping.java
@@ -22,8 +22,13 @@
     private final Supplier<Voters> voters;
     private final LongSupplier policyFloor;
 
-    Keeping(final FleetClock fleet, final long claimKeepMs, final long marginMs, final long windowMs,
-            final Supplier<Voters> voters, final LongSupplier policyFloor,
+    Keeping(
+            final FleetClock fleet,
+            final long claimKeepMs,
+            final long marginMs,
+            final long windowMs,
+            final Supplier<Voters> voters,
+            final LongSupplier policyFloor,
             final DoubleSupplier fill) {
         this.fill = fill;
         this.fleet = fleet;
@@ -50,7 +55,8 @@
             return (window + 1) * windowMs + claimKeepMs < fleet.nowMs();
         }
         return key.startsWith("voters/")
-                && !key.equals("voters/" + voters.get().generation() + "/" + (voters.get().epoch() + 1));
+                && !key.equals("voters/" + voters.get().generation() + "/"
+                        + (voters.get().epoch() + 1));
     }
 
     /** Claims come by the thousand; what keeps the fleet itself going must still fit when they don't. */
@@ -71,8 +77,8 @@
     /** Whether a register may be dropped now: nothing that is let in can still refer to it. */
     boolean over(final String key, final byte[] value) {
         if (Claim.isKey(key)) {
-            return value != null && Codec.record(value, Claim.class).claimedMs() + claimKeepMs + marginMs
-                    < fleet.nowMs();
+            return value != null
+                    && Codec.record(value, Claim.class).claimedMs() + claimKeepMs + marginMs < fleet.nowMs();
         }
         return gone(key);
     }
--- a/spokestall/src/main/java/spokestall/Kept.java
+++ b/spokestall/src/main/java/spokestall/Kept.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
-import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import spokestall.ballot.Voter;
--- a/spokestall/src/main/java/spokestall/Main.java
+++ b/spokestall/src/main/java/spokestall/Main.java
@@ -15,17 +15,19 @@
 
 /** The one program; the role is the subcommand. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Flags of the two daemons. */
     static final class DaemonFlags {
         @Option(name = "--settings", metaVar = "FILE", usage = "settings file, a JSON object")
         private Path file;
+
         @Option(name = "--set", metaVar = "KEY=VALUE", usage = "one setting, wins over the file; may come often")
         private List<String> sets = new ArrayList<>();
+
         @Option(name = "--check", usage = "only check the settings")
         private boolean check;
+
         @Option(name = "--help", help = true, usage = "this page")
         private boolean help;
     }
--- a/spokestall/src/main/java/spokestall/Merge.java
+++ b/spokestall/src/main/java/spokestall/Merge.java
@@ -47,8 +47,8 @@
                 entries.add(entry(key, r.value()));
             } else if (key.startsWith("duty/") && !key.equals(FLOOR)) {
                 final Lease l = Codec.record(r.value(), Lease.class);
-                entries.add(entry(key, Codec.bytes(new Lease(l.owner(), l.holder(), l.renewal(), l.token(),
-                        l.spanMs(), false))));
+                entries.add(entry(
+                        key, Codec.bytes(new Lease(l.owner(), l.holder(), l.renewal(), l.token(), l.spanMs(), false))));
             }
         });
         entries.add(entry(FLOOR, Long.toString(fleet.nowMs()).getBytes(StandardCharsets.UTF_8)));
@@ -66,8 +66,8 @@
             if (r.hasState() && r.generation() == base) {
                 for (final BallotNote.Entry e : r.registers()) {
                     if (e.register().value() != null) {
-                        newest.merge(e.key(), e.register(),
-                                (a, b) -> b.accepted().compareTo(a.accepted()) > 0 ? b : a);
+                        newest.merge(
+                                e.key(), e.register(), (a, b) -> b.accepted().compareTo(a.accepted()) > 0 ? b : a);
                     }
                 }
             }
@@ -76,8 +76,8 @@
     }
 
     /** The newest policy anyone has, and on top of it what was accepted after it and may have been acknowledged. */
-    private static byte[] policy(final List<Remains> remains, final TreeMap<String, Register> newest,
-            final long generation) {
+    private static byte[] policy(
+            final List<Remains> remains, final TreeMap<String, Register> newest, final long generation) {
         final Book book = new Book(1);
         for (final Remains r : remains) {
             if (r.policy() != null) {
@@ -87,10 +87,12 @@
         newest.forEach((key, r) -> {
             final long version = Versions.of(key);
             final boolean first = version == (version >> Voters.GENERATION_SHIFT) << Voters.GENERATION_SHIFT;
-            if (version > book.policy().version() && (first || version == book.policy().version() + 1)) {
+            if (version > book.policy().version()
+                    && (first || version == book.policy().version() + 1)) {
                 book.apply(version, Codec.record(r.value(), Change.class));
             }
         });
-        return Codec.bytes(new Change("founding-" + generation, Change.Kind.PUT, book.snapshot().json()));
+        return Codec.bytes(new Change(
+                "founding-" + generation, Change.Kind.PUT, book.snapshot().json()));
     }
 }
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -74,9 +74,15 @@
  */
 public final class Node {
     /** What a node reaches the world by. */
-    public record Rim(Clock clock, Random random, Post post, Segments segments, Prober.Reach reach,
-            Upstreams upstreams, Reporter.Platform platform, Audit audit) {
-    }
+    public record Rim(
+            Clock clock,
+            Random random,
+            Post post,
+            Segments segments,
+            Prober.Reach reach,
+            Upstreams upstreams,
+            Reporter.Platform platform,
+            Audit audit) {}
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String POLICY = "~policy";
@@ -86,6 +92,7 @@
     private static final int POLICY_KEPT_LEAST = 16;
     /** A ring so full keeps fewer of the changes that followers may start from; large ones would fill it. */
     private static final double CROWDED = 0.3;
+
     private static final int HURRIED = 4;
     private static final int WINDOWS_KEPT = 16;
     private static final int HINTS_KEPT = 16_384;
@@ -152,8 +159,12 @@
 
     /** With policies in another form than spokestall's own. Example: {@code new Node(settings, true, rim, form).start();} */
     public Node(final Settings settings, final boolean core, final Rim rim, final PolicyForm other) {
-        this.form = other != null ? other : new OwnForm(new Rules(calls.file().at("/$defs/policy"), settings.regions(),
-                settings.districts().keySet()));
+        this.form = other != null
+                ? other
+                : new OwnForm(new Rules(
+                        calls.file().at("/$defs/policy"),
+                        settings.regions(),
+                        settings.districts().keySet()));
         this.book = new Book(POLICY_KEPT, form);
         this.settings = settings;
         this.core = core;
@@ -173,55 +184,217 @@
         this.windowMs = settings.ms("reportWindowS") * 1000;
         this.usage = new UsageBook(() -> fleet.nowMs() / windowMs, WINDOWS_KEPT);
         this.serves = !core || settings.ms("alsoEdge") == 1;
-        final Member self = new Member(name, address, settings.text("http"), core, settings.text("district"),
-                settings.region(), life, 0, false,
-                (int) settings.ms("cores"), (int) settings.ms("edges"), core && serves);
+        final Member self = new Member(
+                name,
+                address,
+                settings.text("http"),
+                core,
+                settings.text("district"),
+                settings.region(),
+                life,
+                0,
+                false,
+                (int) settings.ms("cores"),
+                (int) settings.ms("edges"),
+                core && serves);
         final long farMs = settings.ms("farMs");
-        this.view = new View(self, settings.seeds(), post, clock, fleet, random, new View.Pace(
-                2 * (told("cores") + told("edges")), 6, settings.part("leaveBoundMs", 4), settings.part("leaveBoundMs", 1)));
+        this.view = new View(
+                self,
+                settings.seeds(),
+                post,
+                clock,
+                fleet,
+                random,
+                new View.Pace(
+                        2 * (told("cores") + told("edges")),
+                        6,
+                        settings.part("leaveBoundMs", 4),
+                        settings.part("leaveBoundMs", 1)));
         this.listing = new Listing(life, 8192, settings.ms("leaveBoundMs"), settings.ms("probes") == 1);
-        this.proposer = new Proposer(name + "#" + Long.toHexString(life), address, post, clock, random,
-                new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64), this::missed);
-        this.follower = new Follower(view::self, book, listing, proposer, post, clock,
-                new Follower.Pace(settings.ms("freshMs"), 32, 3 * settings.ms("proofMs"), core ? 8 : 64,
-                        settings.ms("noteVersion") < 3), this::coreAddresses, this::adopt,
-                this::policyMoved, this::openAsks, this::distance);
+        this.proposer = new Proposer(
+                name + "#" + Long.toHexString(life),
+                address,
+                post,
+                clock,
+                random,
+                new Proposer.Pace(4 * farMs, Math.max(1, farMs / 2), 64),
+                this::missed);
+        this.follower = new Follower(
+                view::self,
+                book,
+                listing,
+                proposer,
+                post,
+                clock,
+                new Follower.Pace(
+                        settings.ms("freshMs"),
+                        32,
+                        3 * settings.ms("proofMs"),
+                        core ? 8 : 64,
+                        settings.ms("noteVersion") < 3),
+                this::coreAddresses,
+                this::adopt,
+                this::policyMoved,
+                this::openAsks,
+                this::distance);
         this.shelf = new Shelf(core ? 16 << 20 : 8 << 20);
-        this.elector = !serves ? null : new Elector(settings.region(), settings.text("district"),
-                s -> listing.ready(s, fleet.nowMs()), clock, fleet, random, new Elector.Pace(this::sharers,
-                settings.number("warmRatio"), settings.number("warmSlack"), settings.part("leaveBoundMs", 0.25),
-                settings.part("leaveBoundMs", 2), settings.number("districtCost"), settings.number("regionCost")));
-        this.counter = !serves ? null : new UsageCounter(name, address, life, new UsageCounter.Pace(windowMs,
-                settings.part("reportDueMs", 0.1), 3, settings.ms("uncountedMs"), (int) settings.ms("cores"), farMs / 2), clock, fleet, post,
-                this::coreAddresses);
+        this.elector = !serves
+                ? null
+                : new Elector(
+                        settings.region(),
+                        settings.text("district"),
+                        s -> listing.ready(s, fleet.nowMs()),
+                        clock,
+                        fleet,
+                        random,
+                        new Elector.Pace(
+                                this::sharers,
+                                settings.number("warmRatio"),
+                                settings.number("warmSlack"),
+                                settings.part("leaveBoundMs", 0.25),
+                                settings.part("leaveBoundMs", 2),
+                                settings.number("districtCost"),
+                                settings.number("regionCost")));
+        this.counter = !serves
+                ? null
+                : new UsageCounter(
+                        name,
+                        address,
+                        life,
+                        new UsageCounter.Pace(
+                                windowMs,
+                                settings.part("reportDueMs", 0.1),
+                                3,
+                                settings.ms("uncountedMs"),
+                                (int) settings.ms("cores"),
+                                farMs / 2),
+                        clock,
+                        fleet,
+                        post,
+                        this::coreAddresses);
         this.edge = serves ? edge(rim) : null;
         this.ring = core ? new Ring(rim.segments()) : null;
-        this.keeping = core ? new Keeping(fleet, settings.ms("claimKeepMs"), settings.part("claimKeepMs", 0.2),
-                windowMs, this::voters, () -> policyFloor, ring::fill) : null;
+        this.keeping = core
+                ? new Keeping(
+                        fleet,
+                        settings.ms("claimKeepMs"),
+                        settings.part("claimKeepMs", 0.2),
+                        windowMs,
+                        this::voters,
+                        () -> policyFloor,
+                        ring::fill)
+                : null;
         this.voter = core ? new Voter(name, ring, post, keeping, freshId()) : null;
-        final boolean first = settings.ms("cores") == 0 && settings.ms("bootstrap") == 1 && (!core || voter.openedBlank());
-        this.council = new Council(address, settings.seeds(), first, post, this::voters, core ? this::marked : Runnable::run);
-        this.founder = core && first ? new Founder(name, address, name + "#" + Long.toHexString(life), settings.seeds(),
-                post, clock, new Founder.Pace(settings.part("leaveBoundMs", 0.5), settings.part("leaveBoundMs", 0.25),
-                8 * farMs), seats -> new Merge(fleet).merge(0, List.of(remains()), seats)) : null;
-        this.formation = core ? new Formation(name, address, name + "#" + Long.toHexString(life), voter, proposer,
-                post, clock, new Formation.Pace((int) settings.ms("cores"), settings.part("leaveBoundMs", 0.6),
-                settings.part("leaveBoundMs", 0.15), settings.part("leaveBoundMs", 0.75), 8 * farMs,
-                settings.part("leaveBoundMs", 0.25), settings.ms("noteVersion") < 3), new Merge(fleet), this::remains,
-                this::coreAndEdgeAddresses, this::otherCoreAddresses, founder, this::freshId, fleet::settled) : null;
-        this.prober = core ? new Prober(self, listing, rim.reach(), post, fleet, new Prober.Pace(
-                settings.part("leaveBoundMs", 0.25), settings.part("leaveBoundMs", 0.5), 2, 2, settings.ms("listMs"),
-                settings.part("leaveBoundMs", 0.25), settings.ms("probes") == 1), this::otherCores, view::members) : null;
-        this.reporter = core ? new Reporter(name, address, usage, proposer, rim.platform(), post, clock, fleet,
-                new Reporter.Pace(windowMs, settings.part("reportDueMs", 0.15), settings.part("reportDueMs", 0.5),
-                        settings.part("reportDueMs", 0.03), settings.ms("reportDueMs"),
-                        settings.part("leaseMs", 0.4), settings.part("leaseMs", 0.4), settings.number("dutiesPerS")),
-                this::coreAddresses, this::floorMs, this::presentLife) : null;
-        this.keeper = core ? new LeaseKeeper("usage_report", name, proposer, clock, random, new LeaseKeeper.Pace(
-                settings.ms("leaseMs"), settings.part("leaseMs", 0.2), settings.part("leaseMs", 0.4),
-                settings.part("leaseMs", 0.1), 2 * farMs, settings.ms("maxRunMs"), settings.ms("restMs")), reporter, this::leaseHere) : null;
-        this.acceptance = new Acceptance(name, book, form, proposer, follower, clock,
-                settings.part("policyBoundMs", 0.8), (int) settings.ms("policyMaxBytes"), feeds::tell);
+        final boolean first =
+                settings.ms("cores") == 0 && settings.ms("bootstrap") == 1 && (!core || voter.openedBlank());
+        this.council =
+                new Council(address, settings.seeds(), first, post, this::voters, core ? this::marked : Runnable::run);
+        this.founder = core && first
+                ? new Founder(
+                        name,
+                        address,
+                        name + "#" + Long.toHexString(life),
+                        settings.seeds(),
+                        post,
+                        clock,
+                        new Founder.Pace(
+                                settings.part("leaveBoundMs", 0.5), settings.part("leaveBoundMs", 0.25), 8 * farMs),
+                        seats -> new Merge(fleet).merge(0, List.of(remains()), seats))
+                : null;
+        this.formation = core
+                ? new Formation(
+                        name,
+                        address,
+                        name + "#" + Long.toHexString(life),
+                        voter,
+                        proposer,
+                        post,
+                        clock,
+                        new Formation.Pace(
+                                (int) settings.ms("cores"),
+                                settings.part("leaveBoundMs", 0.6),
+                                settings.part("leaveBoundMs", 0.15),
+                                settings.part("leaveBoundMs", 0.75),
+                                8 * farMs,
+                                settings.part("leaveBoundMs", 0.25),
+                                settings.ms("noteVersion") < 3),
+                        new Merge(fleet),
+                        this::remains,
+                        this::coreAndEdgeAddresses,
+                        this::otherCoreAddresses,
+                        founder,
+                        this::freshId,
+                        fleet::settled)
+                : null;
+        this.prober = core
+                ? new Prober(
+                        self,
+                        listing,
+                        rim.reach(),
+                        post,
+                        fleet,
+                        new Prober.Pace(
+                                settings.part("leaveBoundMs", 0.25),
+                                settings.part("leaveBoundMs", 0.5),
+                                2,
+                                2,
+                                settings.ms("listMs"),
+                                settings.part("leaveBoundMs", 0.25),
+                                settings.ms("probes") == 1),
+                        this::otherCores,
+                        view::members)
+                : null;
+        this.reporter = core
+                ? new Reporter(
+                        name,
+                        address,
+                        usage,
+                        proposer,
+                        rim.platform(),
+                        post,
+                        clock,
+                        fleet,
+                        new Reporter.Pace(
+                                windowMs,
+                                settings.part("reportDueMs", 0.15),
+                                settings.part("reportDueMs", 0.5),
+                                settings.part("reportDueMs", 0.03),
+                                settings.ms("reportDueMs"),
+                                settings.part("leaseMs", 0.4),
+                                settings.part("leaseMs", 0.4),
+                                settings.number("dutiesPerS")),
+                        this::coreAddresses,
+                        this::floorMs,
+                        this::presentLife)
+                : null;
+        this.keeper = core
+                ? new LeaseKeeper(
+                        "usage_report",
+                        name,
+                        proposer,
+                        clock,
+                        random,
+                        new LeaseKeeper.Pace(
+                                settings.ms("leaseMs"),
+                                settings.part("leaseMs", 0.2),
+                                settings.part("leaseMs", 0.4),
+                                settings.part("leaseMs", 0.1),
+                                2 * farMs,
+                                settings.ms("maxRunMs"),
+                                settings.ms("restMs")),
+                        reporter,
+                        this::leaseHere)
+                : null;
+        this.acceptance = new Acceptance(
+                name,
+                book,
+                form,
+                proposer,
+                follower,
+                clock,
+                settings.part("policyBoundMs", 0.8),
+                (int) settings.ms("policyMaxBytes"),
+                feeds::tell);
         this.audit = rim.audit();
         this.auditor = core ? new Auditor(audit, book, fleet::nowMs) : null;
         if (core) {
@@ -231,14 +404,41 @@
     }
 
     private Edge edge(final Rim rim) {
-        return new Edge(new Parts(view.self(), book, follower, proposer, elector, rim.upstreams(), counter, shelf, post,
-                clock, fleet, random, this::sharers, this::homeCores), new Edge.Pace((int) settings.ms("askOpenMax"),
-                settings.ms("heldMaxBytes"), settings.ms("claimKeepMs"), 20 * settings.ms("farMs"),
-                4 * settings.ms("farMs"), settings.ms("retryAfterMs"), 3,
-                settings.number("retryShare") * 0.9, settings.number("retryAllowance"), settings.ms("askSpanMaxMs"),
-                settings.part("claimKeepMs", 0.01), new Habits(settings.ms("keyed") == 1, settings.ms("claims") == 1,
-                settings.ms("homeEdges") == 1, settings.ms("holdsEdges") == 1,
-                settings.ms("unsentFree") == 1, settings.ms("any500") == 1)));
+        return new Edge(
+                new Parts(
+                        view.self(),
+                        book,
+                        follower,
+                        proposer,
+                        elector,
+                        rim.upstreams(),
+                        counter,
+                        shelf,
+                        post,
+                        clock,
+                        fleet,
+                        random,
+                        this::sharers,
+                        this::homeCores),
+                new Edge.Pace(
+                        (int) settings.ms("askOpenMax"),
+                        settings.ms("heldMaxBytes"),
+                        settings.ms("claimKeepMs"),
+                        20 * settings.ms("farMs"),
+                        4 * settings.ms("farMs"),
+                        settings.ms("retryAfterMs"),
+                        3,
+                        settings.number("retryShare") * 0.9,
+                        settings.number("retryAllowance"),
+                        settings.ms("askSpanMaxMs"),
+                        settings.part("claimKeepMs", 0.01),
+                        new Habits(
+                                settings.ms("keyed") == 1,
+                                settings.ms("claims") == 1,
+                                settings.ms("homeEdges") == 1,
+                                settings.ms("holdsEdges") == 1,
+                                settings.ms("unsentFree") == 1,
+                                settings.ms("any500") == 1)));
     }
 
     private int told(final String count) {
@@ -267,7 +467,8 @@
         if (voter.voters() != null) {
             proposer.adopt(voter.voters());
         }
-        keptList = new Kept(voter, "~listed", listing::changes, () -> new ListingNote.Push(listing.listed(), List.of(), 0));
+        keptList = new Kept(
+                voter, "~listed", listing::changes, () -> new ListingNote.Push(listing.listed(), List.of(), 0));
         final ListingNote.Push list = keptList.read(ListingNote.Push.class);
         if (list != null) {
             listing.merge(list.listed(), List.of());
@@ -288,7 +489,9 @@
 
     private void tokens(final String key, final Register register) {
         if (key.equals(LEASE) && register.value() != null) {
-            tokenSeen = Math.max(tokenSeen, Codec.record(register.value(), spokestall.duty.Lease.class).token());
+            tokenSeen = Math.max(
+                    tokenSeen,
+                    Codec.record(register.value(), spokestall.duty.Lease.class).token());
         }
     }
 
@@ -303,8 +506,9 @@
 
     /** Begins all beats. Example: {@code node.start();} */
     public void start() {
-        LOG.atInfo().log("event=start node=%s role=%s address=%s district=%s region=%s life=%s", name,
-                core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
+        LOG.atInfo().log(
+                "event=start node=%s role=%s address=%s district=%s region=%s life=%s",
+                name, core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
         hurry(clock.nowMs() + settings.part("leaveBoundMs", 1.5), 0);
         every(settings.part("leaveBoundMs", 0.125), view::tick);
         every(settings.ms("proofMs"), follower::tick);
@@ -326,13 +530,16 @@
         }
         if (serves) {
             every(settings.ms("countPushMs"), counter::tick);
-            every(settings.part("leaveBoundMs", 1), () -> elector.retain(Set.copyOf(
-                    listing.listed().stream().map(Listed::instance).toList())));
+            every(
+                    settings.part("leaveBoundMs", 1),
+                    () -> elector.retain(Set.copyOf(
+                            listing.listed().stream().map(Listed::instance).toList())));
         }
         every(settings.part("leaveBoundMs", 2), () -> {
             if (!differing().isEmpty()) {
-                LOG.atWarning().log("event=counts_differ node=%s cores=%s edges=%s from=%s", name, settings.ms("cores"),
-                        settings.ms("edges"), differing());
+                LOG.atWarning().log(
+                        "event=counts_differ node=%s cores=%s edges=%s from=%s",
+                        name, settings.ms("cores"), settings.ms("edges"), differing());
             }
         });
         every(settings.part("leaveBoundMs", 2), () -> listing.prune(fleet.nowMs() - settings.part("leaveBoundMs", 30)));
@@ -340,7 +547,9 @@
 
     /** A node that has just started asks without waiting for its beats, until it has what it needs to serve. */
     private void hurry(final long untilMs, final int turn) {
-        final boolean able = fleet.settled() && follower.fresh() && (!serves || !listing.listed().isEmpty());
+        final boolean able = fleet.settled()
+                && follower.fresh()
+                && (!serves || !listing.listed().isEmpty());
         if (stopped || able || clock.nowMs() >= untilMs) {
             return;
         }
@@ -407,7 +616,7 @@
     /** Leaves: where answers first, then what is in flight, then the duties; done is run when all is given up.
      * Example: {@code node.leave(() -> System.exit(0));} */
     public void leave(final Runnable done) {
-        leave(() -> { }, done);
+        leave(() -> {}, done);
     }
 
     /** The same; closing is run when no more wires are to be taken. Example: {@code node.leave(front::stop, exit);} */
@@ -470,8 +679,7 @@
 
     /** This voter's copy of the lease, or null while it doesn't vote. */
     private Register leaseHere() {
-        return voter.state() != Voter.State.VOTING ? null
-                : voter.registers().getOrDefault(LEASE, NO_LEASE);
+        return voter.state() != Voter.State.VOTING ? null : voter.registers().getOrDefault(LEASE, NO_LEASE);
     }
 
     private String seatAddress(final String core) {
@@ -483,7 +691,9 @@
     private int distance(final String of) {
         for (final Member m : view.members()) {
             if (m.address().equals(of)) {
-                return m.district().equals(settings.text("district")) ? 0 : m.region().equals(settings.region()) ? 1 : 2;
+                return m.district().equals(settings.text("district"))
+                        ? 0
+                        : m.region().equals(settings.region()) ? 1 : 2;
             }
         }
         return 2;
@@ -501,7 +711,8 @@
         if (voters() != null) {
             return voters().seats().stream().map(Seat::address).toList();
         }
-        final List<String> found = new ArrayList<>(otherCores().stream().map(Member::address).toList());
+        final List<String> found =
+                new ArrayList<>(otherCores().stream().map(Member::address).toList());
         if (core) {
             found.add(address);
         }
@@ -509,7 +720,8 @@
     }
 
     private List<String> coreAndEdgeAddresses() {
-        final Set<String> found = new java.util.TreeSet<>(view.members().stream().map(Member::address).toList());
+        final Set<String> found = new java.util.TreeSet<>(
+                view.members().stream().map(Member::address).toList());
         if (voters() != null) {
             voters().seats().forEach(s -> found.add(s.address()));
         }
@@ -518,20 +730,24 @@
     }
 
     private List<String> otherCoreAddresses() {
-        final Set<String> found = new java.util.TreeSet<>(otherCores().stream().map(Member::address).toList());
+        final Set<String> found = new java.util.TreeSet<>(
+                otherCores().stream().map(Member::address).toList());
         found.addAll(coreAddresses());
         found.remove(address);
         return List.copyOf(found);
     }
 
     private List<String> homeCores(final Set<String> regions) {
-        return view.members().stream().filter(m -> m.core() && regions.contains(m.region())).map(Member::address)
+        return view.members().stream()
+                .filter(m -> m.core() && regions.contains(m.region()))
+                .map(Member::address)
                 .toList();
     }
 
     private long floorMs() {
         final Register floor = voter.registers().get(Merge.FLOOR);
-        return floor == null || floor.value() == null ? fleet.nowMs()
+        return floor == null || floor.value() == null
+                ? fleet.nowMs()
                 : Long.parseLong(new String(floor.value(), StandardCharsets.UTF_8));
     }
 
@@ -546,7 +762,9 @@
     /** A new generation's first version is chosen by being in the founding. */
     private void learnFounded() {
         final Voters table = voter.voters();
-        if (table == null || voter.state() != Voter.State.VOTING || book.policy().version() >= table.firstNumber()) {
+        if (table == null
+                || voter.state() != Voter.State.VOTING
+                || book.policy().version() >= table.firstNumber()) {
             return;
         }
         final Register first = voter.registers().get(Versions.key(table.firstNumber()));
@@ -578,7 +796,8 @@
         voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
             keepingPolicy = false;
             if (ok) {
-                policyFloor = Math.max(policyFloor, version - (ring.fill() > CROWDED ? POLICY_KEPT_LEAST : POLICY_KEPT));
+                policyFloor =
+                        Math.max(policyFloor, version - (ring.fill() > CROWDED ? POLICY_KEPT_LEAST : POLICY_KEPT));
                 keepPolicy();
             }
         });
@@ -621,8 +840,14 @@
             voter.registers().forEach((key, r) -> registers.add(new BallotNote.Entry(key, r)));
         }
         final long generation = voters() == null ? 0 : voters().generation();
-        return new Remains(name, generation, book.policy().version(),
-                book.policy().version() == 0 ? null : Codec.bytes(book.snapshot()), tokenSeen, hasState, registers);
+        return new Remains(
+                name,
+                generation,
+                book.policy().version(),
+                book.policy().version() == 0 ? null : Codec.bytes(book.snapshot()),
+                tokenSeen,
+                hasState,
+                registers);
     }
 
     /** Hears a note from another process. Example: {@code node.hear(Codec.note(frame));} */
@@ -696,8 +921,7 @@
         }
         int told = 0;
         for (final Seat other : voters().seats()) {
-            if (told < 2 && !other.name().equals(seat)
-                    && follower.heardMs(other.name()) < settings.heardMs()) {
+            if (told < 2 && !other.name().equals(seat) && follower.heardMs(other.name()) < settings.heardMs()) {
                 post.send(other.address(), new HandNote.Hint(seat, key));
                 told++;
             }
@@ -712,8 +936,9 @@
         for (final String key : hints.take(back.name(), HANDED_AT_ONCE)) {
             final Register r = voter.registers().get(key);
             if (r != null && r.value() != null) {
-                post.send(back.address(), new BallotNote.Chosen(voters().generation(), voters().epoch(), key,
-                        r.accepted(), r.value()));
+                post.send(
+                        back.address(),
+                        new BallotNote.Chosen(voters().generation(), voters().epoch(), key, r.accepted(), r.value()));
             }
         }
     }
@@ -742,8 +967,11 @@
             shelf.keep(keep);
         } else if (note instanceof HandNote.Ask ask) {
             final HandNote.Keep found = shelf.find(ask.key(), ask.digest());
-            post.send(ask.from(), found == null ? new HandNote.Back(ask.askId(), ask.key(), null)
-                    : new HandNote.Back(ask.askId(), ask.key(), found.content()));
+            post.send(
+                    ask.from(),
+                    found == null
+                            ? new HandNote.Back(ask.askId(), ask.key(), null)
+                            : new HandNote.Back(ask.askId(), ask.key(), found.content()));
         } else if (note instanceof HandNote.Back back && edge != null) {
             edge.hear(back);
         }
@@ -798,7 +1026,11 @@
     /** Nodes configured with other counts of nodes than this one: shared bounds are divided by them. */
     List<String> differing() {
         final Member self = view.self();
-        return self.edges() == 0 ? List.of() : view.members().stream().filter(m -> m.edges() != 0 && (m.edges() != self.edges()
-                || m.cores() != self.cores())).map(Member::name).toList();
+        return self.edges() == 0
+                ? List.of()
+                : view.members().stream()
+                        .filter(m -> m.edges() != 0 && (m.edges() != self.edges() || m.cores() != self.cores()))
+                        .map(Member::name)
+                        .toList();
     }
 }
--- a/spokestall/src/main/java/spokestall/Notes.java
+++ b/spokestall/src/main/java/spokestall/Notes.java
@@ -12,8 +12,7 @@
 
 /** The numbers of all notes. A number is never given to another kind. */
 final class Notes {
-    private Notes() {
-    }
+    private Notes() {}
 
     static void number() {
         Codec.number(1, ViewNote.Shuffle.class);
--- a/spokestall/src/main/java/spokestall/Operator.java
+++ b/spokestall/src/main/java/spokestall/Operator.java
@@ -20,8 +20,7 @@
 final class Operator {
     private static final int ANSWER_MAX = 64 << 20;
 
-    private Operator() {
-    }
+    private Operator() {}
 
     static int run(final String[] args) throws Exception {
         final JsonNode methods = new Calls().file().path("methods");
@@ -70,12 +69,18 @@
 
     private static void describe(final String name, final JsonNode method) {
         System.out.println("  " + name + "  " + method.path("about").asText());
-        method.path("params").path("properties").fields().forEachRemaining(p -> System.out.printf("      --%s (%s) %s%n",
-                p.getKey(), p.getValue().path("type").asText(), p.getValue().path("description").asText()));
+        method.path("params")
+                .path("properties")
+                .fields()
+                .forEachRemaining(p -> System.out.printf(
+                        "      --%s (%s) %s%n",
+                        p.getKey(),
+                        p.getValue().path("type").asText(),
+                        p.getValue().path("description").asText()));
     }
 
-    private static boolean param(final ObjectNode params, final JsonNode schema, final String flag,
-            final String value) {
+    private static boolean param(
+            final ObjectNode params, final JsonNode schema, final String flag, final String value) {
         if (schema == null) {
             System.err.println("--" + flag + ": no such flag for this method");
             return false;
@@ -99,8 +104,16 @@
         final HttpClient client = Demand.client(1);
         final AtomicReference<HttpResult> got = new AtomicReference<>();
         final CountDownLatch done = new CountDownLatch(1);
-        client.call(HttpCall.plain(to, "POST", "/rpc/" + method, Map.of("Content-Type", "application/json"),
-                params.toString().getBytes(StandardCharsets.UTF_8), waitMs, ANSWER_MAX), r -> {
+        client.call(
+                HttpCall.plain(
+                        to,
+                        "POST",
+                        "/rpc/" + method,
+                        Map.of("Content-Type", "application/json"),
+                        params.toString().getBytes(StandardCharsets.UTF_8),
+                        waitMs,
+                        ANSWER_MAX),
+                r -> {
                     got.set(r);
                     done.countDown();
                 });
--- a/spokestall/src/main/java/spokestall/audit/Auditor.java
+++ b/spokestall/src/main/java/spokestall/audit/Auditor.java
@@ -47,10 +47,17 @@
         }
         final Map<Long, Change> changes = book.kept(version);
         if (changes.isEmpty()) {
-            audit.note("snapshot", entry().put("version", now).put("digest", KeyHash.hex(book.snapshot().json())));
+            audit.note(
+                    "snapshot",
+                    entry().put("version", now)
+                            .put("digest", KeyHash.hex(book.snapshot().json())));
         } else {
-            changes.forEach((v, change) -> audit.note("policy", entry().put("version", v).put("changeId", change.changeId())
-                    .put("whole", change.kind() == Change.Kind.PUT).put("digest", KeyHash.hex(change.json()))));
+            changes.forEach((v, change) -> audit.note(
+                    "policy",
+                    entry().put("version", v)
+                            .put("changeId", change.changeId())
+                            .put("whole", change.kind() == Change.Kind.PUT)
+                            .put("digest", KeyHash.hex(change.json()))));
         }
         version = now;
         holds(now);
--- a/spokestall/src/main/java/spokestall/audit/Chain.java
+++ b/spokestall/src/main/java/spokestall/audit/Chain.java
@@ -24,16 +24,13 @@
     /** What a check found. */
     public sealed interface Verdict {
         /** Every line is whole, signed and follows the one before. */
-        record Good(long first, long last, int entries) implements Verdict {
-        }
+        record Good(long first, long last, int entries) implements Verdict {}
 
         /** All is good up to a last line that was cut off, as by a loss of power. */
-        record Torn(long first, long last, int entries) implements Verdict {
-        }
+        record Torn(long first, long last, int entries) implements Verdict {}
 
         /** A line was changed, dropped, added or put elsewhere; lines count from one. */
-        record Bad(int line, String why) implements Verdict {
-        }
+        record Bad(int line, String why) implements Verdict {}
     }
 
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -61,7 +58,8 @@
 
     private static String digest(final String line) {
         try {
-            return Base64URL.encode(MessageDigest.getInstance("SHA-256").digest(line.getBytes(StandardCharsets.US_ASCII)))
+            return Base64URL.encode(
+                            MessageDigest.getInstance("SHA-256").digest(line.getBytes(StandardCharsets.US_ASCII)))
                     .toString();
         } catch (final NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
@@ -70,10 +68,15 @@
 
     /** The next line; it counts as the one before from now on. Example: {@code String line = chain.add("lease", what);} */
     public String add(final String kind, final ObjectNode what) throws JOSEException {
-        final ObjectNode entry = JSON.createObjectNode().put("n", next).put("before", before).put("kind", kind);
+        final ObjectNode entry =
+                JSON.createObjectNode().put("n", next).put("before", before).put("kind", kind);
         entry.setAll(what);
-        final JWSObject jws = new JWSObject(new JWSHeader.Builder(JWSAlgorithm.ES256).type(TYPE).keyID(key.getKeyID())
-                .build(), new Payload(entry.toString()));
+        final JWSObject jws = new JWSObject(
+                new JWSHeader.Builder(JWSAlgorithm.ES256)
+                        .type(TYPE)
+                        .keyID(key.getKeyID())
+                        .build(),
+                new Payload(entry.toString()));
         jws.sign(signer);
         final String line = jws.serialize();
         before = digest(line);
@@ -118,7 +121,8 @@
                 return null;
             }
             final Object said = jws.getPayload().toJSONObject().get("before");
-            return number(line) != last + 1 ? "it is number " + number(line) + " after " + last
+            return number(line) != last + 1
+                    ? "it is number " + number(line) + " after " + last
                     : !before.equals(said) ? "it does not follow the line before" : null;
         } catch (final ParseException | JOSEException e) {
             return "it is no signed entry: " + e.getMessage();
--- a/spokestall/src/main/java/spokestall/ballot/BallotNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/BallotNote.java
@@ -7,44 +7,43 @@
 public sealed interface BallotNote extends Note {
     /** Phase one, or with peek only a look at what is accepted. */
     record Prepare(long goId, String from, long generation, long epoch, String key, Ballot ballot, boolean peek)
-            implements BallotNote {
-    }
+            implements BallotNote {}
 
     /** The reply to {@link Prepare}. */
     record Promise(long goId, String voter, String diskId, Reply reply, Ballot promised, Ballot accepted, byte[] value)
-            implements BallotNote {
-    }
+            implements BallotNote {}
 
     /** Phase two. */
     record Accept(long goId, String from, long generation, long epoch, String key, Ballot ballot, byte[] value)
-            implements BallotNote {
-    }
+            implements BallotNote {}
 
     /** The reply to {@link Accept}. */
-    record Accepted(long goId, String voter, String diskId, Reply reply, Ballot promised) implements BallotNote {
-    }
+    record Accepted(long goId, String voter, String diskId, Reply reply, Ballot promised) implements BallotNote {}
 
     /** News that a value has been chosen at a rank. */
-    record Chosen(long generation, long epoch, String key, Ballot ballot, byte[] value) implements BallotNote {
-    }
+    record Chosen(long generation, long epoch, String key, Ballot ballot, byte[] value) implements BallotNote {}
 
     /** A table of voters, said by whoever sees that the other has an older one. */
-    record Table(Voters voters) implements BallotNote {
-    }
+    record Table(Voters voters) implements BallotNote {}
 
     /** A voter that lost its disk asks the others for all they have, page by page. */
-    record CatchAsk(String from, String name, long generation, long epoch, String after) implements BallotNote {
-    }
+    record CatchAsk(String from, String name, long generation, long epoch, String after) implements BallotNote {}
 
     /** One page of a voter's registers. */
     record CatchBack(String name, long generation, long epoch, String after, List<Entry> entries, boolean last)
-            implements BallotNote {
-    }
+            implements BallotNote {}
 
     /** One register under its key. */
-    record Entry(String key, Register register) {
-    }
+    record Entry(String key, Register register) {}
 
     /** How a voter answered. */
-    enum Reply { YES, LOWER, OLD_TABLE, BLANK, GONE, DENIED, DISK }
+    enum Reply {
+        YES,
+        LOWER,
+        OLD_TABLE,
+        BLANK,
+        GONE,
+        DENIED,
+        DISK
+    }
 }
--- a/spokestall/src/main/java/spokestall/ballot/Council.java
+++ b/spokestall/src/main/java/spokestall/ballot/Council.java
@@ -23,8 +23,13 @@
 
     /** {@code first}: this life may vote; {@code marked} runs what it is given once the disk, if there is one, can't be
      * taken for blank any more. Example: {@code new Council(address, seeds, true, post, proposer::voters, Runnable::run)} */
-    public Council(final String address, final List<String> seeds, final boolean first, final Post post,
-            final Supplier<Voters> table, final Consumer<Runnable> marked) {
+    public Council(
+            final String address,
+            final List<String> seeds,
+            final boolean first,
+            final Post post,
+            final Supplier<Voters> table,
+            final Consumer<Runnable> marked) {
         this.address = address;
         this.seeds = seeds.stream().sorted().distinct().toList();
         this.first = first && seeds.contains(address);
@@ -38,8 +43,8 @@
         if (note instanceof CouncilNote.Ask ask && mayVote(ask.from(), ask.seeds())) {
             final boolean yes = ask.ballot().compareTo(promised) >= 0;
             promised = yes ? ask.ballot() : promised;
-            final CouncilNote.Promise reply = new CouncilNote.Promise(address, ask.ballot(), yes, promised, accepted,
-                    yes ? founding : null);
+            final CouncilNote.Promise reply =
+                    new CouncilNote.Promise(address, ask.ballot(), yes, promised, accepted, yes ? founding : null);
             marked.accept(() -> post.send(ask.from(), reply));
         } else if (note instanceof CouncilNote.Offer offer && mayVote(offer.from(), offer.seeds())) {
             final boolean yes = offer.ballot().compareTo(promised) >= 0;
--- a/spokestall/src/main/java/spokestall/ballot/FormNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/FormNote.java
@@ -7,8 +7,17 @@
 /** What cores say to each other about who can vote, and the ballot for a new generation. */
 public sealed interface FormNote extends Note {
     /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. */
-    record Standing(String name, String address, String diskId, Voters table, boolean hasState, boolean voting,
-            boolean canWrite, @Since(3) long generation, @Since(3) long epoch, @Since(3) boolean founding)
+    record Standing(
+            String name,
+            String address,
+            String diskId,
+            Voters table,
+            boolean hasState,
+            boolean voting,
+            boolean canWrite,
+            @Since(3) long generation,
+            @Since(3) long epoch,
+            @Since(3) boolean founding)
             implements FormNote {
         /** The older form has the table always, and its numbers nowhere else. */
         public Standing {
@@ -28,31 +37,35 @@
     }
 
     /** Phase one of the ballot that ends a generation. */
-    record FormPrepare(String from, long base, Ballot ballot, @Since(3) long epoch) implements FormNote {
-    }
+    record FormPrepare(
+            String from, long base, Ballot ballot, @Since(3) long epoch) implements FormNote {}
 
     /** The reply to {@link FormPrepare}, with what this core still has. */
-    record FormPromise(long base, Ballot ballot, String name, String address, String diskId, boolean yes,
-            Ballot promised, Ballot accepted, Founding founding, Remains remains) implements FormNote {
-    }
+    record FormPromise(
+            long base,
+            Ballot ballot,
+            String name,
+            String address,
+            String diskId,
+            boolean yes,
+            Ballot promised,
+            Ballot accepted,
+            Founding founding,
+            Remains remains)
+            implements FormNote {}
 
     /** Phase two. */
-    record FormAccept(String from, long base, Ballot ballot, Founding founding) implements FormNote {
-    }
+    record FormAccept(String from, long base, Ballot ballot, Founding founding) implements FormNote {}
 
     /** The reply to {@link FormAccept}. */
-    record FormAccepted(long base, Ballot ballot, String name, boolean yes, Ballot promised) implements FormNote {
-    }
+    record FormAccepted(long base, Ballot ballot, String name, boolean yes, Ballot promised) implements FormNote {}
 
     /** A new generation has been agreed. */
-    record Founded(Founding founding) implements FormNote {
-    }
+    record Founded(Founding founding) implements FormNote {}
 
     /** Asks any node for what it still has. */
-    record RemainsAsk(String from) implements FormNote {
-    }
+    record RemainsAsk(String from) implements FormNote {}
 
     /** The reply to {@link RemainsAsk}. */
-    record RemainsBack(Remains remains) implements FormNote {
-    }
+    record RemainsBack(Remains remains) implements FormNote {}
 }
--- a/spokestall/src/main/java/spokestall/ballot/Formation.java
+++ b/spokestall/src/main/java/spokestall/ballot/Formation.java
@@ -20,7 +20,12 @@
  */
 public final class Formation {
     /** Explicit states of the new generation's proposer. */
-    private enum Phase { IDLE, GATHER, PREPARE, ACCEPT }
+    private enum Phase {
+        IDLE,
+        GATHER,
+        PREPARE,
+        ACCEPT
+    }
 
     /** Makes a founding out of what is left. */
     public interface Merger {
@@ -30,16 +35,13 @@
 
     /** Spans and sizes, from the settings; cores is 0 if nobody said how many. A settled core says its standing each
      * sayMs, always with its table if others read the older form only. */
-    public record Pace(int cores, long freshMs, long settleMs, long waitAllMs, long roundMs, long sayMs,
-            boolean alwaysTable) {
-    }
+    public record Pace(
+            int cores, long freshMs, long settleMs, long waitAllMs, long roundMs, long sayMs, boolean alwaysTable) {}
 
     /** What an acceptor keeps on disk about a new generation's ballot. */
-    record Kept(long base, Ballot promised, Ballot accepted, Founding founding) {
-    }
+    record Kept(long base, Ballot promised, Ballot accepted, Founding founding) {}
 
-    private record Heard(FormNote.Standing standing, long heardMs) {
-    }
+    private record Heard(FormNote.Standing standing, long heardMs) {}
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String FORM = "~form";
@@ -79,10 +81,22 @@
 
     /** {@code others} are all other nodes known, {@code cores} the cores among them; {@code founder} is null on a core
      * that may not found the first generation by the seeds. Example: see {@code Node}, which joins it to the voter, the proposer and the view. */
-    public Formation(final String name, final String address, final String by, final Voter voter,
-            final Proposer proposer, final Post post, final Clock clock, final Pace pace, final Merger merger,
-            final Supplier<Remains> own, final Supplier<List<String>> others, final Supplier<List<String>> cores,
-            final Founder founder, final Supplier<String> freshId, final BooleanSupplier ready) {
+    public Formation(
+            final String name,
+            final String address,
+            final String by,
+            final Voter voter,
+            final Proposer proposer,
+            final Post post,
+            final Clock clock,
+            final Pace pace,
+            final Merger merger,
+            final Supplier<Remains> own,
+            final Supplier<List<String>> others,
+            final Supplier<List<String>> cores,
+            final Founder founder,
+            final Supplier<String> freshId,
+            final BooleanSupplier ready) {
         this.name = name;
         this.address = address;
         this.by = by;
@@ -111,8 +125,17 @@
 
     /** What this core says of itself. Example: {@code post.send(peer, formation.standing());} */
     public FormNote.Standing standing() {
-        return new FormNote.Standing(name, address, voter.diskId(), voter.voters(), voter.hasState(),
-                voter.state() == Voter.State.VOTING, voter.canWrite(), 0, 0, founder != null && voter.voters() == null);
+        return new FormNote.Standing(
+                name,
+                address,
+                voter.diskId(),
+                voter.voters(),
+                voter.hasState(),
+                voter.state() == Voter.State.VOTING,
+                voter.canWrite(),
+                0,
+                0,
+                founder != null && voter.voters() == null);
     }
 
     /** The cores heard of late, by name, with what they said. Example: {@code formation.fresh().size()} */
@@ -133,7 +156,8 @@
         voter.adopt(table);
         proposer.adopt(table);
         if (newer) {
-            for (final String key : List.copyOf(voter.registers().tailMap("voters/").keySet())) {
+            for (final String key :
+                    List.copyOf(voter.registers().tailMap("voters/").keySet())) {
                 if (key.startsWith("voters/")) {
                     voter.drop(key);
                 }
@@ -159,7 +183,8 @@
             said = mine;
             changedMs = nowMs;
         }
-        final boolean settled = phase == Phase.IDLE && nowMs - changedMs > 3 * pace.sayMs()
+        final boolean settled = phase == Phase.IDLE
+                && nowMs - changedMs > 3 * pace.sayMs()
                 && (voter.state() == Voter.State.VOTING || voter.state() == Voter.State.STOPPED);
         if (settled && nowMs - saidMs < pace.sayMs()) {
             return;
@@ -172,8 +197,19 @@
                 have.add(h.standing.address());
             }
         });
-        final FormNote.Standing lean = pace.alwaysTable() ? mine : new FormNote.Standing(name, address, mine.diskId(), null,
-                mine.hasState(), mine.voting(), mine.canWrite(), mine.generation(), mine.epoch(), mine.founding());
+        final FormNote.Standing lean = pace.alwaysTable()
+                ? mine
+                : new FormNote.Standing(
+                        name,
+                        address,
+                        mine.diskId(),
+                        null,
+                        mine.hasState(),
+                        mine.voting(),
+                        mine.canWrite(),
+                        mine.generation(),
+                        mine.epoch(),
+                        mine.founding());
         for (final String other : edgesToo ? others.get() : cores.get()) {
             post.send(other, have.contains(other) ? lean : mine);
         }
@@ -184,8 +220,10 @@
         say();
         voter.tick(address);
         final Map<String, FormNote.Standing> fresh = fresh();
-        if (founded != null && founded.table().seats().stream().allMatch(seat -> fresh.containsKey(seat.name())
-                && fresh.get(seat.name()).hasState())) {
+        if (founded != null
+                && founded.table().seats().stream()
+                        .allMatch(seat -> fresh.containsKey(seat.name())
+                                && fresh.get(seat.name()).hasState())) {
             founded = null;
         }
         if (voter.voters() == null && pace.cores() == 0) {
@@ -253,8 +291,7 @@
             wantedSinceMs = nowMs;
         }
         final int rank = new ArrayList<>(fresh.keySet()).indexOf(name);
-        final long waitMs = (fresh.size() >= size() ? pace.settleMs() : pace.waitAllMs())
-                + rank * pace.roundMs();
+        final long waitMs = (fresh.size() >= size() ? pace.settleMs() : pace.waitAllMs()) + rank * pace.roundMs();
         if (nowMs - wantedSinceMs >= waitMs) {
             base = generation();
             remains.clear();
@@ -269,7 +306,8 @@
         final long spentMs = clock.nowMs() - phaseMs;
         if (phase == Phase.GATHER && spentMs >= pace.settleMs()) {
             prepare(fresh);
-        } else if (phase == Phase.PREPARE && promises.size() >= majority()
+        } else if (phase == Phase.PREPARE
+                && promises.size() >= majority()
                 && (promises.size() >= fresh.size() || spentMs >= pace.settleMs())) {
             propose();
         } else if (phase != Phase.GATHER && spentMs >= 2 * pace.roundMs()) {
@@ -348,8 +386,9 @@
                 post.send(s.address(), standing());
             }
         } else if (s.lacks(voter.voters())) {
-            post.send(s.address(), missedFounding(s) ? new FormNote.Founded(founded)
-                    : new BallotNote.Table(voter.voters()));
+            post.send(
+                    s.address(),
+                    missedFounding(s) ? new FormNote.Founded(founded) : new BallotNote.Table(voter.voters()));
         } else if (missedFounding(s)) {
             post.send(s.address(), new FormNote.Founded(founded));
         }
@@ -361,16 +400,22 @@
 
     /** A seat of the first table that has not voted yet must have missed what it starts from. */
     private boolean missedFounding(final FormNote.Standing s) {
-        final Seat seat = founded == null || founded.table().generation() != generation() ? null
+        final Seat seat = founded == null || founded.table().generation() != generation()
+                ? null
                 : founded.table().seat(s.name());
-        return seat != null && seat.diskId().equals(s.diskId()) && !s.hasState()
+        return seat != null
+                && seat.diskId().equals(s.diskId())
+                && !s.hasState()
                 && (s.generation() == 0 || s.generation() <= generation());
     }
 
     private void prepare(final FormNote.FormPrepare p) {
         // A ballot by an older table would have other voters: none is given once a newer one is known.
-        final boolean older = voter.voters() != null && (p.base() < generation()
-                || p.base() == generation() && p.epoch() > 0 && p.epoch() < voter.voters().epoch());
+        final boolean older = voter.voters() != null
+                && (p.base() < generation()
+                        || p.base() == generation()
+                                && p.epoch() > 0
+                                && p.epoch() < voter.voters().epoch());
         if (older || p.base() != generation() || !voter.canWrite() || !elects(name)) {
             if (older) {
                 post.send(p.from(), new BallotNote.Table(voter.voters()));
@@ -389,15 +434,37 @@
         final Kept now = kept;
         voter.keepOwn(FORM, Codec.bytes(now), ok -> {
             if (ok) {
-                post.send(p.from(), new FormNote.FormPromise(p.base(), p.ballot(), name, address, voter.diskId(), true,
-                        now.promised, now.accepted, now.founding, left));
+                post.send(
+                        p.from(),
+                        new FormNote.FormPromise(
+                                p.base(),
+                                p.ballot(),
+                                name,
+                                address,
+                                voter.diskId(),
+                                true,
+                                now.promised,
+                                now.accepted,
+                                now.founding,
+                                left));
             }
         });
     }
 
     private void reply(final FormNote.FormPrepare p, final boolean yes) {
-        post.send(p.from(), new FormNote.FormPromise(p.base(), p.ballot(), name, address, voter.diskId(), yes,
-                kept.promised, kept.accepted, null, null));
+        post.send(
+                p.from(),
+                new FormNote.FormPromise(
+                        p.base(),
+                        p.ballot(),
+                        name,
+                        address,
+                        voter.diskId(),
+                        yes,
+                        kept.promised,
+                        kept.accepted,
+                        null,
+                        null));
     }
 
     private void promise(final FormNote.FormPromise p) {
@@ -463,8 +530,9 @@
             adopt(founding.table());
             return;
         }
-        LOG.atInfo().log("event=founded node=%s generation=%s registers=%s", name, founding.table().generation(),
-                founding.entries().size());
+        LOG.atInfo().log(
+                "event=founded node=%s generation=%s registers=%s",
+                name, founding.table().generation(), founding.entries().size());
         voter.found(founding.table(), founding.entries());
         proposer.adopt(founding.table());
         wantedSinceMs = -1;
@@ -491,12 +559,14 @@
             if (clock.nowMs() - stuckSinceMs > 4 * pace.roundMs()) {
                 kept = null;
                 voter.restart(freshId.get());
-                voter.keepOwn(FORM, null, ok -> { });
+                voter.keepOwn(FORM, null, ok -> {});
             }
             return;
         }
         final Seat seat = table.seat(name);
-        final boolean moved = seat != null && seat.diskId().equals(voter.diskId()) && !seat.address().equals(address);
+        final boolean moved = seat != null
+                && seat.diskId().equals(voter.diskId())
+                && !seat.address().equals(address);
         if (seat == null && table.seats().size() >= Voters.SEATS_MAX) {
             return;
         }
@@ -504,8 +574,11 @@
             joining = true;
             final Seat wanted = new Seat(name, address, voter.diskId());
             final byte[] mine = Codec.bytes(seat == null ? table.add(wanted) : table.swap(wanted));
-            proposer.change("voters/" + table.generation() + "/" + (table.epoch() + 1), pace.roundMs() * 2,
-                    now -> now == null ? new Edit.Set(mine) : Edit.LEAVE, this::joined);
+            proposer.change(
+                    "voters/" + table.generation() + "/" + (table.epoch() + 1),
+                    pace.roundMs() * 2,
+                    now -> now == null ? new Edit.Set(mine) : Edit.LEAVE,
+                    this::joined);
         }
     }
 
--- a/spokestall/src/main/java/spokestall/ballot/Founder.java
+++ b/spokestall/src/main/java/spokestall/ballot/Founder.java
@@ -17,11 +17,15 @@
  */
 public final class Founder {
     /** Explicit states. */
-    private enum Phase { IDLE, ASK, OFFER, FOUNDED }
+    private enum Phase {
+        IDLE,
+        ASK,
+        OFFER,
+        FOUNDED
+    }
 
     /** Spans, from the settings. */
-    public record Pace(long sinceStartMs, long settleMs, long roundMs) {
-    }
+    public record Pace(long sinceStartMs, long settleMs, long roundMs) {}
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final String name;
@@ -44,8 +48,15 @@
     private Founding proposed;
 
     /** Example: see {@code Node}; {@code make} makes a founding of the seats. */
-    public Founder(final String name, final String address, final String by, final List<String> seeds, final Post post,
-            final Clock clock, final Pace pace, final Function<List<Seat>, Founding> make) {
+    public Founder(
+            final String name,
+            final String address,
+            final String by,
+            final List<String> seeds,
+            final Post post,
+            final Clock clock,
+            final Pace pace,
+            final Function<List<Seat>, Founding> make) {
         this.name = name;
         this.address = address;
         this.by = by;
@@ -80,9 +91,13 @@
             return;
         }
         final long waitMs = new ArrayList<>(known.keySet()).indexOf(name) * pace.roundMs();
-        if (phase == Phase.IDLE && known.containsKey(name) && known.size() >= Math.min(2, seeds.size())
-                && known.size() <= Voters.SEATS_MAX && nowMs - startedMs >= pace.sinceStartMs()
-                && nowMs - changedMs >= pace.settleMs() + waitMs && nowMs - phaseMs >= waitMs) {
+        if (phase == Phase.IDLE
+                && known.containsKey(name)
+                && known.size() >= Math.min(2, seeds.size())
+                && known.size() <= Voters.SEATS_MAX
+                && nowMs - startedMs >= pace.sinceStartMs()
+                && nowMs - changedMs >= pace.settleMs() + waitMs
+                && nowMs - phaseMs >= waitMs) {
             ask();
         }
     }
--- a/spokestall/src/main/java/spokestall/ballot/Proposer.java
+++ b/spokestall/src/main/java/spokestall/ballot/Proposer.java
@@ -18,17 +18,20 @@
  */
 public final class Proposer {
     /** How a round waits and comes back, as told by the settings. */
-    public record Pace(long roundMs, long backoffMs, int goesMax) {
-    }
+    public record Pace(long roundMs, long backoffMs, int goesMax) {}
 
     /** Why a change was not done when the voters would not take it. */
     public static final String DENIED = "denied";
 
     /** What this proposer had accepted last for a key: the rank it may use next, and the value that stands. */
-    private record Held(Voters table, Ballot next, byte[] value) {
-    }
+    private record Held(Voters table, Ballot next, byte[] value) {}
 
-    private enum Phase { PEEK, PREPARE, ACCEPT, ENDED }
+    private enum Phase {
+        PEEK,
+        PREPARE,
+        ACCEPT,
+        ENDED
+    }
 
     private static final int KEYS_KEPT = 4096;
     private final String by;
@@ -46,8 +49,14 @@
 
     /** {@code missed} is told which voter did not take part in a change of which key in time.
      * Example: {@code new Proposer("d1-edge#5f", "127.0.0.1:7201", post, clock, random, pace, (seat, key) -> { })} */
-    public Proposer(final String by, final String address, final Post post, final Clock clock, final Random random,
-            final Pace pace, final BiConsumer<String, String> missed) {
+    public Proposer(
+            final String by,
+            final String address,
+            final Post post,
+            final Clock clock,
+            final Random random,
+            final Pace pace,
+            final BiConsumer<String, String> missed) {
         this.missed = missed;
         this.by = by;
         this.address = address;
@@ -88,8 +97,8 @@
 
     /** Changes a register. Example: {@code proposer.change("once/t/1", 2000, now -> now == null ? new Edit.Set(v)
      * : Edit.LEAVE, outcome -> ...);} */
-    public void change(final String key, final long waitMs, final Function<byte[], Edit> edit,
-            final Consumer<Outcome> done) {
+    public void change(
+            final String key, final long waitMs, final Function<byte[], Edit> edit, final Consumer<Outcome> done) {
         new Round(key, clock.nowMs() + waitMs, edit, done).change();
     }
 
@@ -135,7 +144,10 @@
         private boolean wrote;
         private boolean denied;
 
-        Round(final String key, final long deadlineMs, final Function<byte[], Edit> edit,
+        Round(
+                final String key,
+                final long deadlineMs,
+                final Function<byte[], Edit> edit,
                 final Consumer<Outcome> done) {
             this.key = key;
             this.deadlineMs = deadlineMs;
@@ -147,7 +159,8 @@
         void change() {
             final Held last = held.remove(key);
             final Edit wanted = last != null && last.table == voters && clock.nowMs() < deadlineMs
-                    ? edit.apply(last.value) : Edit.LEAVE;
+                    ? edit.apply(last.value)
+                    : Edit.LEAVE;
             if (wanted instanceof Edit.Set set) {
                 open(Phase.ACCEPT);
                 counts.merge(key, last.next.count(), Math::max);
@@ -187,8 +200,10 @@
             final long count = counts.merge(key, 1L, Long::sum);
             ballot = new Ballot(count, by);
             for (final Seat seat : table.seats()) {
-                post.send(seat.address(), new BallotNote.Prepare(goId, address, table.generation(), table.epoch(),
-                        key, ballot, first == Phase.PEEK));
+                post.send(
+                        seat.address(),
+                        new BallotNote.Prepare(
+                                goId, address, table.generation(), table.epoch(), key, ballot, first == Phase.PEEK));
             }
             expire();
         }
@@ -328,8 +343,9 @@
             phase = Phase.ACCEPT;
             clear();
             for (final Seat seat : table.seats()) {
-                post.send(seat.address(), new BallotNote.Accept(goId, address, table.generation(), table.epoch(), key,
-                        ballot, proposed));
+                post.send(
+                        seat.address(),
+                        new BallotNote.Accept(goId, address, table.generation(), table.epoch(), key, ballot, proposed));
             }
             expire();
         }
@@ -348,8 +364,9 @@
                 held.put(key, new Held(table, ballot.next(), proposed));
                 for (final Seat seat : table.seats()) {
                     if (!yes.contains(seat.name())) {
-                        post.send(seat.address(), new BallotNote.Chosen(table.generation(), table.epoch(), key, ballot,
-                                proposed));
+                        post.send(
+                                seat.address(),
+                                new BallotNote.Chosen(table.generation(), table.epoch(), key, ballot, proposed));
                     }
                 }
                 end(new Outcome.Done(proposed, wrote));
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -19,7 +19,13 @@
  */
 public final class Voter {
     /** Explicit states of a voter. */
-    public enum State { BLANK, CATCHING_UP, VOTING, RESIGNED, STOPPED }
+    public enum State {
+        BLANK,
+        CATCHING_UP,
+        VOTING,
+        RESIGNED,
+        STOPPED
+    }
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String VOTERS = "~voters";
@@ -62,7 +68,10 @@
             }
         });
         final byte[] caught = ring.table().get(CAUGHT);
-        if (caught != null && voters != null && new String(caught, StandardCharsets.UTF_8).equals(caughtMark()) && seated()) {
+        if (caught != null
+                && voters != null
+                && new String(caught, StandardCharsets.UTF_8).equals(caughtMark())
+                && seated()) {
             change(State.VOTING, "opened");
         } else if (seated()) {
             change(State.CATCHING_UP, "opened");
@@ -86,7 +95,10 @@
     /** Whether this voter has its state, be it voting at this moment or not. Example: {@code voter.hasState()} */
     public boolean hasState() {
         final byte[] caught = ring.table().get(CAUGHT);
-        return ring.state() != Ring.State.BROKEN && state != State.RESIGNED && seated() && caught != null
+        return ring.state() != Ring.State.BROKEN
+                && state != State.RESIGNED
+                && seated()
+                && caught != null
                 && new String(caught, StandardCharsets.UTF_8).equals(caughtMark());
     }
 
@@ -136,8 +148,9 @@
 
     private void change(final State to, final String why) {
         if (state != to) {
-            LOG.atInfo().log("event=voter node=%s from=%s to=%s why=%s epoch=%s", name, state, to, why,
-                    voters == null ? "none" : voters.generation() + "/" + voters.epoch());
+            LOG.atInfo().log(
+                    "event=voter node=%s from=%s to=%s why=%s epoch=%s",
+                    name, state, to, why, voters == null ? "none" : voters.generation() + "/" + voters.epoch());
             state = to;
         }
     }
@@ -223,7 +236,7 @@
         change(State.CATCHING_UP, "founded");
         ring.put(VOTERS, Codec.bytes(table), this::keep);
         for (final BallotNote.Entry entry : entries) {
-            store(entry.key(), entry.register(), ok -> { });
+            store(entry.key(), entry.register(), ok -> {});
         }
         finishCatchUp(mark);
     }
@@ -232,8 +245,13 @@
      * Example: {@code voter.foundLate(table, entries);} */
     public void foundLate(final Voters table, final List<BallotNote.Entry> entries) {
         final Seat first = table.seat(name);
-        if (state != State.CATCHING_UP || voters == null || voters.generation() != table.generation() || !seated()
-                || hasState() || first == null || !first.diskId().equals(diskId)) {
+        if (state != State.CATCHING_UP
+                || voters == null
+                || voters.generation() != table.generation()
+                || !seated()
+                || hasState()
+                || first == null
+                || !first.diskId().equals(diskId)) {
             return;
         }
         for (final BallotNote.Entry entry : entries) {
@@ -270,8 +288,10 @@
     }
 
     private void askPage(final String address, final Seat seat) {
-        post.send(seat.address(), new BallotNote.CatchAsk(address, name, voters.generation(), voters.epoch(),
-                catchUp.getOrDefault(seat.name(), "")));
+        post.send(
+                seat.address(),
+                new BallotNote.CatchAsk(
+                        address, name, voters.generation(), voters.epoch(), catchUp.getOrDefault(seat.name(), "")));
     }
 
     /** Hears a proposer or another voter. Example: {@code voter.hear(note, address);} */
@@ -305,7 +325,9 @@
         if (reply == BallotNote.Reply.YES && guard.gone(ask.key())) {
             reply = BallotNote.Reply.GONE;
         }
-        if (reply == BallotNote.Reply.YES && !ask.peek() && !registers.containsKey(ask.key())
+        if (reply == BallotNote.Reply.YES
+                && !ask.peek()
+                && !registers.containsKey(ask.key())
                 && !guard.room(ask.key())) {
             reply = BallotNote.Reply.DENIED;
         }
@@ -324,8 +346,16 @@
     }
 
     private void promise(final BallotNote.Prepare ask, final BallotNote.Reply reply, final Register r) {
-        post.send(ask.from(), new BallotNote.Promise(ask.goId(), name, diskId, reply, r.promised(), r.accepted(),
-                reply == BallotNote.Reply.YES ? r.value() : null));
+        post.send(
+                ask.from(),
+                new BallotNote.Promise(
+                        ask.goId(),
+                        name,
+                        diskId,
+                        reply,
+                        r.promised(),
+                        r.accepted(),
+                        reply == BallotNote.Reply.YES ? r.value() : null));
     }
 
     private void accept(final BallotNote.Accept ask) {
@@ -344,7 +374,9 @@
             return;
         }
         // With the value goes a promise of the same proposer's next rank: its next change needs no first phase.
-        store(ask.key(), new Register(ask.ballot().next(), ask.ballot(), ask.value()),
+        store(
+                ask.key(),
+                new Register(ask.ballot().next(), ask.ballot(), ask.value()),
                 ok -> accepted(ask, ok ? BallotNote.Reply.YES : BallotNote.Reply.DISK, ask.ballot()));
     }
 
@@ -353,13 +385,15 @@
     }
 
     private void chosen(final BallotNote.Chosen chosen) {
-        if (voters == null || !voters.same(chosen.generation(), chosen.epoch()) || state() != State.VOTING
+        if (voters == null
+                || !voters.same(chosen.generation(), chosen.epoch())
+                || state() != State.VOTING
                 || guard.gone(chosen.key())) {
             return;
         }
         final Register had = registers.getOrDefault(chosen.key(), Register.EMPTY);
         if (chosen.ballot().compareTo(had.promised()) >= 0 && chosen.ballot().compareTo(had.accepted()) > 0) {
-            store(chosen.key(), new Register(chosen.ballot(), chosen.ballot(), chosen.value()), ok -> { });
+            store(chosen.key(), new Register(chosen.ballot(), chosen.ballot(), chosen.value()), ok -> {});
         }
     }
 
@@ -398,19 +432,25 @@
         final List<BallotNote.Entry> entries = new ArrayList<>();
         int bytes = 0;
         boolean last = true;
-        for (final Map.Entry<String, Register> e : registers.tailMap(ask.after(), false).entrySet()) {
+        for (final Map.Entry<String, Register> e :
+                registers.tailMap(ask.after(), false).entrySet()) {
             if (bytes > PAGE_BYTES) {
                 last = false;
                 break;
             }
             entries.add(new BallotNote.Entry(e.getKey(), e.getValue()));
-            bytes += e.getKey().length() + 64 + (e.getValue().value() == null ? 0 : e.getValue().value().length);
+            bytes += e.getKey().length()
+                    + 64
+                    + (e.getValue().value() == null ? 0 : e.getValue().value().length);
         }
-        post.send(ask.from(), new BallotNote.CatchBack(name, ask.generation(), ask.epoch(), ask.after(), entries, last));
+        post.send(
+                ask.from(), new BallotNote.CatchBack(name, ask.generation(), ask.epoch(), ask.after(), entries, last));
     }
 
     private void caught(final BallotNote.CatchBack back, final String address) {
-        if (state != State.CATCHING_UP || !seated() || !voters.same(back.generation(), back.epoch())
+        if (state != State.CATCHING_UP
+                || !seated()
+                || !voters.same(back.generation(), back.epoch())
                 || caughtFrom.containsKey(back.name())
                 || !catchUp.getOrDefault(back.name(), "").equals(back.after())) {
             return;
@@ -433,10 +473,10 @@
         final Register had = registers.getOrDefault(key, Register.EMPTY);
         final boolean later = other.accepted().compareTo(had.accepted()) > 0;
         final Ballot promised = other.promised().compareTo(had.promised()) > 0 ? other.promised() : had.promised();
-        final Register now = new Register(promised, later ? other.accepted() : had.accepted(),
-                later ? other.value() : had.value());
+        final Register now =
+                new Register(promised, later ? other.accepted() : had.accepted(), later ? other.value() : had.value());
         if (later || promised != had.promised()) {
-            store(key, now, ok -> { });
+            store(key, now, ok -> {});
         }
     }
 }
--- a/spokestall/src/main/java/spokestall/ballot/Voters.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voters.java
@@ -28,8 +28,7 @@
 
     /** Whether this table replaces the other. Example: {@code if (heard.newerThan(mine)) adopt(heard);} */
     public boolean newerThan(final Voters other) {
-        return other == null || generation > other.generation
-                || generation == other.generation && epoch > other.epoch;
+        return other == null || generation > other.generation || generation == other.generation && epoch > other.epoch;
     }
 
     /** Whether both stand for the same vote. Example: {@code if (!mine.same(ask.generation(), ask.epoch())) deny();} */
--- a/spokestall/src/main/java/spokestall/duty/Execution.java
+++ b/spokestall/src/main/java/spokestall/duty/Execution.java
@@ -10,8 +10,7 @@
     private boolean uncertain;
     private boolean cancelled;
 
-    Execution(final String executionId, final String owner, final long token, final long deadlineMs,
-            final long endMs) {
+    Execution(final String executionId, final String owner, final long token, final long deadlineMs, final long endMs) {
         this.executionId = executionId;
         this.owner = owner;
         this.token = token;
@@ -46,8 +45,9 @@
 
     /** Why no work may be begun, or null. Example: {@code log("why=" + execution.why(nowMs))} */
     public String why(final long nowMs) {
-        return uncertain ? "uncertain" : cancelled ? "cancelled" : nowMs >= deadlineMs ? "deadline"
-                : nowMs >= endMs ? "runtime" : null;
+        return uncertain
+                ? "uncertain"
+                : cancelled ? "cancelled" : nowMs >= deadlineMs ? "deadline" : nowMs >= endMs ? "runtime" : null;
     }
 
     void renewed(final long untilMs) {
--- a/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -17,12 +17,18 @@
  */
 public final class LeaseKeeper {
     /** Explicit states. */
-    public enum State { WATCHING, ACQUIRING, HOLDING, RELEASING, STOPPED }
+    public enum State {
+        WATCHING,
+        ACQUIRING,
+        HOLDING,
+        RELEASING,
+        STOPPED
+    }
 
     /** Spans, from the settings. A duty that was released rests for restMs before another takes it: where those who are told of
      * it look at who acted within a span, a holder that comes back in between would seem to act beside the new one. */
-    public record Pace(long leaseMs, long renewMs, long storeWaitMs, long marginMs, long turnMs, long maxRunMs, long restMs) {
-    }
+    public record Pace(
+            long leaseMs, long renewMs, long storeWaitMs, long marginMs, long turnMs, long maxRunMs, long restMs) {}
 
     /** Told when an execution begins; it ends by itself when it may no longer work. */
     public interface Work {
@@ -52,15 +58,28 @@
     private Execution execution;
 
     /** Example: {@code new LeaseKeeper("usage_report", "d1-core", proposer, clock, random, pace, reporter)} */
-    public LeaseKeeper(final String duty, final String name, final Proposer proposer, final Clock clock,
-            final Random random, final Pace pace, final Work work) {
+    public LeaseKeeper(
+            final String duty,
+            final String name,
+            final Proposer proposer,
+            final Clock clock,
+            final Random random,
+            final Pace pace,
+            final Work work) {
         this(duty, name, proposer, clock, random, pace, work, () -> null);
     }
 
     /** One that votes looks at its own copy of the register first; without one it looks at the store on each beat.
      * Example: see {@code Node}; {@code own} gives null when there is no copy to go by. */
-    public LeaseKeeper(final String duty, final String name, final Proposer proposer, final Clock clock,
-            final Random random, final Pace pace, final Work work, final Supplier<Register> own) {
+    public LeaseKeeper(
+            final String duty,
+            final String name,
+            final Proposer proposer,
+            final Clock clock,
+            final Random random,
+            final Pace pace,
+            final Work work,
+            final Supplier<Register> own) {
         this.own = own;
         this.duty = duty;
         this.name = name;
@@ -87,8 +106,14 @@
     }
 
     private void change(final State to, final String why) {
-        LOG.atInfo().log("event=lease node=%s duty=%s from=%s to=%s why=%s executionId=%s token=%s", name, duty, state,
-                to, why, execution == null ? "none" : execution.executionId(),
+        LOG.atInfo().log(
+                "event=lease node=%s duty=%s from=%s to=%s why=%s executionId=%s token=%s",
+                name,
+                duty,
+                state,
+                to,
+                why,
+                execution == null ? "none" : execution.executionId(),
                 execution == null ? 0 : execution.token());
         state = to;
     }
@@ -98,7 +123,7 @@
         switch (state) {
             case WATCHING -> watch();
             case HOLDING -> hold();
-            default -> { }
+            default -> {}
         }
     }
 
@@ -140,8 +165,12 @@
     }
 
     private static boolean same(final Lease one, final Lease other) {
-        return one == null ? other == null : other != null && one.owner().equals(other.owner())
-                && one.renewal() == other.renewal() && one.released() == other.released();
+        return one == null
+                ? other == null
+                : other != null
+                        && one.owner().equals(other.owner())
+                        && one.renewal() == other.renewal()
+                        && one.released() == other.released();
     }
 
     /** What the store says. Only what was unchanged there too is taken. */
@@ -174,7 +203,9 @@
         int before = 0;
         for (final Seat seat : proposer.voters().seats()) {
             before += (expired == null || !seat.name().equals(expired.holder()))
-                    && (seat.name() + salt).hashCode() < (name + salt).hashCode() ? 1 : 0;
+                            && (seat.name() + salt).hashCode() < (name + salt).hashCode()
+                    ? 1
+                    : 0;
         }
         return before * pace.turnMs();
     }
@@ -186,18 +217,26 @@
         final String executionId = Long.toHexString(random.nextLong());
         execution = null;
         change(State.ACQUIRING, expired == null ? "none" : expired.released() ? "released" : "expired");
-        proposer.change(Lease.key(duty), pace.storeWaitMs(), value -> {
-            final Lease now = value == null ? null : Codec.record(value, Lease.class);
-            if (now != null && now.owner().equals(owner)) {
-                return new Edit.Set(value);
-            }
-            final boolean free = now == null || now.released() || expired != null
-                    && now.owner().equals(expired.owner()) && now.renewal() == expired.renewal();
-            final long first = proposer.voters().firstNumber();
-            final long token = Math.max(now == null ? 0 : now.token(), first) + 1;
-            return free ? new Edit.Set(Codec.bytes(new Lease(owner, name, 0, token, pace.leaseMs(), false)))
-                    : Edit.LEAVE;
-        }, outcome -> acquired(outcome, owner, executionId, askedMs));
+        proposer.change(
+                Lease.key(duty),
+                pace.storeWaitMs(),
+                value -> {
+                    final Lease now = value == null ? null : Codec.record(value, Lease.class);
+                    if (now != null && now.owner().equals(owner)) {
+                        return new Edit.Set(value);
+                    }
+                    final boolean free = now == null
+                            || now.released()
+                            || expired != null
+                                    && now.owner().equals(expired.owner())
+                                    && now.renewal() == expired.renewal();
+                    final long first = proposer.voters().firstNumber();
+                    final long token = Math.max(now == null ? 0 : now.token(), first) + 1;
+                    return free
+                            ? new Edit.Set(Codec.bytes(new Lease(owner, name, 0, token, pace.leaseMs(), false)))
+                            : Edit.LEAVE;
+                },
+                outcome -> acquired(outcome, owner, executionId, askedMs));
     }
 
     private void acquired(final Outcome outcome, final String owner, final String executionId, final long askedMs) {
@@ -210,8 +249,12 @@
             seenMs = nowMs;
             looked = true;
             if (done.wrote() && now.owner().equals(owner) && nowMs - askedMs <= pace.storeWaitMs()) {
-                execution = new Execution(executionId, owner, now.token(),
-                        askedMs + pace.leaseMs() - pace.marginMs(), askedMs + pace.maxRunMs());
+                execution = new Execution(
+                        executionId,
+                        owner,
+                        now.token(),
+                        askedMs + pace.leaseMs() - pace.marginMs(),
+                        askedMs + pace.maxRunMs());
                 renewAskedMs = nowMs;
                 change(State.HOLDING, "acquired");
                 work.begin(execution);
@@ -236,21 +279,28 @@
         renewing = true;
         final long askedMs = clock.nowMs();
         renewAskedMs = askedMs;
-        proposer.change(Lease.key(duty), pace.storeWaitMs(), value -> {
-            final Lease now = value == null ? null : Codec.record(value, Lease.class);
-            final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
-            return own ? new Edit.Set(Codec.bytes(new Lease(now.owner(), name, now.renewal() + 1, now.token(),
-                    pace.leaseMs(), false))) : Edit.LEAVE;
-        }, outcome -> {
-            renewing = false;
-            renewed(mine, remainingMs(mine, outcome, askedMs), askedMs);
-        });
+        proposer.change(
+                Lease.key(duty),
+                pace.storeWaitMs(),
+                value -> {
+                    final Lease now = value == null ? null : Codec.record(value, Lease.class);
+                    final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
+                    return own
+                            ? new Edit.Set(Codec.bytes(new Lease(
+                                    now.owner(), name, now.renewal() + 1, now.token(), pace.leaseMs(), false)))
+                            : Edit.LEAVE;
+                },
+                outcome -> {
+                    renewing = false;
+                    renewed(mine, remainingMs(mine, outcome, askedMs), askedMs);
+                });
     }
 
     /** The milliseconds a renewal gained; zero is not renewed. */
     private long remainingMs(final Execution mine, final Outcome outcome, final long askedMs) {
         final long nowMs = clock.nowMs();
-        final boolean good = outcome instanceof Outcome.Done done && done.wrote()
+        final boolean good = outcome instanceof Outcome.Done done
+                && done.wrote()
                 && Codec.record(done.value(), Lease.class).owner().equals(mine.owner());
         final boolean timely = nowMs - askedMs <= pace.storeWaitMs() && mine.mayWork(nowMs);
         return good && timely ? Math.max(0, askedMs + pace.leaseMs() - pace.marginMs() - nowMs) : 0;
@@ -272,21 +322,29 @@
         final Execution mine = execution;
         mine.cancel();
         change(State.RELEASING, why);
-        proposer.change(Lease.key(duty), pace.storeWaitMs(), value -> {
-            final Lease now = value == null ? null : Codec.record(value, Lease.class);
-            final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
-            return own ? new Edit.Set(Codec.bytes(new Lease(now.owner(), now.holder(), now.renewal(), now.token(),
-                    now.spanMs(), true))) : Edit.LEAVE;
-        }, outcome -> {
-            seen = null;
-            looked = false;
-            final boolean stopping = stopped != null;
-            change(stopping ? State.STOPPED : State.WATCHING, outcome instanceof Outcome.Done ? "released" : "unclear");
-            execution = null;
-            if (stopping) {
-                stopped.run();
-            }
-        });
+        proposer.change(
+                Lease.key(duty),
+                pace.storeWaitMs(),
+                value -> {
+                    final Lease now = value == null ? null : Codec.record(value, Lease.class);
+                    final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
+                    return own
+                            ? new Edit.Set(Codec.bytes(new Lease(
+                                    now.owner(), now.holder(), now.renewal(), now.token(), now.spanMs(), true)))
+                            : Edit.LEAVE;
+                },
+                outcome -> {
+                    seen = null;
+                    looked = false;
+                    final boolean stopping = stopped != null;
+                    change(
+                            stopping ? State.STOPPED : State.WATCHING,
+                            outcome instanceof Outcome.Done ? "released" : "unclear");
+                    execution = null;
+                    if (stopping) {
+                        stopped.run();
+                    }
+                });
     }
 
     private Runnable stopped;
--- a/spokestall/src/main/java/spokestall/duty/Reporter.java
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -25,17 +25,30 @@
  */
 public final class Reporter implements LeaseKeeper.Work {
     /** Spans, from the settings. */
-    public record Pace(long windowMs, long graceMs, long waitMaxMs, long gatherMs, long dueMs, long storeWaitMs, long sendWaitMs, double perS) {
-    }
+    public record Pace(
+            long windowMs,
+            long graceMs,
+            long waitMaxMs,
+            long gatherMs,
+            long dueMs,
+            long storeWaitMs,
+            long sendWaitMs,
+            double perS) {}
 
     /** Sends one report to the platform. */
     public interface Platform {
         /** {@code until} tells, on the monotonic clock, until when the bytes may leave. Example: see {@code Outside}. */
-        void report(String holder, long token, Sealed sealed, long waitMs, LongSupplier until,
-                Consumer<Boolean> done);
+        void report(String holder, long token, Sealed sealed, long waitMs, LongSupplier until, Consumer<Boolean> done);
     }
 
-    private enum Stage { GATHER, SEALING, SEND, SENDING, COMPLETING, OVER }
+    private enum Stage {
+        GATHER,
+        SEALING,
+        SEND,
+        SENDING,
+        COMPLETING,
+        OVER
+    }
 
     private static final class Unit {
         private final long window;
@@ -71,9 +84,18 @@
     private long missed;
 
     /** Example: see {@code Node}. */
-    public Reporter(final String name, final String address, final UsageBook book, final Proposer proposer,
-            final Platform platform, final Post post, final Clock clock, final FleetClock fleet, final Pace pace,
-            final Supplier<List<String>> cores, final LongSupplier floorMs,
+    public Reporter(
+            final String name,
+            final String address,
+            final UsageBook book,
+            final Proposer proposer,
+            final Platform platform,
+            final Post post,
+            final Clock clock,
+            final FleetClock fleet,
+            final Pace pace,
+            final Supplier<List<String>> cores,
+            final LongSupplier floorMs,
             final Function<String, Long> presentLife) {
         this.name = name;
         this.address = address;
@@ -105,8 +127,9 @@
         units.clear();
         sentMs = clock.nowMs();
         next = Math.floorDiv(fleet.nowMs() - pace.dueMs(), pace.windowMs());
-        LOG.atInfo().log("event=duty_begin node=%s executionId=%s token=%s from=%s", name, begun.executionId(),
-                begun.token(), next);
+        LOG.atInfo().log(
+                "event=duty_begin node=%s executionId=%s token=%s from=%s",
+                name, begun.executionId(), begun.token(), next);
     }
 
     /** One beat. Example: {@code reporter.tick();} */
@@ -116,8 +139,9 @@
         }
         final String why = execution.why(clock.nowMs());
         if (why != null) {
-            LOG.atInfo().log("event=duty_stop node=%s executionId=%s token=%s why=%s", name, execution.executionId(),
-                    execution.token(), why);
+            LOG.atInfo().log(
+                    "event=duty_stop node=%s executionId=%s token=%s why=%s",
+                    name, execution.executionId(), execution.token(), why);
             execution = null;
             units.clear();
             return;
@@ -150,8 +174,9 @@
         } else if (unit.stage == Stage.SEND) {
             if (lateMs + pace.sendWaitMs() > pace.dueMs()) {
                 missed++;
-                LOG.atWarning().log("event=window_missed node=%s window=%s executionId=%s lateMs=%s", name,
-                        unit.window, mine.executionId(), lateMs);
+                LOG.atWarning().log(
+                        "event=window_missed node=%s window=%s executionId=%s lateMs=%s",
+                        name, unit.window, mine.executionId(), lateMs);
                 unit.stage = Stage.OVER;
             } else if (clock.nowMs() - sentMs >= 1000 / pace.perS()) {
                 send(mine, unit);
@@ -197,8 +222,13 @@
         unit.stage = Stage.SEALING;
         final Map<String, Long> counts = book.sum(unit.window);
         final byte[] value = Codec.bytes(new Sealed(unit.window, counts, mine.owner(), mine.token(), false));
-        proposer.change(Sealed.key(unit.window), pace.storeWaitMs(),
-                now -> now == null && mine.mayWork(clock.nowMs()) && reportable(unit.window) ? new Edit.Set(value) : Edit.LEAVE, outcome -> {
+        proposer.change(
+                Sealed.key(unit.window),
+                pace.storeWaitMs(),
+                now -> now == null && mine.mayWork(clock.nowMs()) && reportable(unit.window)
+                        ? new Edit.Set(value)
+                        : Edit.LEAVE,
+                outcome -> {
                     if (outcome instanceof Outcome.Done done && done.value() != null) {
                         unit.sealed = Codec.record(done.value(), Sealed.class);
                         lastSealed = Math.max(lastSealed, unit.window);
@@ -216,10 +246,21 @@
         }
         unit.stage = Stage.SENDING;
         sentMs = clock.nowMs();
-        platform.report(name, mine.token(), unit.sealed, pace.sendWaitMs(),
-                () -> mine == execution && mine.mayWork(clock.nowMs()) ? mine.deadlineMs() : Long.MIN_VALUE, ok -> {
-                    LOG.atInfo().log("event=report node=%s executionId=%s token=%s window=%s ok=%s lateMs=%s", name,
-                            mine.executionId(), mine.token(), unit.window, ok, fleet.nowMs() - endMs(unit.window));
+        platform.report(
+                name,
+                mine.token(),
+                unit.sealed,
+                pace.sendWaitMs(),
+                () -> mine == execution && mine.mayWork(clock.nowMs()) ? mine.deadlineMs() : Long.MIN_VALUE,
+                ok -> {
+                    LOG.atInfo().log(
+                            "event=report node=%s executionId=%s token=%s window=%s ok=%s lateMs=%s",
+                            name,
+                            mine.executionId(),
+                            mine.token(),
+                            unit.window,
+                            ok,
+                            fleet.nowMs() - endMs(unit.window));
                     if (ok) {
                         complete(mine, unit);
                     } else {
@@ -230,15 +271,20 @@
 
     private void complete(final Execution mine, final Unit unit) {
         unit.stage = Stage.COMPLETING;
-        proposer.change(Sealed.key(unit.window), pace.storeWaitMs(), value -> {
-            final Sealed now = value == null ? null : Codec.record(value, Sealed.class);
-            return now == null || now.completed() ? Edit.LEAVE : new Edit.Set(Codec.bytes(now.complete()));
-        }, outcome -> {
-            unit.stage = Stage.OVER;
-            if (!(outcome instanceof Outcome.Done)) {
-                LOG.atWarning().log("event=completion_unclear node=%s window=%s executionId=%s", name, unit.window,
-                        mine.executionId());
-            }
-        });
+        proposer.change(
+                Sealed.key(unit.window),
+                pace.storeWaitMs(),
+                value -> {
+                    final Sealed now = value == null ? null : Codec.record(value, Sealed.class);
+                    return now == null || now.completed() ? Edit.LEAVE : new Edit.Set(Codec.bytes(now.complete()));
+                },
+                outcome -> {
+                    unit.stage = Stage.OVER;
+                    if (!(outcome instanceof Outcome.Done)) {
+                        LOG.atWarning().log(
+                                "event=completion_unclear node=%s window=%s executionId=%s",
+                                name, unit.window, mine.executionId());
+                    }
+                });
     }
 }
--- a/spokestall/src/main/java/spokestall/duty/UsageBook.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageBook.java
@@ -35,7 +35,8 @@
         }
         final Map<String, Map<String, Long>> lives = windows.computeIfAbsent(count.window(), w -> new HashMap<>());
         final String life = count.edge() + "#" + Long.toHexString(count.life());
-        if (lives.size() >= LIVES_MAX && !lives.containsKey(life) || count.begun().size() > TENANTS_MAX) {
+        if (lives.size() >= LIVES_MAX && !lives.containsKey(life)
+                || count.begun().size() > TENANTS_MAX) {
             return;
         }
         final Map<String, Long> begun = lives.computeIfAbsent(life, l -> new HashMap<>());
@@ -52,7 +53,8 @@
      * present under another one has ended and is not waited for.
      * Example: {@code if (!book.closed(345, edge -> lifeOf(edge)) && early) waitForMore();} */
     public boolean closed(final long of, final Function<String, Long> presentLife) {
-        final Set<String> open = new HashSet<>(windows.getOrDefault(of, Map.of()).keySet());
+        final Set<String> open =
+                new HashSet<>(windows.getOrDefault(of, Map.of()).keySet());
         open.addAll(windows.getOrDefault(of - 1, Map.of()).keySet());
         open.removeAll(closed.getOrDefault(of, Set.of()));
         open.removeIf(life -> {
@@ -66,7 +68,8 @@
     /** A window's sums by tenant. Example: {@code book.sum(345).get("tenant-1")} */
     public Map<String, Long> sum(final long of) {
         final Map<String, Long> sum = new TreeMap<>();
-        windows.getOrDefault(of, Map.of()).values()
+        windows.getOrDefault(of, Map.of())
+                .values()
                 .forEach(begun -> begun.forEach((tenant, n) -> sum.merge(tenant, n, Long::sum)));
         return sum;
     }
@@ -88,8 +91,12 @@
         final List<UsageNote.Count> found = new ArrayList<>();
         windows.getOrDefault(of, Map.of()).forEach((life, begun) -> {
             final int at = life.lastIndexOf('#');
-            found.add(new UsageNote.Count(life.substring(0, at), Long.parseUnsignedLong(life.substring(at + 1), 16),
-                    of, begun, closed.getOrDefault(of, Set.of()).contains(life)));
+            found.add(new UsageNote.Count(
+                    life.substring(0, at),
+                    Long.parseUnsignedLong(life.substring(at + 1), 16),
+                    of,
+                    begun,
+                    closed.getOrDefault(of, Set.of()).contains(life)));
         });
         return found;
     }
--- a/spokestall/src/main/java/spokestall/duty/UsageCounter.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageCounter.java
@@ -21,8 +21,7 @@
  */
 public final class UsageCounter {
     /** Spans and sizes, from the settings. Nothing is held back if {@code uncountedMs} is zero. */
-    public record Pace(long windowMs, long closeMs, int windowsKept, long uncountedMs, int cores, long againMs) {
-    }
+    public record Pace(long windowMs, long closeMs, int windowsKept, long uncountedMs, int cores, long againMs) {}
 
     /** Counts on their way: of which tenants in which windows, the oldest from when. */
     private static final class Push {
@@ -57,8 +56,15 @@
     private boolean stopped;
 
     /** Example: {@code new UsageCounter("d1-edge", address, life, pace, clock, fleet, post, cores)} */
-    public UsageCounter(final String edge, final String address, final long life, final Pace pace, final Clock clock,
-            final FleetClock fleet, final Post post, final Supplier<List<String>> cores) {
+    public UsageCounter(
+            final String edge,
+            final String address,
+            final long life,
+            final Pace pace,
+            final Clock clock,
+            final FleetClock fleet,
+            final Post post,
+            final Supplier<List<String>> cores) {
         this.edge = edge;
         this.address = address;
         this.life = life;
@@ -104,7 +110,9 @@
         begun.headMap(now - pace.windowsKept()).clear();
         changed.keySet().removeIf(w -> w < now - pace.windowsKept());
         closed.removeIf(w -> w < now - pace.windowsKept());
-        pushes.values().removeIf(p -> !p.what.isEmpty() && p.what.keySet().stream().allMatch(w -> w < now - pace.windowsKept()));
+        pushes.values()
+                .removeIf(p ->
+                        !p.what.isEmpty() && p.what.keySet().stream().allMatch(w -> w < now - pace.windowsKept()));
         begun.computeIfAbsent(now, w -> new HashMap<>());
         begun.computeIfAbsent(now - 1, w -> new HashMap<>());
         for (final long window : begun.keySet()) {
@@ -127,13 +135,15 @@
     }
 
     private void whole(final long window) {
-        changed.computeIfAbsent(window, w -> new TreeSet<>()).addAll(begun.get(window).keySet());
+        changed.computeIfAbsent(window, w -> new TreeSet<>())
+                .addAll(begun.get(window).keySet());
     }
 
     private void push() {
         if (pushes.size() >= PUSHES_MAX) {
             for (final Push old : pushes.values()) {
-                old.what.forEach((w, tenants) -> changed.computeIfAbsent(w, n -> new TreeSet<>()).addAll(tenants));
+                old.what.forEach((w, tenants) ->
+                        changed.computeIfAbsent(w, n -> new TreeSet<>()).addAll(tenants));
                 changedMs = Math.min(changedMs, old.sinceMs);
             }
             pushes.clear();
@@ -169,7 +179,9 @@
             begun.keySet().forEach(this::whole);
         }
         final Push push = pushes.get(note.stamp());
-        if (push != null && push.had.add(core) && push.had.size() > Math.max(pace.cores(), cores.get().size()) / 2) {
+        if (push != null
+                && push.had.add(core)
+                && push.had.size() > Math.max(pace.cores(), cores.get().size()) / 2) {
             pushes.remove(note.stamp());
         }
     }
--- a/spokestall/src/main/java/spokestall/duty/UsageNote.java
+++ b/spokestall/src/main/java/spokestall/duty/UsageNote.java
@@ -8,22 +8,17 @@
 /** How counts reach whoever reports them. */
 public sealed interface UsageNote extends Note {
     /** One edge life's begun asks by tenant in one window; it only grows, until the edge says that it is closed. */
-    record Count(String edge, long life, long window, Map<String, Long> begun, boolean closed) {
-    }
+    record Count(String edge, long life, long window, Map<String, Long> begun, boolean closed) {}
 
     /** An edge's counts, pushed to every core. */
-    record Counts(String from, long stamp, List<Count> counts) implements UsageNote {
-    }
+    record Counts(String from, long stamp, List<Count> counts) implements UsageNote {}
 
     /** A core, in its present life, has the counts of that push. */
-    record CountsHad(String name, long stamp, @Since(3) long life) implements UsageNote {
-    }
+    record CountsHad(String name, long stamp, @Since(3) long life) implements UsageNote {}
 
     /** Asks a core for all it has of a window. */
-    record CountAsk(String from, long window) implements UsageNote {
-    }
+    record CountAsk(String from, long window) implements UsageNote {}
 
     /** The reply to {@link CountAsk}. */
-    record CountBack(String name, long window, List<Count> counts) implements UsageNote {
-    }
+    record CountBack(String name, long window, List<Count> counts) implements UsageNote {}
 }
--- a/spokestall/src/main/java/spokestall/edge/AskHead.java
+++ b/spokestall/src/main/java/spokestall/edge/AskHead.java
@@ -4,11 +4,19 @@
 import spokestall.wire.Header;
 
 /** What is known of an ask before its body is read; headers are the end-to-end ones, host is empty where it does not count, key is null where none came, target is as it came, spanMs is what remains until its deadline. */
-public record AskHead(String method, String host, String target, String key, String askId, long spanMs,
-        long bodyBytes, List<Header> headers) {
+public record AskHead(
+        String method,
+        String host,
+        String target,
+        String key,
+        String askId,
+        long spanMs,
+        long bodyBytes,
+        List<Header> headers) {
     /** The same, after so much of its span is over. Example: {@code head.later(waitedMs)} */
     public AskHead later(final long waitedMs) {
-        return spanMs == Long.MIN_VALUE ? this
+        return spanMs == Long.MIN_VALUE
+                ? this
                 : new AskHead(method, host, target, key, askId, spanMs - waitedMs, bodyBytes, headers);
     }
 }
--- a/spokestall/src/main/java/spokestall/edge/Claim.java
+++ b/spokestall/src/main/java/spokestall/edge/Claim.java
@@ -1,10 +1,21 @@
 package spokestall.edge;
 
 /** The register of a run-once ask: who may send it, for which body, and how it ended. */
-public record Claim(String claimId, String digest, long ticketMs, long claimedMs, State state, int status,
-        String answerDigest, String instance) {
+public record Claim(
+        String claimId,
+        String digest,
+        long ticketMs,
+        long claimedMs,
+        State state,
+        int status,
+        String answerDigest,
+        String instance) {
     /** OPEN: it may have run. RAN: it ran. NOT_RUN: it did not, and may be claimed again. */
-    public enum State { OPEN, RAN, NOT_RUN }
+    public enum State {
+        OPEN,
+        RAN,
+        NOT_RUN
+    }
 
     /** The register's key. Example: {@code Claim.key("tenant-1", "pay-17")} */
     public static String key(final String tenant, final String askId) {
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -23,14 +23,24 @@
  */
 public final class Edge {
     /** Bounds, from the settings. */
-    public record Pace(int asksOpenMax, long heldMaxBytes, long claimKeepMs, long claimWaitMs, long handWaitMs,
-            long retryAfterMs, int goesMax, double retryShare, double retryAllowance, long spanMaxMs,
-            long ticketAheadMs, Habits habits) {
-    }
+    public record Pace(
+            int asksOpenMax,
+            long heldMaxBytes,
+            long claimKeepMs,
+            long claimWaitMs,
+            long handWaitMs,
+            long retryAfterMs,
+            int goesMax,
+            double retryShare,
+            double retryAllowance,
+            long spanMaxMs,
+            long ticketAheadMs,
+            Habits habits) {}
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** Methods that speak of the wire, not of what is behind it. */
     private static final Set<String> NOT_PROXIED = Set.of("CONNECT", "TRACE");
+
     private final Parts parts;
     private final Pace pace;
     private final Places places;
@@ -81,8 +91,11 @@
     public Opened open(final AskHead head, final Consumer<Answer> done) {
         final Ticket ticket = Ticket.of(head.askId());
         final Ran doubt = ticket != null ? Ran.UNDECIDED : Ran.NOT_RUN;
-        if (pace.habits().keyed() && head.key() == null || head.askId() == null || !head.askId().matches("[A-Za-z0-9._:-]{1,128}")
-                || head.spanMs() == Long.MIN_VALUE || NOT_PROXIED.contains(head.method())) {
+        if (pace.habits().keyed() && head.key() == null
+                || head.askId() == null
+                || !head.askId().matches("[A-Za-z0-9._:-]{1,128}")
+                || head.spanMs() == Long.MIN_VALUE
+                || NOT_PROXIED.contains(head.method())) {
             return denied(Result.MALFORMED, doubt);
         }
         if (!(Target.of(head.target()) instanceof Target.Good target)) {
@@ -123,17 +136,27 @@
         if (head.bodyBytes() > rule.askMaxBytes()) {
             return denied(Result.TOO_LARGE, unproven);
         }
-        if (!parts.elector().mayReserve(rule, nameOf(tenant), u -> binding.home(tenant, u.region()) && !policy.holds().contains(u.district()))) {
+        if (!parts.elector()
+                .mayReserve(
+                        rule,
+                        nameOf(tenant),
+                        u -> binding.home(tenant, u.region()) && !policy.holds().contains(u.district()))) {
             say(Result.NO_UPSTREAM, tenant, binding);
             return denied(Result.NO_UPSTREAM, unproven);
         }
         // The longest that both bodies may be is kept free for the ask from here on.
-        final long bytes = (head.bodyBytes() < 0 ? rule.askMaxBytes() : head.bodyBytes()) + (long) rule.answerMaxBytes();
+        final long bytes =
+                (head.bodyBytes() < 0 ? rule.askMaxBytes() : head.bodyBytes()) + (long) rule.answerMaxBytes();
         if (!places.take(nameOf(tenant), bytes)) {
             return denied(Result.BUSY, unproven);
         }
-        final Run run = new Run(this, parts, new Run.Grant(head, target, hash, tenant, binding, rule,
-                parts.clock().nowMs() + spanMs(head, binding)), bytes, done);
+        final Run run = new Run(
+                this,
+                parts,
+                new Run.Grant(
+                        head, target, hash, tenant, binding, rule, parts.clock().nowMs() + spanMs(head, binding)),
+                bytes,
+                done);
         if (head.bodyBytes() == 0) {
             run.keep();
         }
@@ -147,12 +170,15 @@
 
     /** Whether this node's own district is to be empty of asks too, not only of goes. */
     boolean held(final Policy policy) {
-        return pace.habits().holdsEdges() && policy.holds().contains(parts.self().district());
+        return pace.habits().holdsEdges()
+                && policy.holds().contains(parts.self().district());
     }
 
     /** Whether this node may take the tenant's asks. */
     boolean athome(final Tenant tenant) {
-        return !pace.habits().homeEdges() || tenant == null || tenant.homeRegions().isEmpty()
+        return !pace.habits().homeEdges()
+                || tenant == null
+                || tenant.homeRegions().isEmpty()
                 || tenant.homeRegions().contains(parts.self().region());
     }
 
@@ -171,8 +197,14 @@
         final Long saidMs = said.get(why);
         if (saidMs == null || nowMs - saidMs >= 1000) {
             said.put(why, nowMs);
-            LOG.atInfo().log("event=denied node=%s code=%s tenant=%s homes=%s binding=%s regions=%s", parts.self().name(),
-                    why.number(), nameOf(tenant), tenant == null ? "" : tenant.homeRegions(), binding.name(), binding.regions());
+            LOG.atInfo().log(
+                    "event=denied node=%s code=%s tenant=%s homes=%s binding=%s regions=%s",
+                    parts.self().name(),
+                    why.number(),
+                    nameOf(tenant),
+                    tenant == null ? "" : tenant.homeRegions(),
+                    binding.name(),
+                    binding.regions());
         }
     }
 
@@ -193,7 +225,11 @@
     }
 
     RetryBudget budget(final ServiceRule rule) {
-        return budgets.computeIfAbsent(rule.name(), s -> new RetryBudget(pace.retryShare(), () -> pace.retryAllowance() / parts.sharers().getAsInt()));
+        return budgets.computeIfAbsent(
+                rule.name(),
+                s -> new RetryBudget(
+                        pace.retryShare(),
+                        () -> pace.retryAllowance() / parts.sharers().getAsInt()));
     }
 
     /** Hears what another node kept. Example: {@code edge.hear(back);} */
--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -22,16 +22,25 @@
     /** Bounds, from the settings: the edges that a cold upstream's ramp is divided among, the ramp's share that is
      * used and what may come over it each second in the whole fleet, and how long one in trouble is put aside. What it
      * costs to leave the district, and the region, is a part of a slot's work. */
-    public record Pace(IntSupplier edges, double warmRatio, double warmSlack, long ejectMs, long ejectMaxMs,
-            double districtCost, double regionCost) {
-    }
+    public record Pace(
+            IntSupplier edges,
+            double warmRatio,
+            double warmSlack,
+            long ejectMs,
+            long ejectMaxMs,
+            double districtCost,
+            double regionCost) {}
 
     /** How a go ended, as far as its upstream is concerned. */
-    public enum End { WELL, DENIED, UNREACHED, LOST }
-
-    private record Ejected(long untilMs, int times) {
+    public enum End {
+        WELL,
+        DENIED,
+        UNREACHED,
+        LOST
     }
 
+    private record Ejected(long untilMs, int times) {}
+
     private static final double QUICK_LEAST = 0.4;
     private static final double QUICK_MOST = 3;
     private final String region;
@@ -51,8 +60,14 @@
     private final Quickness quickness = new Quickness();
 
     /** Example: see {@code Node}. */
-    public Elector(final String region, final String district, final Function<String, List<Upstream>> ready,
-            final Clock clock, final FleetClock fleet, final Random random, final Pace pace) {
+    public Elector(
+            final String region,
+            final String district,
+            final Function<String, List<Upstream>> ready,
+            final Clock clock,
+            final FleetClock fleet,
+            final Random random,
+            final Pace pace) {
         this.region = region;
         this.district = district;
         this.ready = ready;
@@ -109,8 +124,10 @@
     private double cost(final ServiceRule rule, final Upstream u) {
         final double quick = Math.max(QUICK_LEAST, Math.min(QUICK_MOST, quickness.of(rule.name(), u.instance())));
         final double queue = (demand(u) + 1.0) / Math.max(1, u.slots()) * quick;
-        return queue + (u.region().equals(region) ? u.district().equals(district) ? 0 : pace.districtCost()
-                : pace.regionCost());
+        return queue
+                + (u.region().equals(region)
+                        ? u.district().equals(district) ? 0 : pace.districtCost()
+                        : pace.regionCost());
     }
 
     private int demand(final Upstream u) {
@@ -169,8 +186,8 @@
 
     private boolean warmEnough(final ServiceRule rule, final Upstream u) {
         final long nowMs = fleet.nowMs();
-        final long ageMs = Math.max(0, u.coldUntilMs() > 0 ? rule.warmupMs() - (u.coldUntilMs() - nowMs)
-                : nowMs - u.readySinceMs());
+        final long ageMs = Math.max(
+                0, u.coldUntilMs() > 0 ? rule.warmupMs() - (u.coldUntilMs() - nowMs) : nowMs - u.readySinceMs());
         final Long chilled = coldUntilMs.get(u.instance());
         final boolean cold = chilled != null && clock.nowMs() < chilled;
         if (ageMs >= rule.warmupMs() && !cold) {
@@ -179,8 +196,10 @@
             return true;
         }
         final double ramp = pace.warmSlack() > 0 ? 1 : cold ? 0.5 : (double) ageMs / rule.warmupMs();
-        final double perS = (pace.warmRatio() * rule.warmPerS() * ramp + pace.warmSlack()) / pace.edges().getAsInt();
-        return warmth.computeIfAbsent(u.instance(), i -> new Warmth(clock.nowMs())).spend(clock.nowMs(), perS, 1);
+        final double perS = (pace.warmRatio() * rule.warmPerS() * ramp + pace.warmSlack())
+                / pace.edges().getAsInt();
+        return warmth.computeIfAbsent(u.instance(), i -> new Warmth(clock.nowMs()))
+                .spend(clock.nowMs(), perS, 1);
     }
 
     /** A go to it has begun. Example: {@code elector.begun(upstream.instance());} */
@@ -190,7 +209,8 @@
 
     /** A go to it has ended after so long; slow is what should be the most.
      * Example: {@code elector.ended(rule.name(), upstream.instance(), End.WELL, 12, rule.goMs() / 2);} */
-    public void ended(final String service, final String instance, final End how, final long spentMs, final long slowMs) {
+    public void ended(
+            final String service, final String instance, final End how, final long spentMs, final long slowMs) {
         limits.get(instance).ended(how == End.WELL || how == End.DENIED, spentMs, slowMs, clock.nowMs());
         if (how == End.WELL) {
             quickness.took(service, instance, spentMs);
@@ -216,7 +236,8 @@
     private void aside(final String instance, final End how) {
         final Ejected had = ejected.get(instance);
         final int times = had == null ? 1 : Math.min(had.times + 1, 8);
-        final long spanMs = how == End.DENIED ? pace.ejectMs() / 4 : Math.min(pace.ejectMaxMs(), pace.ejectMs() << (times - 1));
+        final long spanMs =
+                how == End.DENIED ? pace.ejectMs() / 4 : Math.min(pace.ejectMaxMs(), pace.ejectMs() << (times - 1));
         ejected.put(instance, new Ejected(clock.nowMs() + spanMs, times));
     }
 
@@ -227,6 +248,7 @@
         warmth.keySet().retainAll(known);
         coldUntilMs.keySet().retainAll(known);
         quickness.retain(known);
-        limits.entrySet().removeIf(e -> !known.contains(e.getKey()) && e.getValue().idle());
+        limits.entrySet()
+                .removeIf(e -> !known.contains(e.getKey()) && e.getValue().idle());
     }
 }
--- a/spokestall/src/main/java/spokestall/edge/Goes.java
+++ b/spokestall/src/main/java/spokestall/edge/Goes.java
@@ -8,6 +8,7 @@
 final class Goes {
     /** However free they are. */
     static final int MOST = 6;
+
     private final boolean unsentFree;
     private int begun;
     private int ended;
@@ -41,7 +42,8 @@
 
     /** Whether there may be one more, which is then paid for. */
     boolean again(final int most, final RetryBudget budget) {
-        return (unsentFree ? begun - unsent : begun) < most && begun < MOST
+        return (unsentFree ? begun - unsent : begun) < most
+                && begun < MOST
                 && (unsentFree && open() == 0 && unsentLast || budget.spend());
     }
 }
--- a/spokestall/src/main/java/spokestall/edge/Habits.java
+++ b/spokestall/src/main/java/spokestall/edge/Habits.java
@@ -7,6 +7,5 @@
  * Any500: an answer of 500 or above to what may be repeated is trouble, not only 502 and 503.
  * UnsentFree: a further go after one that was never sent is no retry; else each further go is one.
  */
-public record Habits(boolean keyed, boolean claims, boolean homeEdges, boolean holdsEdges, boolean unsentFree,
-        boolean any500) {
-}
+public record Habits(
+        boolean keyed, boolean claims, boolean homeEdges, boolean holdsEdges, boolean unsentFree, boolean any500) {}
--- a/spokestall/src/main/java/spokestall/edge/Limit.java
+++ b/spokestall/src/main/java/spokestall/edge/Limit.java
@@ -8,6 +8,7 @@
 final class Limit {
     /** Before anything is known of an upstream. */
     static final int FIRST = 4;
+
     private static final double MOST = 256;
     private double most = FIRST;
     private int open;
--- a/spokestall/src/main/java/spokestall/edge/Parts.java
+++ b/spokestall/src/main/java/spokestall/edge/Parts.java
@@ -17,7 +17,18 @@
 
 /** What an edge works with: itself, the policy and its proof, the store of claims, upstreams, and time; sharers are the edges
  * that shared bounds are divided among. */
-public record Parts(Member self, Book book, Follower follower, Proposer proposer, Elector elector,
-        Upstreams upstreams, UsageCounter counter, Shelf shelf, Post post, Clock clock, FleetClock fleet,
-        Random random, IntSupplier sharers, Function<Set<String>, List<String>> homeCores) {
-}
+public record Parts(
+        Member self,
+        Book book,
+        Follower follower,
+        Proposer proposer,
+        Elector elector,
+        Upstreams upstreams,
+        UsageCounter counter,
+        Shelf shelf,
+        Post post,
+        Clock clock,
+        FleetClock fleet,
+        Random random,
+        IntSupplier sharers,
+        Function<Set<String>, List<String>> homeCores) {}
--- a/spokestall/src/main/java/spokestall/edge/Ran.java
+++ b/spokestall/src/main/java/spokestall/edge/Ran.java
@@ -2,7 +2,9 @@
 
 /** What is known of whether an ask ran. */
 public enum Ran {
-    RAN("ran"), NOT_RUN("not-run"), UNDECIDED("undecided");
+    RAN("ran"),
+    NOT_RUN("not-run"),
+    UNDECIDED("undecided");
 
     private final String word;
 
--- a/spokestall/src/main/java/spokestall/edge/Run.java
+++ b/spokestall/src/main/java/spokestall/edge/Run.java
@@ -19,14 +19,25 @@
 /** One ask on its way, from the moment it got its place to its final answer. */
 final class Run implements Admitted {
     /** What an ask was let in by. */
-    record Grant(AskHead head, Target.Good target, String keyHash, Tenant tenant, Binding binding, ServiceRule rule,
-            long deadlineMs) {
-    }
+    record Grant(
+            AskHead head,
+            Target.Good target,
+            String keyHash,
+            Tenant tenant,
+            Binding binding,
+            ServiceRule rule,
+            long deadlineMs) {}
 
-    private enum Stage { READING, CLAIMING, GOING, ENDED }
+    private enum Stage {
+        READING,
+        CLAIMING,
+        GOING,
+        ENDED
+    }
 
     /** The part of an aim after which what may be repeated is asked of a second upstream as well. */
     private static final double LATE = 0.6;
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final Edge edge;
     private final Parts parts;
@@ -58,7 +69,11 @@
         this.binding = ask.binding();
         this.goes = new Goes(edge.pace().habits().unsentFree());
         this.desk = ask.binding().runOnce() && edge.pace().habits().claims()
-                ? new ClaimDesk(parts, edge.pace(), Claim.key(ask.tenant().name(), ask.head().askId())) : null;
+                ? new ClaimDesk(
+                        parts,
+                        edge.pace(),
+                        Claim.key(ask.tenant().name(), ask.head().askId()))
+                : null;
         parts.clock().after(Math.max(0, ask.deadlineMs() - parts.clock().nowMs()), () -> give(Result.DEADLINE));
     }
 
@@ -77,7 +92,8 @@
     }
 
     private boolean fits(final Upstream u) {
-        return binding.home(ask.tenant(), u.region()) && !parts.book().policy().holds().contains(u.district());
+        return binding.home(ask.tenant(), u.region())
+                && !parts.book().policy().holds().contains(u.district());
     }
 
     @Override
@@ -102,8 +118,12 @@
             return;
         }
         change(Stage.CLAIMING);
-        desk.claim(Ticket.of(ask.head().askId()), body, ask.deadlineMs() - parts.clock().nowMs(),
-                () -> barred() == null, this::claimed);
+        desk.claim(
+                Ticket.of(ask.head().askId()),
+                body,
+                ask.deadlineMs() - parts.clock().nowMs(),
+                () -> barred() == null,
+                this::claimed);
     }
 
     @Override
@@ -176,7 +196,10 @@
     /** Ends it in spokestall's own words: proven not to have run only if this call sent nothing that may have, or may yet. */
     private void give(final Result result) {
         final boolean before = Ticket.of(ask.head().askId()) != null;
-        end(edge.deny(result, desk != null || before || mayHaveRun || goes.open() > 0 ? Ran.UNDECIDED : Ran.NOT_RUN, goes.begun()));
+        end(edge.deny(
+                result,
+                desk != null || before || mayHaveRun || goes.open() > 0 ? Ran.UNDECIDED : Ran.NOT_RUN,
+                goes.begun()));
     }
 
     /** Whether the ask may still be sent: fresh, with its key, region, binding and district as they are now. */
@@ -192,13 +215,16 @@
         }
         final Policy policy = parts.book().policy();
         final Policy.Found now = policy.find(ask.head().host(), ask.target().path(), ask.keyHash());
-        if (!(now.binding() != null && now.binding().open()) && !Edge.nameOf(now.tenant()).equals(tenantName())) {
+        if (!(now.binding() != null && now.binding().open())
+                && !Edge.nameOf(now.tenant()).equals(tenantName())) {
             return Result.BAD_KEY;
         }
         if (!edge.athome(now.tenant())) {
             return Result.WRONG_REGION;
         }
-        if (now.binding() == null || now.binding().runOnce() != ask.binding().runOnce() || !follow(policy, now.binding())) {
+        if (now.binding() == null
+                || now.binding().runOnce() != ask.binding().runOnce()
+                || !follow(policy, now.binding())) {
             return Result.NO_BINDING;
         }
         return edge.held(policy) ? Result.HELD : null;
@@ -219,15 +245,32 @@
         if (how instanceof ClaimDesk.Claimed.Mine mine) {
             claim = mine.claim();
             if (stage == Stage.ENDED) {
-                desk.voided(claim, proven -> { });
+                desk.voided(claim, proven -> {});
                 return;
             }
             change(Stage.GOING);
             go();
         } else if (how instanceof ClaimDesk.Claimed.Ran before) {
-            edge.fetch(ask.tenant(), desk.key(), before.claim().answerDigest(), kept -> end(kept != null
-                    ? new Answer(Result.REPEATED, Ran.RAN, kept, before.claim().instance(), 0, 0)
-                    : new Answer(Result.RAN_ANSWER_GONE, Ran.RAN, null, before.claim().instance(), 0, 0)));
+            edge.fetch(
+                    ask.tenant(),
+                    desk.key(),
+                    before.claim().answerDigest(),
+                    kept -> end(
+                            kept != null
+                                    ? new Answer(
+                                            Result.REPEATED,
+                                            Ran.RAN,
+                                            kept,
+                                            before.claim().instance(),
+                                            0,
+                                            0)
+                                    : new Answer(
+                                            Result.RAN_ANSWER_GONE,
+                                            Ran.RAN,
+                                            null,
+                                            before.claim().instance(),
+                                            0,
+                                            0)));
         } else if (how instanceof ClaimDesk.Claimed.Not not) {
             final Result barred = not.why() == Result.UNCLEAR ? barred() : null;
             give(barred != null ? barred : not.why());
@@ -260,7 +303,8 @@
         }
         tried.add(to.instance());
         final AskHead head = ask.head();
-        final long waitMs = Math.min(rule.goMs(), ask.deadlineMs() - parts.clock().nowMs());
+        final long waitMs =
+                Math.min(rule.goMs(), ask.deadlineMs() - parts.clock().nowMs());
         final long begunMs = parts.clock().nowMs();
         parts.elector().begun(to.instance());
         release();
@@ -268,11 +312,27 @@
             final int number = goes.begun();
             parts.clock().after(Math.max(1, (long) (LATE * binding.aimMs())), () -> late(to, number));
         }
-        final LongSupplier until = () -> barred() != null ? Long.MIN_VALUE
+        final LongSupplier until = () -> barred() != null
+                ? Long.MIN_VALUE
                 : Math.min(ask.deadlineMs(), parts.follower().freshUntilMs());
-        parts.upstreams().go(new Go(head.askId(), ask.tenant() == null ? null : tenantName(), to.instance(), to.service(), to.address(),
-                head.method(), ask.target().raw(), head.headers(), body, waitMs, ask.rule().answerMaxBytes(), !binding.runOnce()), until,
-                () -> counted(), result -> went(to, result, begunMs));
+        parts.upstreams()
+                .go(
+                        new Go(
+                                head.askId(),
+                                ask.tenant() == null ? null : tenantName(),
+                                to.instance(),
+                                to.service(),
+                                to.address(),
+                                head.method(),
+                                ask.target().raw(),
+                                head.headers(),
+                                body,
+                                waitMs,
+                                ask.rule().answerMaxBytes(),
+                                !binding.runOnce()),
+                        until,
+                        () -> counted(),
+                        result -> went(to, result, begunMs));
     }
 
     /** An upstream that is silent for long may be gone. What may be repeated is asked of another one too, once and paid for,
@@ -293,11 +353,20 @@
     private void went(final Upstream to, final GoResult result, final long begunMs) {
         goes.ended(!(result instanceof GoResult.NotSent));
         mayHaveRun |= result instanceof GoResult.Whole || result instanceof GoResult.Lost;
-        final boolean barredHere = result instanceof GoResult.NotSent n && n.why().equals("barred");
+        final boolean barredHere =
+                result instanceof GoResult.NotSent n && n.why().equals("barred");
         final long slowMs = binding.aimMs() > 0 ? binding.aimMs() : rule.goMs() / 4;
-        parts.elector().ended(to.service(), to.instance(), barredHere || result instanceof GoResult.Whole ? Elector.End.WELL
-                : result instanceof GoResult.NotRun ? Elector.End.DENIED : result instanceof GoResult.NotSent
-                ? Elector.End.UNREACHED : Elector.End.LOST, parts.clock().nowMs() - begunMs, slowMs);
+        parts.elector()
+                .ended(
+                        to.service(),
+                        to.instance(),
+                        barredHere || result instanceof GoResult.Whole
+                                ? Elector.End.WELL
+                                : result instanceof GoResult.NotRun
+                                        ? Elector.End.DENIED
+                                        : result instanceof GoResult.NotSent ? Elector.End.UNREACHED : Elector.End.LOST,
+                        parts.clock().nowMs() - begunMs,
+                        slowMs);
         if (result instanceof GoResult.Whole whole) {
             whole(to, whole);
         } else {
@@ -311,7 +380,9 @@
             record(to, whole);
         }
         final Answer answer = new Answer(Result.OK, Ran.RAN, whole.content(), to.instance(), goes.begun(), 0);
-        final boolean poor = status == 502 || status == 503 || status >= 500 && edge.pace().habits().any500();
+        final boolean poor = status == 502
+                || status == 503
+                || status >= 500 && edge.pace().habits().any500();
         if (claim == null && poor && !ask.binding().runOnce() && stage != Stage.ENDED) {
             held = answer;
             if (goes.open() > 0 || again()) {
@@ -322,11 +393,12 @@
     }
 
     private void trouble(final Upstream to, final GoResult result) {
-        LOG.atFine().log("event=trouble node=%s instance=%s ask=%s result=%s", parts.self().name(), to.instance(),
-                ask.head().askId(), result);
+        LOG.atFine().log(
+                "event=trouble node=%s instance=%s ask=%s result=%s",
+                parts.self().name(), to.instance(), ask.head().askId(), result);
         if (stage == Stage.ENDED) {
             if (claim != null && !mayHaveRun) {
-                desk.voided(claim, proven -> { });
+                desk.voided(claim, proven -> {});
             }
             return;
         }
@@ -350,7 +422,9 @@
     }
 
     private boolean again() {
-        final int most = binding.goesMax() > 0 ? Math.min(binding.goesMax(), edge.pace().goesMax()) : edge.pace().goesMax();
+        final int most = binding.goesMax() > 0
+                ? Math.min(binding.goesMax(), edge.pace().goesMax())
+                : edge.pace().goesMax();
         if (stage == Stage.ENDED || barred() != null || !goes.again(most, edge.budget(rule))) {
             return false;
         }
@@ -360,8 +434,8 @@
 
     /** The claim's end and the answer go to the store and to home cores; the caller need not wait for it. */
     private void record(final Upstream to, final GoResult.Whole whole) {
-        final HandNote.Keep keep = new HandNote.Keep(desk.key(), KeyHash.hex(Codec.bytes(whole.content())),
-                whole.content());
+        final HandNote.Keep keep =
+                new HandNote.Keep(desk.key(), KeyHash.hex(Codec.bytes(whole.content())), whole.content());
         parts.shelf().keep(keep);
         for (final String core : parts.homeCores().apply(ask.tenant().homeRegions())) {
             parts.post().send(core, keep);
--- a/spokestall/src/main/java/spokestall/edge/Where.java
+++ b/spokestall/src/main/java/spokestall/edge/Where.java
@@ -9,19 +9,23 @@
 
 /** Elects the edges a client is to use: the same ones for the same client, spread over all edges. */
 public final class Where {
-    private Where() {
-    }
+    private Where() {}
 
     /** Example: {@code Where.elect("client-7", edges, tenant.homeRegions(), policy.holds(), 2)} */
-    public static List<Member> elect(final String client, final Collection<Member> edges,
-            final Set<String> homeRegions, final Set<String> holds, final int most) {
+    public static List<Member> elect(
+            final String client,
+            final Collection<Member> edges,
+            final Set<String> homeRegions,
+            final Set<String> holds,
+            final int most) {
         final List<Member> fit = new ArrayList<>();
         for (final Member edge : edges) {
             if (!edge.leaving() && homeRegions.contains(edge.region()) && !holds.contains(edge.district())) {
                 fit.add(edge);
             }
         }
-        fit.sort(Comparator.comparingLong((Member e) -> weight(client, e.name())).thenComparing(Member::name));
+        fit.sort(
+                Comparator.comparingLong((Member e) -> weight(client, e.name())).thenComparing(Member::name));
         return fit.subList(0, Math.min(most, fit.size()));
     }
 
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -28,12 +28,10 @@
 public final class Follower {
     /** Spans and counts, from the settings: a core that gave no news for so long is left for another, and every so many
      * asks another is asked once; whole asks are for programs that know no others. */
-    public record Pace(long freshMs, int asksOpenMax, long newsWaitMs, int roveEvery, boolean whole) {
-    }
+    public record Pace(long freshMs, int asksOpenMax, long newsWaitMs, int roveEvery, boolean whole) {}
 
     /** What a core last said. */
-    public record Word(boolean voting, long applied, long newest) {
-    }
+    public record Word(boolean voting, long applied, long newest) {}
 
     /** How far a core is from here; the nearest is asked for news. */
     public interface Distance {
@@ -88,15 +86,25 @@
     private long newsMs = Long.MIN_VALUE / 2;
     /** Who was asked for news and has not answered, and since when; null if nobody. */
     private String newsOf;
+
     private long newsOfMs;
     private List<Member> edges = List.of();
     private long edgesMark;
     private long edgesMs = Long.MIN_VALUE / 2;
 
     /** Example: see {@code Node}. */
-    public Follower(final Supplier<Member> self, final Book book, final Listing listing, final Proposer proposer,
-            final Post post, final Clock clock, final Pace pace, final Supplier<List<String>> strangers,
-            final Consumer<Voters> adopt, final Runnable applied, final IntSupplier open,
+    public Follower(
+            final Supplier<Member> self,
+            final Book book,
+            final Listing listing,
+            final Proposer proposer,
+            final Post post,
+            final Clock clock,
+            final Pace pace,
+            final Supplier<List<String>> strangers,
+            final Consumer<Voters> adopt,
+            final Runnable applied,
+            final IntSupplier open,
             final Distance distance) {
         this.self = self;
         this.address = self.get().address();
@@ -173,9 +181,18 @@
                 post.send(core, ask(core, askId, core.equals(newsFrom)));
             } else {
                 final Member me = self.get();
-                post.send(core, new FeedNote.ProofAsk(address, me.life(), me.serves(), fresh(), me.leaving(),
-                        open.getAsInt(), askId, table == null ? 0 : table.generation(),
-                        table == null ? 0 : table.epoch()));
+                post.send(
+                        core,
+                        new FeedNote.ProofAsk(
+                                address,
+                                me.life(),
+                                me.serves(),
+                                fresh(),
+                                me.leaving(),
+                                open.getAsInt(),
+                                askId,
+                                table == null ? 0 : table.generation(),
+                                table == null ? 0 : table.epoch()));
             }
         }
     }
@@ -232,9 +249,19 @@
 
     private FeedNote.FeedAsk ask(final String core, final long askId, final boolean news) {
         final Voters table = proposer.voters();
-        return new FeedNote.FeedAsk(address, self.get(), fresh(), open.getAsInt(), askId, news, book.policy().version(),
-                listing.lifeHeard(core), listing.placeHeard(core), table == null ? 0 : table.generation(),
-                table == null ? 0 : table.epoch(), edgesMark);
+        return new FeedNote.FeedAsk(
+                address,
+                self.get(),
+                fresh(),
+                open.getAsInt(),
+                askId,
+                news,
+                book.policy().version(),
+                listing.lifeHeard(core),
+                listing.placeHeard(core),
+                table == null ? 0 : table.generation(),
+                table == null ? 0 : table.epoch(),
+                edgesMark);
     }
 
     private void news(final String core) {
@@ -250,8 +277,13 @@
 
     /** Asks the nearest that is known to be ahead, if any is. */
     private void newsOfAhead(final Voters table) {
-        table.seats().stream().filter(s -> last.containsKey(s.name()) && last.get(s.name()).applied() > book.policy().version())
-                .map(Seat::address).filter(a -> !a.equals(address)).min(Comparator.comparingInt(distance::of)).ifPresent(this::news);
+        table.seats().stream()
+                .filter(s -> last.containsKey(s.name())
+                        && last.get(s.name()).applied() > book.policy().version())
+                .map(Seat::address)
+                .filter(a -> !a.equals(address))
+                .min(Comparator.comparingInt(distance::of))
+                .ifPresent(this::news);
     }
 
     /** Hears a core's reply or its news. Example: {@code follower.hear(note);} */
@@ -288,15 +320,21 @@
             newsMs = clock.nowMs();
             edges(back);
         }
-        final boolean answered = newsOf != null && (back.listingLife() != 0 || seat != null && seat.address().equals(newsOf));
+        final boolean answered = newsOf != null
+                && (back.listingLife() != 0 || seat != null && seat.address().equals(newsOf));
         newsOf = answered ? null : newsOf;
-        final boolean same = table != null && (back.table() != null
-                ? table.same(back.table().generation(), back.table().epoch())
-                : table.same(back.generation(), back.epoch()));
+        final boolean same = table != null
+                && (back.table() != null
+                        ? table.same(back.table().generation(), back.table().epoch())
+                        : table.same(back.generation(), back.epoch()));
         if (same) {
             take(back);
         }
-        heard(back.name(), new Word(back.voting(), back.applied(), back.newest()), back.askId(), same,
+        heard(
+                back.name(),
+                new Word(back.voting(), back.applied(), back.newest()),
+                back.askId(),
+                same,
                 seat != null && seat.diskId().equals(back.diskId()));
         if (answered && newsOf == null && same && back.askId() != 0) {
             newsOfAhead(table);
@@ -319,13 +357,16 @@
         if (back.stranger() && seat != null) {
             post.send(seat.address(), ask(seat.address(), 0, false));
         }
-        heard(back.name(), new Word(back.voting(), back.newest() - back.behind(), back.newest()), back.askId(),
+        heard(
+                back.name(),
+                new Word(back.voting(), back.newest() - back.behind(), back.newest()),
+                back.askId(),
                 table != null && table.same(back.generation(), back.epoch()),
                 seat != null && Marks.of(seat.diskId()) == back.diskMark());
     }
 
-    private void heard(final String core, final Word word, final long askId, final boolean sameTable,
-            final boolean ownDisk) {
+    private void heard(
+            final String core, final Word word, final long askId, final boolean sameTable, final boolean ownDisk) {
         last.put(core, word);
         lastMs.put(core, clock.nowMs());
         if (!sameTable) {
@@ -358,8 +399,9 @@
             }
         }
         if (book.policy().version() != before) {
-            LOG.atInfo().log("event=policy node=%s version=%s before=%s", self.get().name(), book.policy().version(),
-                    before);
+            LOG.atInfo().log(
+                    "event=policy node=%s version=%s before=%s",
+                    self.get().name(), book.policy().version(), before);
             applied.run();
         }
     }
@@ -373,10 +415,12 @@
     }
 
     private void proof(final Voters table) {
-        final Iterator<Map.Entry<Long, Open>> it = asks.descendingMap().entrySet().iterator();
+        final Iterator<Map.Entry<Long, Open>> it =
+                asks.descendingMap().entrySet().iterator();
         while (it.hasNext()) {
             final Open ask = it.next().getValue();
-            if (ask.table == table && ask.newest.size() >= table.majority()
+            if (ask.table == table
+                    && ask.newest.size() >= table.majority()
                     && ask.need() <= book.policy().version()) {
                 provedMs = Math.max(provedMs, ask.askedMs);
                 return;
@@ -400,7 +444,8 @@
         finishing = true;
         proposer.read(Versions.key(next), pace.freshMs() / 2, outcome -> {
             finishing = false;
-            if (outcome instanceof spokestall.ballot.Outcome.Done done && done.value() != null
+            if (outcome instanceof spokestall.ballot.Outcome.Done done
+                    && done.value() != null
                     && proposer.voters() == table) {
                 learn(next, done.value());
             }
@@ -415,7 +460,8 @@
         if (next) {
             final long before = book.policy().version();
             book.apply(version, spokestall.wire.Codec.record(value, spokestall.policy.Change.class));
-            LOG.atInfo().log("event=policy node=%s version=%s before=%s", self.get().name(), version, before);
+            LOG.atInfo().log(
+                    "event=policy node=%s version=%s before=%s", self.get().name(), version, before);
             applied.run();
             prove(table);
         }
--- a/spokestall/src/main/java/spokestall/feed/Marks.java
+++ b/spokestall/src/main/java/spokestall/feed/Marks.java
@@ -5,8 +5,7 @@
 
 /** Long texts and lists as one number each, to be compared in their place. */
 public final class Marks {
-    private Marks() {
-    }
+    private Marks() {}
 
     /** Never zero. Example: {@code Marks.of(seat.diskId())} */
     public static long of(final String text) {
@@ -22,8 +21,17 @@
     public static long of(final Collection<Member> edges) {
         final StringBuilder all = new StringBuilder();
         for (final Member m : edges) {
-            all.append(m.name()).append(' ').append(m.httpAddress()).append(' ').append(m.address()).append(' ')
-                    .append(m.district()).append(' ').append(m.life()).append(m.leaving()).append('\n');
+            all.append(m.name())
+                    .append(' ')
+                    .append(m.httpAddress())
+                    .append(' ')
+                    .append(m.address())
+                    .append(' ')
+                    .append(m.district())
+                    .append(' ')
+                    .append(m.life())
+                    .append(m.leaving())
+                    .append('\n');
         }
         return of(all.toString());
     }
