--- a/spokestall/src/main/java/spokestall/feed/Versions.java
+++ b/spokestall/src/main/java/spokestall/feed/Versions.java
@@ -9,8 +9,7 @@
 public final class Versions {
     private static final String PREFIX = "policy/";
 
-    private Versions() {
-    }
+    private Versions() {}
 
     /** Example: {@code Versions.key(17)} gives {@code policy/0000000000000000017}. */
     public static String key(final long version) {
@@ -24,7 +23,8 @@
 
     /** The newest version for which a voter accepted anything. Example: {@code Versions.newest(voter.registers())} */
     public static long newest(final TreeMap<String, Register> registers) {
-        for (final Map.Entry<String, Register> e : registers.subMap(PREFIX, true, "policy0", false).descendingMap().entrySet()) {
+        for (final Map.Entry<String, Register> e :
+                registers.subMap(PREFIX, true, "policy0", false).descendingMap().entrySet()) {
             if (e.getValue().accepted().compareTo(Ballot.NONE) > 0) {
                 return of(e.getKey());
             }
--- a/spokestall/src/main/java/spokestall/hand/Shelf.java
+++ b/spokestall/src/main/java/spokestall/hand/Shelf.java
@@ -9,9 +9,14 @@
 
     /** Example: {@code new Shelf(16 << 20)} */
     public Shelf(final long bytesMax) {
-        kept = Caffeine.newBuilder().maximumWeight(bytesMax).executor(Runnable::run)
-                .weigher((String k, HandNote.Keep v) -> 256 + k.length() + v.content().body().length
-                        + 64 * v.content().headers().size()).build();
+        kept = Caffeine.newBuilder()
+                .maximumWeight(bytesMax)
+                .executor(Runnable::run)
+                .weigher((String k, HandNote.Keep v) -> 256
+                        + k.length()
+                        + v.content().body().length
+                        + 64 * v.content().headers().size())
+                .build();
     }
 
     /** Example: {@code shelf.keep(note);} */
--- a/spokestall/src/main/java/spokestall/listing/Listed.java
+++ b/spokestall/src/main/java/spokestall/listing/Listed.java
@@ -5,12 +5,28 @@
 /** An upstream as the platform lists it. coldUntilMs is when it will have warmed up, on the fleet's clock, zero when the
  * list doesn't tell; sinceMs is when it was first listed; slots is how many asks it works on at a time, zero when that isn't
  * told. What reads the list gives coldUntilMs as the span still left, or a negative one when it isn't known. */
-public record Listed(String instance, String service, String address, String district, String region,
-        boolean present, boolean leaving, long stampMs, @Since(3) long coldUntilMs, @Since(3) long sinceMs,
+public record Listed(
+        String instance,
+        String service,
+        String address,
+        String district,
+        String region,
+        boolean present,
+        boolean leaving,
+        long stampMs,
+        @Since(3) long coldUntilMs,
+        @Since(3) long sinceMs,
         @Since(3) int slots) {
     /** An entry as it was read. Example: {@code Listed.read("i1", "records", "10.0.0.1:80", "d1", "r1", false, -1, 0)} */
-    public static Listed read(final String instance, final String service, final String address, final String district,
-            final String region, final boolean leaving, final long coldForMs, final int slots) {
+    public static Listed read(
+            final String instance,
+            final String service,
+            final String address,
+            final String district,
+            final String region,
+            final boolean leaving,
+            final long coldForMs,
+            final int slots) {
         return new Listed(instance, service, address, district, region, true, leaving, 0, coldForMs, 0, slots);
     }
 
--- a/spokestall/src/main/java/spokestall/listing/Listing.java
+++ b/spokestall/src/main/java/spokestall/listing/Listing.java
@@ -12,11 +12,9 @@
  * Merging is by newest stamp, so order and repeats don't matter.
  */
 public final class Listing {
-    private record Heard(long life, long place) {
-    }
+    private record Heard(long life, long place) {}
 
-    private record Numbered<T>(long place, T value) {
-    }
+    private record Numbered<T>(long place, T value) {}
 
     private final long life;
     private final int entriesMax;
@@ -77,7 +75,11 @@
     }
 
     /** Merges what a core sent from a place on. Example: {@code listing.take(core, life, place, listed, reports);} */
-    public void take(final String core, final long coreLife, final long corePlace, final List<Listed> entries,
+    public void take(
+            final String core,
+            final long coreLife,
+            final long corePlace,
+            final List<Listed> entries,
             final List<Report> words) {
         if (coreLife != 0) {
             heard.put(core, new Heard(coreLife, corePlace));
@@ -104,9 +106,12 @@
 
     /** The later entry, listed first when the earlier one was, if it was there all the time. */
     private static Listed kept(final Listed earlier, final Listed later) {
-        return earlier.present() && later.present() && earlier.address().equals(later.address())
-                && earlier.firstMs() < later.firstMs()
-                ? later.at(true, later.stampMs(), later.coldUntilMs(), earlier.firstMs()) : later;
+        return earlier.present()
+                        && later.present()
+                        && earlier.address().equals(later.address())
+                        && earlier.firstMs() < later.firstMs()
+                ? later.at(true, later.stampMs(), later.coldUntilMs(), earlier.firstMs())
+                : later;
     }
 
     private void merge(final Report word) {
@@ -138,11 +143,12 @@
     /** Reports after a place. Example: {@code listing.reportsAfter(12)} */
     public List<Report> reportsAfter(final long after) {
         final List<Report> found = new ArrayList<>();
-        reports.values().forEach(of -> of.values().forEach(r -> {
-            if (r.place > after) {
-                found.add(r.value);
-            }
-        }));
+        reports.values()
+                .forEach(of -> of.values().forEach(r -> {
+                    if (r.place > after) {
+                        found.add(r.value);
+                    }
+                }));
         return found;
     }
 
@@ -164,8 +170,15 @@
             if (l.present() && !l.leaving() && l.service().equals(service)) {
                 final Report word = word(l.instance(), nowMs);
                 if (word != null && word.status() == Status.READY) {
-                    found.add(new Upstream(l.instance(), service, l.address(), l.district(), l.region(),
-                            word.readySinceMs(), l.slots(), probed ? 0 : l.coldUntilMs()));
+                    found.add(new Upstream(
+                            l.instance(),
+                            service,
+                            l.address(),
+                            l.district(),
+                            l.region(),
+                            word.readySinceMs(),
+                            l.slots(),
+                            probed ? 0 : l.coldUntilMs()));
                 }
             }
         }
@@ -176,8 +189,14 @@
     public Report word(final String instance, final long nowMs) {
         if (!probed) {
             final Numbered<Listed> n = listed.get(instance);
-            return n == null || !n.value.present() ? null : new Report(instance, "",
-                    n.value.leaving() ? Status.LEAVING : Status.READY, n.value.firstMs(), n.value.stampMs());
+            return n == null || !n.value.present()
+                    ? null
+                    : new Report(
+                            instance,
+                            "",
+                            n.value.leaving() ? Status.LEAVING : Status.READY,
+                            n.value.firstMs(),
+                            n.value.stampMs());
         }
         Report best = null;
         for (final Numbered<Report> n : reports.getOrDefault(instance, Map.of()).values()) {
@@ -185,7 +204,8 @@
             if (nowMs - r.stampMs() > freshMs) {
                 continue;
             }
-            if (best == null || rank(r.status()) > rank(best.status())
+            if (best == null
+                    || rank(r.status()) > rank(best.status())
                     || r.status() == best.status() && r.stampMs() > best.stampMs()) {
                 best = r;
             }
--- a/spokestall/src/main/java/spokestall/listing/Prober.java
+++ b/spokestall/src/main/java/spokestall/listing/Prober.java
@@ -28,17 +28,16 @@
     }
 
     /** What an upstream says of itself; its warm-up began so long ago. */
-    public record Probe(String instance, String service, boolean leaving, long readyForMs) {
-    }
+    public record Probe(String instance, String service, boolean leaving, long readyForMs) {}
 
     /** Spans, from the settings. The fleet reads the list every {@code listMs}; an unchanged word is said anew every
      * {@code sayMs}. */
-    public record Pace(long probeWaitMs, long listWaitMs, int failsMax, int sharers, long listMs, long sayMs,
-            boolean probes) {
-    }
+    public record Pace(
+            long probeWaitMs, long listWaitMs, int failsMax, int sharers, long listMs, long sayMs, boolean probes) {}
 
     /** How much later each next core in turn reads, as a part of the span. */
     private static final double LATER = 0.7;
+
     private static final long COLD_APART_MS = 1000;
     private final Member self;
     private final Listing listing;
@@ -57,8 +56,14 @@
     private int beat;
 
     /** Example: see {@code Node}. */
-    public Prober(final Member self, final Listing listing, final Reach reach, final Post post,
-            final FleetClock fleet, final Pace pace, final Supplier<List<Member>> cores,
+    public Prober(
+            final Member self,
+            final Listing listing,
+            final Reach reach,
+            final Post post,
+            final FleetClock fleet,
+            final Pace pace,
+            final Supplier<List<Member>> cores,
             final Supplier<Collection<Member>> everyone) {
         this.self = self;
         this.listing = listing;
@@ -97,9 +102,11 @@
             // What the others know comes first, so that what they listed long ago isn't taken for new.
             listing.read(nowMs - pace.listMs() + pace.listMs() / 4);
         }
-        final long rank = others.stream().filter(m -> m.name().compareTo(self.name()) < 0).count();
+        final long rank =
+                others.stream().filter(m -> m.name().compareTo(self.name()) < 0).count();
         final long slackMs = pace.listMs() / 32;
-        return !listingNow && nowMs - triedMs >= pace.listMs() - slackMs
+        return !listingNow
+                && nowMs - triedMs >= pace.listMs() - slackMs
                 && nowMs - listing.readMs() >= (long) (pace.listMs() * (1 + LATER * rank)) - slackMs;
     }
 
@@ -117,8 +124,8 @@
 
     private void taken(final List<Listed> list, final long askedMs) {
         final Map<String, Listed> now = new HashMap<>();
-        list.forEach(l -> now.put(l.instance(), l.at(true, askedMs, l.coldUntilMs() < 0 ? 0 : askedMs + l.coldUntilMs(),
-                askedMs)));
+        list.forEach(l -> now.put(
+                l.instance(), l.at(true, askedMs, l.coldUntilMs() < 0 ? 0 : askedMs + l.coldUntilMs(), askedMs)));
         final List<Listed> news = new ArrayList<>();
         for (final Listed had : listing.listed()) {
             final Listed l = now.remove(had.instance());
@@ -138,10 +145,12 @@
     }
 
     private static boolean same(final Listed had, final Listed now) {
-        return had.present() && had.leaving() == now.leaving() && had.address().equals(now.address())
+        return had.present()
+                && had.leaving() == now.leaving()
+                && had.address().equals(now.address())
                 && had.service().equals(now.service())
                 && (Math.abs(had.coldUntilMs() - now.coldUntilMs()) < COLD_APART_MS
-                || Math.max(had.coldUntilMs(), now.coldUntilMs()) <= now.stampMs() + COLD_APART_MS);
+                        || Math.max(had.coldUntilMs(), now.coldUntilMs()) <= now.stampMs() + COLD_APART_MS);
     }
 
     /** Each upstream is probed by a few cores, near ones first, elected alike by all. */
@@ -181,8 +190,8 @@
     /** An unchanged word isn't said anew each time. */
     private void word(final Listed l, final Status status, final long readySinceMs, final long askedMs) {
         final Report had = listing.said(l.instance(), self.name());
-        final boolean same = had != null && had.status() == status
-                && Math.abs(had.readySinceMs() - readySinceMs) < COLD_APART_MS;
+        final boolean same =
+                had != null && had.status() == status && Math.abs(had.readySinceMs() - readySinceMs) < COLD_APART_MS;
         if (same && askedMs - had.stampMs() < pace.sayMs()) {
             return;
         }
@@ -199,7 +208,8 @@
             everyone.get().forEach(m -> post.send(m.address(), news));
         }
         final List<Report> words = listing.reportsAfter(pushed).stream()
-                .filter(r -> r.by().equals(self.name()) && !changed.contains(r)).toList();
+                .filter(r -> r.by().equals(self.name()) && !changed.contains(r))
+                .toList();
         pushed = listing.place();
         changed.clear();
         if (!words.isEmpty()) {
@@ -207,7 +217,8 @@
             others.forEach(m -> post.send(m.address(), push));
         }
         if (beat % 10 == 0) {
-            fails.keySet().retainAll(listing.listed().stream().map(Listed::instance).toList());
+            fails.keySet()
+                    .retainAll(listing.listed().stream().map(Listed::instance).toList());
         }
     }
 }
--- a/spokestall/src/main/java/spokestall/listing/Status.java
+++ b/spokestall/src/main/java/spokestall/listing/Status.java
@@ -1,4 +1,9 @@
 package spokestall.listing;
 
 /** What a probe found an upstream to be. */
-public enum Status { READY, LEAVING, DOWN, FOREIGN }
+public enum Status {
+    READY,
+    LEAVING,
+    DOWN,
+    FOREIGN
+}
--- a/spokestall/src/main/java/spokestall/listing/Upstream.java
+++ b/spokestall/src/main/java/spokestall/listing/Upstream.java
@@ -1,6 +1,12 @@
 package spokestall.listing;
 
 /** An upstream as an edge sees it when it elects. coldUntilMs is zero when only the beginning of its warm-up is known. */
-public record Upstream(String instance, String service, String address, String district, String region,
-        long readySinceMs, int slots, long coldUntilMs) {
-}
+public record Upstream(
+        String instance,
+        String service,
+        String address,
+        String district,
+        String region,
+        long readySinceMs,
+        int slots,
+        long coldUntilMs) {}
--- a/spokestall/src/main/java/spokestall/policy/Acceptance.java
+++ b/spokestall/src/main/java/spokestall/policy/Acceptance.java
@@ -31,8 +31,16 @@
     private final LongConsumer news;
 
     /** Example: see {@code Node}. */
-    public Acceptance(final String name, final Book book, final PolicyForm form, final Proposer proposer,
-            final Follower follower, final Clock clock, final long waitMs, final int bytesMax, final LongConsumer news) {
+    public Acceptance(
+            final String name,
+            final Book book,
+            final PolicyForm form,
+            final Proposer proposer,
+            final Follower follower,
+            final Clock clock,
+            final long waitMs,
+            final int bytesMax,
+            final LongConsumer news) {
         this.name = name;
         this.book = book;
         this.form = form;
@@ -45,7 +53,11 @@
     }
 
     /** Example: {@code acceptance.take(Change.Kind.PATCH, base, "chg-1", patch, reply -> ...);} */
-    public void take(final Change.Kind kind, final long base, final String changeId, final JsonNode json,
+    public void take(
+            final Change.Kind kind,
+            final long base,
+            final String changeId,
+            final JsonNode json,
             final java.util.function.Consumer<Reply> done) {
         final Long known = book.versionOf(changeId);
         if (known != null) {
@@ -89,14 +101,19 @@
      * stale because this node is behind.
      * Example: {@code acceptance.agree("hold-1", tree -> ..., 2000, reply -> ...);}
      */
-    public void agree(final String changeId, final Draft draft, final long waitLeftMs,
+    public void agree(
+            final String changeId,
+            final Draft draft,
+            final long waitLeftMs,
             final java.util.function.Consumer<Reply> done) {
         final long begunMs = clock.nowMs();
         follower.current(waitLeftMs, current -> {
             final Long known = book.versionOf(changeId);
             if (known != null) {
                 done.accept(accepted(known, changeId));
-            } else if (!current || proposer.voters() == null || book.policy().version() < proposer.voters().firstNumber()) {
+            } else if (!current
+                    || proposer.voters() == null
+                    || book.policy().version() < proposer.voters().firstNumber()) {
                 done.accept(Reply.of(Result.NOT_READY, fields(book.policy().version(), changeId)));
             } else {
                 drafted(changeId, draft, waitLeftMs - (clock.nowMs() - begunMs), done);
@@ -104,7 +121,10 @@
         });
     }
 
-    private void drafted(final String changeId, final Draft draft, final long waitLeftMs,
+    private void drafted(
+            final String changeId,
+            final Draft draft,
+            final long waitLeftMs,
             final java.util.function.Consumer<Reply> done) {
         final long begunMs = clock.nowMs();
         final long version = book.policy().version();
@@ -145,28 +165,45 @@
         return before + change.json().length > bytesMax && bytes(after).length > bytesMax;
     }
 
-    private void propose(final long next, final Change change, final long leftMs,
-            final java.util.function.Consumer<Reply> done) {
+    private void propose(
+            final long next, final Change change, final long leftMs, final java.util.function.Consumer<Reply> done) {
         final byte[] value = Codec.bytes(change);
-        proposer.change(Versions.key(next), leftMs, now -> now == null && next == book.policy().version() + 1
-                || now != null && Codec.record(now, Change.class).changeId().equals(change.changeId())
-                ? new Edit.Set(now == null ? value : now) : Edit.LEAVE, outcome -> {
-            if (outcome instanceof Outcome.Done d && d.value() != null) {
-                follower.learn(next, d.value());
-                news.accept(next);
-                final boolean ours = Codec.record(d.value(), Change.class).changeId().equals(change.changeId());
-                LOG.atInfo().log("event=policy_change node=%s version=%s changeId=%s accepted=%s", name, next,
-                        change.changeId(), ours);
-                done.accept(ours ? accepted(next, change.changeId())
-                        : Reply.of(Result.STALE_BASE, fields(book.policy().version(), change.changeId())));
-            } else if (outcome instanceof Outcome.Undecided) {
-                done.accept(Reply.of(Result.UNDECIDED, fields(book.policy().version(), change.changeId())));
-            } else if (outcome instanceof Outcome.NotDone) {
-                done.accept(Reply.of(Result.NOT_READY, fields(book.policy().version(), change.changeId())));
-            } else {
-                done.accept(Reply.of(Result.STALE_BASE, fields(book.policy().version(), change.changeId())));
-            }
-        });
+        proposer.change(
+                Versions.key(next),
+                leftMs,
+                now -> now == null && next == book.policy().version() + 1
+                                || now != null
+                                        && Codec.record(now, Change.class)
+                                                .changeId()
+                                                .equals(change.changeId())
+                        ? new Edit.Set(now == null ? value : now)
+                        : Edit.LEAVE,
+                outcome -> {
+                    if (outcome instanceof Outcome.Done d && d.value() != null) {
+                        follower.learn(next, d.value());
+                        news.accept(next);
+                        final boolean ours =
+                                Codec.record(d.value(), Change.class).changeId().equals(change.changeId());
+                        LOG.atInfo().log(
+                                "event=policy_change node=%s version=%s changeId=%s accepted=%s",
+                                name, next, change.changeId(), ours);
+                        done.accept(
+                                ours
+                                        ? accepted(next, change.changeId())
+                                        : Reply.of(
+                                                Result.STALE_BASE,
+                                                fields(book.policy().version(), change.changeId())));
+                    } else if (outcome instanceof Outcome.Undecided) {
+                        done.accept(
+                                Reply.of(Result.UNDECIDED, fields(book.policy().version(), change.changeId())));
+                    } else if (outcome instanceof Outcome.NotDone) {
+                        done.accept(
+                                Reply.of(Result.NOT_READY, fields(book.policy().version(), change.changeId())));
+                    } else {
+                        done.accept(
+                                Reply.of(Result.STALE_BASE, fields(book.policy().version(), change.changeId())));
+                    }
+                });
     }
 
     private Reply accepted(final long version, final String changeId) {
--- a/spokestall/src/main/java/spokestall/policy/Binding.java
+++ b/spokestall/src/main/java/spokestall/policy/Binding.java
@@ -9,11 +9,20 @@
  * below it. Spans and goes that are zero are not bounded by the binding; no regions means all of them; an open one needs
  * no key.
  */
-public record Binding(String name, String host, String path, List<Share> split, boolean runOnce, int goesMax,
-        long spanMs, long aimMs, int priority, boolean open, Set<String> regions) {
+public record Binding(
+        String name,
+        String host,
+        String path,
+        List<Share> split,
+        boolean runOnce,
+        int goesMax,
+        long spanMs,
+        long aimMs,
+        int priority,
+        boolean open,
+        Set<String> regions) {
     /** One service's weight in a split. */
-    public record Share(String service, int weight) {
-    }
+    public record Share(String service, int weight) {}
 
     /** A tenant's own binding. Example: {@code Binding.of("pay", "/pay", "transfers", true)} */
     public static Binding of(final String name, final String path, final String service, final boolean runOnce) {
@@ -53,6 +62,8 @@
      * Example: {@code if (!binding.home(tenant, upstream.region())) passOver();} */
     public boolean home(final Tenant tenant, final String region) {
         return (regions.isEmpty() || regions.contains(region))
-                && (tenant == null || tenant.homeRegions().isEmpty() || tenant.homeRegions().contains(region));
+                && (tenant == null
+                        || tenant.homeRegions().isEmpty()
+                        || tenant.homeRegions().contains(region));
     }
 }
--- a/spokestall/src/main/java/spokestall/policy/Book.java
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -12,6 +12,7 @@
 public final class Book {
     /** The one reader of JSON. */
     public static final ObjectMapper JSON = new ObjectMapper();
+
     private static final int IDS_KEPT = 512;
     private final int changesKept;
     private final TreeMap<Long, Change> changes = new TreeMap<>();
@@ -96,7 +97,8 @@
     /** This version whole. Example: {@code post.send(to, book.snapshot());} */
     public Snapshot snapshot() {
         try {
-            return new Snapshot(policy.version(), JSON.writeValueAsBytes(policy.tree()), new LinkedHashMap<>(changeIds));
+            return new Snapshot(
+                    policy.version(), JSON.writeValueAsBytes(policy.tree()), new LinkedHashMap<>(changeIds));
         } catch (final JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
--- a/spokestall/src/main/java/spokestall/policy/Draft.java
+++ b/spokestall/src/main/java/spokestall/policy/Draft.java
@@ -7,20 +7,16 @@
     /** What the order comes to. */
     sealed interface Drafted {
         /** This change is to be made. */
-        record Write(Change.Kind kind, JsonNode json) implements Drafted {
-        }
+        record Write(Change.Kind kind, JsonNode json) implements Drafted {}
 
         /** What it asks for is so already. */
-        record Already() implements Drafted {
-        }
+        record Already() implements Drafted {}
 
         /** It was made against something else than what is there. */
-        record Stale() implements Drafted {
-        }
+        record Stale() implements Drafted {}
 
         /** It can't be read as an order. */
-        record Bad(String pointer, String reason) implements Drafted {
-        }
+        record Bad(String pointer, String reason) implements Drafted {}
     }
 
     /** Example: {@code tree -> tree.path("holds").has("d1") ? new Drafted.Already() : new Drafted.Write(PATCH, patch)} */
--- a/spokestall/src/main/java/spokestall/policy/KeyHash.java
+++ b/spokestall/src/main/java/spokestall/policy/KeyHash.java
@@ -9,11 +9,10 @@
 
 /** Keys are kept as hashes only. */
 public final class KeyHash {
-    private static final LoadingCache<String, String> SEEN = Caffeine.newBuilder().maximumSize(10_000)
-            .build(key -> hex(key.getBytes(StandardCharsets.UTF_8)));
+    private static final LoadingCache<String, String> SEEN =
+            Caffeine.newBuilder().maximumSize(10_000).build(key -> hex(key.getBytes(StandardCharsets.UTF_8)));
 
-    private KeyHash() {
-    }
+    private KeyHash() {}
 
     /** Example: {@code KeyHash.of("k-123").length() == 64} */
     public static String of(final String key) {
--- a/spokestall/src/main/java/spokestall/policy/OwnForm.java
+++ b/spokestall/src/main/java/spokestall/policy/OwnForm.java
@@ -25,8 +25,12 @@
     @Override
     public Policy read(final long version, final JsonNode tree, final Policy before) {
         final List<Tenant> tenants = new ArrayList<>();
-        tree.path("cells").fields().forEachRemaining(cell -> cell.getValue().path("tenants").fields()
-                .forEachRemaining(t -> tenants.add(tenant(cell.getKey(), t.getKey(), t.getValue(), before))));
+        tree.path("cells")
+                .fields()
+                .forEachRemaining(cell -> cell.getValue()
+                        .path("tenants")
+                        .fields()
+                        .forEachRemaining(t -> tenants.add(tenant(cell.getKey(), t.getKey(), t.getValue(), before))));
         final List<Binding> bindings = new ArrayList<>();
         tree.path("bindings").fields().forEachRemaining(b -> bindings.add(binding(b.getKey(), b.getValue())));
         final Map<String, ServiceRule> services = new HashMap<>();
@@ -43,19 +47,36 @@
 
     private static Binding binding(final String name, final JsonNode b) {
         final List<Binding.Share> split = new ArrayList<>();
-        b.path("split").fields().forEachRemaining(s -> split.add(new Binding.Share(s.getKey(), s.getValue().asInt())));
+        b.path("split")
+                .fields()
+                .forEachRemaining(s ->
+                        split.add(new Binding.Share(s.getKey(), s.getValue().asInt())));
         if (split.isEmpty()) {
             split.add(new Binding.Share(b.path("service").asText(), 1));
         }
         final Set<String> regions = new HashSet<>();
         b.path("regions").forEach(r -> regions.add(r.asText()));
-        return new Binding(name, b.path("host").asText(""), b.path("path").asText(), split,
-                b.path("runOnce").asBoolean(false), b.path("goes").asInt(0), b.path("spanMs").asLong(0),
-                b.path("aimMs").asLong(0), b.path("priority").asInt(0), b.path("open").asBoolean(false), regions);
+        return new Binding(
+                name,
+                b.path("host").asText(""),
+                b.path("path").asText(),
+                split,
+                b.path("runOnce").asBoolean(false),
+                b.path("goes").asInt(0),
+                b.path("spanMs").asLong(0),
+                b.path("aimMs").asLong(0),
+                b.path("priority").asInt(0),
+                b.path("open").asBoolean(false),
+                regions);
     }
 
     private static ServiceRule rule(final String name, final JsonNode s) {
-        return new ServiceRule(name, s.path("askMaxBytes").asInt(64 << 10), s.path("answerMaxBytes").asInt(256 << 10),
-                s.path("goMs").asLong(2000), s.path("warmupMs").asLong(10_000), s.path("warmPerS").asDouble(10));
+        return new ServiceRule(
+                name,
+                s.path("askMaxBytes").asInt(64 << 10),
+                s.path("answerMaxBytes").asInt(256 << 10),
+                s.path("goMs").asLong(2000),
+                s.path("warmupMs").asLong(10_000),
+                s.path("warmPerS").asDouble(10));
     }
 }
--- a/spokestall/src/main/java/spokestall/policy/Patch.java
+++ b/spokestall/src/main/java/spokestall/policy/Patch.java
@@ -6,8 +6,7 @@
 
 /** JSON merge patch (RFC 7396) that shares what does not change with the tree it was made from. */
 public final class Patch {
-    private Patch() {
-    }
+    private Patch() {}
 
     /** Example: {@code Patch.apply(tree, patch)}; null in the patch takes a member away. */
     public static JsonNode apply(final JsonNode target, final JsonNode patch) {
--- a/spokestall/src/main/java/spokestall/policy/Policy.java
+++ b/spokestall/src/main/java/spokestall/policy/Policy.java
@@ -25,8 +25,13 @@
     private final Set<String> holds;
 
     /** Example: {@code new Policy(17, tree, tenants, bindings, services, holds)} */
-    public Policy(final long version, final JsonNode tree, final Collection<Tenant> tenants,
-            final Collection<Binding> bindings, final Map<String, ServiceRule> services, final Set<String> holds) {
+    public Policy(
+            final long version,
+            final JsonNode tree,
+            final Collection<Tenant> tenants,
+            final Collection<Binding> bindings,
+            final Map<String, ServiceRule> services,
+            final Set<String> holds) {
         this.version = version;
         this.tree = tree;
         this.services = services;
--- a/spokestall/src/main/java/spokestall/policy/Rules.java
+++ b/spokestall/src/main/java/spokestall/policy/Rules.java
@@ -16,8 +16,7 @@
 /** Checks a whole policy against the schema file and in meaning; every trouble is named with its place. */
 public final class Rules {
     /** One thing wrong: where, and why. */
-    public record Trouble(String pointer, String reason) {
-    }
+    public record Trouble(String pointer, String reason) {}
 
     private final JsonSchema schema;
     private final Set<String> regions;
@@ -34,8 +33,9 @@
      * by itself, only against the rest. Example: {@code if (!rules.check(tree, policyInForce).isEmpty()) deny();} */
     public List<Trouble> check(final JsonNode tree, final JsonNode good) {
         final List<Trouble> troubles = new ArrayList<>();
-        schema.validate(changed(tree, good)).forEach(m -> troubles.add(new Trouble(pointer(
-                m.getInstanceLocation().toString()), m.getMessage())));
+        schema.validate(changed(tree, good))
+                .forEach(m ->
+                        troubles.add(new Trouble(pointer(m.getInstanceLocation().toString()), m.getMessage())));
         if (!troubles.isEmpty()) {
             return troubles;
         }
@@ -52,7 +52,8 @@
                 if (had != null) {
                     troubles.add(new Trouble(where, "tenant is also at " + had));
                 }
-                final JsonNode was = good.path("cells").path(cell.getKey()).path("tenants").path(t.getKey());
+                final JsonNode was =
+                        good.path("cells").path(cell.getKey()).path("tenants").path(t.getKey());
                 keys(where, t.getValue(), keys, troubles);
                 if (was != t.getValue() || tree.path("services") != good.path("services")) {
                     tenant(tree, where, t.getValue(), was, troubles);
@@ -89,7 +90,7 @@
                 troubles.add(new Trouble(place + "/service", "unknown service"));
             }
             int weights = b.has("split") ? 0 : 1;
-            for (final var it = b.path("split").fields(); it.hasNext();) {
+            for (final var it = b.path("split").fields(); it.hasNext(); ) {
                 final Map.Entry<String, JsonNode> share = it.next();
                 weights += share.getValue().asInt();
                 if (!tree.path("services").has(share.getKey())) {
@@ -109,13 +110,20 @@
 
     /** The tree without the tenants, and in the other tenants without the bindings, that are the very nodes they were. */
     private static JsonNode changed(final JsonNode tree, final JsonNode good) {
-        return within(tree, good, "cells", (cell, cellWas) -> within(cell, cellWas, "tenants",
-                (tenant, tenantWas) -> within(tenant, tenantWas, "bindings", (binding, was) -> binding)));
+        return within(
+                tree,
+                good,
+                "cells",
+                (cell, cellWas) -> within(
+                        cell,
+                        cellWas,
+                        "tenants",
+                        (tenant, tenantWas) -> within(tenant, tenantWas, "bindings", (binding, was) -> binding)));
     }
 
     /** A copy in which the members of one map are only those that are not as they were, each changed in its turn. */
-    private static JsonNode within(final JsonNode of, final JsonNode was, final String map,
-            final BinaryOperator<JsonNode> each) {
+    private static JsonNode within(
+            final JsonNode of, final JsonNode was, final String map, final BinaryOperator<JsonNode> each) {
         if (!of.path(map).isObject() || !was.path(map).isObject()) {
             return of;
         }
@@ -132,11 +140,13 @@
     }
 
     private static String pointer(final String path) {
-        return path.startsWith("$") ? path.substring(1).replace(".", "/").replace("[", "/").replace("]", "") : path;
+        return path.startsWith("$")
+                ? path.substring(1).replace(".", "/").replace("[", "/").replace("]", "")
+                : path;
     }
 
-    private static void keys(final String where, final JsonNode t, final Map<String, String> keys,
-            final List<Trouble> troubles) {
+    private static void keys(
+            final String where, final JsonNode t, final Map<String, String> keys, final List<Trouble> troubles) {
         t.path("keys").fields().forEachRemaining(k -> {
             final String place = where + "/keys/" + k.getKey();
             final String had = keys.putIfAbsent(k.getValue().path("sha256").asText(), place);
@@ -146,7 +156,11 @@
         });
     }
 
-    private void tenant(final JsonNode tree, final String where, final JsonNode t, final JsonNode was,
+    private void tenant(
+            final JsonNode tree,
+            final String where,
+            final JsonNode t,
+            final JsonNode was,
             final List<Trouble> troubles) {
         for (int i = 0; i < t.path("homeRegions").size(); i++) {
             if (!regions.contains(t.path("homeRegions").get(i).asText())) {
--- a/spokestall/src/main/java/spokestall/policy/Target.java
+++ b/spokestall/src/main/java/spokestall/policy/Target.java
@@ -6,12 +6,10 @@
  */
 public sealed interface Target {
     /** A path with one reading, and the whole target as it came. */
-    record Good(String path, String raw) implements Target {
-    }
+    record Good(String path, String raw) implements Target {}
 
     /** No path, or one that can be read in two ways. */
-    record Bad(String why) implements Target {
-    }
+    record Bad(String why) implements Target {}
 
     /** Reads a request target. Example: {@code Target.of("/transfers/17?full=1") instanceof Target.Good} */
     static Target of(final String raw) {
@@ -23,7 +21,9 @@
         for (int i = 0; i < raw.length(); i++) {
             final boolean inPath = mark < 0 || i < mark;
             final char c = raw.charAt(i);
-            if (c <= ' ' || c >= 0x7f || "#\\\"<>^`{|}".indexOf(c) >= 0 && (inPath || c == '#' || c == '\\')
+            if (c <= ' '
+                    || c >= 0x7f
+                    || "#\\\"<>^`{|}".indexOf(c) >= 0 && (inPath || c == '#' || c == '\\')
                     || inPath && (c == ';' || c == '[' || c == ']')) {
                 return new Bad("has a character that may not stand there");
             }
@@ -37,7 +37,7 @@
                 }
             }
         }
-        for (int at = 0; at >= 0;) {
+        for (int at = 0; at >= 0; ) {
             final int end = path.indexOf('/', at + 1);
             final String segment = path.substring(at + 1, end < 0 ? path.length() : end);
             if (segment.equals(".") || segment.equals("..") || segment.isEmpty() && end >= 0) {
@@ -59,8 +59,8 @@
 
     /** Neither controls, nor what splits a path or a segment, nor what need not be escaped. */
     private static boolean mayBeEscaped(final int c) {
-        final boolean plain = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-                || "-._~".indexOf(c) >= 0;
+        final boolean plain =
+                c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || "-._~".indexOf(c) >= 0;
         return c >= ' ' && c != 0x7f && c != '/' && c != '\\' && c != ';' && !plain;
     }
 }
--- a/spokestall/src/main/java/spokestall/policy/Tenant.java
+++ b/spokestall/src/main/java/spokestall/policy/Tenant.java
@@ -18,8 +18,14 @@
 
     /** Example: {@code new Tenant("t-1", "cell-1", source, Set.of("r1"), Set.of(hash), null, List.of())}; priority is null
      * where the binding's own counts. */
-    public Tenant(final String name, final String cell, final JsonNode source, final Set<String> homeRegions,
-            final Set<String> keys, final Integer priority, final List<Binding> bindings) {
+    public Tenant(
+            final String name,
+            final String cell,
+            final JsonNode source,
+            final Set<String> homeRegions,
+            final Set<String> keys,
+            final Integer priority,
+            final List<Binding> bindings) {
         this.name = name;
         this.cell = cell;
         this.source = source;
@@ -37,11 +43,20 @@
         source.path("keys").forEach(k -> hashes.add(k.path("sha256").asText()));
         source.path("bindings").fields().forEachRemaining(e -> {
             final JsonNode b = e.getValue();
-            own.add(Binding.of(e.getKey(), b.path("path").asText(), b.path("service").asText(),
+            own.add(Binding.of(
+                    e.getKey(),
+                    b.path("path").asText(),
+                    b.path("service").asText(),
                     b.path("runOnce").asBoolean(false)));
         });
-        return new Tenant(name, cell, source, homes, hashes,
-                source.has("priority") ? source.path("priority").asInt() : null, own);
+        return new Tenant(
+                name,
+                cell,
+                source,
+                homes,
+                hashes,
+                source.has("priority") ? source.path("priority").asInt() : null,
+                own);
     }
 
     /** Example: {@code tenant.name()} */
--- a/spokestall/src/main/java/spokestall/rim/Addresses.java
+++ b/spokestall/src/main/java/spokestall/rim/Addresses.java
@@ -6,8 +6,7 @@
 
 /** Reads addresses that are IP numbers; no name is ever looked up. */
 public final class Addresses {
-    private Addresses() {
-    }
+    private Addresses() {}
 
     /** Example: {@code Addresses.of("127.0.0.1:7100").getPort() == 7100} */
     public static InetSocketAddress of(final String address) {
--- a/spokestall/src/main/java/spokestall/rim/AskPort.java
+++ b/spokestall/src/main/java/spokestall/rim/AskPort.java
@@ -26,8 +26,7 @@
 public final class AskPort {
     /** Spans, from the settings. An answer that is not read within its wait ends its wire; a wire whose ask was answered
      * before its body had come ends after lingering so long, in which the answer can be read. */
-    public record Pace(long answerWaitMs, long lingerMs) {
-    }
+    public record Pace(long answerWaitMs, long lingerMs) {}
 
     private static final AttachmentKey<AtomicReference<Admitted>> ASK = AttachmentKey.create(AtomicReference.class);
     private final Node node;
@@ -69,11 +68,15 @@
 
     /** Ends the wire of an exchange that is not that far by then. */
     static void endUnless(final HttpServerExchange exchange, final long waitMs, final BooleanSupplier far) {
-        final XnioExecutor.Key timer = exchange.getIoThread().executeAfter(() -> {
-            if (!far.getAsBoolean()) {
-                IoUtils.safeClose(exchange.getConnection());
-            }
-        }, waitMs, TimeUnit.MILLISECONDS);
+        final XnioExecutor.Key timer = exchange.getIoThread()
+                .executeAfter(
+                        () -> {
+                            if (!far.getAsBoolean()) {
+                                IoUtils.safeClose(exchange.getConnection());
+                            }
+                        },
+                        waitMs,
+                        TimeUnit.MILLISECONDS);
         exchange.addExchangeCompleteListener((e, next) -> {
             timer.remove();
             next.proceed();
@@ -104,8 +107,12 @@
 
     void ask(final HttpServerExchange exchange, final long cameMs) {
         final Edge edge = node.edge();
-        final AskHead head = speech.head(exchange.getRequestMethod().toString(), host(exchange), target(exchange),
-                exchange.getRequestHeaders(), bodyBytes(exchange));
+        final AskHead head = speech.head(
+                exchange.getRequestMethod().toString(),
+                host(exchange),
+                target(exchange),
+                exchange.getRequestHeaders(),
+                bodyBytes(exchange));
         if (edge == null) {
             answer(exchange, new Answer(Result.NO_BINDING, Ran.NOT_RUN, null, null, 0, 0));
         } else if (!stage.offer(() -> open(exchange, edge, head, cameMs))) {
@@ -126,7 +133,8 @@
 
     /** How long the body is; -1 when that is not known. */
     private static long bodyBytes(final HttpServerExchange exchange) {
-        return exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING) ? -1
+        return exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)
+                ? -1
                 : Math.max(0, exchange.getRequestContentLength());
     }
 
@@ -171,11 +179,14 @@
         // The receiver's own bound leaves the wire open for the answer; an entity bound would cut it.
         final Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(Math.max(1, ask.rule().askMaxBytes()));
-        receiver.receiveFullBytes((e, body) -> e.dispatch(SameThreadExecutor.INSTANCE,
-                () -> stage.execute(() -> ask.run(body))),
-                (e, trouble) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> stage.execute(() ->
-                        ask.drop(trouble instanceof Receiver.RequestToLargeException ? Result.TOO_LARGE
-                                : Result.MALFORMED))));
+        receiver.receiveFullBytes(
+                (e, body) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> stage.execute(() -> ask.run(body))),
+                (e, trouble) -> e.dispatch(
+                        SameThreadExecutor.INSTANCE,
+                        () -> stage.execute(() -> ask.drop(
+                                trouble instanceof Receiver.RequestToLargeException
+                                        ? Result.TOO_LARGE
+                                        : Result.MALFORMED))));
     }
 
     private void answer(final HttpServerExchange exchange, final Answer a) {
--- a/spokestall/src/main/java/spokestall/rim/AuditFiles.java
+++ b/spokestall/src/main/java/spokestall/rim/AuditFiles.java
@@ -49,8 +49,13 @@
     private FileChannel file;
     private long number;
 
-    private AuditFiles(final Path folder, final String node, final int filesMax, final int fileBytes,
-            final Executor writer, final ECKey key) {
+    private AuditFiles(
+            final Path folder,
+            final String node,
+            final int filesMax,
+            final int fileBytes,
+            final Executor writer,
+            final ECKey key) {
         this.folder = folder;
         this.node = node;
         this.filesMax = filesMax;
@@ -61,8 +66,9 @@
 
     /** Goes on where the folder's newest file ends; a line that was cut off there is taken away, and that is said.
      * Example: {@code AuditFiles.open(data.resolve("audit"), "d1-core", 8, 1 << 20, writer)} */
-    public static AuditFiles open(final Path folder, final String node, final int filesMax, final int fileBytes,
-            final Executor writer) throws IOException {
+    public static AuditFiles open(
+            final Path folder, final String node, final int filesMax, final int fileBytes, final Executor writer)
+            throws IOException {
         Files.createDirectories(folder);
         try {
             final AuditFiles made = new AuditFiles(folder, node, filesMax, fileBytes, writer, key(folder, node));
@@ -78,9 +84,13 @@
         if (Files.exists(own)) {
             return ECKey.parse(Files.readString(own));
         }
-        final ECKey made = new ECKeyGenerator(Curve.P_256).keyID(node + "/" + Long.toHexString(System.currentTimeMillis()))
+        final ECKey made = new ECKeyGenerator(Curve.P_256)
+                .keyID(node + "/" + Long.toHexString(System.currentTimeMillis()))
                 .generate();
-        final Path fresh = Files.createTempFile(folder, "key", ".new",
+        final Path fresh = Files.createTempFile(
+                folder,
+                "key",
+                ".new",
                 PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
         put(fresh, made.toJSONString());
         put(folder.resolve("public.jwk"), made.toPublicJWK().toJSONString());
@@ -98,7 +108,9 @@
     /** The files in their order. Example: {@code AuditFiles.files(folder).get(0)} */
     public static List<Path> files(final Path folder) throws IOException {
         try (Stream<Path> all = Files.list(folder)) {
-            return all.filter(p -> p.getFileName().toString().matches("audit-\\d{8}\\.jws")).sorted().toList();
+            return all.filter(p -> p.getFileName().toString().matches("audit-\\d{8}\\.jws"))
+                    .sorted()
+                    .toList();
         }
     }
 
@@ -123,7 +135,10 @@
                 lastLine = whole.substring(whole.lastIndexOf('\n') + 1);
             }
         }
-        number = files.isEmpty() ? 1 : Long.parseLong(files.get(files.size() - 1).getFileName().toString().substring(6, 14));
+        number = files.isEmpty()
+                ? 1
+                : Long.parseLong(
+                        files.get(files.size() - 1).getFileName().toString().substring(6, 14));
         chain = new Chain(key, lastLine);
         append();
         note("start", JSON.createObjectNode().put("node", node).put("tornBytes", torn));
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -48,12 +48,12 @@
 
     /** Example: {@code new Daemon(settings, true).run()} */
     public Daemon(final Settings settings, final boolean core) {
-        this(settings, core, new Around() { }, Speech.own());
+        this(settings, core, new Around() {}, Speech.own());
     }
 
     /** Example: {@code new Daemon(settings, true, Speech.own()).run()} */
     public Daemon(final Settings settings, final boolean core, final Speech speech) {
-        this(settings, core, new Around() { }, speech);
+        this(settings, core, new Around() {}, speech);
     }
 
     /** Example: {@code new Daemon(settings, true, new Daemon.Around() { }, Speech.own()).run()} */
@@ -78,28 +78,55 @@
         }
         final Segments segments;
         try {
-            segments = core ? around.disk(FileSegments.open(Path.of(settings.text("data"), "ring"),
-                    (int) settings.ms("ringSegments"), (int) settings.ms("ringSegmentBytes"), new Stage(disk, 1 << 16),
-                    stage)) : null;
+            segments = core
+                    ? around.disk(FileSegments.open(
+                            Path.of(settings.text("data"), "ring"),
+                            (int) settings.ms("ringSegments"),
+                            (int) settings.ms("ringSegmentBytes"),
+                            new Stage(disk, 1 << 16),
+                            stage))
+                    : null;
         } catch (final IOException e) {
             return refused("data: the ring's files can't be made: " + e.getMessage());
         }
         final Audit audit = audit(Executors.newSingleThreadExecutor());
-        final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads")).set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 2).set(Options.TCP_NODELAY, true).getMap());
+        final XnioWorker worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads"))
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
         final Clock clock = new SystemClock(timer, stage);
-        final Wires wires = new Wires(worker, note -> stage.offer(() -> node.hear(note)),
-                settings.part("leaveBoundMs", 0.25), (int) settings.ms("noteVersion"),
+        final Wires wires = new Wires(
+                worker,
+                note -> stage.offer(() -> node.hear(note)),
+                settings.part("leaveBoundMs", 0.25),
+                (int) settings.ms("noteVersion"),
                 new Peers(settings.peers()));
-        final Outside outside = new Outside(new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10),
-                settings.ms("wireRestMs")), stage, settings.text("platform"), speech.goes(), speech.platform(),
+        final Outside outside = new Outside(
+                new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10), settings.ms("wireRestMs")),
+                stage,
+                settings.text("platform"),
+                speech.goes(),
+                speech.platform(),
                 settings.ms("connectMs"));
         final CountDownLatch made = new CountDownLatch(1);
         stage.execute(() -> {
             try {
-                node = new Node(settings, core, new Node.Rim(clock, new Random(new SecureRandom().nextLong()), wires,
-                        segments, outside, outside, around.platform(outside), audit), speech.form());
+                node = new Node(
+                        settings,
+                        core,
+                        new Node.Rim(
+                                clock,
+                                new Random(new SecureRandom().nextLong()),
+                                wires,
+                                segments,
+                                outside,
+                                outside,
+                                around.platform(outside),
+                                audit),
+                        speech.form());
             } finally {
                 made.countDown();
             }
@@ -113,8 +140,8 @@
             wires.listen(Addresses.of(settings.listen()));
             server.start();
         } catch (final IOException | RuntimeException e) {
-            return refused("address: can't listen on " + settings.listen() + " or " + settings.text("http") + " or " + settings.operators()
-                    + ": " + e.getMessage());
+            return refused("address: can't listen on " + settings.listen() + " or " + settings.text("http") + " or "
+                    + settings.operators() + ": " + e.getMessage());
         }
         stage.execute(node::start);
         final CountDownLatch stopped = new CountDownLatch(1);
@@ -139,8 +166,12 @@
             return Audit.NONE;
         }
         try {
-            return AuditFiles.open(Path.of(settings.text("data"), "audit"), settings.text("name"),
-                    (int) settings.ms("auditFiles"), (int) settings.ms("auditFileBytes"), writer);
+            return AuditFiles.open(
+                    Path.of(settings.text("data"), "audit"),
+                    settings.text("name"),
+                    (int) settings.ms("auditFiles"),
+                    (int) settings.ms("auditFileBytes"),
+                    writer);
         } catch (final IOException e) {
             LOG.atWarning().log("event=audit_trouble node=%s why=\"%s\"", settings.text("name"), e.getMessage());
             return Audit.NONE;
--- a/spokestall/src/main/java/spokestall/rim/DataFolder.java
+++ b/spokestall/src/main/java/spokestall/rim/DataFolder.java
@@ -14,8 +14,7 @@
 public final class DataFolder {
     private static final int FORMAT = 1;
 
-    private DataFolder() {
-    }
+    private DataFolder() {}
 
     /** Takes the folder for a node; why it can't be had, or null. Example: {@code DataFolder.open(path, "d1-core")} */
     public static String open(final Path folder, final String name) throws IOException {
@@ -27,7 +26,8 @@
             return folder + " can't be made a folder: " + e.getMessage();
         }
         // The lock is held, unreferenced, until the process ends.
-        if (FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE).tryLock()
+        if (FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)
+                        .tryLock()
                 == null) {
             return folder + " is in use by another process";
         }
--- a/spokestall/src/main/java/spokestall/rim/Fields.java
+++ b/spokestall/src/main/java/spokestall/rim/Fields.java
@@ -14,15 +14,26 @@
 /** Header fields between wires: which ones go on, and whether they frame a message in one way only. */
 public final class Fields {
     /** Fields that speak of one wire, or that each wire is given anew. */
-    private static final Set<String> OF_THE_WIRE = Set.of("connection", "keep-alive", "proxy-connection",
-            "proxy-authenticate", "proxy-authorization", "proxy-authentication-info", "te", "trailer",
-            "transfer-encoding", "upgrade", "expect", "host", "content-length");
+    private static final Set<String> OF_THE_WIRE = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-authentication-info",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "host",
+            "content-length");
+
     private static final String OWN = "spokestall-";
     private static final String NOT_IN_NAMES = "\"(),/:;<=>?@[\\]{}";
     private static final int LENGTH_DIGITS = 18;
 
-    private Fields() {
-    }
+    private Fields() {}
 
     /** The end-to-end fields: none of the wire's, none that Connection names, none of spokestall's own.
      * Example: {@code Fields.endToEnd(exchange.getRequestHeaders())} */
--- a/spokestall/src/main/java/spokestall/rim/HttpCall.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpCall.java
@@ -13,13 +13,43 @@
  * is run there once they have. A wire that rested long is used only for what is repeatable: it may have been closed at
  * its other end. A wire that is not open within connectMs is given up, and nothing was sent.
  */
-public record HttpCall(String address, String method, String target, List<Header> headers, byte[] body,
-        long waitMs, long connectMs, int answerMaxBytes, boolean freshWire, boolean repeatable, Executor gate, LongSupplier until, Runnable sent) {
+public record HttpCall(
+        String address,
+        String method,
+        String target,
+        List<Header> headers,
+        byte[] body,
+        long waitMs,
+        long connectMs,
+        int answerMaxBytes,
+        boolean freshWire,
+        boolean repeatable,
+        Executor gate,
+        LongSupplier until,
+        Runnable sent) {
     /** No gate: the bytes may leave whenever the wire is open. Example: {@code HttpCall.plain(at, "GET", "/", h, b, 500, 1024)} */
-    public static HttpCall plain(final String address, final String method, final String target,
-            final Map<String, String> headers, final byte[] body, final long waitMs, final int answerMaxBytes) {
-        return new HttpCall(address, method, target, list(headers), body, waitMs, waitMs, answerMaxBytes, false, true, Runnable::run,
-                () -> Long.MAX_VALUE, () -> { });
+    public static HttpCall plain(
+            final String address,
+            final String method,
+            final String target,
+            final Map<String, String> headers,
+            final byte[] body,
+            final long waitMs,
+            final int answerMaxBytes) {
+        return new HttpCall(
+                address,
+                method,
+                target,
+                list(headers),
+                body,
+                waitMs,
+                waitMs,
+                answerMaxBytes,
+                false,
+                true,
+                Runnable::run,
+                () -> Long.MAX_VALUE,
+                () -> {});
     }
 
     static List<Header> list(final Map<String, String> headers) {
--- a/spokestall/src/main/java/spokestall/rim/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -41,8 +41,7 @@
     private static final int HEADERS_MAX = 16 << 10;
     private static final Set<String> BODILESS = Set.of("GET", "HEAD", "DELETE", "OPTIONS");
 
-    private record Idle(ClientConnection wire, long sinceMs, long restMs) {
-    }
+    private record Idle(ClientConnection wire, long sinceMs, long restMs) {}
 
     private final XnioWorker worker;
     private final ByteBufferPool pool;
@@ -114,30 +113,38 @@
         void begin() {
             final ClientConnection had = call.freshWire() ? null : takeIdle(call.address(), call.repeatable());
             final XnioIoThread io = had != null ? had.getIoThread() : worker.getIoThread();
-            timer = io.executeAfter(() -> trouble("timeout"), Math.max(1, call.waitMs()),
-                    TimeUnit.MILLISECONDS);
+            timer = io.executeAfter(() -> trouble("timeout"), Math.max(1, call.waitMs()), TimeUnit.MILLISECONDS);
             if (had != null) {
                 io.execute(() -> opened(had));
                 return;
             }
             if (call.connectMs() < call.waitMs()) {
-                connecting = io.executeAfter(() -> {
-                    if (wire == null) {
-                        trouble("connect: late");
-                    }
-                }, Math.max(1, call.connectMs()), TimeUnit.MILLISECONDS);
+                connecting = io.executeAfter(
+                        () -> {
+                            if (wire == null) {
+                                trouble("connect: late");
+                            }
+                        },
+                        Math.max(1, call.connectMs()),
+                        TimeUnit.MILLISECONDS);
             }
-            UndertowClient.getInstance().connect(new ClientCallback<>() {
-                @Override
-                public void completed(final ClientConnection made) {
-                    opened(made);
-                }
+            UndertowClient.getInstance()
+                    .connect(
+                            new ClientCallback<>() {
+                                @Override
+                                public void completed(final ClientConnection made) {
+                                    opened(made);
+                                }
 
-                @Override
-                public void failed(final IOException e) {
-                    trouble("connect: " + e.getMessage());
-                }
-            }, URI.create("http://" + call.address()), io, pool, OptionMap.create(Options.TCP_NODELAY, true));
+                                @Override
+                                public void failed(final IOException e) {
+                                    trouble("connect: " + e.getMessage());
+                                }
+                            },
+                            URI.create("http://" + call.address()),
+                            io,
+                            pool,
+                            OptionMap.create(Options.TCP_NODELAY, true));
         }
 
         private void opened(final ClientConnection made) {
@@ -160,8 +167,8 @@
             if (over.get()) {
                 return;
             }
-            final ClientRequest request = new ClientRequest().setMethod(new HttpString(call.method()))
-                    .setPath(call.target());
+            final ClientRequest request =
+                    new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.target());
             if (call.body().length > 0 || !BODILESS.contains(call.method())) {
                 request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(call.body().length));
             }
@@ -240,10 +247,16 @@
         private void answered(final ClientExchange exchange) {
             final var headers = exchange.getResponse().getResponseHeaders();
             final int status = exchange.getResponse().getResponseCode();
-            final boolean framed = headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
-            final boolean bodiless = status == 204 || status == 304 || call.method().equals("HEAD");
+            final boolean framed =
+                    headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
+            final boolean bodiless =
+                    status == 204 || status == 304 || call.method().equals("HEAD");
             final String odd = Fields.odd(headers);
-            if (odd != null || !framed && !bodiless || framed && status == 204 || status < 200 || status > 599
+            if (odd != null
+                    || !framed && !bodiless
+                    || framed && status == 204
+                    || status < 200
+                    || status > 599
                     || Fields.size(headers) > HEADERS_MAX) {
                 trouble("framing: " + (odd == null ? "status " + status : odd));
                 return;
@@ -284,8 +297,10 @@
             }
             // An answer that came before its ask was out leaves the wire in a state that is not to be trusted.
             // One that leads to another instance would lead there again.
-            if (bodySent && used.isOpen() && response.getResponseCode() != 421 && !"close".equalsIgnoreCase(response.getResponseHeaders()
-                    .getFirst(Headers.CONNECTION))) {
+            if (bodySent
+                    && used.isOpen()
+                    && response.getResponseCode() != 421
+                    && !"close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION))) {
                 final long rest = restMs(response.getResponseHeaders().getFirst(Headers.KEEP_ALIVE));
                 used.getIoThread().execute(() -> keepIdle(call.address(), used, rest));
             } else {
--- a/spokestall/src/main/java/spokestall/rim/HttpResult.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpResult.java
@@ -13,10 +13,8 @@
     }
 
     /** No byte left. */
-    record NotSent(String why) implements HttpResult {
-    }
+    record NotSent(String why) implements HttpResult {}
 
     /** Bytes may have left. */
-    record Lost(String why) implements HttpResult {
-    }
+    record Lost(String why) implements HttpResult {}
 }
--- a/spokestall/src/main/java/spokestall/rim/HttpServer.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpServer.java
@@ -24,8 +24,8 @@
 public final class HttpServer implements Front {
     /** Sizes and spans, from the settings. An answer that is not read within its wait ends its wire; a wire whose ask
      * was answered before its body had come ends after lingering so long, in which the answer can be read. */
-    record Bounds(int rpcMaxBytes, int whereMaxBytes, int wiresMax, long bodyWaitMs, long answerWaitMs, long lingerMs) {
-    }
+    record Bounds(
+            int rpcMaxBytes, int whereMaxBytes, int wiresMax, long bodyWaitMs, long answerWaitMs, long lingerMs) {}
 
     private static final String RPC = "/rpc/";
     private static final String WHERE = RPC + "where";
@@ -35,22 +35,29 @@
     private final AskPort asks;
     private final Undertow server;
 
-    HttpServer(final Node node, final Stage stage, final XnioWorker worker, final InetSocketAddress callers,
-            final InetSocketAddress operators, final Bounds bounds) {
+    HttpServer(
+            final Node node,
+            final Stage stage,
+            final XnioWorker worker,
+            final InetSocketAddress callers,
+            final InetSocketAddress operators,
+            final Bounds bounds) {
         this.node = node;
         this.stage = stage;
         this.bounds = bounds;
         this.asks = new AskPort(node, stage, new OwnAsks(), new AskPort.Pace(bounds.answerWaitMs(), bounds.lingerMs()));
-        this.server = Undertow.builder().setWorker(worker).addHttpListener(callers.getPort(),
-                callers.getAddress().getHostAddress(), e -> handle(e, false)).addHttpListener(operators.getPort(),
-                operators.getAddress().getHostAddress(), e -> handle(e, true))
+        this.server = Undertow.builder()
+                .setWorker(worker)
+                .addHttpListener(callers.getPort(), callers.getAddress().getHostAddress(), e -> handle(e, false))
+                .addHttpListener(operators.getPort(), operators.getAddress().getHostAddress(), e -> handle(e, true))
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, bounds.wiresMax())
                 .setSocketOption(Options.CONNECTION_LOW_WATER, bounds.wiresMax())
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 << 10)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).build();
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .build();
     }
 
     @Override
@@ -88,25 +95,32 @@
         }
         exchange.getRequestReceiver().setMaxBufferSize(maxBytes);
         AskPort.endUnless(exchange, bounds.bodyWaitMs(), exchange::isRequestComplete);
-        exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
-            JsonNode read;
-            try {
-                read = body.length == 0 ? Book.JSON.createObjectNode() : Book.JSON.readTree(body);
-            } catch (final IOException bad) {
-                read = null;
-            }
-            final JsonNode params = read;
-            if (params == null) {
-                reply(e, Reply.of(Result.BAD_PARAMS, Book.JSON.createObjectNode().put("reason", "not JSON")));
-                return;
-            }
-            final String method = e.getRequestPath().substring(RPC.length());
-            e.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                if (!stage.offer(() -> call(e, method, params))) {
-                    reply(e, Reply.of(Result.BUSY, null));
-                }
-            });
-        }, (e, trouble) -> reply(e, Reply.of(Result.TOO_LARGE, null)));
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) -> {
+                            JsonNode read;
+                            try {
+                                read = body.length == 0 ? Book.JSON.createObjectNode() : Book.JSON.readTree(body);
+                            } catch (final IOException bad) {
+                                read = null;
+                            }
+                            final JsonNode params = read;
+                            if (params == null) {
+                                reply(
+                                        e,
+                                        Reply.of(
+                                                Result.BAD_PARAMS,
+                                                Book.JSON.createObjectNode().put("reason", "not JSON")));
+                                return;
+                            }
+                            final String method = e.getRequestPath().substring(RPC.length());
+                            e.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                                if (!stage.offer(() -> call(e, method, params))) {
+                                    reply(e, Reply.of(Result.BUSY, null));
+                                }
+                            });
+                        },
+                        (e, trouble) -> reply(e, Reply.of(Result.TOO_LARGE, null)));
     }
 
     private void call(final HttpServerExchange exchange, final String method, final JsonNode params) {
--- a/spokestall/src/main/java/spokestall/rim/LogLine.java
+++ b/spokestall/src/main/java/spokestall/rim/LogLine.java
@@ -13,8 +13,8 @@
 
 /** One line of key=value pairs for each event. */
 public final class LogLine extends Formatter {
-    private static final List<Logger> QUIET = List.of(Logger.getLogger("io.undertow"), Logger.getLogger("org.xnio"),
-            Logger.getLogger("org.jboss"));
+    private static final List<Logger> QUIET =
+            List.of(Logger.getLogger("io.undertow"), Logger.getLogger("org.xnio"), Logger.getLogger("org.jboss"));
 
     /** Sends all logs through this form. Example: {@code LogLine.install();} */
     public static void install() {
@@ -31,14 +31,22 @@
     @Override
     public String format(final LogRecord record) {
         final String text = record.getMessage();
-        final StringBuilder line = new StringBuilder("time=").append(Instant.ofEpochMilli(record.getMillis()))
-                .append(" level=").append(record.getLevel()).append(' ');
+        final StringBuilder line = new StringBuilder("time=")
+                .append(Instant.ofEpochMilli(record.getMillis()))
+                .append(" level=")
+                .append(record.getLevel())
+                .append(' ');
         line.append(text != null && text.startsWith("event=") ? text : "event=library text=\"" + text + "\"");
         if (record.getThrown() != null) {
             final StringWriter out = new StringWriter();
             record.getThrown().printStackTrace(new PrintWriter(out));
-            line.append(" trace=\"").append(out.toString().trim().replace("\"", "'").replace("\n", " | ")
-                    .replace("\t", "")).append('"');
+            line.append(" trace=\"")
+                    .append(out.toString()
+                            .trim()
+                            .replace("\"", "'")
+                            .replace("\n", " | ")
+                            .replace("\t", ""))
+                    .append('"');
         }
         return line.append('\n').toString();
     }
--- a/spokestall/src/main/java/spokestall/rim/Outside.java
+++ b/spokestall/src/main/java/spokestall/rim/Outside.java
@@ -28,8 +28,13 @@
     private final long connectMs;
 
     /** {@code address} is the platform's. Example: {@code new Outside(client, stage, "127.0.0.1:7900", goes, platform, 500)} */
-    public Outside(final HttpClient client, final Executor stage, final String address, final GoSpeech goes,
-            final PlatformSpeech platform, final long connectMs) {
+    public Outside(
+            final HttpClient client,
+            final Executor stage,
+            final String address,
+            final GoSpeech goes,
+            final PlatformSpeech platform,
+            final long connectMs) {
         this.client = client;
         this.stage = stage;
         this.address = address;
@@ -40,8 +45,22 @@
 
     @Override
     public void go(final Go go, final LongSupplier until, final Runnable sent, final Consumer<GoResult> done) {
-        client.call(new HttpCall(go.address(), go.method(), go.target(), goes.headers(go), go.body(), go.waitMs(), connectMs,
-                go.answerMaxBytes(), false, go.repeatable(), stage, until, () -> stage.execute(sent)), result -> {
+        client.call(
+                new HttpCall(
+                        go.address(),
+                        go.method(),
+                        go.target(),
+                        goes.headers(go),
+                        go.body(),
+                        go.waitMs(),
+                        connectMs,
+                        go.answerMaxBytes(),
+                        false,
+                        go.repeatable(),
+                        stage,
+                        until,
+                        () -> stage.execute(sent)),
+                result -> {
                     final GoResult judged = judge(go, result);
                     stage.execute(() -> done.accept(judged));
                 });
@@ -51,14 +70,34 @@
         if (result instanceof HttpResult.NotSent n) {
             return new GoResult.NotSent(n.why());
         }
-        return result instanceof HttpResult.Lost l ? new GoResult.Lost(l.why()) : goes.judge(go, (HttpResult.Whole) result);
+        return result instanceof HttpResult.Lost l
+                ? new GoResult.Lost(l.why())
+                : goes.judge(go, (HttpResult.Whole) result);
     }
 
     /** On a wire of its own: whoever answered there before may be gone, and its old wires still open. */
-    private void get(final String at, final String target, final long waitMs, final boolean freshWire,
+    private void get(
+            final String at,
+            final String target,
+            final long waitMs,
+            final boolean freshWire,
             final Consumer<JsonNode> done) {
-        client.call(new HttpCall(at, "GET", target, List.of(), new byte[0], waitMs, waitMs, LIST_MAX, freshWire, true,
-                Runnable::run, () -> Long.MAX_VALUE, () -> { }), result -> {
+        client.call(
+                new HttpCall(
+                        at,
+                        "GET",
+                        target,
+                        List.of(),
+                        new byte[0],
+                        waitMs,
+                        waitMs,
+                        LIST_MAX,
+                        freshWire,
+                        true,
+                        Runnable::run,
+                        () -> Long.MAX_VALUE,
+                        () -> {}),
+                result -> {
                     JsonNode found = null;
                     if (result instanceof HttpResult.Whole whole && whole.status() == 200) {
                         try {
@@ -77,7 +116,11 @@
         page(platform.listTarget(), waitMs, new ArrayList<>(), 1, done);
     }
 
-    private void page(final String target, final long waitMs, final List<Listed> before, final int pages,
+    private void page(
+            final String target,
+            final long waitMs,
+            final List<Listed> before,
+            final int pages,
             final Consumer<List<Listed>> done) {
         get(address, target, waitMs, false, tree -> {
             final PlatformSpeech.Page page = tree == null ? null : platform.page(tree);
@@ -96,15 +139,39 @@
 
     @Override
     public void probe(final String at, final long waitMs, final Consumer<Prober.Probe> done) {
-        get(at, platform.statusTarget(), waitMs, true, tree -> done.accept(tree == null ? null : platform.status(tree)));
+        get(
+                at,
+                platform.statusTarget(),
+                waitMs,
+                true,
+                tree -> done.accept(tree == null ? null : platform.status(tree)));
     }
 
     @Override
-    public void report(final String holder, final long token, final Sealed sealed, final long waitMs,
-            final LongSupplier until, final Consumer<Boolean> done) {
+    public void report(
+            final String holder,
+            final long token,
+            final Sealed sealed,
+            final long waitMs,
+            final LongSupplier until,
+            final Consumer<Boolean> done) {
         final PlatformSpeech.Report report = platform.report(holder, token, sealed);
-        client.call(new HttpCall(address, "POST", report.target(), report.headers(), report.body(), waitMs, waitMs, LIST_MAX,
-                true, false, stage, until, () -> { }), result -> {
+        client.call(
+                new HttpCall(
+                        address,
+                        "POST",
+                        report.target(),
+                        report.headers(),
+                        report.body(),
+                        waitMs,
+                        waitMs,
+                        LIST_MAX,
+                        true,
+                        false,
+                        stage,
+                        until,
+                        () -> {}),
+                result -> {
                     final boolean ok = result instanceof HttpResult.Whole whole && whole.status() / 100 == 2;
                     stage.execute(() -> done.accept(ok));
                 });
--- a/spokestall/src/main/java/spokestall/rim/OwnAsks.java
+++ b/spokestall/src/main/java/spokestall/rim/OwnAsks.java
@@ -12,10 +12,21 @@
 /** spokestall's own speech with callers; docs/protocols.md has it. */
 final class OwnAsks implements AskSpeech {
     @Override
-    public AskHead head(final String method, final String host, final String target, final HeaderMap headers,
+    public AskHead head(
+            final String method,
+            final String host,
+            final String target,
+            final HeaderMap headers,
             final long bodyBytes) {
-        return new AskHead(method, host, target, headers.getFirst("Spokestall-Key"), headers.getFirst("Spokestall-Ask-Id"),
-                span(headers), bodyBytes, Fields.endToEnd(headers));
+        return new AskHead(
+                method,
+                host,
+                target,
+                headers.getFirst("Spokestall-Key"),
+                headers.getFirst("Spokestall-Ask-Id"),
+                span(headers),
+                bodyBytes,
+                Fields.endToEnd(headers));
     }
 
     private static long span(final HeaderMap headers) {
@@ -49,8 +60,11 @@
 
     @Override
     public byte[] body(final Answer a) {
-        final ObjectNode out = Book.JSON.createObjectNode().put("code", a.result().number())
-                .put("text", a.result().text()).put("outcome", a.ran().word());
+        final ObjectNode out = Book.JSON
+                .createObjectNode()
+                .put("code", a.result().number())
+                .put("text", a.result().text())
+                .put("outcome", a.ran().word());
         return out.toString().getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/spokestall/src/main/java/spokestall/rim/OwnPlatform.java
+++ b/spokestall/src/main/java/spokestall/rim/OwnPlatform.java
@@ -26,10 +26,17 @@
         final List<Listed> found = new ArrayList<>();
         for (final JsonNode u : tree.path("upstreams")) {
             final String address = u.path("address").asText();
-            if (address.matches("(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}") && !u.path("instance").asText().isEmpty()) {
-                found.add(Listed.read(u.path("instance").asText(), u.path("service").asText(), address,
-                        u.path("district").asText(), u.path("region").asText(), u.path("leaving").asBoolean(false),
-                        u.path("coldForMs").asLong(-1), u.path("slots").asInt(0)));
+            if (address.matches("(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}")
+                    && !u.path("instance").asText().isEmpty()) {
+                found.add(Listed.read(
+                        u.path("instance").asText(),
+                        u.path("service").asText(),
+                        address,
+                        u.path("district").asText(),
+                        u.path("region").asText(),
+                        u.path("leaving").asBoolean(false),
+                        u.path("coldForMs").asLong(-1),
+                        u.path("slots").asInt(0)));
             }
         }
         return new Page(found, null);
@@ -40,8 +47,12 @@
         final ObjectNode out = Book.JSON.createObjectNode().put("window", sealed.window());
         final ObjectNode counts = out.putObject("counts");
         sealed.counts().forEach(counts::put);
-        return new Report("/usage", List.of(new Header("Spokestall-Duty-Holder", holder),
-                new Header("Spokestall-Fence-Token", Long.toString(token)), new Header("Content-Type", "application/json")),
+        return new Report(
+                "/usage",
+                List.of(
+                        new Header("Spokestall-Duty-Holder", holder),
+                        new Header("Spokestall-Fence-Token", Long.toString(token)),
+                        new Header("Content-Type", "application/json")),
                 out.toString().getBytes(StandardCharsets.UTF_8));
     }
 
@@ -52,7 +63,12 @@
 
     @Override
     public Prober.Probe status(final JsonNode tree) {
-        return !tree.has("instance") ? null : new Prober.Probe(tree.path("instance").asText(), tree.path("service").asText(),
-                tree.path("leaving").asBoolean(false), tree.path("readyForMs").asLong(0));
+        return !tree.has("instance")
+                ? null
+                : new Prober.Probe(
+                        tree.path("instance").asText(),
+                        tree.path("service").asText(),
+                        tree.path("leaving").asBoolean(false),
+                        tree.path("readyForMs").asLong(0));
     }
 }
--- a/spokestall/src/main/java/spokestall/rim/OwnSpeech.java
+++ b/spokestall/src/main/java/spokestall/rim/OwnSpeech.java
@@ -24,8 +24,18 @@
 
     @Override
     public Front front(final Node node, final Settings settings, final Stage stage, final XnioWorker worker) {
-        return new HttpServer(node, stage, worker, Addresses.of(settings.text("http")), Addresses.of(settings.operators()),
-                new HttpServer.Bounds(2 * (int) settings.ms("policyMaxBytes"), 1 << 16, 4 * (int) settings.ms("askOpenMax"),
-                        settings.ms("askSpanMaxMs"), settings.ms("askSpanMaxMs"), settings.part("askSpanMaxMs", 1.0 / 30)));
+        return new HttpServer(
+                node,
+                stage,
+                worker,
+                Addresses.of(settings.text("http")),
+                Addresses.of(settings.operators()),
+                new HttpServer.Bounds(
+                        2 * (int) settings.ms("policyMaxBytes"),
+                        1 << 16,
+                        4 * (int) settings.ms("askOpenMax"),
+                        settings.ms("askSpanMaxMs"),
+                        settings.ms("askSpanMaxMs"),
+                        settings.part("askSpanMaxMs", 1.0 / 30)));
     }
 }
--- a/spokestall/src/main/java/spokestall/rim/Peers.java
+++ b/spokestall/src/main/java/spokestall/rim/Peers.java
@@ -7,8 +7,7 @@
 
 /** Whose wires a node takes: those from some networks, given as IP numbers with how many of their bits count. */
 final class Peers implements Predicate<InetAddress> {
-    private record Net(int address, int mask) {
-    }
+    private record Net(int address, int mask) {}
 
     private final List<Net> nets = new ArrayList<>();
 
--- a/spokestall/src/main/java/spokestall/rim/PlatformSpeech.java
+++ b/spokestall/src/main/java/spokestall/rim/PlatformSpeech.java
@@ -10,12 +10,10 @@
 /** How the platform that lists upstreams and takes reports is spoken to, and how an upstream tells its status. */
 public interface PlatformSpeech {
     /** One page of the list; next is the target of the one after it, or null. */
-    record Page(List<Listed> listed, String next) {
-    }
+    record Page(List<Listed> listed, String next) {}
 
     /** A report as it goes out. */
-    record Report(String target, List<Header> headers, byte[] body) {
-    }
+    record Report(String target, List<Header> headers, byte[] body) {}
 
     /** The first page's target. Example: {@code speech.listTarget().equals("/upstreams")} */
     String listTarget();
--- a/spokestall/src/main/java/spokestall/rim/Wires.java
+++ b/spokestall/src/main/java/spokestall/rim/Wires.java
@@ -45,8 +45,12 @@
 
     /** A wire out that gives no sign of being heard for so long is given up and opened anew.
      * Example: {@code new Wires(worker, note -> stage.offer(() -> node.hear(note)), 1000, 2, peers)} */
-    public Wires(final XnioWorker worker, final Consumer<Note> heard, final long silentMs,
-            final int version, final Predicate<InetAddress> peers) {
+    public Wires(
+            final XnioWorker worker,
+            final Consumer<Note> heard,
+            final long silentMs,
+            final int version,
+            final Predicate<InetAddress> peers) {
         this.version = version;
         this.peers = peers;
         this.silentMs = silentMs;
@@ -56,17 +60,20 @@
 
     /** Example: {@code wires.listen(Addresses.of("127.0.0.1:7100"));} */
     public void listen(final InetSocketAddress at) throws IOException {
-        server = worker.createStreamConnectionServer(at, (ChannelListener<AcceptingChannel<StreamConnection>>) a -> {
-            try {
-                StreamConnection wire = a.accept();
-                while (wire != null) {
-                    take(wire);
-                    wire = a.accept();
-                }
-            } catch (final IOException e) {
-                LOG.atWarning().log("event=accept_trouble why=%s", e.getMessage());
-            }
-        }, OptionMap.create(Options.TCP_NODELAY, true, Options.REUSE_ADDRESSES, true));
+        server = worker.createStreamConnectionServer(
+                at,
+                (ChannelListener<AcceptingChannel<StreamConnection>>) a -> {
+                    try {
+                        StreamConnection wire = a.accept();
+                        while (wire != null) {
+                            take(wire);
+                            wire = a.accept();
+                        }
+                    } catch (final IOException e) {
+                        LOG.atWarning().log("event=accept_trouble why=%s", e.getMessage());
+                    }
+                },
+                OptionMap.create(Options.TCP_NODELAY, true, Options.REUSE_ADDRESSES, true));
         server.resumeAccepts();
     }
 
@@ -205,7 +212,10 @@
                     open();
                 }
             }
-            queue.add(ByteBuffer.allocate(4 + note.length).putInt(note.length).put(note).flip());
+            queue.add(ByteBuffer.allocate(4 + note.length)
+                    .putInt(note.length)
+                    .put(note)
+                    .flip());
             queuedBytes += note.length;
             if (wire != null && unheardMs < 0) {
                 unheardMs = nowMs;
@@ -219,7 +229,9 @@
         private void open() {
             opening = true;
             openedMs = System.nanoTime() / 1_000_000;
-            coming = worker.openStreamConnection(Addresses.of(address), (ChannelListener<StreamConnection>) this::opened,
+            coming = worker.openStreamConnection(
+                    Addresses.of(address),
+                    (ChannelListener<StreamConnection>) this::opened,
                     OptionMap.create(Options.TCP_NODELAY, true));
             final IoFuture<StreamConnection> mine = coming;
             mine.addNotifier((future, a) -> failed(mine), null);
--- a/spokestall/src/main/java/spokestall/ring/FileSegments.java
+++ b/spokestall/src/main/java/spokestall/ring/FileSegments.java
@@ -21,14 +21,15 @@
     private final Executor back;
 
     /** Example: {@code FileSegments.open(Path.of("data/ring"), 8, 4 << 20, diskStage, controlStage)} */
-    public static FileSegments open(final Path folder, final int count, final int sizeBytes, final Executor disk,
-            final Executor back) throws IOException {
+    public static FileSegments open(
+            final Path folder, final int count, final int sizeBytes, final Executor disk, final Executor back)
+            throws IOException {
         Files.createDirectories(folder);
         final FileSegments made = new FileSegments(sizeBytes, disk, back);
         for (int i = 0; i < count; i++) {
             final Path path = folder.resolve("segment-" + i);
-            final FileChannel file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ,
-                    StandardOpenOption.WRITE);
+            final FileChannel file = FileChannel.open(
+                    path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
             made.fill(file);
             made.files.add(file);
         }
--- a/spokestall/src/main/java/spokestall/ring/Ring.java
+++ b/spokestall/src/main/java/spokestall/ring/Ring.java
@@ -23,21 +23,22 @@
  */
 public final class Ring {
     /** Explicit states of a ring. */
-    public enum State { OPEN, FULL, BROKEN }
+    public enum State {
+        OPEN,
+        FULL,
+        BROKEN
+    }
 
     private static final int MAGIC = 0x53504b31;
     private static final int HEAD_BYTES = 4 + 4 + 8 + 8 + 8 + 4 + 4;
     private static final int SPARE_SEGMENTS = 2;
 
-    private record Place(int segment, int bytes) {
-    }
+    private record Place(int segment, int bytes) {}
 
-    private record Put(String key, byte[] value, Consumer<Boolean> done) {
-    }
+    private record Put(String key, byte[] value, Consumer<Boolean> done) {}
 
-    private record Found(int segment, int from, int next, int life, long seq, long batch, long floor, String key,
-            byte[] value) {
-    }
+    private record Found(
+            int segment, int from, int next, int life, long seq, long batch, long floor, String key, byte[] value) {}
 
     private final Segments segments;
     private final Map<String, byte[]> table = new HashMap<>();
@@ -107,7 +108,8 @@
     private boolean oversize(final String key, final byte[] value) {
         final int bytes = recordBytes(key, value);
         final Place had = places.get(key);
-        final boolean full = liveBytes - (had == null ? 0 : had.bytes) + bytes > limitBytes() || bytes > segments.sizeBytes();
+        final boolean full =
+                liveBytes - (had == null ? 0 : had.bytes) + bytes > limitBytes() || bytes > segments.sizeBytes();
         change(full ? State.FULL : State.OPEN);
         return full;
     }
@@ -229,7 +231,12 @@
             }
             final byte[] body = payload.toByteArray();
             final ByteBuffer all = ByteBuffer.allocate(HEAD_BYTES + body.length);
-            all.putInt(MAGIC).putInt(life).putLong(seq).putLong(batchSeq).putLong(floorSeq).putInt(body.length);
+            all.putInt(MAGIC)
+                    .putInt(life)
+                    .putLong(seq)
+                    .putLong(batchSeq)
+                    .putLong(floorSeq)
+                    .putInt(body.length);
             all.putInt(crc(life, seq, batchSeq, floorSeq, body, 0, body.length)).put(body);
             return all.array();
         } catch (final IOException e) {
@@ -237,10 +244,21 @@
         }
     }
 
-    private static int crc(final int life, final long seq, final long batch, final long floor, final byte[] in, final int from,
+    private static int crc(
+            final int life,
+            final long seq,
+            final long batch,
+            final long floor,
+            final byte[] in,
+            final int from,
             final int length) {
         final CRC32 crc = new CRC32();
-        crc.update(ByteBuffer.allocate(28).putInt(life).putLong(seq).putLong(batch).putLong(floor).flip());
+        crc.update(ByteBuffer.allocate(28)
+                .putInt(life)
+                .putLong(seq)
+                .putLong(batch)
+                .putLong(floor)
+                .flip());
         crc.update(in, from, length);
         return (int) crc.getValue();
     }
--- a/spokestall/src/main/java/spokestall/ring/Segments.java
+++ b/spokestall/src/main/java/spokestall/ring/Segments.java
@@ -6,8 +6,7 @@
 /** The preallocated files under a ring, at the rim: real files in a process, a losing disk in the simulator. */
 public interface Segments {
     /** A piece to be written at a place in one file. */
-    record Piece(int segment, int at, byte[] bytes) {
-    }
+    record Piece(int segment, int at, byte[] bytes) {}
 
     /** How many files there are. Example: {@code for (int i = 0; i < segments.count(); i++) ...} */
     int count();
--- a/spokestall/src/main/java/spokestall/rpc/Calls.java
+++ b/spokestall/src/main/java/spokestall/rpc/Calls.java
@@ -35,9 +35,12 @@
         } catch (final IOException e) {
             throw new IllegalStateException("the schema file can't be read", e);
         }
-        file.path("methods").fields().forEachRemaining(e -> schemas.put(e.getKey(),
-                JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
-                        .getSchema(e.getValue().path("params"))));
+        file.path("methods")
+                .fields()
+                .forEachRemaining(e -> schemas.put(
+                        e.getKey(),
+                        JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                                .getSchema(e.getValue().path("params"))));
     }
 
     /** The schema file. Example: {@code calls.file().at("/$defs/policy")} */
@@ -65,7 +68,8 @@
         if (!troubles.isEmpty()) {
             final ObjectNode out = file.isObject() ? ((ObjectNode) file).objectNode() : null;
             final ArrayNode list = out.putArray("troubles");
-            troubles.forEach(t -> list.addObject().put("pointer", t.getInstanceLocation().toString())
+            troubles.forEach(t -> list.addObject()
+                    .put("pointer", t.getInstanceLocation().toString())
                     .put("reason", t.getMessage()));
             done.accept(Reply.of(Result.BAD_PARAMS, out));
             return;
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -29,60 +29,130 @@
     /** Either settings that may be used, or all that is wrong with them. */
     public sealed interface Read {
         /** Usable settings. */
-        record Good(Settings settings) implements Read {
-        }
+        record Good(Settings settings) implements Read {}
 
         /** Every trouble found. */
-        record Bad(List<Trouble> troubles) implements Read {
-        }
+        record Bad(List<Trouble> troubles) implements Read {}
     }
 
     /** A number that isn't given is a part of another, if there is one. */
-    private record Key(String fallback, String what, Kind kind, double least, double most, String of, double part) {
+    private record Key(String fallback, String what, Kind kind, double least, double most, String of, double part) {}
+
+    private enum Kind {
+        TEXT,
+        NUMBER,
+        ADDRESS,
+        MAYBE_ADDRESS,
+        ADDRESSES,
+        DISTRICTS,
+        NETS
     }
 
-    private enum Kind { TEXT, NUMBER, ADDRESS, MAYBE_ADDRESS, ADDRESSES, DISTRICTS, NETS }
-
     private static final Map<String, Key> KEYS = new LinkedHashMap<>();
     private static final ObjectMapper JSON = new ObjectMapper();
 
     static {
         text("name", null, "this node's name, unique in the fleet");
         add("address", null, "IP and port that other nodes reach", Kind.ADDRESS, 0, 0);
-        add("listen", "", "IP and port to listen on, where it isn't address (behind a relay)", Kind.MAYBE_ADDRESS, 0, 0);
+        add(
+                "listen",
+                "",
+                "IP and port to listen on, where it isn't address (behind a relay)",
+                Kind.MAYBE_ADDRESS,
+                0,
+                0);
         add("http", null, "IP and port that callers reach", Kind.ADDRESS, 0, 0);
-        add("operators", "", "IP and port that operators reach; if not given, 127.0.0.1 and the port after http's",
-                Kind.MAYBE_ADDRESS, 0, 0);
+        add(
+                "operators",
+                "",
+                "IP and port that operators reach; if not given, 127.0.0.1 and the port after http's",
+                Kind.MAYBE_ADDRESS,
+                0,
+                0);
         text("district", null, "the district this node is in");
         add("districts", null, "all districts with their regions, as d1=r1,d2=r1", Kind.DISTRICTS, 0, 0);
-        add("seeds", null, "three addresses of other nodes, comma between; one to three, the same everywhere, if cores is 0", Kind.ADDRESSES, 0, 0);
+        add(
+                "seeds",
+                null,
+                "three addresses of other nodes, comma between; one to three, the same everywhere, if cores is 0",
+                Kind.ADDRESSES,
+                0,
+                0);
         text("data", "", "the data folder; needed by a core");
-        add("peers", "", "IP numbers, or networks such as 10.1.0.0/16, whose wires this node takes, comma between; if not"
-                + " given, the /16 of its own address", Kind.NETS, 0, 0);
+        add(
+                "peers",
+                "",
+                "IP numbers, or networks such as 10.1.0.0/16, whose wires this node takes, comma between; if not"
+                        + " given, the /16 of its own address",
+                Kind.NETS,
+                0,
+                0);
         add("platform", null, "IP and port of the platform", Kind.ADDRESS, 0, 0);
         number("cores", 6, "cores in the fleet; 0: not told, the first ones are those that the seeds agree on", 0, 63);
-        number("edges", 6, "edges in the fleet, by which shared bounds are divided; 0: not told, by those that are known", 0, 1024);
+        number(
+                "edges",
+                6,
+                "edges in the fleet, by which shared bounds are divided; 0: not told, by those that are known",
+                0,
+                1024);
         number("bootstrap", 0, "1 only at the very first start of a whole fleet that was not told its cores", 0, 1);
         number("alsoEdge", 0, "1: a core answers callers too", 0, 1);
         number("keyed", 1, "1: an ask is looked up by its key; 0: by its host and path, and some need no key", 0, 1);
-        number("claims", 1, "1: a run-once ask may come twice and is claimed; 0: its callers never send one twice", 0, 1);
+        number(
+                "claims",
+                1,
+                "1: a run-once ask may come twice and is claimed; 0: its callers never send one twice",
+                0,
+                1);
         number("homeEdges", 1, "1: an edge takes asks only of tenants at home in its region", 0, 1);
         number("holdsEdges", 1, "1: edges of a held district take no asks; 0: a hold empties its upstreams only", 0, 1);
-        number("any500", 0, "1: any answer of 500 or above to what may be repeated is trouble; 0: 502 and 503 only", 0, 1);
-        number("unsentFree", 0, "1: a further go after one that was never sent is no retry and isn't counted; 0: each further go is one", 0, 1);
-        number("districtCost", 0, "what it costs to send an ask to another district, in parts of a slot's work", 0, 100);
+        number(
+                "any500",
+                0,
+                "1: any answer of 500 or above to what may be repeated is trouble; 0: 502 and 503 only",
+                0,
+                1);
+        number(
+                "unsentFree",
+                0,
+                "1: a further go after one that was never sent is no retry and isn't counted; 0: each further go is one",
+                0,
+                1);
+        number(
+                "districtCost",
+                0,
+                "what it costs to send an ask to another district, in parts of a slot's work",
+                0,
+                100);
         number("regionCost", 100, "the same to another region", 0, 1000);
-        number("warmSlack", 0, "what all edges together may send to a cold upstream each second beside its ramp", 0, 1000);
+        number(
+                "warmSlack",
+                0,
+                "what all edges together may send to a cold upstream each second beside its ramp",
+                0,
+                1000);
         number("retryAfterMs", 500, "when a denied caller is told to come back, at the least", 1, 60_000);
         number("keyBoundMs", 5000, "a withdrawn key must stop within this", 500, 60_000);
-        part("proofMs", "keyBoundMs", 0.08, "how often a node asks for its proof that its policy is the newest", 10, 60_000);
+        part(
+                "proofMs",
+                "keyBoundMs",
+                0.08,
+                "how often a node asks for its proof that its policy is the newest",
+                10,
+                60_000);
         part("freshMs", "keyBoundMs", 0.2, "how old that proof may be to act on", 50, 60_000);
         number("policyBoundMs", 3500, "an accepted policy must be in force within this", 500, 60_000);
         number("leaveBoundMs", 4000, "a leaving upstream or held district must be empty within this", 500, 60_000);
         number("reportWindowS", 5, "length of a usage window", 1, 3600);
         part("countPushMs", "reportWindowS", 10, "how often an edge pushes counts that changed", 10, 600_000);
-        part("uncountedMs", "reportWindowS", 40, "an edge begins nothing more while a count is older and not with a majority;"
-                + " 0: it goes on, and what it began last may be missing in a report", 0, 600_000);
+        part(
+                "uncountedMs",
+                "reportWindowS",
+                40,
+                "an edge begins nothing more while a count is older and not with a majority;"
+                        + " 0: it goes on, and what it began last may be missing in a report",
+                0,
+                600_000);
         part("listMs", "leaveBoundMs", 0.25, "how often the fleet as a whole reads the platform's list", 50, 600_000);
         number("probes", 1, "0: no upstream is probed, what is listed and not leaving counts as ready", 0, 1);
         number("reportDueMs", 10_000, "a window's counts must be in within this after its end", 1000, 600_000);
@@ -101,8 +171,12 @@
         number("policyMaxBytes", 8 << 20, "the largest policy", 1024, 30 << 20);
         number("ringSegments", 8, "files in the ring", 6, 1024);
         number("ringSegmentBytes", 8 << 20, "size of each", 1 << 16, 1 << 30);
-        number("noteVersion", Codec.VERSION, "version of the notes this node sends; the older one while an upgrade is under way",
-                Codec.OLDEST, Codec.VERSION);
+        number(
+                "noteVersion",
+                Codec.VERSION,
+                "version of the notes this node sends; the older one while an upgrade is under way",
+                Codec.OLDEST,
+                Codec.VERSION);
         number("auditFiles", 8, "audit files kept, the oldest going first; 0: no audit is written", 0, 1000);
         number("auditFileBytes", 1 << 20, "size of each", 4096, 1 << 30);
         number("workers", 4, "worker threads", 1, 256);
@@ -119,8 +193,13 @@
         this.values = values;
     }
 
-    private static void add(final String key, final String fallback, final String what, final Kind kind,
-            final double least, final double most) {
+    private static void add(
+            final String key,
+            final String fallback,
+            final String what,
+            final Kind kind,
+            final double least,
+            final double most) {
         KEYS.put(key, new Key(fallback, what, kind, least, most, null, 0));
     }
 
@@ -128,13 +207,18 @@
         add(key, fallback, what, Kind.TEXT, 0, 0);
     }
 
-    private static void number(final String key, final double fallback, final String what, final double least,
-            final double most) {
+    private static void number(
+            final String key, final double fallback, final String what, final double least, final double most) {
         final String text = fallback == Math.rint(fallback) ? Long.toString((long) fallback) : "" + fallback;
         add(key, text, what, Kind.NUMBER, least, most);
     }
 
-    private static void part(final String key, final String of, final double part, final String what, final double least,
+    private static void part(
+            final String key,
+            final String of,
+            final double part,
+            final String what,
+            final double least,
             final double most) {
         KEYS.put(key, new Key("", what, Kind.NUMBER, least, most, of, part));
     }
@@ -142,8 +226,15 @@
     /** The settings page of the help. Example: {@code System.out.print(Settings.help());} */
     public static String help() {
         final StringBuilder out = new StringBuilder();
-        KEYS.forEach((key, k) -> out.append(String.format("  %-17s %s%s%n", key, k.what,
-                k.fallback == null ? " (must be given)" : k.of != null ? " [" + k.part + " x " + k.of + "]" : k.fallback.isEmpty() ? "" : " [" + k.fallback + "]")));
+        KEYS.forEach((key, k) -> out.append(String.format(
+                "  %-17s %s%s%n",
+                key,
+                k.what,
+                k.fallback == null
+                        ? " (must be given)"
+                        : k.of != null
+                                ? " [" + k.part + " x " + k.of + "]"
+                                : k.fallback.isEmpty() ? "" : " [" + k.fallback + "]")));
         return out.toString();
     }
 
@@ -182,12 +273,14 @@
                 }
             });
         } catch (final IOException e) {
-            troubles.add(new Trouble("settings", "can't read " + file + " as JSON: " + e.getMessage().split("\n")[0]));
+            troubles.add(new Trouble(
+                    "settings",
+                    "can't read " + file + " as JSON: " + e.getMessage().split("\n")[0]));
         }
     }
 
-    private static void put(final String key, final String value, final Map<String, String> values,
-            final List<Trouble> troubles) {
+    private static void put(
+            final String key, final String value, final Map<String, String> values, final List<Trouble> troubles) {
         if (KEYS.containsKey(key)) {
             values.put(key, value);
         } else {
@@ -231,7 +324,8 @@
                     final String[] parts = one.split("/", -1);
                     address(key, parts[0] + ":1", troubles);
                     if (parts.length > 2 || parts.length == 2 && !parts[1].matches("[12]?\\d|3[0-2]")) {
-                        troubles.add(new Trouble(key, "'" + one + "' is not an IP number or a network like 10.1.0.0/16"));
+                        troubles.add(
+                                new Trouble(key, "'" + one + "' is not an IP number or a network like 10.1.0.0/16"));
                     }
                 }
             }
@@ -263,8 +357,8 @@
         }
     }
 
-    private static void checkTogether(final Map<String, String> values, final boolean core,
-            final List<Trouble> troubles) {
+    private static void checkTogether(
+            final Map<String, String> values, final boolean core, final List<Trouble> troubles) {
         final Settings s = new Settings(values);
         if (!s.districts().containsKey(s.text("district"))) {
             troubles.add(new Trouble("district", "'" + s.text("district") + "' is not among districts"));
@@ -282,7 +376,8 @@
             troubles.add(new Trouble("http", "is the same as address"));
         }
         address("operators", s.operators(), troubles);
-        if (s.operators().equals(s.text("http")) || s.operators().equals(s.text("address"))
+        if (s.operators().equals(s.text("http"))
+                || s.operators().equals(s.text("address"))
                 || s.operators().equals(s.listen())) {
             troubles.add(new Trouble("operators", s.operators() + " is an address of this node for others"));
         }
@@ -290,10 +385,12 @@
             troubles.add(new Trouble("freshMs", "must be at least 2 x proofMs, for a proof to be renewed in time"));
         }
         if (s.ms("freshMs") + s.ms("farMs") >= s.ms("keyBoundMs")) {
-            troubles.add(new Trouble("freshMs", "must be under keyBoundMs less farMs, for a withdrawn key to stop in time"));
+            troubles.add(
+                    new Trouble("freshMs", "must be under keyBoundMs less farMs, for a withdrawn key to stop in time"));
         }
         if (s.ms("uncountedMs") > 0 && s.ms("uncountedMs") < 2 * s.ms("countPushMs")) {
-            troubles.add(new Trouble("uncountedMs", "must be 0 or at least 2 x countPushMs, for counts to be with a majority in time"));
+            troubles.add(new Trouble(
+                    "uncountedMs", "must be 0 or at least 2 x countPushMs, for counts to be with a majority in time"));
         }
         if (s.ms("leaseMs") < 8 * s.ms("farMs")) {
             troubles.add(new Trouble("leaseMs", "must be at least 8 x farMs, to be renewed in time"));
@@ -339,7 +436,8 @@
     public String operators() {
         final String http = text("http");
         return text("operators").isEmpty()
-                ? "127.0.0.1:" + (Integer.parseInt(http.substring(http.indexOf(':') + 1)) + 1) : text("operators");
+                ? "127.0.0.1:" + (Integer.parseInt(http.substring(http.indexOf(':') + 1)) + 1)
+                : text("operators");
     }
 
     /** Whose wires are taken. Example: {@code new Peers(settings.peers())} */
--- a/spokestall/src/main/java/spokestall/view/Member.java
+++ b/spokestall/src/main/java/spokestall/view/Member.java
@@ -4,8 +4,19 @@
 
 /** A node as others speak of it: where it is, what it does, and when it was last heard, on the fleet's clock.
  * cores and edges are the counts it is configured with, zero when it did not say. */
-public record Member(String name, String address, String httpAddress, boolean core, String district, String region,
-        long life, long heardMs, boolean leaving, @Since(2) int cores, @Since(2) int edges, @Since(3) boolean alsoEdge) {
+public record Member(
+        String name,
+        String address,
+        String httpAddress,
+        boolean core,
+        String district,
+        String region,
+        long life,
+        long heardMs,
+        boolean leaving,
+        @Since(2) int cores,
+        @Since(2) int edges,
+        @Since(3) boolean alsoEdge) {
     /** Whether it answers callers. Example: {@code if (member.serves()) list.add(member.httpAddress());} */
     public boolean serves() {
         return !core || alsoEdge;
--- a/spokestall/src/main/java/spokestall/view/View.java
+++ b/spokestall/src/main/java/spokestall/view/View.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import spokestall.time.Clock;
 import spokestall.time.FleetClock;
 import spokestall.wire.Post;
@@ -22,8 +22,7 @@
 public final class View {
     /** Sizes and spans, from the settings. For a while after it learned of a node, or that one is gone, a view is eager:
      * it shuffles on each beat, not on every other, and says more. */
-    public record Pace(int size, int sample, long goneMs, long eagerMs) {
-    }
+    public record Pace(int size, int sample, long goneMs, long eagerMs) {}
 
     private final Member self;
     private final List<String> seeds;
@@ -41,8 +40,14 @@
     private long changedMs;
 
     /** Example: {@code new View(self, settings.seeds(), post, clock, fleet, random, pace)} */
-    public View(final Member self, final List<String> seeds, final Post post, final Clock clock,
-            final FleetClock fleet, final Random random, final Pace pace) {
+    public View(
+            final Member self,
+            final List<String> seeds,
+            final Post post,
+            final Clock clock,
+            final FleetClock fleet,
+            final Random random,
+            final Pace pace) {
         this.self = self;
         this.seeds = List.copyOf(seeds);
         this.post = post;
@@ -90,8 +95,8 @@
         }
         if (!all.isEmpty()) {
             Collections.shuffle(all, random);
-            all.sort(Comparator.comparingLong(m -> Math.max(learnedMs.get(m.name()),
-                    offeredMs.getOrDefault(m.name(), Long.MIN_VALUE))));
+            all.sort(Comparator.comparingLong(
+                    m -> Math.max(learnedMs.get(m.name()), offeredMs.getOrDefault(m.name(), Long.MIN_VALUE))));
             offeredMs.put(all.get(0).name(), clock.nowMs());
             offer(all.get(0).address(), false, 0);
         }
@@ -120,10 +125,21 @@
         final List<Member> sample = new ArrayList<>(known.values());
         Collections.shuffle(sample, random);
         sample.removeIf(m -> m.address().equals(to));
-        sample.sort(Comparator.comparing(m -> nowMs - newMs.getOrDefault(m.name(), Long.MIN_VALUE / 2) >= pace.eagerMs()));
-        final List<Member> part = sample.subList(0, Math.min(sample.size(), eager() ? pace.sample() : pace.sample() / 2));
-        post.send(to, new ViewNote.Shuffle(self.address(), self(), nowMs, reply, echoMs, fleet.nowMs(),
-                fleet.settled(), List.copyOf(part)));
+        sample.sort(Comparator.comparing(
+                m -> nowMs - newMs.getOrDefault(m.name(), Long.MIN_VALUE / 2) >= pace.eagerMs()));
+        final List<Member> part =
+                sample.subList(0, Math.min(sample.size(), eager() ? pace.sample() : pace.sample() / 2));
+        post.send(
+                to,
+                new ViewNote.Shuffle(
+                        self.address(),
+                        self(),
+                        nowMs,
+                        reply,
+                        echoMs,
+                        fleet.nowMs(),
+                        fleet.settled(),
+                        List.copyOf(part)));
     }
 
     /** Hears a neighbour's sample. Example: {@code view.hear(shuffle);} */
@@ -145,8 +161,8 @@
             return;
         }
         final Member had = known.get(m.name());
-        final boolean newer = had == null || m.life() > had.life()
-                || m.life() == had.life() && m.heardMs() > had.heardMs();
+        final boolean newer =
+                had == null || m.life() > had.life() || m.life() == had.life() && m.heardMs() > had.heardMs();
         if (!newer) {
             return;
         }
@@ -157,7 +173,8 @@
         known.put(m.name(), m);
         learnedMs.put(m.name(), clock.nowMs() - ageMs);
         if (known.size() > pace.size()) {
-            known.values().stream().min(Comparator.comparingLong(k -> learnedMs.get(k.name())))
+            known.values().stream()
+                    .min(Comparator.comparingLong(k -> learnedMs.get(k.name())))
                     .ifPresent(oldest -> known.remove(oldest.name()));
         }
     }
--- a/spokestall/src/main/java/spokestall/wire/Codec.java
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -30,6 +30,7 @@
     public static final int VERSION = 3;
     /** See {@link #VERSION}. */
     public static final int OLDEST = 1;
+
     private static final int COMPACT = 3;
     private static final Map<Integer, Class<? extends Record>> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, Integer> BY_CLASS = new HashMap<>();
@@ -40,8 +41,7 @@
         }
     };
 
-    private Codec() {
-    }
+    private Codec() {}
 
     /** Gives a kind of note its number. Example: {@code Codec.number(7, Beat.class);} */
     public static synchronized void number(final int number, final Class<? extends Record> type) {
@@ -118,7 +118,8 @@
         }
     }
 
-    private static void write(final DataOutputStream out, final Type type, final Object value, final int version) throws IOException {
+    private static void write(final DataOutputStream out, final Type type, final Object value, final int version)
+            throws IOException {
         if (type == long.class) {
             number(out, (Long) value, true, version);
         } else if (type == int.class) {
@@ -162,8 +163,9 @@
         }
     }
 
-    private static void writeMany(final DataOutputStream out, final ParameterizedType p, final Object value,
-            final int version) throws IOException {
+    private static void writeMany(
+            final DataOutputStream out, final ParameterizedType p, final Object value, final int version)
+            throws IOException {
         if (p.getRawType() == List.class) {
             final List<?> list = (List<?>) value;
             size(out, list.size(), version);
@@ -184,8 +186,8 @@
         return type == Long.class ? long.class : type == Integer.class ? int.class : type;
     }
 
-    private static void writePresent(final DataOutputStream out, final Class<?> type, final Object value,
-            final int version) throws IOException {
+    private static void writePresent(
+            final DataOutputStream out, final Class<?> type, final Object value, final int version) throws IOException {
         if (type == String.class) {
             final byte[] utf = ((String) value).getBytes(StandardCharsets.UTF_8);
             out.writeInt(utf.length);
@@ -235,7 +237,8 @@
         return type == byte[].class ? bytes : new String(bytes, StandardCharsets.UTF_8);
     }
 
-    private static Object readMany(final DataInputStream in, final ParameterizedType p, final int version) throws IOException {
+    private static Object readMany(final DataInputStream in, final ParameterizedType p, final int version)
+            throws IOException {
         final int size = size(in, version >= COMPACT ? Numbers.read(in) : in.readInt());
         if (p.getRawType() == List.class) {
             final List<Object> list = new ArrayList<>(Math.min(size, 1024));
@@ -259,7 +262,8 @@
         return (int) size;
     }
 
-    private static Object readPresent(final DataInputStream in, final Class<?> type, final int version) throws IOException {
+    private static Object readPresent(final DataInputStream in, final Class<?> type, final int version)
+            throws IOException {
         if (type == String.class || type == byte[].class) {
             final byte[] bytes = new byte[size(in, in.readInt())];
             in.readFully(bytes);
@@ -302,7 +306,8 @@
             try {
                 for (final RecordComponent part : parts) {
                     if (since(part) <= version) {
-                        Codec.write(out, part.getGenericType(), part.getAccessor().invoke(value), version);
+                        Codec.write(
+                                out, part.getGenericType(), part.getAccessor().invoke(value), version);
                     }
                 }
             } catch (final ReflectiveOperationException e) {
@@ -316,13 +321,16 @@
         }
 
         private static Object absent(final Class<?> type) {
-            return type == boolean.class ? (Object) false : type == int.class ? (Object) 0 : type == long.class ? (Object) 0L : null;
+            return type == boolean.class
+                    ? (Object) false
+                    : type == int.class ? (Object) 0 : type == long.class ? (Object) 0L : null;
         }
 
         Object read(final DataInputStream in, final int version) throws IOException {
             final Object[] values = new Object[parts.length];
             for (int i = 0; i < parts.length; i++) {
-                values[i] = since(parts[i]) > version ? absent(parts[i].getType())
+                values[i] = since(parts[i]) > version
+                        ? absent(parts[i].getType())
                         : Codec.read(in, parts[i].getGenericType(), version);
             }
             try {
--- a/spokestall/src/main/java/spokestall/wire/Header.java
+++ b/spokestall/src/main/java/spokestall/wire/Header.java
@@ -1,5 +1,4 @@
 package spokestall.wire;
 
 /** One header field as it stood on a wire. */
-public record Header(String name, String value) {
-}
+public record Header(String name, String value) {}
--- a/spokestall/src/main/java/spokestall/wire/Numbers.java
+++ b/spokestall/src/main/java/spokestall/wire/Numbers.java
@@ -8,8 +8,7 @@
 final class Numbers {
     private static final int BYTES_MAX = 10;
 
-    private Numbers() {
-    }
+    private Numbers() {}
 
     /** Small negative numbers become small ones: 0, -1, 1, -2 are folded to 0, 1, 2, 3. */
     static long folded(final long value) {
--- a/spokestall/src/test/java/spokestall/ballot/BallotBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/BallotBench.java
@@ -14,8 +14,7 @@
 
 /** Six voters and some proposers in virtual time, with notes late, lost and doubled, and voters that lose power. */
 public final class BallotBench {
-    private record Event(long atMs, long number, Runnable what) {
-    }
+    private record Event(long atMs, long number, Runnable what) {}
 
     /** Takes every value and never lets a key go. */
     private static final class Open implements Guard {
@@ -90,6 +89,7 @@
     };
     /** The bench's chance. */
     public final Random random;
+
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : Long.compare(a.number, b.number));
     private final Map<String, Consumer<Note>> ears = new HashMap<>();
@@ -133,8 +133,8 @@
 
     /** A proposer of its own name. */
     public Proposer proposer(final String name) {
-        final Proposer made = new Proposer(name + "#1", name, this::send, clock, random,
-                new Proposer.Pace(150, 30, 1000), (seat, key) -> { });
+        final Proposer made = new Proposer(
+                name + "#1", name, this::send, clock, random, new Proposer.Pace(150, 30, 1000), (seat, key) -> {});
         made.adopt(table);
         ears.put(name, note -> {
             if (note instanceof BallotNote b) {
--- a/spokestall/src/test/java/spokestall/ballot/ProposerTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/ProposerTest.java
@@ -28,27 +28,33 @@
                     final String mark = name + "." + i;
                     bench.clock.after(bench.random.nextInt(6000), () -> {
                         final long floor = newest[0];
-                        proposer.change("count", 4000, now -> {
-                            // Its own value seen again, under whatever others put on top of it, is not put on again.
-                            final boolean own = now != null && new String(now).endsWith(" " + mark);
-                            return new Edit.Set(own ? now : (number(now) + 1 + " " + mark).getBytes());
-                        }, outcome -> {
-                            if (outcome instanceof Outcome.Done d && d.wrote()) {
-                                counts[0]++;
-                                assertThat(number(d.value())).isGreaterThan(floor);
-                                done.add(new String(d.value()));
-                                newest[0] = Math.max(newest[0], number(d.value()));
-                            } else {
-                                counts[1]++;
-                            }
-                        });
+                        proposer.change(
+                                "count",
+                                4000,
+                                now -> {
+                                    // Its own value seen again, under whatever others put on top of it, is not put on
+                                    // again.
+                                    final boolean own = now != null && new String(now).endsWith(" " + mark);
+                                    return new Edit.Set(own ? now : (number(now) + 1 + " " + mark).getBytes());
+                                },
+                                outcome -> {
+                                    if (outcome instanceof Outcome.Done d && d.wrote()) {
+                                        counts[0]++;
+                                        assertThat(number(d.value())).isGreaterThan(floor);
+                                        done.add(new String(d.value()));
+                                        newest[0] = Math.max(newest[0], number(d.value()));
+                                    } else {
+                                        counts[1]++;
+                                    }
+                                });
                     });
                     bench.clock.after(bench.random.nextInt(9000), () -> {
                         final long floor = newest[0];
                         proposer.read("count", 3000, outcome -> {
                             if (outcome instanceof Outcome.Done d) {
-                                assertThat(number(d.value())).as("a read after it was done").isGreaterThanOrEqualTo(
-                                        floor);
+                                assertThat(number(d.value()))
+                                        .as("a read after it was done")
+                                        .isGreaterThanOrEqualTo(floor);
                                 newest[0] = Math.max(newest[0], number(d.value()));
                             }
                         });
@@ -59,7 +65,9 @@
                 bench.clock.after(bench.random.nextInt(8000), () -> bench.bounce(bench.random.nextInt(6)));
             }
             bench.run(20_000);
-            assertThat(done).as("no number stands for two changes").extracting(d -> d.split(" ")[0])
+            assertThat(done)
+                    .as("no number stands for two changes")
+                    .extracting(d -> d.split(" ")[0])
                     .doesNotHaveDuplicates();
             finished += counts[0];
             unclear += counts[1];
--- a/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -20,8 +20,7 @@
 /** A fleet of unknown size in virtual time: cores and edges that come late, restart, and lose disks, with notes late, lost
  * and doubled. After every event it is looked at whether two tables contradict each other. */
 final class SeatsBench {
-    private record Event(long atMs, long number, Runnable what) {
-    }
+    private record Event(long atMs, long number, Runnable what) {}
 
     private static final class Disk implements Segments {
         private final byte[][] files = new byte[8][1 << 15];
@@ -104,18 +103,52 @@
                     });
                 }
             };
-            proposer = new Proposer(name + "#" + lives, name, this::send, own, random, new Proposer.Pace(150, 30, 1000),
-                    (seat, key) -> { });
+            proposer = new Proposer(
+                    name + "#" + lives,
+                    name,
+                    this::send,
+                    own,
+                    random,
+                    new Proposer.Pace(150, 30, 1000),
+                    (seat, key) -> {});
             voter = core ? new Voter(name, new Ring(disk), this::send, new Open(this), freshId()) : null;
             final boolean first = told && (!core || voter.openedBlank());
-            council = new Council(name, seeds, first, this::send, () -> proposer.voters(), core
-                    ? then -> voter.keepOwn("~council", new byte[0], ok -> then.run()) : Runnable::run);
-            founder = core && first ? new Founder(name, name, name + "#" + lives, seeds, this::send, own,
-                    new Founder.Pace(2000, 1000, 880), seats -> founding(0, seats)) : null;
-            formation = core ? new Formation(name, name, name + "#" + lives, voter, proposer, this::send, own,
-                    new Formation.Pace(0, 2400, 600, 3000, 880, 1000, false), (base, left, seats) -> founding(base, seats),
-                    () -> new Remains(name, 0, 0, null, 0, voter.hasState(), registers()), () -> others(true),
-                    () -> others(false), founder, this::freshId, () -> true) : null;
+            council = new Council(
+                    name,
+                    seeds,
+                    first,
+                    this::send,
+                    () -> proposer.voters(),
+                    core ? then -> voter.keepOwn("~council", new byte[0], ok -> then.run()) : Runnable::run);
+            founder = core && first
+                    ? new Founder(
+                            name,
+                            name,
+                            name + "#" + lives,
+                            seeds,
+                            this::send,
+                            own,
+                            new Founder.Pace(2000, 1000, 880),
+                            seats -> founding(0, seats))
+                    : null;
+            formation = core
+                    ? new Formation(
+                            name,
+                            name,
+                            name + "#" + lives,
+                            voter,
+                            proposer,
+                            this::send,
+                            own,
+                            new Formation.Pace(0, 2400, 600, 3000, 880, 1000, false),
+                            (base, left, seats) -> founding(base, seats),
+                            () -> new Remains(name, 0, 0, null, 0, voter.hasState(), registers()),
+                            () -> others(true),
+                            () -> others(false),
+                            founder,
+                            this::freshId,
+                            () -> true)
+                    : null;
             if (core && voter.voters() != null) {
                 proposer.adopt(voter.voters());
             }
@@ -155,7 +188,9 @@
         private List<String> others(final boolean edgesToo) {
             final List<String> known = new ArrayList<>();
             machines.forEach((other, m) -> {
-                if (m != this && m.lives > 0 && (m.core || edgesToo)
+                if (m != this
+                        && m.lives > 0
+                        && (m.core || edgesToo)
                         && nowMs - Math.max(startedMs, m.startedMs) > (name + other).hashCode() % 1500) {
                     known.add(other);
                 }
@@ -251,10 +286,12 @@
     final List<String> seeds = new ArrayList<>();
     /** Foundings seen in any table, by the generation they ended. */
     final Map<Long, Set<Long>> founded = new TreeMap<>();
+
     double loss;
     boolean alwaysFirst;
     /** Edges hear no feed. */
     boolean deafEdges;
+
     long notes;
     long tables;
     private final Map<Long, Long> baseOf = new HashMap<>();
@@ -302,10 +339,13 @@
         final Voters table = m.up ? m.proposer.voters() : null;
         if (table != null) {
             final List<Seat> had = seatsOf.putIfAbsent(table.generation() + "/" + table.epoch(), table.seats());
-            assertThat(had == null || had.equals(table.seats())).as("one table for %s, at %s: %s, %s", m.name, nowMs, had, table)
+            assertThat(had == null || had.equals(table.seats()))
+                    .as("one table for %s, at %s: %s, %s", m.name, nowMs, had, table)
                     .isTrue();
-            assertThat(table.seats().stream().map(Seat::name).distinct().count()).isEqualTo(table.seats().size());
-            founded.computeIfAbsent(baseOf.get(table.generation()), b -> new HashSet<>()).add(table.generation());
+            assertThat(table.seats().stream().map(Seat::name).distinct().count())
+                    .isEqualTo(table.seats().size());
+            founded.computeIfAbsent(baseOf.get(table.generation()), b -> new HashSet<>())
+                    .add(table.generation());
         }
     }
 
@@ -317,14 +357,22 @@
     boolean whole() {
         final List<Machine> cores = cores();
         final Voters table = cores.get(0).proposer.voters();
-        return table != null && cores.stream().allMatch(m -> m.voter.state() == Voter.State.VOTING
-                && m.proposer.voters().same(table.generation(), table.epoch()) && table.seat(m.name) != null);
+        return table != null
+                && cores.stream()
+                        .allMatch(m -> m.voter.state() == Voter.State.VOTING
+                                && m.proposer.voters().same(table.generation(), table.epoch())
+                                && table.seat(m.name) != null);
     }
 
     String shown() {
         final StringBuilder out = new StringBuilder("at " + nowMs + " seeds " + seeds);
-        machines.forEach((name, m) -> out.append("\n").append(name).append(m.up ? " up" : " down").append(" lives ")
-                .append(m.lives).append(m.bootstrap ? " first " : " ").append(m.core && m.voter != null ? m.voter.state() : "")
+        machines.forEach((name, m) -> out.append("\n")
+                .append(name)
+                .append(m.up ? " up" : " down")
+                .append(" lives ")
+                .append(m.lives)
+                .append(m.bootstrap ? " first " : " ")
+                .append(m.core && m.voter != null ? m.voter.state() : "")
                 .append(m.proposer == null ? "" : " " + m.proposer.voters()));
         return out.toString();
     }
--- a/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
@@ -48,7 +48,8 @@
             bench.run(12_000);
             bench.loss = 0;
             bench.run(30_000);
-            assertThat(bench.founded.getOrDefault(0L, java.util.Set.of())).as(seed + " " + bench.shown())
+            assertThat(bench.founded.getOrDefault(0L, java.util.Set.of()))
+                    .as(seed + " " + bench.shown())
                     .hasSizeLessThanOrEqualTo(1);
             if (!bench.founded.isEmpty()) {
                 assertThat(bench.whole()).as(seed + " " + bench.shown()).isTrue();
@@ -90,7 +91,8 @@
         final List<CouncilNote> sent = new ArrayList<>();
         final List<Council> councils = new ArrayList<>();
         for (final String seed : seeds) {
-            councils.add(new Council(seed, seeds, true, (to, note) -> sent.add((CouncilNote) note), () -> null, Runnable::run));
+            councils.add(new Council(
+                    seed, seeds, true, (to, note) -> sent.add((CouncilNote) note), () -> null, Runnable::run));
         }
         final Ballot one = new Ballot(1, "a");
         final Ballot two = new Ballot(2, "b");
@@ -100,18 +102,28 @@
         councils.get(1).hear(new CouncilNote.Ask("a", seeds, one));
         councils.get(0).hear(new CouncilNote.Offer("a", seeds, one, first));
         councils.get(1).hear(new CouncilNote.Offer("a", seeds, one, first));
-        assertThat(sent).filteredOn(n -> n instanceof CouncilNote.Taken t && t.yes()).hasSize(2);
+        assertThat(sent)
+                .filteredOn(n -> n instanceof CouncilNote.Taken t && t.yes())
+                .hasSize(2);
         sent.clear();
-        councils.set(1, new Council("s1", seeds, false, (to, note) -> sent.add((CouncilNote) note), () -> null, Runnable::run));
+        councils.set(
+                1,
+                new Council("s1", seeds, false, (to, note) -> sent.add((CouncilNote) note), () -> null, Runnable::run));
         councils.get(1).hear(new CouncilNote.Ask("b", seeds, two));
         councils.get(2).hear(new CouncilNote.Ask("b", seeds, two));
         councils.get(1).hear(new CouncilNote.Offer("b", seeds, two, second));
         councils.get(2).hear(new CouncilNote.Offer("b", seeds, two, second));
-        assertThat(sent).as("one seed of three").filteredOn(n -> n instanceof CouncilNote.Promise).hasSize(1);
+        assertThat(sent)
+                .as("one seed of three")
+                .filteredOn(n -> n instanceof CouncilNote.Promise)
+                .hasSize(1);
         assertThat(sent).filteredOn(n -> n instanceof CouncilNote.Taken).hasSize(1);
         sent.clear();
         councils.get(0).hear(new CouncilNote.Ask("b", seeds, two));
-        assertThat(sent).first().isInstanceOfSatisfying(CouncilNote.Promise.class, p -> assertThat(p.founding()).isEqualTo(first));
+        assertThat(sent)
+                .first()
+                .isInstanceOfSatisfying(
+                        CouncilNote.Promise.class, p -> assertThat(p.founding()).isEqualTo(first));
         sent.clear();
         councils.get(0).hear(new CouncilNote.Ask("b", List.of("s0", "s1", "s9"), new Ballot(3, "b")));
         assertThat(sent).as("whoever goes by other seeds gets no vote").isEmpty();
@@ -131,13 +143,18 @@
             for (int at = 0; at < 30_000; at += 350) {
                 final SeatsBench.Machine by = bench.machines.get("e" + bench.random.nextInt(2));
                 bench.clock.after(at, () -> {
-                    final long floor = done.stream().mapToLong(Long::longValue).max().orElse(0);
-                    by.proposer.change("count", 2500, now -> new Edit.Set(Long.toString(number(now) + 1).getBytes()), o -> {
-                        if (o instanceof Outcome.Done d && d.wrote()) {
-                            assertThat(number(d.value())).isGreaterThan(floor);
-                            done.add(number(d.value()));
-                        }
-                    });
+                    final long floor =
+                            done.stream().mapToLong(Long::longValue).max().orElse(0);
+                    by.proposer.change(
+                            "count",
+                            2500,
+                            now -> new Edit.Set(Long.toString(number(now) + 1).getBytes()),
+                            o -> {
+                                if (o instanceof Outcome.Done d && d.wrote()) {
+                                    assertThat(number(d.value())).isGreaterThan(floor);
+                                    done.add(number(d.value()));
+                                }
+                            });
                 });
             }
             for (int i = 0; i < 5; i++) {
@@ -160,7 +177,9 @@
             bench.run(bench.nowMs() + 8000);
             assertThat(bench.whole()).as(seed + " " + bench.shown()).isTrue();
             assertThat(bench.founded).as(seed + " one generation").hasSize(1);
-            assertThat(done).as("no number stands for two changes, seed " + seed).doesNotHaveDuplicates();
+            assertThat(done)
+                    .as("no number stands for two changes, seed " + seed)
+                    .doesNotHaveDuplicates();
             changes += done.size();
         }
         assertThat(changes).isGreaterThan(2000);
@@ -209,7 +228,8 @@
                 });
             }
             bench.run(20_000);
-            assertThat(bench.founded.getOrDefault(0L, java.util.Set.of())).as(seed + " " + bench.shown())
+            assertThat(bench.founded.getOrDefault(0L, java.util.Set.of()))
+                    .as(seed + " " + bench.shown())
                     .hasSizeLessThanOrEqualTo(1);
         }
     }
@@ -249,7 +269,9 @@
             bench.loss = 0;
             bench.run(bench.nowMs() + 25_000);
             final String shown = seed + " " + bench.shown() + " " + bench.founded;
-            assertThat(bench.founded.values()).as(shown).allSatisfy(g -> assertThat(g).hasSize(1));
+            assertThat(bench.founded.values())
+                    .as(shown)
+                    .allSatisfy(g -> assertThat(g).hasSize(1));
             assertThat(bench.whole()).as(shown).isTrue();
             more += bench.founded.size() > 1 ? 1 : 0;
         }
--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -67,7 +67,7 @@
     }
 
     private static Voter joiner() {
-        return new Voter("v0", new Ring(new Quick()), (to, note) -> { }, OPEN, "disk-0");
+        return new Voter("v0", new Ring(new Quick()), (to, note) -> {}, OPEN, "disk-0");
     }
 
     @Test
--- a/spokestall/src/test/java/spokestall/duty/LeaseKeeperTest.java
+++ b/spokestall/src/test/java/spokestall/duty/LeaseKeeperTest.java
@@ -63,14 +63,21 @@
             final long[] frozenUntilMs = new long[4];
             for (int k = 0; k < 4; k++) {
                 final int number = k;
-                final LeaseKeeper keeper = new LeaseKeeper("usage_report", "k" + k, bench.proposer("k" + k),
-                        bench.clock, bench.random, PACE, execution -> {
+                final LeaseKeeper keeper = new LeaseKeeper(
+                        "usage_report",
+                        "k" + k,
+                        bench.proposer("k" + k),
+                        bench.clock,
+                        bench.random,
+                        PACE,
+                        execution -> {
                             assertThat(all).allSatisfy(e -> {
                                 assertThat(e.token()).isLessThan(execution.token());
                                 assertThat(e.owner()).isNotEqualTo(execution.owner());
                             });
                             all.add(execution);
-                        }, copies ? copy(bench, k) : () -> null);
+                        },
+                        copies ? copy(bench, k) : () -> null);
                 final Runnable beat = new Runnable() {
                     @Override
                     public void run() {
@@ -83,8 +90,10 @@
                 bench.clock.after(bench.random.nextInt(100), beat);
             }
             for (int i = 0; i < 10; i++) {
-                bench.clock.after(bench.random.nextInt(50_000), () ->
-                        frozenUntilMs[bench.random.nextInt(4)] = bench.clock.nowMs() + 1000 + bench.random.nextInt(5000));
+                bench.clock.after(
+                        bench.random.nextInt(50_000),
+                        () -> frozenUntilMs[bench.random.nextInt(4)] =
+                                bench.clock.nowMs() + 1000 + bench.random.nextInt(5000));
                 bench.clock.after(bench.random.nextInt(50_000), () -> bench.bounce(bench.random.nextInt(6)));
             }
             for (long atMs = 200; atMs < 60_000; atMs += 20) {
@@ -105,16 +114,26 @@
         final byte[][] copy = {null};
         final long[] renewal = {0};
         final long[] renewedMs = {0};
-        final Runnable renew = () -> writer.change(Lease.key("usage_report"), 800, value -> new Edit.Set(Codec.bytes(
-                new Lease("w/1", "w", ++renewal[0], 1, 2000, false))), outcome -> {
+        final Runnable renew = () -> writer.change(
+                Lease.key("usage_report"),
+                800,
+                value -> new Edit.Set(Codec.bytes(new Lease("w/1", "w", ++renewal[0], 1, 2000, false))),
+                outcome -> {
                     copy[0] = ((Outcome.Done) outcome).value();
                     renewedMs[0] = bench.clock.nowMs();
                 });
         renew.run();
         bench.run(bench.clock.nowMs() + 300);
         final long[] begunMs = {-1};
-        final LeaseKeeper keeper = new LeaseKeeper("usage_report", "k", bench.proposer("k"), bench.clock, bench.random,
-                PACE, execution -> begunMs[0] = bench.clock.nowMs(), () -> register(copy[0]));
+        final LeaseKeeper keeper = new LeaseKeeper(
+                "usage_report",
+                "k",
+                bench.proposer("k"),
+                bench.clock,
+                bench.random,
+                PACE,
+                execution -> begunMs[0] = bench.clock.nowMs(),
+                () -> register(copy[0]));
         for (int i = 0; i < 100; i++) {
             if (i % 4 == 0) {
                 renew.run();
@@ -137,8 +156,14 @@
     void noLeaseAtAllIsWatchedForTheWholeSpanBeforeItIsTaken() {
         final BallotBench bench = new BallotBench(1, 0);
         final long[] begunMs = {-1};
-        final LeaseKeeper keeper = new LeaseKeeper("usage_report", "k", bench.proposer("k"), bench.clock, bench.random,
-                PACE, execution -> begunMs[0] = bench.clock.nowMs());
+        final LeaseKeeper keeper = new LeaseKeeper(
+                "usage_report",
+                "k",
+                bench.proposer("k"),
+                bench.clock,
+                bench.random,
+                PACE,
+                execution -> begunMs[0] = bench.clock.nowMs());
         final long fromMs = bench.clock.nowMs();
         for (long atMs = fromMs; atMs < fromMs + 6000; atMs += 50) {
             bench.run(atMs);
--- a/spokestall/src/test/java/spokestall/duty/UsageCounterTest.java
+++ b/spokestall/src/test/java/spokestall/duty/UsageCounterTest.java
@@ -10,8 +10,7 @@
 import spokestall.time.FleetClock;
 
 class UsageCounterTest {
-    private record Sent(String to, UsageNote.Counts counts) {
-    }
+    private record Sent(String to, UsageNote.Counts counts) {}
 
     private static final List<String> CORES = List.of("a", "b", "c", "d");
     private final List<Sent> sent = new ArrayList<>();
@@ -37,8 +36,15 @@
     private UsageCounter counter(final long uncountedMs) {
         fleet.heard("p", nowMs, true, nowMs);
         fleet.heard("q", nowMs, true, nowMs);
-        return new UsageCounter("e", "e", 7, new UsageCounter.Pace(5000, 1000, 3, uncountedMs, 4, 100), clock, fleet,
-                (to, note) -> sent.add(new Sent(to, (UsageNote.Counts) note)), () -> CORES);
+        return new UsageCounter(
+                "e",
+                "e",
+                7,
+                new UsageCounter.Pace(5000, 1000, 3, uncountedMs, 4, 100),
+                clock,
+                fleet,
+                (to, note) -> sent.add(new Sent(to, (UsageNote.Counts) note)),
+                () -> CORES);
     }
 
     private void had(final UsageCounter counter, final Sent one, final long life) {
@@ -72,7 +78,9 @@
             pushes += more.size();
             more.forEach(s -> had(counter, s, 1));
         }
-        assertThat(pushes).as("20 s are four windows, each closed once to each of four").isBetween(12, 20);
+        assertThat(pushes)
+                .as("20 s are four windows, each closed once to each of four")
+                .isBetween(12, 20);
     }
 
     @Test
@@ -104,8 +112,9 @@
         final List<Sent> second = beat(counter, 10);
         had(counter, second.get(0), 2);
         final List<Sent> whole = beat(counter, 10);
-        assertThat(whole).anySatisfy(s -> assertThat(s.counts.counts()).anySatisfy(c ->
-                assertThat(c.begun()).isEqualTo(Map.of("t1", 1L, "t2", 1L))));
+        assertThat(whole)
+                .anySatisfy(s -> assertThat(s.counts.counts())
+                        .anySatisfy(c -> assertThat(c.begun()).isEqualTo(Map.of("t1", 1L, "t2", 1L))));
     }
 
     @Test
@@ -117,8 +126,11 @@
             assertThat(counter.mayBegin()).isTrue();
         }
         final Map<String, Long> all = new java.util.TreeMap<>();
-        beat(counter, 200).stream().filter(s -> s.to.equals("a")).forEach(s -> s.counts.counts().forEach(c ->
-                c.begun().forEach((tenant, n) -> all.merge(tenant, n, Math::max))));
+        beat(counter, 200).stream()
+                .filter(s -> s.to.equals("a"))
+                .forEach(s -> s.counts
+                        .counts()
+                        .forEach(c -> c.begun().forEach((tenant, n) -> all.merge(tenant, n, Math::max))));
         assertThat(all).hasSize(60);
     }
 }
--- a/spokestall/src/test/java/spokestall/edge/ElectorTest.java
+++ b/spokestall/src/test/java/spokestall/edge/ElectorTest.java
@@ -36,7 +36,13 @@
     };
 
     private Elector elector(final int edges, final long seed) {
-        return new Elector("r1", "d1", s -> listed, clock, new FleetClock(clock, 250), new Random(seed),
+        return new Elector(
+                "r1",
+                "d1",
+                s -> listed,
+                clock,
+                new FleetClock(clock, 250),
+                new Random(seed),
                 new Elector.Pace(() -> edges, 1.2, 4, 750, 6000, 0.15, 1));
     }
 
@@ -55,7 +61,9 @@
             final Upstream to = elector.elect(RULE, u -> true, Set.of());
             elector.begun(to.instance());
             open.merge(to.instance(), 1, Integer::sum);
-            assertThat(open.getOrDefault("far", 0)).as("while others have room: " + open).isLessThanOrEqualTo(Math.max(0, n - 3));
+            assertThat(open.getOrDefault("far", 0))
+                    .as("while others have room: " + open)
+                    .isLessThanOrEqualTo(Math.max(0, n - 3));
         }
         assertThat(open.get("near")).isGreaterThanOrEqualTo(open.getOrDefault("around", 0));
         assertThat(open).containsKey("around");
@@ -71,9 +79,13 @@
         assertThat(elector.elect(RULE, u -> true, Set.of()).instance()).isEqualTo("one");
         elector.late("one");
         for (int n = 0; n < 20; n++) {
-            assertThat(elector.elect(RULE, u -> true, Set.of()).instance()).as("put aside").isEqualTo("two");
+            assertThat(elector.elect(RULE, u -> true, Set.of()).instance())
+                    .as("put aside")
+                    .isEqualTo("two");
         }
-        assertThat(elector.elect(RULE, u -> u.instance().equals("one"), Set.of())).as("better than none").isNotNull();
+        assertThat(elector.elect(RULE, u -> u.instance().equals("one"), Set.of()))
+                .as("better than none")
+                .isNotNull();
         elector.begun("one");
         elector.ended("s", "one", Elector.End.WELL, 10, 500);
         assertThat(elector.elect(RULE, u -> true, Set.of()).instance()).isEqualTo("one");
@@ -97,8 +109,12 @@
             }
         }
         for (final long fromMs : sentMs) {
-            final long within = sentMs.stream().filter(ms -> ms >= fromMs && ms < fromMs + 1000).count();
-            assertThat(within).as("in the second from " + fromMs).isLessThanOrEqualTo(Math.round(1.2 * 5.8 + 4) + edges);
+            final long within = sentMs.stream()
+                    .filter(ms -> ms >= fromMs && ms < fromMs + 1000)
+                    .count();
+            assertThat(within)
+                    .as("in the second from " + fromMs)
+                    .isLessThanOrEqualTo(Math.round(1.2 * 5.8 + 4) + edges);
         }
         assertThat(sentMs).isNotEmpty();
         nowMs += 200;
--- a/spokestall/src/test/java/spokestall/edge/PlacesTest.java
+++ b/spokestall/src/test/java/spokestall/edge/PlacesTest.java
@@ -8,8 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class PlacesTest {
-    private record Held(String tenant, long bytes) {
-    }
+    private record Held(String tenant, long bytes) {}
 
     /** However greedy some are, bounds hold, and one that holds nothing always finds a place. */
     @Test
@@ -31,7 +30,8 @@
                     places.hold(one.tenant, -one.bytes);
                 }
                 assertThat(places.asks()).isEqualTo(held.size()).isLessThanOrEqualTo(100);
-                assertThat(places.bytes()).isEqualTo(held.stream().mapToLong(Held::bytes).sum())
+                assertThat(places.bytes())
+                        .isEqualTo(held.stream().mapToLong(Held::bytes).sum())
                         .isLessThanOrEqualTo(1_000_000);
             }
             assertThat(places.asks()).as("most places are used").isGreaterThan(40);
--- a/spokestall/src/test/java/spokestall/edge/RetryBudgetTest.java
+++ b/spokestall/src/test/java/spokestall/edge/RetryBudgetTest.java
@@ -28,7 +28,8 @@
             }
             for (int from = 0; from < 500; from += 7) {
                 for (int to = from + 1; to <= 500; to += 11) {
-                    assertThat(retries[to] - retries[from]).isLessThanOrEqualTo((int) (first + 0.2 * (asks[to] - asks[from]) + 1e-6));
+                    assertThat(retries[to] - retries[from])
+                            .isLessThanOrEqualTo((int) (first + 0.2 * (asks[to] - asks[from]) + 1e-6));
                 }
             }
         }
--- a/spokestall/src/test/java/spokestall/feed/FollowerTest.java
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -20,11 +20,11 @@
 
 /** Whom a follower asks for news, seen from the cores. */
 class FollowerTest {
-    private record Sent(String to, Note note) {
-    }
+    private record Sent(String to, Note note) {}
 
     private static final long BEAT_MS = 400;
-    private static final Voters TABLE = new Voters(1, 1, List.of(seat("a"), seat("b"), seat("c"), seat("d"), seat("e")));
+    private static final Voters TABLE =
+            new Voters(1, 1, List.of(seat("a"), seat("b"), seat("c"), seat("d"), seat("e")));
     private static final long BASE = TABLE.firstNumber();
     private final List<Sent> sent = new ArrayList<>();
     private long nowMs = 1_000_000;
@@ -49,12 +49,28 @@
     private final Follower follower;
 
     FollowerTest() {
-        final Proposer proposer = new Proposer("edge#7", "x", (to, note) -> sent.add(new Sent(to, note)), clock, new Random(1),
-                new Proposer.Pace(400, 50, 64), (seat, key) -> { });
+        final Proposer proposer = new Proposer(
+                "edge#7",
+                "x",
+                (to, note) -> sent.add(new Sent(to, note)),
+                clock,
+                new Random(1),
+                new Proposer.Pace(400, 50, 64),
+                (seat, key) -> {});
         proposer.adopt(TABLE);
         book.load(snapshot(BASE + 1));
-        follower = new Follower(() -> self, book, new Listing(7, 64, 4000, true), proposer, (to, note) -> sent.add(new Sent(to, note)),
-                clock, new Follower.Pace(1000, 32, 3 * BEAT_MS, 64, false), List::of, table -> { }, () -> { }, () -> 0,
+        follower = new Follower(
+                () -> self,
+                book,
+                new Listing(7, 64, 4000, true),
+                proposer,
+                (to, note) -> sent.add(new Sent(to, note)),
+                clock,
+                new Follower.Pace(1000, 32, 3 * BEAT_MS, 64, false),
+                List::of,
+                table -> {},
+                () -> {},
+                () -> 0,
                 address -> address.charAt(0));
     }
 
@@ -74,11 +90,19 @@
     }
 
     private static List<String> askedForNews(final List<Sent> of) {
-        return of.stream().filter(s -> s.note instanceof FeedNote.FeedAsk a && a.news()).map(Sent::to).toList();
+        return of.stream()
+                .filter(s -> s.note instanceof FeedNote.FeedAsk a && a.news())
+                .map(Sent::to)
+                .toList();
     }
 
     private static long askId(final List<Sent> of) {
-        return ((FeedNote.FeedAsk) of.stream().filter(s -> s.note instanceof FeedNote.FeedAsk).findFirst().orElseThrow().note).askId();
+        return ((FeedNote.FeedAsk) of.stream()
+                        .filter(s -> s.note instanceof FeedNote.FeedAsk)
+                        .findFirst()
+                        .orElseThrow()
+                        .note)
+                .askId();
     }
 
     private void proof(final String core, final long askId, final long applied) {
@@ -86,8 +110,25 @@
     }
 
     private void back(final String core, final long askId, final long applied, final Snapshot with) {
-        follower.hear(new FeedNote.FeedBack(core, "disk-" + core, askId, null, true, applied, applied, List.of(), with, List.of(),
-                9, 1, List.of(), List.of(), 1, 1, true, 0));
+        follower.hear(new FeedNote.FeedBack(
+                core,
+                "disk-" + core,
+                askId,
+                null,
+                true,
+                applied,
+                applied,
+                List.of(),
+                with,
+                List.of(),
+                9,
+                1,
+                List.of(),
+                List.of(),
+                1,
+                1,
+                true,
+                0));
     }
 
     @Test
@@ -99,7 +140,9 @@
         for (final String core : List.of("b", "c", "d", "e")) {
             proof(core, askId(first), BASE + 2);
         }
-        assertThat(askedForNews(sent)).as("the nearest was asked already, its reply is on its way").isEmpty();
+        assertThat(askedForNews(sent))
+                .as("the nearest was asked already, its reply is on its way")
+                .isEmpty();
         back("a", askId(first), BASE + 2, snapshot(BASE + 2));
         assertThat(book.policy().version()).isEqualTo(BASE + 2);
         assertThat(askedForNews(sent)).isEmpty();
--- a/spokestall/src/test/java/spokestall/listing/ProberTest.java
+++ b/spokestall/src/test/java/spokestall/listing/ProberTest.java
@@ -48,14 +48,24 @@
             listings.put(name, new Listing(1, 100, 4000, false));
         }
         for (final Member m : members.subList(0, 3)) {
-            probers.put(m.name(), new Prober(m, listings.get(m.name()), reach(m.name()), (to, note) -> {
-                final ListingNote.Push push = (ListingNote.Push) note;
-                heard.merge(to, 1, Integer::sum);
-                listings.get(to).merge(push.listed(), push.reports());
-                listings.get(to).read(push.readMs());
-            }, fleet, new Prober.Pace(500, 100, 2, 2, LIST_MS, 1000, false),
-                    () -> members.stream().filter(o -> o.core() && o != m).toList(),
-                    () -> members.stream().filter(o -> o != m).toList()));
+            probers.put(
+                    m.name(),
+                    new Prober(
+                            m,
+                            listings.get(m.name()),
+                            reach(m.name()),
+                            (to, note) -> {
+                                final ListingNote.Push push = (ListingNote.Push) note;
+                                heard.merge(to, 1, Integer::sum);
+                                listings.get(to).merge(push.listed(), push.reports());
+                                listings.get(to).read(push.readMs());
+                            },
+                            fleet,
+                            new Prober.Pace(500, 100, 2, 2, LIST_MS, 1000, false),
+                            () -> members.stream()
+                                    .filter(o -> o.core() && o != m)
+                                    .toList(),
+                            () -> members.stream().filter(o -> o != m).toList()));
         }
     }
 
@@ -109,10 +119,14 @@
         assertThat(ready).hasSize(2);
         assertThat(ready.get(0).coldUntilMs()).isBetween(fleet.nowMs(), fleet.nowMs() + 3000);
         assertThat(ready.get(1).coldUntilMs()).isZero();
-        assertThat(ready.get(1).readySinceMs()).as("when it was first listed").isBetween(fleet.nowMs() - 2000, fleet.nowMs());
+        assertThat(ready.get(1).readySinceMs())
+                .as("when it was first listed")
+                .isBetween(fleet.nowMs() - 2000, fleet.nowMs());
         list.set(0, one("i1", true, 0));
         run(1100);
-        assertThat(listings.get("edge").ready("s", fleet.nowMs())).extracting(Upstream::instance).containsExactly("i2");
+        assertThat(listings.get("edge").ready("s", fleet.nowMs()))
+                .extracting(Upstream::instance)
+                .containsExactly("i2");
         assertThat(listings.get("edge").word("i1", fleet.nowMs()).status()).isEqualTo(Status.LEAVING);
         list.clear();
         run(1100);
@@ -126,7 +140,8 @@
         final long since = listings.get("edge").ready("s", fleet.nowMs()).get(0).readySinceMs();
         final Listed again = one("i1", false, -1).at(true, fleet.nowMs(), 0, fleet.nowMs());
         listings.get("edge").merge(List.of(again), List.of());
-        assertThat(listings.get("edge").ready("s", fleet.nowMs()).get(0).readySinceMs()).isEqualTo(since);
+        assertThat(listings.get("edge").ready("s", fleet.nowMs()).get(0).readySinceMs())
+                .isEqualTo(since);
         final Listing fresh = new Listing(2, 100, 4000, false);
         fresh.merge(List.of(again), List.of());
         fresh.merge(listings.get("a").listed(), List.of());
--- a/spokestall/src/test/java/spokestall/policy/BindingsTest.java
+++ b/spokestall/src/test/java/spokestall/policy/BindingsTest.java
@@ -22,7 +22,9 @@
 
     /** The rule as it is told: the longest that leads there. */
     private static boolean leads(final String binding, final String path) {
-        return binding.endsWith("/") ? path.startsWith(binding) : path.equals(binding) || path.startsWith(binding + "/");
+        return binding.endsWith("/")
+                ? path.startsWith(binding)
+                : path.equals(binding) || path.startsWith(binding + "/");
     }
 
     @Test
@@ -38,10 +40,14 @@
                 all.add(path);
             }
             final String asked = path(random, true);
-            final String expected = all.stream().filter(b -> leads(b, asked)).max(Comparator.comparingInt(String::length))
+            final String expected = all.stream()
+                    .filter(b -> leads(b, asked))
+                    .max(Comparator.comparingInt(String::length))
                     .orElse(null);
             final Binding binding = bindings.find(asked);
-            assertThat(binding == null ? null : binding.path()).as(asked + " among " + all).isEqualTo(expected);
+            assertThat(binding == null ? null : binding.path())
+                    .as(asked + " among " + all)
+                    .isEqualTo(expected);
             found += binding == null ? 0 : 1;
         }
         assertThat(found).isBetween(300, 1900);
@@ -52,8 +58,12 @@
         final Binding open = Binding.of("b", "/b", "s", false);
         final Binding two = new Binding("b", "", "/b", open.split(), false, 0, 0, 0, 0, false, Set.of("r1", "r2"));
         final Tenant tenant = new Tenant("t", "", null, Set.of("r2", "r3"), Set.of(), null, List.of());
-        assertThat(List.of("r1", "r2", "r3")).filteredOn(r -> two.home(tenant, r)).containsExactly("r2");
+        assertThat(List.of("r1", "r2", "r3"))
+                .filteredOn(r -> two.home(tenant, r))
+                .containsExactly("r2");
         assertThat(List.of("r1", "r2", "r3")).filteredOn(r -> two.home(null, r)).containsExactly("r1", "r2");
-        assertThat(List.of("r1", "r2", "r3")).filteredOn(r -> open.home(tenant, r)).containsExactly("r2", "r3");
+        assertThat(List.of("r1", "r2", "r3"))
+                .filteredOn(r -> open.home(tenant, r))
+                .containsExactly("r2", "r3");
     }
 }
--- a/spokestall/src/test/java/spokestall/policy/RulesTest.java
+++ b/spokestall/src/test/java/spokestall/policy/RulesTest.java
@@ -10,7 +10,8 @@
 import spokestall.rpc.Calls;
 
 class RulesTest {
-    private static final Rules RULES = new Rules(new Calls().file().at("/$defs/policy"), Set.of("r1", "r2"), Set.of("d1"));
+    private static final Rules RULES =
+            new Rules(new Calls().file().at("/$defs/policy"), Set.of("r1", "r2"), Set.of("d1"));
 
     private static ObjectNode policy() {
         final ObjectNode policy = Book.JSON.createObjectNode();
@@ -28,10 +29,16 @@
     private static JsonNode patch(final Random random) {
         final ObjectNode patch = Book.JSON.createObjectNode();
         final int i = random.nextInt(4);
-        final ObjectNode t = patch.putObject("cells").putObject("c" + i).putObject("tenants").putObject("t" + (random.nextInt(9) == 0 ? 9 : i));
+        final ObjectNode t = patch.putObject("cells")
+                .putObject("c" + i)
+                .putObject("tenants")
+                .putObject("t" + (random.nextInt(9) == 0 ? 9 : i));
         switch (random.nextInt(12)) {
             case 0 -> t.putArray("homeRegions").add(random.nextBoolean() ? "r2" : "nowhere");
-            case 1 -> t.putObject("keys").putObject("n" + random.nextInt(3)).put("sha256", KeyHash.of("key-" + random.nextInt(6)));
+            case 1 ->
+                t.putObject("keys")
+                        .putObject("n" + random.nextInt(3))
+                        .put("sha256", KeyHash.of("key-" + random.nextInt(6)));
             case 2 -> t.putObject("bindings").putNull("b");
             case 3 -> patch.putObject("services").putNull("s");
             case 4 -> patch.putObject("services").putObject("s").put("goMs", random.nextInt(20));
@@ -39,8 +46,11 @@
             case 6 -> t.put("colour", "red");
             case 7 -> t.putNull("homeRegions");
             case 8 -> t.set("bindings", Book.JSON.createObjectNode().put("x", 1));
-            default -> t.putObject("bindings").putObject("b" + random.nextInt(3)).put("path", random.nextInt(6) == 0 ? "/a/../b"
-                    : "/b" + random.nextInt(6)).put("service", random.nextInt(8) == 0 ? "none" : "s");
+            default ->
+                t.putObject("bindings")
+                        .putObject("b" + random.nextInt(3))
+                        .put("path", random.nextInt(6) == 0 ? "/a/../b" : "/b" + random.nextInt(6))
+                        .put("service", random.nextInt(8) == 0 ? "none" : "s");
         }
         return patch;
     }
--- a/spokestall/src/test/java/spokestall/policy/TargetTest.java
+++ b/spokestall/src/test/java/spokestall/policy/TargetTest.java
@@ -11,8 +11,10 @@
     @Test
     void aGoodTargetHasOneReading() {
         final Random random = new Random(7);
-        final String[] parts = {"/", "a", "payout", ".", "..", "%2e", "%2F", "%5c", "%20", "%70", "%", "%0", "?", "#", ";", "\\",
-            "%0d%0a", "é", " ", "%25", "%c3%a9", "//", "~"};
+        final String[] parts = {
+            "/", "a", "payout", ".", "..", "%2e", "%2F", "%5c", "%20", "%70", "%", "%0", "?", "#", ";", "\\", "%0d%0a",
+            "é", " ", "%25", "%c3%a9", "//", "~"
+        };
         int good = 0;
         for (int i = 0; i < 200_000; i++) {
             final StringBuilder raw = new StringBuilder(random.nextInt(20) == 0 ? "" : "/");
--- a/spokestall/src/test/java/spokestall/rim/AuditFilesTest.java
+++ b/spokestall/src/test/java/spokestall/rim/AuditFilesTest.java
@@ -80,7 +80,9 @@
         fill(open(folder, 3), 60, 61);
         final List<String> after = lines(folder);
         assertThat(Chain.check(key(folder), after, true)).isInstanceOf(Chain.Verdict.Good.class);
-        final String start = new String(java.util.Base64.getUrlDecoder().decode(after.get(after.size() - 2).split("\\.")[1]),
+        final String start = new String(
+                java.util.Base64.getUrlDecoder()
+                        .decode(after.get(after.size() - 2).split("\\.")[1]),
                 StandardCharsets.UTF_8);
         assertThat(start).contains("\"kind\":\"start\"").contains("\"tornBytes\":8");
     }
--- a/spokestall/src/test/java/spokestall/rim/WiresTest.java
+++ b/spokestall/src/test/java/spokestall/rim/WiresTest.java
@@ -19,8 +19,7 @@
 import spokestall.wire.Note;
 
 class WiresTest {
-    record Hello(long number, String text) implements Note {
-    }
+    record Hello(long number, String text) implements Note {}
 
     @Test
     void aWireThatNobodyHearsIsGivenUpAndOpenedAgain() throws Exception {
@@ -29,7 +28,7 @@
         final ScheduledExecutorService beat = Executors.newSingleThreadScheduledExecutor();
         try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
             server.setSoTimeout(20_000);
-            final Wires wires = new Wires(worker, note -> { }, 300, Codec.VERSION, new Peers("127.0.0.0/8"));
+            final Wires wires = new Wires(worker, note -> {}, 300, Codec.VERSION, new Peers("127.0.0.0/8"));
             final String to = "127.0.0.1:" + server.getLocalPort();
             beat.scheduleAtFixedRate(() -> wires.send(to, new Hello(1, "x")), 0, 20, TimeUnit.MILLISECONDS);
             final Socket deaf = server.accept();
@@ -47,8 +46,12 @@
 
     @Test
     void aWireFromElsewhereIsNotTaken() throws Exception {
-        assertThat(new Peers("10.1.0.0/16,10.2.3.4")).accepts(InetAddress.getByName("10.1.255.9"), InetAddress.getByName("10.2.3.4"))
-                .rejects(InetAddress.getByName("10.2.3.5"), InetAddress.getByName("10.0.255.255"), InetAddress.getByName("::1"));
+        assertThat(new Peers("10.1.0.0/16,10.2.3.4"))
+                .accepts(InetAddress.getByName("10.1.255.9"), InetAddress.getByName("10.2.3.4"))
+                .rejects(
+                        InetAddress.getByName("10.2.3.5"),
+                        InetAddress.getByName("10.0.255.255"),
+                        InetAddress.getByName("::1"));
         assertThat(new Peers("0.0.0.0/0")).accepts(InetAddress.getByName("200.1.2.3"));
         final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         final LinkedBlockingQueue<Note> heard = new LinkedBlockingQueue<>();
@@ -78,7 +81,7 @@
         }
         final Wires there = new Wires(worker, heard::add, 300, Codec.VERSION, new Peers("127.0.0.0/8"));
         there.listen(Addresses.of("127.0.0.1:" + port));
-        final Wires here = new Wires(worker, note -> { }, 300, Codec.VERSION, new Peers("127.0.0.0/8"));
+        final Wires here = new Wires(worker, note -> {}, 300, Codec.VERSION, new Peers("127.0.0.0/8"));
         for (int i = 0; i < 2000; i++) {
             here.send("127.0.0.1:" + port, new Hello(i, "n".repeat(i % 700)));
         }
--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -77,7 +77,10 @@
             final Map<String, List<String>> maybe = new HashMap<>();
             for (int step = 0; step < 1500; step++) {
                 final String key = "key-" + random.nextInt(12);
-                final String value = random.nextInt(5) == 0 ? null : String.format("%03d/%05d", seed, step) + "x".repeat(random.nextBoolean() ? 20 : random.nextInt(200));
+                final String value = random.nextInt(5) == 0
+                        ? null
+                        : String.format("%03d/%05d", seed, step)
+                                + "x".repeat(random.nextBoolean() ? 20 : random.nextInt(200));
                 maybe.computeIfAbsent(key, k -> new ArrayList<>()).add(value);
                 ring.put(key, value == null ? null : value.getBytes(), ok -> {
                     assertThat(ok).isTrue();
@@ -91,7 +94,9 @@
                     disk.losePower(random);
                     ring = new Ring(disk);
                     losses++;
-                    assertThat(ring.blank() && !synced.isEmpty()).as("not blank").isFalse();
+                    assertThat(ring.blank() && !synced.isEmpty())
+                            .as("not blank")
+                            .isFalse();
                     for (int k = 0; k < 12; k++) {
                         final String name = "key-" + k;
                         final byte[] found = ring.table().get(name);
@@ -116,7 +121,7 @@
             final Disk disk = new Disk(6, 4096);
             final Ring ring = new Ring(disk);
             for (int i = 0; i < 60; i++) {
-                ring.put("key-" + i % 7, ("value " + i).getBytes(), ok -> { });
+                ring.put("key-" + i % 7, ("value " + i).getBytes(), ok -> {});
                 disk.sync();
             }
             final int last = 59;
@@ -147,7 +152,7 @@
         assertThat(taken).contains(true, false);
         final int kept = ring.table().size();
         for (int i = 0; i < kept; i++) {
-            ring.put("key-" + i, null, ok -> { });
+            ring.put("key-" + i, null, ok -> {});
             disk.sync();
         }
         taken.clear();
--- a/spokestall/src/test/java/spokestall/rpc/ResultTest.java
+++ b/spokestall/src/test/java/spokestall/rpc/ResultTest.java
@@ -11,9 +11,10 @@
     @Test
     void theTableInTheDocsIsTheTableInTheCode() throws Exception {
         final String doc = Files.readString(Path.of("..", "docs", "result-codes.md"));
-        assertThat(doc.lines().filter(l -> l.matches("\\| \\d+ .*"))).containsExactlyElementsOf(
-                Arrays.stream(Result.values()).map(r -> "| " + r.number() + " | " + r + " | " + r.httpStatus() + " | "
-                        + r.text() + " |").toList());
+        assertThat(doc.lines().filter(l -> l.matches("\\| \\d+ .*")))
+                .containsExactlyElementsOf(Arrays.stream(Result.values())
+                        .map(r -> "| " + r.number() + " | " + r + " | " + r.httpStatus() + " | " + r.text() + " |")
+                        .toList());
         assertThat(Arrays.stream(Result.values()).map(Result::number)).doesNotHaveDuplicates();
     }
 }
--- a/spokestall/src/test/java/spokestall/wire/CodecTest.java
+++ b/spokestall/src/test/java/spokestall/wire/CodecTest.java
@@ -10,11 +10,9 @@
 import org.junit.jupiter.api.Test;
 
 class CodecTest {
-    record Inner(String name, @Since(2) int more) {
-    }
+    record Inner(String name, @Since(2) int more) {}
 
-    record Beat(long at, List<Inner> inners, @Since(2) boolean warm, String last) implements Note {
-    }
+    record Beat(long at, List<Inner> inners, @Since(2) boolean warm, String last) implements Note {}
 
     static {
         Codec.number(201, Beat.class);
@@ -29,13 +27,19 @@
         assertThat(Codec.note(Codec.note(beat(3, true), 2))).isEqualTo(beat(3, true));
         assertThat(Codec.note(Codec.note(beat(3, true), 1))).isEqualTo(beat(0, false));
         final byte[] first = Codec.note(beat(3, true), 1);
-        assertThat(first[0]).as("the first version begins with its kind's number").isZero();
+        assertThat(first[0])
+                .as("the first version begins with its kind's number")
+                .isZero();
         final byte[] later = Codec.note(beat(3, true), 2);
         later[0] = Codec.VERSION + 1;
-        assertThatThrownBy(() -> Codec.note(later)).isInstanceOf(UnknownNote.class).hasMessage("version " + (Codec.VERSION + 1));
+        assertThatThrownBy(() -> Codec.note(later))
+                .isInstanceOf(UnknownNote.class)
+                .hasMessage("version " + (Codec.VERSION + 1));
         final byte[] strange = Codec.note(beat(3, true), 2);
         strange[2] ^= 0x40;
-        assertThatThrownBy(() -> Codec.note(strange)).isInstanceOf(UnknownNote.class).hasMessageStartingWith("kind ");
+        assertThatThrownBy(() -> Codec.note(strange))
+                .isInstanceOf(UnknownNote.class)
+                .hasMessageStartingWith("kind ");
     }
 
     @Test
@@ -53,11 +57,13 @@
     void whateverBytesComeTheyAreReadOrRefusedAsBadInput() throws Exception {
         final Random random = new Random(5);
         for (int i = 0; i < 100_000; i++) {
-            final byte[] frame = Codec.note(beat(random.nextInt(), random.nextBoolean()), 1 + random.nextInt(Codec.VERSION));
+            final byte[] frame =
+                    Codec.note(beat(random.nextInt(), random.nextBoolean()), 1 + random.nextInt(Codec.VERSION));
             for (int n = 1 + random.nextInt(4); n > 0; n--) {
                 frame[random.nextInt(frame.length)] = (byte) random.nextInt();
             }
-            final byte[] cut = random.nextInt(3) == 0 ? Arrays.copyOf(frame, 2 + random.nextInt(frame.length - 2)) : frame;
+            final byte[] cut =
+                    random.nextInt(3) == 0 ? Arrays.copyOf(frame, 2 + random.nextInt(frame.length - 2)) : frame;
             try {
                 assertThat(Codec.note(cut)).isInstanceOf(Beat.class);
             } catch (final IOException bad) {
