Operators' calls answer by what is proved newest after they came

Cause: policy.get answered from the local tree, and policy.put, policy.patch, key.* and hold.* went through Acceptance.take, which judged INVALID, NOT_FOUND, STALE_BASE and "already accepted" by the local tree with no proof made after the call; key.* asked the local tree in Desk before that. A core that a majority had left behind so handed out an old policy and refused keys that the majority knew. Orders of another speech went through agree, which proves first: two ways for one thing. Excluded: the own speech's calls needing the local answer; status and upstreams are local by nature and now say so (local, version, proof). Conclusion: take is agree with a base; where calls a key bad only by a proof made after the call; an order that lost its race and has no time left is NOT_READY, never stale.

--- a/proof/src/main/java/spokestall/proof/SimOperator.java
+++ b/proof/src/main/java/spokestall/proof/SimOperator.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import spokestall.rpc.Reply;
+import spokestall.rpc.Result;
 
 /** Operators that change the policy, race each other, send what is stale or invalid, and repeat what is unclear. */
 final class SimOperator {
@@ -175,16 +176,16 @@
         /** Begins against the newest version a core tells. */
         void fresh() {
             final SimNode core = world.any(world.cores(), random);
-            ask(
-                    core,
-                    "policy.get",
-                    JSON.createObjectNode(),
-                    reply -> {
-                        params.put("base", reply.fields().path("version").asLong())
-                                .put("changeId", id);
-                        send(core);
-                    },
-                    this::fresh);
+            ask(core, "policy.get", JSON.createObjectNode(), reply -> based(core, reply), this::fresh);
+        }
+
+        private void based(final SimNode core, final Reply reply) {
+            if (reply.result() != Result.OK) {
+                world.sim.after(300, this::fresh);
+                return;
+            }
+            params.put("base", reply.fields().path("version").asLong()).put("changeId", id);
+            send(core);
         }
 
         private void ask(
@@ -235,7 +236,7 @@
                     inForce(reply.fields().path("version").asLong(), world.sim.nowMs());
                 }
                 case UNDECIDED, NOT_READY -> {
-                    unclear |= reply.result() == spokestall.rpc.Result.UNDECIDED;
+                    unclear |= reply.result() == Result.UNDECIDED;
                     world.sim.after(300, () -> {
                         if (unclear) {
                             send(world.any(world.cores(), random));
--- a/spokestall/src/main/java/spokestall/Desk.java
+++ b/spokestall/src/main/java/spokestall/Desk.java
@@ -15,6 +15,7 @@
 import spokestall.listing.Report;
 import spokestall.policy.Book;
 import spokestall.policy.Change;
+import spokestall.policy.Draft;
 import spokestall.policy.KeyHash;
 import spokestall.policy.Tenant;
 import spokestall.rpc.Reply;
@@ -33,20 +34,13 @@
     /** Puts every call of the schema file that this node carries out on its desk. */
     void open() {
         node.calls.on("where", this::where);
-        node.calls.on("policy.get", (p, done) -> {
-            final ObjectNode out = Book.JSON
-                    .createObjectNode()
-                    .put("version", node.book.policy().version());
-            out.put("ageMs", node.follower.ageMs())
-                    .set("policy", node.book.policy().tree());
-            done.accept(Reply.of(Result.OK, out));
-        });
+        node.calls.on("policy.get", (p, done) -> policyGet(done));
         node.calls.on("status", (p, done) -> done.accept(Reply.of(Result.OK, status())));
         node.calls.on("upstreams", (p, done) -> done.accept(Reply.of(Result.OK, upstreams())));
         node.calls.on("usage.get", this::usageGet);
         if (node.core) {
-            node.calls.on("policy.put", (p, done) -> change(Change.Kind.PUT, p, p.get("policy"), done));
-            node.calls.on("policy.patch", (p, done) -> change(Change.Kind.PATCH, p, p.get("patch"), done));
+            node.calls.on("policy.put", (p, done) -> take(p, write(Change.Kind.PUT, p.get("policy")), done));
+            node.calls.on("policy.patch", (p, done) -> take(p, write(Change.Kind.PATCH, p.get("patch")), done));
             node.calls.on(
                     "key.add",
                     (p, done) -> key(
@@ -72,31 +66,31 @@
         }
     }
 
-    private void change(final Change.Kind kind, final JsonNode p, final JsonNode json, final Consumer<Reply> done) {
-        node.acceptance.take(kind, p.get("base").asLong(), p.get("changeId").asText(), json, done);
+    /** The policy, proved newest after the call came. */
+    private void policyGet(final Consumer<Reply> done) {
+        node.acceptance.newest(node.settings.ms("policyBoundMs"), policy -> {
+            if (policy == null) {
+                done.accept(Reply.of(Result.NOT_READY, null));
+                return;
+            }
+            final ObjectNode out = Book.JSON.createObjectNode().put("version", policy.version());
+            out.put("ageMs", node.follower.ageMs()).set("policy", policy.tree());
+            done.accept(Reply.of(Result.OK, out));
+        });
+    }
+
+    private void take(final JsonNode p, final Draft draft, final Consumer<Reply> done) {
+        node.acceptance.take(p.get("base").asLong(), p.get("changeId").asText(), draft, done);
+    }
+
+    private static Draft write(final Change.Kind kind, final JsonNode json) {
+        return tree -> new Draft.Drafted.Write(kind, json);
     }
 
     private void key(final JsonNode p, final JsonNode value, final Consumer<Reply> done) {
         final String cell = p.get("cell").asText();
         final String tenant = p.get("tenant").asText();
         final String keyId = p.get("keyId").asText();
-        final JsonNode keys = node.book
-                .policy()
-                .tree()
-                .path("cells")
-                .path(cell)
-                .path("tenants")
-                .path(tenant);
-        final boolean known = node.book.versionOf(p.get("changeId").asText()) != null;
-        if (!known
-                && (keys.isMissingNode() || value.isNull() && !keys.path("keys").has(keyId))) {
-            done.accept(Reply.of(
-                    Result.NOT_FOUND,
-                    Book.JSON
-                            .createObjectNode()
-                            .put("current", node.book.policy().version())));
-            return;
-        }
         final ObjectNode patch = Book.JSON.createObjectNode();
         patch.putObject("cells")
                 .putObject(cell)
@@ -104,26 +98,45 @@
                 .putObject(tenant)
                 .putObject("keys")
                 .set(keyId, value);
-        change(Change.Kind.PATCH, p, patch, done);
+        final Draft draft = tree -> {
+            final JsonNode of = tree.path("cells").path(cell).path("tenants").path(tenant);
+            final boolean missing =
+                    of.isMissingNode() || value.isNull() && !of.path("keys").has(keyId);
+            return missing ? new Draft.Drafted.Missing() : new Draft.Drafted.Write(Change.Kind.PATCH, patch);
+        };
+        take(p, draft, done);
     }
 
     private void hold(final JsonNode p, final JsonNode value, final Consumer<Reply> done) {
         final ObjectNode patch = Book.JSON.createObjectNode();
         patch.putObject("holds").set(p.get("district").asText(), value);
-        change(Change.Kind.PATCH, p, patch, done);
+        take(p, write(Change.Kind.PATCH, patch), done);
     }
 
+    /** A fresh proof is enough to name edges; a key is called bad only by what is proved newest after the call came. */
     private void where(final JsonNode p, final Consumer<Reply> done) {
         if (!node.follower.fresh() || node.voters() == null) {
             done.accept(Reply.of(Result.NOT_FRESH, null));
             return;
         }
-        final Tenant tenant =
-                node.book.policy().tenantOf(KeyHash.of(p.get("key").asText()));
-        if (tenant == null) {
-            done.accept(Reply.of(Result.BAD_KEY, null));
+        final String key = KeyHash.of(p.get("key").asText());
+        final Tenant tenant = node.book.policy().tenantOf(key);
+        if (tenant != null) {
+            where(p, tenant, done);
             return;
         }
+        node.acceptance.newest(node.settings.ms("freshMs"), policy -> {
+            if (policy == null) {
+                done.accept(Reply.of(Result.NOT_FRESH, null));
+            } else if (policy.tenantOf(key) == null) {
+                done.accept(Reply.of(Result.BAD_KEY, null));
+            } else {
+                where(p, policy.tenantOf(key), done);
+            }
+        });
+    }
+
+    private void where(final JsonNode p, final Tenant tenant, final Consumer<Reply> done) {
         final List<Member> found = Where.elect(
                 p.get("client").asText(),
                 node.edgesForClients(),
@@ -167,8 +180,17 @@
         });
     }
 
+    /** Marks an answer as this node's own view: by which version, how old its proof is, and whether that still counts. */
+    private void local(final ObjectNode out) {
+        out.put("local", true)
+                .put("version", node.book.policy().version())
+                .put("proofAgeMs", node.follower.ageMs())
+                .put("fresh", node.follower.fresh());
+    }
+
     private ObjectNode upstreams() {
         final ObjectNode out = Book.JSON.createObjectNode();
+        local(out);
         final ArrayNode list = out.putArray("upstreams");
         for (final Listed l : node.listing.listed()) {
             final Report word = node.listing.word(l.instance(), node.fleet.nowMs());
@@ -187,9 +209,7 @@
     private ObjectNode status() {
         final ObjectNode out = Book.JSON.createObjectNode();
         out.put("node", node.name).put("role", node.core ? "core" : "edge").put("fleetMs", node.fleet.nowMs());
-        out.put("version", node.book.policy().version())
-                .put("proofAgeMs", node.follower.ageMs())
-                .put("fresh", node.follower.fresh());
+        local(out);
         final ObjectNode nodes = out.putObject("nodes");
         for (final Member m : node.view.members()) {
             nodes.putObject(m.name())
--- a/spokestall/src/main/java/spokestall/policy/Acceptance.java
+++ b/spokestall/src/main/java/spokestall/policy/Acceptance.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import spokestall.ballot.Edit;
 import spokestall.ballot.Outcome;
@@ -52,30 +53,14 @@
         this.news = news;
     }
 
-    /** Example: {@code acceptance.take(Change.Kind.PATCH, base, "chg-1", patch, reply -> ...);} */
-    public void take(
-            final Change.Kind kind,
-            final long base,
-            final String changeId,
-            final JsonNode json,
-            final java.util.function.Consumer<Reply> done) {
-        final Long known = book.versionOf(changeId);
-        if (known != null) {
-            done.accept(accepted(known, changeId));
-            return;
-        }
-        final long current = book.policy().version();
-        if (proposer.voters() == null || current < proposer.voters().firstNumber() || base > current) {
-            done.accept(Reply.of(Result.NOT_READY, fields(current, changeId)));
-            return;
-        }
-        final Change change = new Change(changeId, kind, bytes(json));
-        final Reply denied = base == current ? check(change) : null;
-        if (denied != null) {
-            done.accept(denied);
-        } else {
-            propose(base + 1, change, waitMs, done);
-        }
+    /** Takes a change made against one version; it is judged as {@link #agree} judges every order.
+     * Example: {@code acceptance.take(base, "chg-1", tree -> new Drafted.Write(PATCH, patch), reply -> ...);} */
+    public void take(final long base, final String changeId, final Draft draft, final Consumer<Reply> done) {
+        agree(
+                changeId,
+                tree -> book.policy().version() == base ? draft.on(tree) : new Draft.Drafted.Stale(),
+                waitMs,
+                done);
     }
 
     /** Why a change can't be made on top of the policy here, or null. */
@@ -97,66 +82,82 @@
 
     /**
      * Makes an order into a change on top of the newest policy, and anew when another change was first, until it holds,
-     * no longer fits or the wait is over. What it is judged by is proved newest after it came: an order is never called
-     * stale because this node is behind.
+     * no longer fits or the wait is over. What it is judged by is proved newest after it came, whatever the judgement: an
+     * order is never called stale, invalid, missing or taken because this node is behind or was left behind.
      * Example: {@code acceptance.agree("hold-1", tree -> ..., 2000, reply -> ...);}
      */
-    public void agree(
-            final String changeId,
-            final Draft draft,
-            final long waitLeftMs,
-            final java.util.function.Consumer<Reply> done) {
-        final long begunMs = clock.nowMs();
+    public void agree(final String changeId, final Draft draft, final long waitLeftMs, final Consumer<Reply> done) {
+        final long deadlineMs = clock.nowMs() + waitLeftMs;
         follower.current(waitLeftMs, current -> {
-            final Long known = book.versionOf(changeId);
-            if (known != null) {
-                done.accept(accepted(known, changeId));
-            } else if (!current
-                    || proposer.voters() == null
-                    || book.policy().version() < proposer.voters().firstNumber()) {
-                done.accept(Reply.of(Result.NOT_READY, fields(book.policy().version(), changeId)));
+            if (!current || !governed()) {
+                done.accept(notReady(changeId));
             } else {
-                drafted(changeId, draft, waitLeftMs - (clock.nowMs() - begunMs), done);
+                judge(changeId, draft, deadlineMs, done);
             }
         });
     }
 
-    private void drafted(
-            final String changeId,
-            final Draft draft,
-            final long waitLeftMs,
-            final java.util.function.Consumer<Reply> done) {
-        final long begunMs = clock.nowMs();
+    /** Whether the policy here is one of the generation that voters hold now. */
+    private boolean governed() {
+        return proposer.voters() != null
+                && book.policy().version() >= proposer.voters().firstNumber();
+    }
+
+    private void judge(final String changeId, final Draft draft, final long deadlineMs, final Consumer<Reply> done) {
+        final Long known = book.versionOf(changeId);
+        if (known != null) {
+            done.accept(accepted(known, changeId));
+            return;
+        }
         final long version = book.policy().version();
         final Draft.Drafted drafted = draft.on(book.policy().tree());
         if (drafted instanceof Draft.Drafted.Already) {
             done.accept(accepted(version, changeId));
         } else if (drafted instanceof Draft.Drafted.Stale) {
             done.accept(Reply.of(Result.STALE_BASE, fields(version, changeId)));
+        } else if (drafted instanceof Draft.Drafted.Missing) {
+            done.accept(Reply.of(Result.NOT_FOUND, fields(version, changeId)));
         } else if (drafted instanceof Draft.Drafted.Bad bad) {
             done.accept(invalid(changeId, List.of(new Rules.Trouble(bad.pointer(), bad.reason()))));
         } else if (drafted instanceof Draft.Drafted.Write write) {
-            final Change change = new Change(changeId, write.kind(), bytes(write.json()));
-            final Reply denied = check(change);
-            if (denied != null) {
-                done.accept(denied);
-                return;
-            }
-            propose(version + 1, change, Math.min(waitMs, waitLeftMs), reply -> {
-                final long leftMs = waitLeftMs - (clock.nowMs() - begunMs);
-                if (reply.result() == Result.STALE_BASE && leftMs > 0) {
-                    agree(changeId, draft, leftMs, done);
-                } else {
-                    done.accept(reply);
-                }
-            });
+            write(changeId, draft, write, deadlineMs, done);
+        }
+    }
+
+    private void write(
+            final String changeId,
+            final Draft draft,
+            final Draft.Drafted.Write write,
+            final long deadlineMs,
+            final Consumer<Reply> done) {
+        final Change change = new Change(changeId, write.kind(), bytes(write.json()));
+        final Reply denied = check(change);
+        if (denied != null) {
+            done.accept(denied);
+            return;
+        }
+        final long leftMs = Math.min(waitMs, deadlineMs - clock.nowMs());
+        propose(
+                book.policy().version() + 1,
+                change,
+                leftMs,
+                new Proposed(done, () -> again(changeId, draft, deadlineMs, done)));
+    }
+
+    /** Another change was first: the order is judged anew by what is newest now, never by what it lost against. */
+    private void again(final String changeId, final Draft draft, final long deadlineMs, final Consumer<Reply> done) {
+        final long leftMs = deadlineMs - clock.nowMs();
+        if (leftMs > 0) {
+            agree(changeId, draft, leftMs, done);
+        } else {
+            done.accept(notReady(changeId));
         }
     }
 
     /** The newest policy, proved newest after the call came; null when that can't be had in time.
      * Example: {@code acceptance.newest(1000, policy -> ...);} */
-    public void newest(final long waitLeftMs, final java.util.function.Consumer<Policy> done) {
-        follower.current(waitLeftMs, current -> done.accept(current ? book.policy() : null));
+    public void newest(final long waitLeftMs, final Consumer<Policy> done) {
+        follower.current(waitLeftMs, current -> done.accept(current && governed() ? book.policy() : null));
     }
 
     /** A part can't make the whole larger than the two are together, so the whole is written out only near the bound. */
@@ -165,45 +166,51 @@
         return before + change.json().length > bytesMax && bytes(after).length > bytesMax;
     }
 
-    private void propose(
-            final long next, final Change change, final long leftMs, final java.util.function.Consumer<Reply> done) {
+    /** What follows a proposal: the reply where its own end is known, another way where another change was first. */
+    private record Proposed(Consumer<Reply> known, Runnable beaten) {}
+
+    private void propose(final long next, final Change change, final long leftMs, final Proposed then) {
         final byte[] value = Codec.bytes(change);
-        proposer.change(
-                Versions.key(next),
-                leftMs,
-                now -> now == null && next == book.policy().version() + 1
-                                || now != null
-                                        && Codec.record(now, Change.class)
-                                                .changeId()
-                                                .equals(change.changeId())
-                        ? new Edit.Set(now == null ? value : now)
-                        : Edit.LEAVE,
-                outcome -> {
-                    if (outcome instanceof Outcome.Done d && d.value() != null) {
-                        follower.learn(next, d.value());
-                        news.accept(next);
-                        final boolean ours =
-                                Codec.record(d.value(), Change.class).changeId().equals(change.changeId());
-                        LOG.atInfo().log(
-                                "event=policy_change node=%s version=%s changeId=%s accepted=%s",
-                                name, next, change.changeId(), ours);
-                        done.accept(
-                                ours
-                                        ? accepted(next, change.changeId())
-                                        : Reply.of(
-                                                Result.STALE_BASE,
-                                                fields(book.policy().version(), change.changeId())));
-                    } else if (outcome instanceof Outcome.Undecided) {
-                        done.accept(
-                                Reply.of(Result.UNDECIDED, fields(book.policy().version(), change.changeId())));
-                    } else if (outcome instanceof Outcome.NotDone) {
-                        done.accept(
-                                Reply.of(Result.NOT_READY, fields(book.policy().version(), change.changeId())));
-                    } else {
-                        done.accept(
-                                Reply.of(Result.STALE_BASE, fields(book.policy().version(), change.changeId())));
-                    }
-                });
+        proposer.change(Versions.key(next), leftMs, now -> edit(next, change, value, now), outcome -> {
+            if (outcome instanceof Outcome.Done done && done.value() != null) {
+                chosen(next, change, done.value(), then);
+            } else if (outcome instanceof Outcome.Undecided) {
+                then.known.accept(
+                        Reply.of(Result.UNDECIDED, fields(book.policy().version(), change.changeId())));
+            } else if (outcome instanceof Outcome.NotDone) {
+                then.known.accept(notReady(change.changeId()));
+            } else {
+                then.beaten.run();
+            }
+        });
+    }
+
+    private Edit edit(final long next, final Change change, final byte[] value, final byte[] now) {
+        if (now == null) {
+            return next == book.policy().version() + 1 ? new Edit.Set(value) : Edit.LEAVE;
+        }
+        return same(now, change) ? new Edit.Set(now) : Edit.LEAVE;
+    }
+
+    private static boolean same(final byte[] value, final Change change) {
+        return Codec.record(value, Change.class).changeId().equals(change.changeId());
+    }
+
+    private void chosen(final long next, final Change change, final byte[] value, final Proposed then) {
+        follower.learn(next, value);
+        news.accept(next);
+        final boolean ours = same(value, change);
+        LOG.atInfo().log(
+                "event=policy_change node=%s version=%s changeId=%s accepted=%s", name, next, change.changeId(), ours);
+        if (ours) {
+            then.known.accept(accepted(next, change.changeId()));
+        } else {
+            then.beaten.run();
+        }
+    }
+
+    private Reply notReady(final String changeId) {
+        return Reply.of(Result.NOT_READY, fields(book.policy().version(), changeId));
     }
 
     private Reply accepted(final long version, final String changeId) {
--- a/spokestall/src/main/java/spokestall/policy/Draft.java
+++ b/spokestall/src/main/java/spokestall/policy/Draft.java
@@ -15,6 +15,9 @@
         /** It was made against something else than what is there. */
         record Stale() implements Drafted {}
 
+        /** It names something that is not there. */
+        record Missing() implements Drafted {}
+
         /** It can't be read as an order. */
         record Bad(String pointer, String reason) implements Drafted {}
     }
