A connection is kept only after its own answer, for its own instance, and all of its request

Cause: HttpClient kept a connection as soon as an answer was whole, before GoSpeech.judge had seen whose it was. After a second or late answer in the next one's place the connection stayed one answer behind, and each later request on it was lost. A kept connection that ended between its choice and the send counted as a request that may have run (run-once: 502). Connections were kept by address alone, so also for an instance that had the address before; the table of them never shrank. Excluded: Undertow's client repeats nothing by itself and has one request on a connection at a time here; it closes a kept connection on which bytes come while nothing waits.

--- a/spokestall/src/main/java/spokestall/rim/HttpCall.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpCall.java
@@ -8,13 +8,15 @@
 import spokestall.wire.Header;
 
 /**
- * One HTTP exchange to be had. When the wire is open, {@code until} is asked on the gate's thread for the time until
+ * One HTTP exchange to be had with an instance at an address; a connection kept from another instance, which had the
+ * address before, is not used for it. When the wire is open, {@code until} is asked on the gate's thread for the time until
  * which the first bytes may leave, and that is looked at again on the I/O thread right before they do; {@code sent}
  * is run there once they have. A wire that rested long is used only for what is repeatable: it may have been closed at
  * its other end. A wire that is not open within connectMs is given up, and nothing was sent.
  */
 public record HttpCall(
         String address,
+        String instance,
         String method,
         String target,
         List<Header> headers,
@@ -27,6 +29,9 @@
         Executor gate,
         LongSupplier until,
         Runnable sent) {
+    /** Whoever answers at the address. */
+    public static final String ANY_INSTANCE = "";
+
     /** No gate: the bytes may leave whenever the wire is open. Example: {@code HttpCall.plain(at, "GET", "/", h, b, 500, 1024)} */
     public static HttpCall plain(
             final String address,
@@ -38,6 +43,7 @@
             final int answerMaxBytes) {
         return new HttpCall(
                 address,
+                ANY_INSTANCE,
                 method,
                 target,
                 list(headers),
--- a/spokestall/src/main/java/spokestall/rim/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -6,21 +6,21 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -35,18 +35,22 @@
  * broke off or was framed oddly is closed, never used again.
  */
 public final class HttpClient {
-    private static final int IDLE_PER_ADDRESS = 16;
-    private static final int ADDRESSES_MAX = 4096;
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
     private static final int HEADERS_MAX = 16 << 10;
+    private static final int MISDIRECTED = 421;
     private static final Set<String> BODILESS = Set.of("GET", "HEAD", "DELETE", "OPTIONS");
 
-    private record Idle(ClientConnection wire, long sinceMs, long restMs) {}
+    /** Hears how an exchange ended, and says whether its connection may be used again: not if the answer belongs to
+     * another request, for then this one's own is still to come. */
+    public interface Judge {
+        /** Run once, on an I/O thread. Example: {@code judge.mayKeep(new HttpResult.NotSent("closed"))} */
+        boolean mayKeep(HttpResult result);
+    }
 
     private final XnioWorker worker;
     private final ByteBufferPool pool;
     private final long restMs;
-    private final Map<String, ArrayDeque<Idle>> idle = new ConcurrentHashMap<>();
+    private final IdleConnections idle = new IdleConnections();
 
     /** A wire rests for restMs at the most, and for less than its other end says.
      * Example: {@code new HttpClient(worker, new DefaultByteBufferPool(true, 16384), 1000)} */
@@ -58,66 +62,53 @@
 
     /** Has the exchange; done is run once, on an I/O thread. Example: {@code client.call(call, result -> ...);} */
     public void call(final HttpCall call, final Consumer<HttpResult> done) {
-        new Exchange(call, done).begin();
+        judged(call, result -> {
+            done.accept(result);
+            return true;
+        });
     }
 
-    private ClientConnection takeIdle(final String address, final boolean repeatable) {
-        final ArrayDeque<Idle> of = idle.get(address);
-        if (of == null) {
-            return null;
-        }
-        synchronized (of) {
-            final long nowMs = System.nanoTime() / 1_000_000;
-            while (!of.isEmpty()) {
-                final Idle one = of.pollLast();
-                if (one.wire.isOpen() && nowMs - one.sinceMs < (repeatable ? one.restMs : one.restMs / 2)) {
-                    return one.wire;
-                }
-                IoUtils.safeClose(one.wire);
-            }
-        }
-        return null;
+    /** Has the exchange, and uses its connection again only if the judge says so. Example: {@code client.judged(call, judge);} */
+    public void judged(final HttpCall call, final Judge judge) {
+        new Exchange(call, judge).begin();
     }
 
-    private void keepIdle(final String address, final ClientConnection wire, final long rest) {
-        if (idle.size() >= ADDRESSES_MAX && !idle.containsKey(address)) {
-            IoUtils.safeClose(wire);
-            return;
-        }
-        final ArrayDeque<Idle> of = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
-        synchronized (of) {
-            of.addLast(new Idle(wire, System.nanoTime() / 1_000_000, rest));
-            while (of.size() > IDLE_PER_ADDRESS) {
-                IoUtils.safeClose(of.pollFirst().wire);
-            }
-        }
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
     }
 
     /** One exchange. */
     private final class Exchange implements ClientCallback<ClientExchange> {
         private final HttpCall call;
-        private final Consumer<HttpResult> done;
+        private final Judge judge;
+        private final IdleConnections.Peer peer;
         private final AtomicBoolean over = new AtomicBoolean();
         private final ByteArrayOutputStream read = new ByteArrayOutputStream();
         private volatile boolean sent;
-        private volatile boolean bodySent;
+        private volatile boolean reused;
         private volatile ClientConnection wire;
         private volatile XnioExecutor.Key timer;
         private volatile XnioExecutor.Key connecting;
 
-        Exchange(final HttpCall call, final Consumer<HttpResult> done) {
+        Exchange(final HttpCall call, final Judge judge) {
             this.call = call;
-            this.done = done;
+            this.judge = judge;
+            this.peer = new IdleConnections.Peer(call.address(), call.instance());
         }
 
         void begin() {
-            final ClientConnection had = call.freshWire() ? null : takeIdle(call.address(), call.repeatable());
-            final XnioIoThread io = had != null ? had.getIoThread() : worker.getIoThread();
+            final ClientConnection kept = call.freshWire() ? null : idle.take(peer, call.repeatable(), nowMs());
+            final XnioIoThread io = kept != null ? kept.getIoThread() : worker.getIoThread();
             timer = io.executeAfter(() -> trouble("timeout"), Math.max(1, call.waitMs()), TimeUnit.MILLISECONDS);
-            if (had != null) {
-                io.execute(() -> opened(had));
-                return;
+            if (kept != null) {
+                reused = true;
+                io.execute(() -> opened(kept));
+            } else {
+                connect(io);
             }
+        }
+
+        private void connect(final XnioIoThread io) {
             if (call.connectMs() < call.waitMs()) {
                 connecting = io.executeAfter(
                         () -> {
@@ -133,6 +124,7 @@
                             new ClientCallback<>() {
                                 @Override
                                 public void completed(final ClientConnection made) {
+                                    made.addCloseListener(closed -> idle.forget(peer, closed));
                                     opened(made);
                                 }
 
@@ -154,7 +146,7 @@
                 return;
             }
             if (!made.isOpen()) {
-                trouble("closed");
+                closedUnused(made);
                 return;
             }
             call.gate().execute(() -> {
@@ -163,10 +155,26 @@
             });
         }
 
+        /** The other end closed it, or wrote to it unasked, before any byte of this request left: a kept connection is
+         * replaced by a new one, once. */
+        private void closedUnused(final ClientConnection closed) {
+            if (reused) {
+                reused = false;
+                wire = null;
+                connect(closed.getIoThread());
+            } else {
+                trouble("closed");
+            }
+        }
+
         private void send(final ClientConnection made, final long untilMs) {
             if (over.get()) {
                 return;
             }
+            if (!made.isOpen()) {
+                closedUnused(made);
+                return;
+            }
             final ClientRequest request =
                     new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.target());
             if (call.body().length > 0 || !BODILESS.contains(call.method())) {
@@ -176,8 +184,8 @@
             if (!request.getRequestHeaders().contains(Headers.HOST)) {
                 request.getRequestHeaders().put(Headers.HOST, call.address());
             }
-            if (System.nanoTime() / 1_000_000 >= untilMs) {
-                keepIdle(call.address(), made, restMs);
+            if (nowMs() >= untilMs) {
+                idle.keep(peer, made, restMs, nowMs());
                 end(new HttpResult.NotSent("barred"));
                 return;
             }
@@ -199,9 +207,7 @@
                     trouble("answer: " + e.getMessage());
                 }
             });
-            if (call.body().length == 0) {
-                bodySent = true;
-            } else {
+            if (call.body().length > 0) {
                 write(exchange.getRequestChannel(), ByteBuffer.wrap(call.body()));
             }
         }
@@ -225,7 +231,6 @@
                     channel.getWriteSetter().set(c -> flush(channel));
                     channel.resumeWrites();
                 } else {
-                    bodySent = true;
                     channel.suspendWrites();
                 }
             } catch (final IOException e) {
@@ -236,7 +241,6 @@
         private void flush(final StreamSinkChannel channel) {
             try {
                 if (channel.flush()) {
-                    bodySent = true;
                     channel.suspendWrites();
                 }
             } catch (final IOException e) {
@@ -291,22 +295,27 @@
 
         private void whole(final ClientExchange exchange) {
             final var response = exchange.getResponse();
-            final ClientConnection used = wire;
-            if (over.get()) {
-                return;
-            }
-            // An answer that came before its ask was out leaves the wire in a state that is not to be trusted.
-            // One that leads to another instance would lead there again.
-            if (bodySent
-                    && used.isOpen()
-                    && response.getResponseCode() != 421
-                    && !"close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION))) {
-                final long rest = restMs(response.getResponseHeaders().getFirst(Headers.KEEP_ALIVE));
-                used.getIoThread().execute(() -> keepIdle(call.address(), used, rest));
+            final HeaderMap headers = response.getResponseHeaders();
+            final boolean ours = end(new HttpResult.Whole(response.getResponseCode(), headers, read.toByteArray()));
+            // A request that is not all out when its answer is there leaves a connection that is not to be trusted, and
+            // one that leads to another instance would lead there again.
+            final boolean requestOut = !exchange.getRequestChannel().isOpen();
+            if (ours && requestOut && response.getResponseCode() != MISDIRECTED && !closes(headers)) {
+                final long rest = restMs(headers.getFirst(Headers.KEEP_ALIVE));
+                final ClientConnection used = wire;
+                // What came along behind the answer is seen first, and closes it.
+                used.getIoThread().execute(() -> idle.keep(peer, used, rest, nowMs()));
             } else {
-                IoUtils.safeClose(used);
+                IoUtils.safeClose(wire);
             }
-            end(new HttpResult.Whole(response.getResponseCode(), response.getResponseHeaders(), read.toByteArray()));
+        }
+
+        private boolean closes(final HeaderMap headers) {
+            final HeaderValues connection = headers.get(Headers.CONNECTION);
+            return connection != null
+                    && connection.stream()
+                            .flatMap(line -> Stream.of(line.split(",")))
+                            .anyMatch(one -> one.trim().equalsIgnoreCase("close"));
         }
 
         /** Well below what the other end says, whose time runs from earlier and may be told in whole seconds. */
@@ -319,23 +328,24 @@
             if (over.get()) {
                 return;
             }
-            final ClientConnection used = wire;
-            if (used != null) {
-                IoUtils.safeClose(used);
-            }
             end(sent ? new HttpResult.Lost(why) : new HttpResult.NotSent(why));
+            if (wire != null) {
+                IoUtils.safeClose(wire);
+            }
         }
 
-        private void end(final HttpResult result) {
-            if (over.compareAndSet(false, true)) {
-                if (timer != null) {
-                    timer.remove();
-                }
-                if (connecting != null) {
-                    connecting.remove();
-                }
-                done.accept(result);
+        /** Whether the connection may be used again, by the judge's word. */
+        private boolean end(final HttpResult result) {
+            if (!over.compareAndSet(false, true)) {
+                return false;
+            }
+            if (timer != null) {
+                timer.remove();
+            }
+            if (connecting != null) {
+                connecting.remove();
             }
+            return judge.mayKeep(result);
         }
     }
 }
--- a/spokestall/src/main/java/spokestall/rim/Outside.java
+++ b/spokestall/src/main/java/spokestall/rim/Outside.java
@@ -45,9 +45,10 @@
 
     @Override
     public void go(final Go go, final LongSupplier until, final Runnable sent, final Consumer<GoResult> done) {
-        client.call(
+        client.judged(
                 new HttpCall(
                         go.address(),
+                        go.instance(),
                         go.method(),
                         go.target(),
                         goes.headers(go),
@@ -63,6 +64,7 @@
                 result -> {
                     final GoResult judged = judge(go, result);
                     stage.execute(() -> done.accept(judged));
+                    return !(judged instanceof GoResult.Lost);
                 });
     }
 
@@ -85,6 +87,7 @@
         client.call(
                 new HttpCall(
                         at,
+                        HttpCall.ANY_INSTANCE,
                         "GET",
                         target,
                         List.of(),
@@ -159,6 +162,7 @@
         client.call(
                 new HttpCall(
                         address,
+                        HttpCall.ANY_INSTANCE,
                         "POST",
                         report.target(),
                         report.headers(),
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/rim/HttpClientTest.java
@@ -0,0 +1,241 @@
+package spokestall.rim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import spokestall.wire.Header;
+
+/** Which connection a request leaves on, and what its outcome is called, against a server made of bytes. */
+class HttpClientTest {
+    private static final int WAIT_MS = 10_000;
+    private static final String NAME = "X-Request";
+    private XnioWorker worker;
+    private HttpClient client;
+    private ServerSocket server;
+
+    @BeforeEach
+    void start() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        client = new HttpClient(worker, new DefaultByteBufferPool(false, 16 << 10), 60_000);
+        server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(WAIT_MS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        worker.shutdownNow();
+        server.close();
+    }
+
+    /** The far end of one connection. */
+    private Socket accept() throws IOException {
+        final Socket socket = server.accept();
+        socket.setSoTimeout(WAIT_MS);
+        socket.setTcpNoDelay(true);
+        return socket;
+    }
+
+    /** The value of the request's name, once its head has come. */
+    private static String request(final Socket socket) throws IOException {
+        final StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            final int one = socket.getInputStream().read();
+            assertThat(one).as("a request after " + head).isNotNegative();
+            head.append((char) one);
+        }
+        final int at = head.indexOf(NAME + ": ") + NAME.length() + 2;
+        return head.substring(at, head.indexOf("\r", at));
+    }
+
+    private static String answer(final String name, final String more) {
+        return "HTTP/1.1 200 OK\r\n" + NAME + ": " + name + "\r\n" + more + "Content-Length: 2\r\n\r\nok";
+    }
+
+    private static void write(final Socket socket, final String latin) throws IOException {
+        socket.getOutputStream().write(latin.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Comes back when the client has closed its end. */
+    private static void awaitClosed(final Socket socket) throws IOException {
+        final InputStream in = socket.getInputStream();
+        assertThat(in.read()).as("the client closes the connection").isEqualTo(-1);
+    }
+
+    private BlockingQueue<HttpResult> call(final String name, final String instance, final Executor gate) {
+        return call(name, instance, new byte[0], gate);
+    }
+
+    private BlockingQueue<HttpResult> call(
+            final String name, final String instance, final byte[] body, final Executor gate) {
+        final BlockingQueue<HttpResult> results = new LinkedBlockingQueue<>();
+        final Predicate<HttpResult> own =
+                r -> !(r instanceof HttpResult.Whole whole) || name.equals(whole.header(NAME));
+        client.judged(
+                new HttpCall(
+                        "127.0.0.1:" + server.getLocalPort(),
+                        instance,
+                        "POST",
+                        "/",
+                        List.of(new Header(NAME, name)),
+                        body,
+                        WAIT_MS,
+                        WAIT_MS,
+                        1024,
+                        false,
+                        false,
+                        gate,
+                        () -> Long.MAX_VALUE,
+                        () -> {}),
+                result -> {
+                    results.add(result);
+                    return own.test(result);
+                });
+        return results;
+    }
+
+    private static HttpResult got(final BlockingQueue<HttpResult> results) throws InterruptedException {
+        final HttpResult result = results.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+        assertThat(result).as("the exchange ends").isNotNull();
+        return result;
+    }
+
+    /** A first exchange, whose connection is kept. */
+    private Socket kept(final String instance) throws Exception {
+        final BlockingQueue<HttpResult> first = call("first", instance, Runnable::run);
+        final Socket socket = accept();
+        assertThat(request(socket)).isEqualTo("first");
+        write(socket, answer("first", ""));
+        assertThat(got(first)).isInstanceOf(HttpResult.Whole.class);
+        settle();
+        return socket;
+    }
+
+    /** Comes back when the I/O thread has done what it was at, and what that left to be done. */
+    private void settle() throws InterruptedException {
+        final CountDownLatch done = new CountDownLatch(1);
+        worker.getIoThread().execute(() -> worker.getIoThread().execute(done::countDown));
+        assertThat(done.await(WAIT_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
+    private void answeredOnANewConnection(final String name, final String instance) throws Exception {
+        final BlockingQueue<HttpResult> results = call(name, instance, Runnable::run);
+        try (Socket fresh = accept()) {
+            assertThat(request(fresh)).isEqualTo(name);
+            write(fresh, answer(name, ""));
+            assertThat(((HttpResult.Whole) got(results)).header(NAME)).isEqualTo(name);
+        }
+    }
+
+    @Test
+    void aConnectionWhoseExchangesWereCleanIsUsedAgain() throws Exception {
+        try (Socket socket = kept("i-1")) {
+            final BlockingQueue<HttpResult> second = call("second", "i-1", Runnable::run);
+            assertThat(request(socket)).isEqualTo("second");
+            write(socket, answer("second", ""));
+            assertThat(got(second)).isInstanceOf(HttpResult.Whole.class);
+        }
+    }
+
+    /** A second answer to the first request, in the place where that to the second one is expected: the second one's is
+     * still to come, and would be taken for the third one's. */
+    @Test
+    void anAnswerToAnotherRequestEndsItsConnection() throws Exception {
+        try (Socket socket = kept("i-1")) {
+            final BlockingQueue<HttpResult> second = call("second", "i-1", Runnable::run);
+            assertThat(request(socket)).isEqualTo("second");
+            write(socket, answer("first", ""));
+            assertThat(got(second)).isInstanceOf(HttpResult.Whole.class);
+            awaitClosed(socket);
+            answeredOnANewConnection("third", "i-1");
+        }
+    }
+
+    @Test
+    void aKeptConnectionThatEndsBeforeTheRequestLeavesIsReplaced() throws Exception {
+        for (final String last : List.of("", answer("first", ""), "bytes of no answer")) {
+            try (Socket socket = kept("i-1")) {
+                final BlockingQueue<Runnable> held = new LinkedBlockingQueue<>();
+                final BlockingQueue<HttpResult> second = call("second", "i-1", held::add);
+                final Runnable go = held.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+                write(socket, last);
+                socket.shutdownOutput();
+                awaitClosed(socket);
+                go.run();
+                try (Socket fresh = accept()) {
+                    held.poll(WAIT_MS, TimeUnit.MILLISECONDS).run();
+                    assertThat(request(fresh)).isEqualTo("second");
+                    write(fresh, answer("second", "Connection: close\r\n"));
+                    final HttpResult result = got(second);
+                    assertThat(result).as("after <" + last + ">").isInstanceOf(HttpResult.Whole.class);
+                    assertThat(((HttpResult.Whole) result).header(NAME)).isEqualTo("second");
+                    awaitClosed(fresh);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aNewConnectionThatEndsBeforeTheRequestLeavesHasSentNothing() throws Exception {
+        final BlockingQueue<Runnable> held = new LinkedBlockingQueue<>();
+        final BlockingQueue<HttpResult> only = call("only", "i-1", held::add);
+        try (Socket socket = accept()) {
+            final Runnable go = held.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+            socket.shutdownOutput();
+            awaitClosed(socket);
+            go.run();
+            assertThat(got(only)).isInstanceOf(HttpResult.NotSent.class);
+        }
+    }
+
+    @Test
+    void aConnectionIsNotUsedForAnotherInstanceThatHasTheAddressNow() throws Exception {
+        try (Socket old = kept("i-1")) {
+            answeredOnANewConnection("second", "i-2");
+            assertThat(old.isClosed()).isFalse();
+        }
+    }
+
+    @Test
+    void aResponseThatSaysSoAnywhereEndsItsConnection() throws Exception {
+        for (final String closing : List.of("Connection: close", "Connection: X-Hop, Close")) {
+            final BlockingQueue<HttpResult> first = call("first", "i-1", Runnable::run);
+            try (Socket socket = accept()) {
+                assertThat(request(socket)).isEqualTo("first");
+                write(socket, answer("first", closing + "\r\n"));
+                assertThat(got(first)).as(closing).isInstanceOf(HttpResult.Whole.class);
+                awaitClosed(socket);
+            }
+        }
+    }
+
+    @Test
+    void anAnswerThatComesBeforeItsRequestIsOutEndsTheConnection() throws Exception {
+        final BlockingQueue<HttpResult> results = call("large", "i-1", new byte[32 << 20], Runnable::run);
+        try (Socket socket = accept()) {
+            assertThat(request(socket)).isEqualTo("large");
+            write(socket, answer("large", ""));
+            assertThat(got(results)).isInstanceOf(HttpResult.Whole.class);
+            answeredOnANewConnection("second", "i-1");
+        }
+    }
+}
