--- a/proof/src/main/java/spokestall/proof/Growth.java
+++ b/proof/src/main/java/spokestall/proof/Growth.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -28,7 +29,7 @@
             book.apply(
                     1,
                     new Change(
-                            "all", Change.Kind.PUT, policy(bindings).toString().getBytes()));
+                            "all", Change.Kind.PUT, policy(bindings).toString().getBytes(StandardCharsets.UTF_8)));
             final long[] us = new long[TURNS];
             int bytes = 0;
             for (int i = 0; i < TURNS; i++) {
@@ -96,6 +97,6 @@
                 .putObject("new" + i)
                 .put("path", "/new/" + i)
                 .put("service", Deployment.PADMA.big);
-        return new Change("new" + i, Change.Kind.PATCH, patch.toString().getBytes());
+        return new Change("new" + i, Change.Kind.PATCH, patch.toString().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/proof/src/main/java/spokestall/proof/Links.java
+++ b/proof/src/main/java/spokestall/proof/Links.java
@@ -42,7 +42,7 @@
         }
     }
 
-    void lossy(final double share, final long extraMs) {
+    synchronized void lossy(final double share, final long extraMs) {
         loss = share;
         delayMs += extraMs;
     }
@@ -89,7 +89,6 @@
                 }
             } catch (final IOException e) {
                 // The process, or the descriptor, went away while it was looked at.
-                continue;
             }
         }
         return null;
--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -40,6 +40,7 @@
         private Path folder = Path.of("target", "fleet");
 
         @Option(name = "--help", help = true, usage = "this page")
+        @SuppressWarnings("UnusedVariable") // args4j looks for the option, not at the field.
         private boolean help;
     }
 
@@ -67,6 +68,7 @@
         private String story;
 
         @Option(name = "--help", help = true, usage = "this page")
+        @SuppressWarnings("UnusedVariable") // args4j looks for the option, not at the field.
         private boolean help;
     }
 
--- a/proof/src/main/java/spokestall/proof/Plant.java
+++ b/proof/src/main/java/spokestall/proof/Plant.java
@@ -37,6 +37,7 @@
     /** Words on upstreams are a little too old: over three seconds, not over five. */
     SLOW_LEAVING(Map.of("leaveBoundMs", "24000"));
 
+    @SuppressWarnings("ImmutableEnumChecker") // All are made by Map.of.
     private final Map<String, String> settings;
 
     Plant(final Map<String, String> settings) {
--- a/proof/src/main/java/spokestall/proof/Relay.java
+++ b/proof/src/main/java/spokestall/proof/Relay.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /** A relay in front of one node's wire address: each way of each wire is as its link is now. */
@@ -41,7 +42,6 @@
                 thread(() -> carry(in)).start();
             } catch (final IOException e) {
                 // The relay was closed.
-                continue;
             }
         }
     }
@@ -76,7 +76,8 @@
                     final byte[] piece = java.util.Arrays.copyOf(buffer, n);
                     final long nowMs = System.nanoTime() / 1_000_000;
                     notBeforeMs = Math.max(notBeforeMs, nowMs + links.lateMs());
-                    late.schedule(() -> write(piece, into), notBeforeMs - nowMs, TimeUnit.MILLISECONDS);
+                    final ScheduledFuture<?> unused =
+                            late.schedule(() -> write(piece, into), notBeforeMs - nowMs, TimeUnit.MILLISECONDS);
                 }
                 n = in.read(buffer);
             }
--- a/proof/src/main/java/spokestall/proof/ScaleFigures.java
+++ b/proof/src/main/java/spokestall/proof/ScaleFigures.java
@@ -83,9 +83,9 @@
 
     private void spread(final String phase, final String role, final String what, final Histogram h) {
         if (h.getTotalCount() > 0) {
-            add(phase, role, what + "P50", h.getValueAtPercentile(50));
-            add(phase, role, what + "P99", h.getValueAtPercentile(99));
-            add(phase, role, what + "Max", h.getMaxValue());
+            add(phase, role, what + "P50", (double) h.getValueAtPercentile(50));
+            add(phase, role, what + "P99", (double) h.getValueAtPercentile(99));
+            add(phase, role, what + "Max", (double) h.getMaxValue());
         }
     }
 
@@ -164,9 +164,9 @@
         final String end = "END";
         final double runS = Math.max(1, run.steps.nowMs()) / 1000.0;
         add(end, "fleet", "heapBytesPerNode", (double) heapBytes / run.nodes.size());
-        add(end, "fleet", "policyBytes", run.policyBytes);
-        add(end, "fleet", "reports", run.judge.reports());
-        add(end, "fleet", "readyMs", run.readyMs());
+        add(end, "fleet", "policyBytes", (double) run.policyBytes);
+        add(end, "fleet", "reports", (double) run.judge.reports());
+        add(end, "fleet", "readyMs", (double) run.readyMs());
         for (final boolean core : new boolean[] {true, false}) {
             final String role = core ? "core" : "edge";
             final List<ScaleNode> of =
--- a/proof/src/main/java/spokestall/proof/ScaleNode.java
+++ b/proof/src/main/java/spokestall/proof/ScaleNode.java
@@ -71,7 +71,7 @@
         this.name = run.shape.district(i) + (core ? "-core-" : "-edge-") + i;
         this.address = ScaleShape.address(i);
         this.chance = run.random(name);
-        this.monotonicMs = 1000 + chance.nextInt(1_000_000);
+        this.monotonicMs = 1000L + chance.nextInt(1_000_000);
         this.disk = core ? new ScaleDisk(run.segmentBytes) : null;
         final Map<String, String> flags = new TreeMap<>(shared);
         flags.put("name", name);
--- a/proof/src/main/java/spokestall/proof/ScaleRun.java
+++ b/proof/src/main/java/spokestall/proof/ScaleRun.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -316,7 +317,7 @@
         for (final ScaleNode n : nodes) {
             crc.update((n.name + " " + n.digest.getValue() + " "
                             + (n.up() ? n.node().book().policy().version() : -1))
-                    .getBytes());
+                    .getBytes(StandardCharsets.UTF_8));
         }
         return crc.getValue();
     }
--- a/proof/src/main/java/spokestall/proof/Scenario.java
+++ b/proof/src/main/java/spokestall/proof/Scenario.java
@@ -19,7 +19,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 6; i++) {
-                run.later(i * 3000, () -> run.world.outside.stop(run.any(run.world.outside.running())));
+                run.later(i * 3000L, () -> run.world.outside.stop(run.any(run.world.outside.running())));
             }
         }
     },
@@ -29,7 +29,7 @@
             final List<SimOutside.Up> all = run.world.outside.running();
             for (int i = 0; i < 12; i++) {
                 final SimOutside.Up old = all.get(i * 3);
-                run.later(i * 2000, () -> run.drain(old, true));
+                run.later(i * 2000L, () -> run.drain(old, true));
             }
         }
     },
@@ -37,7 +37,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 6; i++) {
-                run.later(i * 3000, () -> run.pass(run.any(run.world.outside.running())));
+                run.later(i * 3000L, () -> run.pass(run.any(run.world.outside.running())));
             }
         }
     },
@@ -60,7 +60,7 @@
         void play(final SimRun run) {
             final UpstreamStand.Manner[] all = UpstreamStand.Manner.values();
             for (int i = 0; i < 8; i++) {
-                run.later(i * 2500, () -> {
+                run.later(i * 2500L, () -> {
                     final SimOutside.Up up = run.any(run.world.outside.running());
                     up.manner = all[1 + run.random.nextInt(all.length - 1)];
                     run.later(5000, () -> up.manner = UpstreamStand.Manner.WELL);
@@ -86,7 +86,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 6; i++) {
-                run.later(i * 4000, () -> run.bounce(run.any(run.nodes()), 3000, false));
+                run.later(i * 4000L, () -> run.bounce(run.any(run.nodes()), 3000, false));
             }
         }
     },
@@ -107,7 +107,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 3; i++) {
-                run.later(i * 10_000, () -> {
+                run.later(i * 10_000L, () -> {
                     final String district = Deployment.district(run.random.nextInt(6));
                     run.world.inDistrict(district).forEach(n -> run.bounce(n, 6000, true));
                 });
@@ -127,7 +127,7 @@
         void play(final SimRun run) {
             int i = 0;
             for (final SimNode node : run.nodes()) {
-                run.later(i++ * 2500, () -> run.bounce(node, 1000, false));
+                run.later(i++ * 2500L, () -> run.bounce(node, 1000, false));
             }
         }
     },
@@ -137,7 +137,7 @@
             // Nodes that send the older form are restarted one by one to send the newer one.
             int i = 0;
             for (final SimNode node : run.nodes()) {
-                run.later(i++ * 2400, () -> {
+                run.later(i++ * 2400L, () -> {
                     node.set("noteVersion", Integer.toString(Codec.VERSION));
                     run.bounce(node, 1000, false);
                 });
@@ -156,7 +156,7 @@
             final List<SimOutside.Up> all = run.world.outside.running();
             for (int i = 0; i < 8; i++) {
                 final SimOutside.Up old = all.get(i * 4);
-                run.later(i * 3000, () -> run.drain(old, true));
+                run.later(i * 3000L, () -> run.drain(old, true));
             }
             run.operator.bind();
             run.operator.withdraw(3, 8000);
@@ -194,7 +194,7 @@
             int i = 0;
             for (final String name : List.of("d2-core", "d4-core", "d6-core")) {
                 final SimNode core = run.world.nodes.get(name);
-                run.later(i++ * 9000, () -> {
+                run.later(i++ * 9000L, () -> {
                     run.disturb(List.of(core), 9000);
                     run.world.move(core, "10.0.5." + name.charAt(1) + ":7100");
                     run.later(1000, core::start);
@@ -247,9 +247,9 @@
             run.disturb(run.nodes(), run.playMs());
             int i = 1;
             for (final SimNode edge : run.world.edges()) {
-                run.later(i++ * 2500, () -> run.bounce(edge, 1000, false));
+                run.later(i++ * 2500L, () -> run.bounce(edge, 1000, false));
             }
-            run.later(i * 2500, () -> run.bounce(run.world.nodes.get("d6-core"), 1000, true));
+            run.later(i * 2500L, () -> run.bounce(run.world.nodes.get("d6-core"), 1000, true));
         }
     },
     RESTART_ALL {
@@ -273,7 +273,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 3; i++) {
-                run.later(i * 9000, () -> run.loseDisk(run.any(run.world.cores()), 2000));
+                run.later(i * 9000L, () -> run.loseDisk(run.any(run.world.cores()), 2000));
             }
         }
     },
@@ -291,7 +291,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 8; i++) {
-                run.later(i * 3500, () -> {
+                run.later(i * 3500L, () -> {
                     final SimNode holder = run.world.holder();
                     final SimNode node = holder != null && run.random.nextBoolean() ? holder : run.any(run.nodes());
                     run.freeze(node, 500 + run.random.nextInt(9000));
@@ -332,7 +332,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 6; i++) {
-                run.later(i * 4000, () -> {
+                run.later(i * 4000L, () -> {
                     final SimNode core = run.any(run.world.cores());
                     core.disk.slow(100);
                     core.disk.stall(1000 + run.random.nextInt(5000));
@@ -346,7 +346,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 2; i++) {
-                run.later(i * 6000, () -> run.any(run.world.cores()).disk.fail(true));
+                run.later(i * 6000L, () -> run.any(run.world.cores()).disk.fail(true));
             }
         }
     },
@@ -354,7 +354,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 6; i++) {
-                run.later(i * 4000, () -> {
+                run.later(i * 4000L, () -> {
                     final SimNode node = run.any(run.nodes());
                     node.jump((run.random.nextBoolean() ? 1 : -1) * 3_600_000L * (1 + run.random.nextInt(5)));
                     if (run.random.nextBoolean()) {
@@ -368,7 +368,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 4; i++) {
-                run.later(i * 7000, () -> run.cut(5000));
+                run.later(i * 7000L, () -> run.cut(5000));
             }
             final List<SimNode> lone = List.of(run.any(run.world.edges()));
             run.disturb(lone, 18_000);
@@ -406,7 +406,7 @@
         @Override
         void play(final SimRun run) {
             for (int i = 0; i < 10; i++) {
-                run.later(i * 2000, () -> {
+                run.later(i * 2000L, () -> {
                     run.operator.race();
                     run.operator.wrong();
                 });
--- a/proof/src/main/java/spokestall/proof/SimNode.java
+++ b/proof/src/main/java/spokestall/proof/SimNode.java
@@ -39,7 +39,7 @@
         this.region = Deployment.region(i);
         this.address = "10.0." + (core ? 1 : 2) + "." + (i + 1) + ":7100";
         this.http = "10.0." + (core ? 1 : 2) + "." + (i + 1) + ":7200";
-        this.monotonicMs = 1000 + world.sim.random(name + "/mono").nextInt(1_000_000);
+        this.monotonicMs = 1000L + world.sim.random(name + "/mono").nextInt(1_000_000);
         this.disk = core ? new SimDisk(world.sim, world.sim.random(name + "/disk"), 8, world.segmentBytes) : null;
         this.flags = new HashMap<>();
         flags.put("name", name);
--- a/proof/src/main/java/spokestall/proof/SimOutside.java
+++ b/proof/src/main/java/spokestall/proof/SimOutside.java
@@ -176,7 +176,7 @@
                 final long waitMs,
                 final LongSupplier until,
                 final Consumer<Boolean> done) {
-            final long way = 5 + random.nextInt(20);
+            final long way = 5L + random.nextInt(20);
             // Connecting takes a round trip; the check is made when the bytes are about to leave.
             leave(2 * way, until, () -> done.accept(false), () -> {
                 final TreeMap<String, Long> counts = new TreeMap<>(sealed.counts());
--- a/proof/src/test/java/spokestall/proof/CallersTest.java
+++ b/proof/src/test/java/spokestall/proof/CallersTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -196,7 +197,8 @@
         assertThat(came.header("Spokestall-Tenant")).isEqualTo("one");
         assertThat(came.header("Spokestall-Instance")).isEqualTo("transfers-0");
         assertThat(came.header("Spokestall-Service")).isEqualTo("transfers");
-        assertThat(came.head().toLowerCase().split("spokestall-instance", -1)).hasSize(2);
+        assertThat(came.head().toLowerCase(Locale.ROOT).split("spokestall-instance", -1))
+                .hasSize(2);
         assertThat(got.status()).isEqualTo(200);
         assertThat(got.code()).isEqualTo("1000");
         assertThat(got.all("Spokestall-Code")).hasSize(1);
--- a/spokestall/src/main/java/spokestall/AuditCheck.java
+++ b/spokestall/src/main/java/spokestall/AuditCheck.java
@@ -34,6 +34,7 @@
         private Path key;
 
         @Option(name = "--help", help = true, usage = "this page")
+        @SuppressWarnings("UnusedVariable") // args4j looks for the option, not at the field.
         private boolean help;
     }
 
--- a/spokestall/src/main/java/spokestall/Demand.java
+++ b/spokestall/src/main/java/spokestall/Demand.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.kohsuke.args4j.CmdLineException;
@@ -153,7 +154,7 @@
             final Kind kind = kinds.get(random.nextInt(kinds.size()));
             final String who = "client-" + random.nextInt(flags.clients);
             final String askId = run + "-" + i;
-            timer.schedule(
+            final ScheduledFuture<?> unused = timer.schedule(
                     () -> ask(timer, kind, who, askId, 0, nowMs()),
                     (long) (i * 1000 / flags.rate),
                     TimeUnit.MILLISECONDS);
@@ -314,7 +315,8 @@
             return;
         }
         again.incrementAndGet();
-        timer.schedule(() -> ask(timer, kind, who, askId, turn + 1, begunMs), waitMs, TimeUnit.MILLISECONDS);
+        final ScheduledFuture<?> unused =
+                timer.schedule(() -> ask(timer, kind, who, askId, turn + 1, begunMs), waitMs, TimeUnit.MILLISECONDS);
     }
 
     private void end(final String how, final long begunMs, final String edge) {
--- a/spokestall/src/main/java/spokestall/listing/Prober.java
+++ b/spokestall/src/main/java/spokestall/listing/Prober.java
@@ -165,7 +165,7 @@
 
     private static long rank(final Member core, final Listed l) {
         final int near = core.region().equals(l.region()) ? 0 : 1;
-        return ((long) near << 32) + (Integer.toUnsignedLong((core.name() + l.instance()).hashCode() * 0x9e3779b1));
+        return ((long) near << 32) + Integer.toUnsignedLong((core.name() + l.instance()).hashCode() * 0x9e3779b1);
     }
 
     private void probe(final Listed l) {
--- a/spokestall/src/main/java/spokestall/rim/SystemClock.java
+++ b/spokestall/src/main/java/spokestall/rim/SystemClock.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import spokestall.time.Clock;
 
@@ -31,7 +32,7 @@
         if (waitMs <= 0) {
             stage.execute(event);
         } else {
-            timer.schedule(() -> stage.execute(event), waitMs, TimeUnit.MILLISECONDS);
+            final ScheduledFuture<?> unused = timer.schedule(() -> stage.execute(event), waitMs, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/spokestall/src/main/java/spokestall/rim/Wires.java
+++ b/spokestall/src/main/java/spokestall/rim/Wires.java
@@ -292,10 +292,8 @@
         }
 
         private void write(final ConduitStreamSinkChannel sink) {
-            final StreamConnection to;
             try {
                 synchronized (this) {
-                    to = wire;
                     while (!queue.isEmpty()) {
                         final ByteBuffer first = queue.peek();
                         sink.write(first);
--- a/spokestall/src/main/java/spokestall/ring/FileSegments.java
+++ b/spokestall/src/main/java/spokestall/ring/FileSegments.java
@@ -69,8 +69,9 @@
     public byte[] read(final int segment) {
         try {
             final ByteBuffer all = ByteBuffer.allocate(sizeBytes);
-            while (all.hasRemaining() && files.get(segment).read(all, all.position()) > 0) {
-                continue;
+            int count = 1;
+            while (all.hasRemaining() && count > 0) {
+                count = files.get(segment).read(all, all.position());
             }
             return all.array();
         } catch (final IOException e) {
--- a/spokestall/src/test/java/spokestall/ballot/ProposerTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/ProposerTest.java
@@ -2,13 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class ProposerTest {
     private static long number(final byte[] value) {
-        return value == null ? 0 : Long.parseLong(new String(value).split(" ")[0]);
+        return value == null ? 0 : Long.parseLong(new String(value, StandardCharsets.UTF_8).split(" ")[0]);
     }
 
     /** Every finished change is seen by all that begin after it, and none is done twice or lost. */
@@ -34,14 +35,18 @@
                                 now -> {
                                     // Its own value seen again, under whatever others put on top of it, is not put on
                                     // again.
-                                    final boolean own = now != null && new String(now).endsWith(" " + mark);
-                                    return new Edit.Set(own ? now : (number(now) + 1 + " " + mark).getBytes());
+                                    final boolean own =
+                                            now != null && new String(now, StandardCharsets.UTF_8).endsWith(" " + mark);
+                                    return new Edit.Set(
+                                            own
+                                                    ? now
+                                                    : (number(now) + 1 + " " + mark).getBytes(StandardCharsets.UTF_8));
                                 },
                                 outcome -> {
                                     if (outcome instanceof Outcome.Done d && d.wrote()) {
                                         counts[0]++;
                                         assertThat(number(d.value())).isGreaterThan(floor);
-                                        done.add(new String(d.value()));
+                                        done.add(new String(d.value(), StandardCharsets.UTF_8));
                                         newest[0] = Math.max(newest[0], number(d.value()));
                                     } else {
                                         counts[1]++;
--- a/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
@@ -2,13 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class SeatsTest {
     private static long number(final byte[] value) {
-        return value == null ? 0 : Long.parseLong(new String(value));
+        return value == null ? 0 : Long.parseLong(new String(value, StandardCharsets.UTF_8));
     }
 
     private static SeatsBench fleet(final long seed, final int cores, final int edges, final double told) {
@@ -148,7 +149,7 @@
                     by.proposer.change(
                             "count",
                             2500,
-                            now -> new Edit.Set(Long.toString(number(now) + 1).getBytes()),
+                            now -> new Edit.Set(Long.toString(number(now) + 1).getBytes(StandardCharsets.UTF_8)),
                             o -> {
                                 if (o instanceof Outcome.Done d && d.wrote()) {
                                     assertThat(number(d.value())).isGreaterThan(floor);
--- a/spokestall/src/test/java/spokestall/rim/WiresTest.java
+++ b/spokestall/src/test/java/spokestall/rim/WiresTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.xnio.OptionMap;
@@ -30,7 +31,8 @@
             server.setSoTimeout(20_000);
             final Wires wires = new Wires(worker, note -> {}, 300, Codec.VERSION, new Peers("127.0.0.0/8"));
             final String to = "127.0.0.1:" + server.getLocalPort();
-            beat.scheduleAtFixedRate(() -> wires.send(to, new Hello(1, "x")), 0, 20, TimeUnit.MILLISECONDS);
+            final ScheduledFuture<?> unused =
+                    beat.scheduleAtFixedRate(() -> wires.send(to, new Hello(1, "x")), 0, 20, TimeUnit.MILLISECONDS);
             final Socket deaf = server.accept();
             final Socket again = server.accept();
             assertThat(deaf.isClosed()).isFalse();
@@ -45,6 +47,7 @@
     }
 
     @Test
+    @SuppressWarnings("AddressSelection") // IPv6 loopback itself is meant, and nothing is looked up.
     void aWireFromElsewhereIsNotTaken() throws Exception {
         assertThat(new Peers("10.1.0.0/16,10.2.3.4"))
                 .accepts(InetAddress.getByName("10.1.255.9"), InetAddress.getByName("10.2.3.4"))
--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -82,7 +83,7 @@
                         : String.format("%03d/%05d", seed, step)
                                 + "x".repeat(random.nextBoolean() ? 20 : random.nextInt(200));
                 maybe.computeIfAbsent(key, k -> new ArrayList<>()).add(value);
-                ring.put(key, value == null ? null : value.getBytes(), ok -> {
+                ring.put(key, value == null ? null : value.getBytes(StandardCharsets.UTF_8), ok -> {
                     assertThat(ok).isTrue();
                     synced.put(key, value);
                     maybe.get(key).remove(0);
@@ -100,7 +101,7 @@
                     for (int k = 0; k < 12; k++) {
                         final String name = "key-" + k;
                         final byte[] found = ring.table().get(name);
-                        final String text = found == null ? null : new String(found);
+                        final String text = found == null ? null : new String(found, StandardCharsets.UTF_8);
                         final List<String> allowed = new ArrayList<>(maybe.getOrDefault(name, List.of()));
                         allowed.add(synced.get(name));
                         assertThat(allowed).as("%s of seed %s", name, seed).contains(text);
@@ -121,7 +122,7 @@
             final Disk disk = new Disk(6, 4096);
             final Ring ring = new Ring(disk);
             for (int i = 0; i < 60; i++) {
-                ring.put("key-" + i % 7, ("value " + i).getBytes(), ok -> {});
+                ring.put("key-" + i % 7, ("value " + i).getBytes(StandardCharsets.UTF_8), ok -> {});
                 disk.sync();
             }
             final int last = 59;
@@ -133,7 +134,8 @@
                 blank++;
                 assertThat(again.table()).isEmpty();
             } else {
-                assertThat(new String(again.table().get("key-" + last % 7))).isEqualTo("value 59");
+                assertThat(new String(again.table().get("key-" + last % 7), StandardCharsets.UTF_8))
+                        .isEqualTo("value 59");
             }
         }
         assertThat(blank).isEqualTo(200);
