SIGHUP and a changed settings file: read anew, checked, taken where a running node can

The file was read once, at the start. Excluded: the platform's reader (Boot) and the settings' check were right; the handler fits jdk.unsupported and the class archive as they are. Now: Hangup catches the signal first thing in both programs and only hands on; SettingsWatch reads the SettingsSource on a worker when signalled or when the file's time, length or identity differ (one look each 2 s); Renewal says which keys a running node takes (seeds, proof's age, retry and warm-up bounds, spans of asks, stop and where) and which wait for its next start; Node and Front go on with what was taken. A bad file is logged with each trouble and leaves what is in force. A founding under way keeps the seeds it began with. Before: SignalsTest.aHangup... fails when the handler is not installed (the process is gone). Not held: a SIGHUP within the first moments of a process, before main runs, still ends it.

--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/SignalsTest.java
@@ -0,0 +1,113 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import spokestall.policy.KeyHash;
+
+/** What signals do to a real process that serves on kept connections. */
+class SignalsTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String KEY = "key-one-0001";
+    private static final String TARGET = "/transfers/x";
+    private static Fleet fleet;
+
+    @BeforeAll
+    static void start(@TempDir final Path folder) throws Exception {
+        fleet = new Fleet(
+                Deployment.PADMA,
+                folder,
+                3,
+                0,
+                List.of(new Deployment.Place("transfers-0", "transfers", "d1", "r1")),
+                RawUpstream::new,
+                Map.of());
+        fleet.start();
+        fleet.ready(fleet.putPolicy("raw", policy()));
+    }
+
+    private static ObjectNode policy() {
+        final ObjectNode policy = JSON.createObjectNode();
+        final ObjectNode tenant =
+                policy.putObject("cells").putObject("cell").putObject("tenants").putObject("one");
+        tenant.putArray("homeRegions").add("r1");
+        tenant.putObject("keys").putObject("main").put("sha256", KeyHash.of(KEY));
+        tenant.putObject("bindings").putObject("all").put("path", "/transfers").put("service", "transfers");
+        policy.putObject("services").putObject("transfers").put("goMs", 2000);
+        return policy;
+    }
+
+    @AfterAll
+    static void stop() throws Exception {
+        fleet.stopAll();
+        fleet.close();
+    }
+
+    private static RawCaller.Got ask(final RawCaller caller) throws IOException {
+        caller.send(RawCaller.head("GET", TARGET, KEY, RawCaller.freshId()) + "\r\n");
+        return caller.got();
+    }
+
+    private static void signal(final Fleet.Member member, final String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(member.process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    private static void change(final Fleet.Member member, final String key, final String value) throws IOException {
+        final ObjectNode settings = (ObjectNode) JSON.readTree(member.settings.toFile());
+        Files.writeString(member.settings, settings.put(key, value).toString());
+    }
+
+    private static boolean logged(final Fleet.Member member, final String words) {
+        try {
+            return Files.readString(fleet.folder().resolve(member.name + ".log"))
+                    .contains(words);
+        } catch (final IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void untilLogged(final Fleet.Member member, final String words) {
+        Fleet.until(member.name + " logged " + words, 10_000, () -> logged(member, words));
+    }
+
+    @Test
+    void aHangupHasTheSettingsReadAnewAndCutsNothing() throws Exception {
+        for (final String name : List.of("d1-edge", "d1-core")) {
+            final Fleet.Member member = fleet.members().get(name);
+            try (RawCaller caller = new RawCaller(fleet.members().get("d1-edge").http)) {
+                assertThat(ask(caller).status()).isEqualTo(200);
+                change(member, "whereS", "3");
+                signal(member, "HUP");
+                untilLogged(member, "event=settings_renewed node=" + name + " taken=[whereS] waiting=[]");
+                change(member, "whereS", "soon");
+                signal(member, "HUP");
+                untilLogged(member, "event=settings_refused");
+                assertThat(ask(caller).status()).isEqualTo(200);
+                assertThat(member.process.isAlive()).isTrue();
+                change(member, "whereS", "2.5");
+                signal(member, "HUP");
+            }
+        }
+    }
+
+    @Test
+    void aFileThatChangesWithoutASignalIsReadToo() throws Exception {
+        final Fleet.Member member = fleet.members().get("d2-edge");
+        change(member, "retryShare", "0.15");
+        untilLogged(member, "taken=[retryShare]");
+        assertThat(member.process.isAlive()).isTrue();
+    }
+}
--- a/spokestall/src/main/java/spokestall/Main.java
+++ b/spokestall/src/main/java/spokestall/Main.java
@@ -10,8 +10,12 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import spokestall.rim.Daemon;
+import spokestall.rim.Hangup;
 import spokestall.rim.LogLine;
+import spokestall.rim.Speech;
+import spokestall.settings.FileSettings;
 import spokestall.settings.Settings;
+import spokestall.settings.SettingsSource;
 
 /** The one program; the role is the subcommand. */
 public final class Main {
@@ -34,6 +38,7 @@
 
     /** Example: {@code java -jar spokestall.jar core --settings d1-core.json} */
     public static void main(final String[] args) throws Exception {
+        Hangup.install();
         LogLine.install();
         final String role = args.length == 0 ? "--help" : args[0];
         final String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
@@ -86,11 +91,13 @@
             final int at = set.indexOf('=');
             sets.put(at < 0 ? set : set.substring(0, at), at < 0 ? "" : set.substring(at + 1));
         }
-        final Settings.Read read = Settings.read(flags.file, sets, core);
+        final SettingsSource source = new FileSettings(flags.file, sets, core);
+        final Settings.Read read = source.read();
         if (read instanceof Settings.Read.Bad bad) {
             bad.troubles().forEach(t -> System.err.println(t.key() + ": " + t.reason()));
             return 2;
         }
-        return flags.check ? 0 : new Daemon(((Settings.Read.Good) read).settings(), core).run();
+        final Settings settings = ((Settings.Read.Good) read).settings();
+        return flags.check ? 0 : new Daemon(settings, source, core, Speech.own()).run();
     }
 }
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -58,6 +58,7 @@
 import spokestall.ring.Segments;
 import spokestall.rpc.Calls;
 import spokestall.rpc.Reply;
+import spokestall.settings.Renewal;
 import spokestall.settings.Settings;
 import spokestall.time.Clock;
 import spokestall.time.FleetClock;
@@ -104,7 +105,7 @@
         Notes.number();
     }
 
-    final Settings settings;
+    Settings settings;
     final String name;
     private final String address;
     final boolean core;
@@ -226,12 +227,7 @@
                 proposer,
                 post,
                 clock,
-                new Follower.Pace(
-                        settings.ms("freshMs"),
-                        32,
-                        3 * settings.ms("proofMs"),
-                        core ? 8 : 64,
-                        settings.ms("noteVersion") < 3),
+                followerPace(),
                 this::coreAddresses,
                 this::adopt,
                 this::policyMoved,
@@ -247,14 +243,7 @@
                         clock,
                         fleet,
                         random,
-                        new Elector.Pace(
-                                this::sharers,
-                                settings.number("warmRatio"),
-                                settings.number("warmSlack"),
-                                settings.part("leaveBoundMs", 0.25),
-                                settings.part("leaveBoundMs", 2),
-                                settings.number("districtCost"),
-                                settings.number("regionCost")));
+                        electorPace());
         this.counter = !serves
                 ? null
                 : new UsageCounter(
@@ -420,25 +409,61 @@
                         random,
                         this::sharers,
                         this::homeCores),
-                new Edge.Pace(
-                        (int) settings.ms("askOpenMax"),
-                        settings.ms("heldMaxBytes"),
-                        settings.ms("claimKeepMs"),
-                        20 * settings.ms("farMs"),
-                        4 * settings.ms("farMs"),
-                        settings.ms("retryAfterMs"),
-                        3,
-                        settings.number("retryShare") * 0.9,
-                        settings.number("retryAllowance"),
-                        settings.ms("askSpanMaxMs"),
-                        settings.part("claimKeepMs", 0.01),
-                        new Habits(
-                                settings.ms("keyed") == 1,
-                                settings.ms("claims") == 1,
-                                settings.ms("homeEdges") == 1,
-                                settings.ms("holdsEdges") == 1,
-                                settings.ms("unsentFree") == 1,
-                                settings.ms("any500") == 1)));
+                edgePace());
+    }
+
+    private Follower.Pace followerPace() {
+        return new Follower.Pace(
+                settings.ms("freshMs"), 32, 3 * settings.ms("proofMs"), core ? 8 : 64, settings.ms("noteVersion") < 3);
+    }
+
+    private Elector.Pace electorPace() {
+        return new Elector.Pace(
+                this::sharers,
+                settings.number("warmRatio"),
+                settings.number("warmSlack"),
+                settings.part("leaveBoundMs", 0.25),
+                settings.part("leaveBoundMs", 2),
+                settings.number("districtCost"),
+                settings.number("regionCost"));
+    }
+
+    private Edge.Pace edgePace() {
+        return new Edge.Pace(
+                (int) settings.ms("askOpenMax"),
+                settings.ms("heldMaxBytes"),
+                settings.ms("claimKeepMs"),
+                20 * settings.ms("farMs"),
+                4 * settings.ms("farMs"),
+                settings.ms("retryAfterMs"),
+                3,
+                settings.number("retryShare") * 0.9,
+                settings.number("retryAllowance"),
+                settings.ms("askSpanMaxMs"),
+                settings.part("claimKeepMs", 0.01),
+                new Habits(
+                        settings.ms("keyed") == 1,
+                        settings.ms("claims") == 1,
+                        settings.ms("homeEdges") == 1,
+                        settings.ms("holdsEdges") == 1,
+                        settings.ms("unsentFree") == 1,
+                        settings.ms("any500") == 1));
+    }
+
+    /** Takes what a running node can change of newer settings, and tells which settings it goes on with. A founding
+     * that is under way keeps the seeds it began with. Example: {@code front.renew(node.renew(newer));} */
+    public Settings renew(final Settings newer) {
+        final Renewal renewal = Renewal.of(settings, newer, core);
+        settings = renewal.settings();
+        view.seeds(settings.seeds());
+        follower.pace(followerPace());
+        if (serves) {
+            elector.pace(electorPace());
+            edge.pace(edgePace());
+        }
+        LOG.atInfo().log(
+                "event=settings_renewed node=%s taken=%s waiting=%s", name, renewal.taken(), renewal.waiting());
+        return settings;
     }
 
     private int told(final String count) {
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -42,7 +42,7 @@
     private static final Set<String> NOT_PROXIED = Set.of("CONNECT", "TRACE");
 
     private final Parts parts;
-    private final Pace pace;
+    private Pace pace;
     private final Places places;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Map<Long, Consumer<HandNote.Back>> handAsks = new HashMap<>();
@@ -58,6 +58,12 @@
         this.places = new Places(pace.asksOpenMax(), pace.heldMaxBytes());
     }
 
+    /** Keeps to other bounds from now on; places and bytes stay as they were handed out.
+     * Example: {@code edge.pace(newer);} */
+    public void pace(final Pace newer) {
+        pace = newer;
+    }
+
     Pace pace() {
         return pace;
     }
@@ -228,7 +234,7 @@
         return budgets.computeIfAbsent(
                 rule.name(),
                 s -> new RetryBudget(
-                        pace.retryShare(),
+                        () -> pace.retryShare(),
                         () -> pace.retryAllowance() / parts.sharers().getAsInt()));
     }
 
--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -49,7 +49,7 @@
     private final Clock clock;
     private final FleetClock fleet;
     private final Random random;
-    private final Pace pace;
+    private Pace pace;
     private final Map<String, Limit> limits = new HashMap<>();
     private final Map<String, Integer> reserved = new HashMap<>();
     private final Map<String, Integer> held = new HashMap<>();
@@ -77,6 +77,11 @@
         this.pace = pace;
     }
 
+    /** Keeps to other bounds from now on. Example: {@code elector.pace(newer);} */
+    public void pace(final Pace newer) {
+        pace = newer;
+    }
+
     /** The upstream for a go, or null when none may take it.
      * Example: {@code elector.elect(rule, u -> binding.home(tenant, u.region()), Set.of())} */
     public Upstream elect(final ServiceRule rule, final Predicate<Upstream> fits, final Set<String> tried) {
--- a/spokestall/src/main/java/spokestall/edge/RetryBudget.java
+++ b/spokestall/src/main/java/spokestall/edge/RetryBudget.java
@@ -7,19 +7,19 @@
  * and what is earned but unspent never exceeds a small allowance.
  */
 final class RetryBudget {
-    private final double share;
+    private final DoubleSupplier share;
     private final DoubleSupplier allowance;
     private double earned;
 
     /** The allowance is this edge's part of the fleet's, which shrinks as the fleet grows. */
-    RetryBudget(final double share, final DoubleSupplier allowance) {
+    RetryBudget(final DoubleSupplier share, final DoubleSupplier allowance) {
         this.share = share;
         this.allowance = allowance;
         this.earned = allowance.getAsDouble();
     }
 
     void asked() {
-        earned = Math.min(allowance.getAsDouble(), earned + share);
+        earned = Math.min(allowance.getAsDouble(), earned + share.getAsDouble());
     }
 
     boolean spend() {
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -69,7 +69,7 @@
     private final Proposer proposer;
     private final Post post;
     private final Clock clock;
-    private final Pace pace;
+    private Pace pace;
     private final Supplier<List<String>> strangers;
     private final Consumer<Voters> adopt;
     private final Runnable applied;
@@ -121,6 +121,11 @@
         this.distance = distance;
     }
 
+    /** Keeps to other bounds from now on. Example: {@code follower.pace(newer);} */
+    public void pace(final Pace newer) {
+        pace = newer;
+    }
+
     /** The age of the newest proof. Example: {@code if (follower.ageMs() > bound) deny();} */
     public long ageMs() {
         return clock.nowMs() - provedMs;
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -7,6 +7,7 @@
 import java.security.SecureRandom;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -21,6 +22,7 @@
 import spokestall.ring.FileSegments;
 import spokestall.ring.Segments;
 import spokestall.settings.Settings;
+import spokestall.settings.SettingsSource;
 import spokestall.time.Clock;
 
 /** A node as a process: the rim around it, from its start to a clean stop. */
@@ -40,7 +42,11 @@
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int STAGE_BOUND = 8192;
+    /** How often the settings file is looked at; a change that is signalled is read at once. */
+    private static final long LOOK_MS = 2000;
+
     private final Settings settings;
+    private final SettingsSource source;
     private final boolean core;
     private final Around around;
     private final Speech speech;
@@ -56,8 +62,24 @@
         this(settings, core, new Around() {}, speech);
     }
 
+    /** With settings that may change while it runs. Example: {@code new Daemon(settings, source, true, Speech.own()).run()} */
+    public Daemon(final Settings settings, final SettingsSource source, final boolean core, final Speech speech) {
+        this(settings, source, core, new Around() {}, speech);
+    }
+
     /** Example: {@code new Daemon(settings, true, new Daemon.Around() { }, Speech.own()).run()} */
     public Daemon(final Settings settings, final boolean core, final Around around, final Speech speech) {
+        this(settings, SettingsSource.constant(settings), core, around, speech);
+    }
+
+    /** All of it. Example: {@code new Daemon(settings, source, true, new Daemon.Around() { }, Speech.own()).run()} */
+    public Daemon(
+            final Settings settings,
+            final SettingsSource source,
+            final boolean core,
+            final Around around,
+            final Speech speech) {
+        this.source = source;
         this.speech = speech;
         this.around = around;
         this.settings = settings;
@@ -144,6 +166,7 @@
                     + settings.operators() + ": " + e.getMessage());
         }
         stage.execute(node::start);
+        watch(timer, workers, stage, server);
         final CountDownLatch stopped = new CountDownLatch(1);
         final CountDownLatch gone = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -160,6 +183,17 @@
         return 0;
     }
 
+    /** Settings are read and checked off the stage, and taken on it. */
+    private void watch(
+            final ScheduledExecutorService timer, final Executor workers, final Stage stage, final Front server) {
+        final SettingsWatch watch = new SettingsWatch(
+                source, new Stage(workers, STAGE_BOUND), newer -> stage.execute(() -> server.renew(node.renew(newer))));
+        Hangup.process().listen(watch::signalled);
+        if (source.file().isPresent()) {
+            timer.scheduleWithFixedDelay(watch::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** A core goes on without its audit, and says so, rather than not at all. */
     private Audit audit(final ExecutorService writer) {
         if (!core || settings.ms("auditFiles") == 0) {
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/Hangup.java
@@ -0,0 +1,50 @@
+package spokestall.rim;
+
+import com.google.common.flogger.FluentLogger;
+import sun.misc.Signal;
+
+/**
+ * The signal SIGHUP, which says that the settings have changed. Without a handler the Java runtime takes it for a request
+ * to end, so it is caught first thing in a process; one that comes before anyone listens is kept for the listener.
+ */
+public final class Hangup {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String NAME = "HUP";
+    private static final Hangup PROCESS = new Hangup();
+    private Runnable listener;
+    private boolean pending;
+
+    /** A signal of its own, for tests; a process has {@link #process}. */
+    Hangup() {}
+
+    /** The process's own. Example: {@code Hangup.process().listen(watch::signalled);} */
+    public static Hangup process() {
+        return PROCESS;
+    }
+
+    /** Catches the signal from now on, where the machine has it. Example: {@code Hangup.install();} */
+    public static void install() {
+        try {
+            Signal.handle(new Signal(NAME), signal -> PROCESS.raised());
+        } catch (final IllegalArgumentException e) {
+            LOG.atWarning().log("event=signal_unavailable signal=%s why=\"%s\"", NAME, e.getMessage());
+        }
+    }
+
+    /** Tells this one of each signal; it must only hand on. Example: {@code hangup.listen(watch::signalled);} */
+    public synchronized void listen(final Runnable newer) {
+        listener = newer;
+        if (pending) {
+            pending = false;
+            newer.run();
+        }
+    }
+
+    synchronized void raised() {
+        if (listener == null) {
+            pending = true;
+        } else {
+            listener.run();
+        }
+    }
+}
--- a/spokestall/src/main/java/spokestall/rim/HttpServer.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpServer.java
@@ -16,6 +16,7 @@
 import spokestall.policy.Book;
 import spokestall.rpc.Reply;
 import spokestall.rpc.Result;
+import spokestall.settings.Settings;
 
 /**
  * HTTP for callers and, at an address of their own, for operators. Callers have {@code POST /rpc/where} on every node and
@@ -65,6 +66,11 @@
         server.start();
     }
 
+    @Override
+    public void renew(final Settings newer) {
+        // Its bounds stand as long as the process does.
+    }
+
     @Override
     public void stop() {
         server.stop();
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/SettingsWatch.java
@@ -0,0 +1,75 @@
+package spokestall.rim;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.nio.file.attribute.FileTime;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import spokestall.settings.Settings;
+import spokestall.settings.SettingsSource;
+
+/**
+ * Notices that the settings have changed, by a signal or by the file's state, reads them anew and hands on what is good.
+ * Settings that can't be read or are wrong are logged and leave those in force.
+ */
+final class SettingsWatch {
+    /** What tells two states of a file apart without reading it. */
+    private record FileState(FileTime modified, long bytes, Object fileKey) {}
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private final SettingsSource source;
+    private final Executor reader;
+    private final Consumer<Settings> taker;
+    private Optional<FileState> seen;
+
+    /** The reader carries out one task after the other. Example: {@code new SettingsWatch(source, workers, this::renew)} */
+    SettingsWatch(final SettingsSource source, final Executor reader, final Consumer<Settings> taker) {
+        this.source = source;
+        this.reader = reader;
+        this.taker = taker;
+        this.seen = state();
+    }
+
+    /** Reads anew if the file is another than at the last look. Example: {@code watch.look();} */
+    void look() {
+        reader.execute(() -> {
+            if (!state().equals(seen)) {
+                read();
+            }
+        });
+    }
+
+    /** Reads anew, whether or not the file seems changed. Example: {@code hangup.listen(watch::signalled);} */
+    void signalled() {
+        reader.execute(this::read);
+    }
+
+    private void read() {
+        // The state is taken before the content: a change in between is read at the next look.
+        seen = state();
+        final Settings.Read read = source.read();
+        if (read instanceof Settings.Read.Bad bad) {
+            LOG.atWarning().log("event=settings_refused why=\"%s\"", bad.troubles());
+        } else if (read instanceof Settings.Read.Good good) {
+            taker.accept(good.settings());
+        }
+    }
+
+    /** A file that is gone or can't be looked at has no state; it is read again once it has one. */
+    private Optional<FileState> state() {
+        final Optional<Path> file = source.file();
+        if (file.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            final BasicFileAttributes now = Files.readAttributes(file.get(), BasicFileAttributes.class);
+            return Optional.of(new FileState(now.lastModifiedTime(), now.size(), now.fileKey()));
+        } catch (final IOException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -400,6 +400,11 @@
         }
     }
 
+    /** Every key with its value as given, or its fallback. */
+    Map<String, String> values() {
+        return values;
+    }
+
     /** A text. Example: {@code settings.text("name")} */
     public String text(final String key) {
         return values.get(key);
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/settings/SettingsSource.java
@@ -0,0 +1,29 @@
+package spokestall.settings;
+
+import java.nio.file.Path;
+import java.util.Optional;
+
+/** Where a node's settings come from, so that they can be read anew while it runs. */
+public interface SettingsSource {
+    /** Reads and checks all settings as they stand now. Example: {@code source.read() instanceof Settings.Read.Good} */
+    Settings.Read read();
+
+    /** The file whose change means that there are newer settings; empty where there is none.
+     * Example: {@code source.file().map(Path::toFile)} */
+    Optional<Path> file();
+
+    /** Settings that never change. Example: {@code SettingsSource.constant(settings)} */
+    static SettingsSource constant(final Settings settings) {
+        return new SettingsSource() {
+            @Override
+            public Settings.Read read() {
+                return new Settings.Read.Good(settings);
+            }
+
+            @Override
+            public Optional<Path> file() {
+                return Optional.empty();
+            }
+        };
+    }
+}
--- a/spokestall/src/main/java/spokestall/view/View.java
+++ b/spokestall/src/main/java/spokestall/view/View.java
@@ -25,7 +25,7 @@
     public record Pace(int size, int sample, long goneMs, long eagerMs) {}
 
     private final Member self;
-    private final List<String> seeds;
+    private List<String> seeds;
     private final Post post;
     private final Clock clock;
     private final FleetClock fleet;
@@ -63,6 +63,11 @@
         return self.at(fleet.nowMs(), leaving);
     }
 
+    /** Asks these seeds from now on. Example: {@code view.seeds(settings.seeds());} */
+    public void seeds(final List<String> newer) {
+        seeds = List.copyOf(newer);
+    }
+
     /** Tells the neighbours from now on that this node is going. Example: {@code view.leave();} */
     public void leave() {
         leaving = true;
--- a/spokestall/src/test/java/spokestall/edge/GoesTest.java
+++ b/spokestall/src/test/java/spokestall/edge/GoesTest.java
@@ -6,7 +6,7 @@
 
 class GoesTest {
     private static RetryBudget budget(final int retries) {
-        return new RetryBudget(0, () -> retries);
+        return new RetryBudget(() -> 0, () -> retries);
     }
 
     private static int goes(final boolean unsentFree, final int most, final RetryBudget budget, final boolean arrives) {
--- a/spokestall/src/test/java/spokestall/edge/RetryBudgetTest.java
+++ b/spokestall/src/test/java/spokestall/edge/RetryBudgetTest.java
@@ -12,7 +12,7 @@
         for (int round = 0; round < 200; round++) {
             final int[] sharers = {1 + random.nextInt(4)};
             final double first = 40.0 / sharers[0];
-            final RetryBudget budget = new RetryBudget(0.2, () -> 40.0 / sharers[0]);
+            final RetryBudget budget = new RetryBudget(() -> 0.2, () -> 40.0 / sharers[0]);
             final int[] asks = new int[501];
             final int[] retries = new int[501];
             for (int n = 1; n <= 500; n++) {
