A stop answers what comes on kept connections; clients' limits follow the policy in force

Cause of the lost request: a stop closed the listeners and denied after 0.3 of stopWaitMs, and the process ended 50 ms after the last request under way, whatever connections were at rest; a request that was on its way on one of them was read or arrived while the process went (Node.leave, drained). The shutdown hook waited 2 x stopWaitMs + 2 s, beyond graceS. Excluded: Undertow's own ending of a connection after "Connection: close" (half-close, then drain) is in order. Now: HttpPort owns the listeners of a Front and knows each ClientConnection: under way, at rest, or within a head. It times rests and heads by the monotonic clock: a head too long is answered 408, a rest that is over is ended by a half-close, with what arrives later left unread. Limits come with the policy (Policy.limits; `limits` in the own form, too) and count at once; a lowered rest counts when one begun under the older is over (RestLimit); a connection opened under a smaller head bound ends with its next answer. Departure is the order of a stop: each answer ends its connection; at 0.2 of stopWaitMs no more connections; at 0.75 denials (not run); at 0.9 connections at rest are half-closed; at the end what is under way is answered by what is known of it. Before: SignalsTest's two stop tests on the older classes: 503 instead of 200 on a kept connection; 504 by the request's own deadline beyond the stop's time.

--- a/proof/src/test/java/spokestall/proof/RawCaller.java
+++ b/proof/src/test/java/spokestall/proof/RawCaller.java
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Whether the other side has closed the wire, not reset it, waited for. */
+    boolean endedInOrder() throws IOException {
+        return in.read() < 0;
+    }
+
     private String line() throws IOException {
         final StringBuilder out = new StringBuilder();
         int one = in.read();
--- a/proof/src/test/java/spokestall/proof/SignalsTest.java
+++ b/proof/src/test/java/spokestall/proof/SignalsTest.java
@@ -10,6 +10,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -22,6 +24,7 @@
     private static final String KEY = "key-one-0001";
     private static final String TARGET = "/transfers/x";
     private static Fleet fleet;
+    private static RawUpstream upstream;
 
     @BeforeAll
     static void start(@TempDir final Path folder) throws Exception {
@@ -31,7 +34,7 @@
                 3,
                 0,
                 List.of(new Deployment.Place("transfers-0", "transfers", "d1", "r1")),
-                RawUpstream::new,
+                (place, port) -> upstream = new RawUpstream(place, port),
                 Map.of());
         fleet.start();
         fleet.ready(fleet.putPolicy("raw", policy()));
@@ -41,10 +44,10 @@
         final ObjectNode policy = JSON.createObjectNode();
         final ObjectNode tenant =
                 policy.putObject("cells").putObject("cell").putObject("tenants").putObject("one");
-        tenant.putArray("homeRegions").add("r1");
+        tenant.putArray("homeRegions").add("r1").add("r2").add("r3");
         tenant.putObject("keys").putObject("main").put("sha256", KeyHash.of(KEY));
         tenant.putObject("bindings").putObject("all").put("path", "/transfers").put("service", "transfers");
-        policy.putObject("services").putObject("transfers").put("goMs", 2000);
+        policy.putObject("services").putObject("transfers").put("goMs", 10_000);
         return policy;
     }
 
@@ -110,4 +113,67 @@
         untilLogged(member, "taken=[retryShare]");
         assertThat(member.process.isAlive()).isTrue();
     }
+
+    /** The member takes no more connections; what was open before goes on. */
+    private static void untilRefused(final Fleet.Member member) {
+        Fleet.until(member.name + " takes no more connections", 5000, () -> {
+            try (RawCaller late = new RawCaller(member.http)) {
+                return false;
+            } catch (final IOException refused) {
+                return true;
+            }
+        });
+    }
+
+    private static void startAgain(final Fleet.Member member) throws Exception {
+        assertThat(member.process.waitFor(10, TimeUnit.SECONDS)).as("it ended").isTrue();
+        fleet.start(member);
+        fleet.ready(1);
+    }
+
+    @Test
+    void aStopAnswersWhatComesOnKeptConnectionsAndEndsThemWithTheAnswer() throws Exception {
+        final Fleet.Member member = fleet.members().get("d2-edge");
+        try (RawCaller first = new RawCaller(member.http);
+                RawCaller second = new RawCaller(member.http);
+                RawCaller atRest = new RawCaller(member.http)) {
+            for (final RawCaller caller : List.of(first, second, atRest)) {
+                assertThat(ask(caller).status()).isEqualTo(200);
+            }
+            signal(member, "TERM");
+            untilRefused(member);
+            for (final RawCaller caller : List.of(first, second)) {
+                final RawCaller.Got got = ask(caller);
+                assertThat(got).as("an answer, not a cut").isNotNull();
+                assertThat(got.status()).isEqualTo(200);
+                assertThat(got.header("Connection")).isEqualTo("close");
+                assertThat(caller.ended()).isTrue();
+                assertThat(member.process.isAlive()).as("one is at rest").isTrue();
+            }
+            assertThat(atRest.endedInOrder()).as("closed, not reset").isTrue();
+        }
+        startAgain(member);
+    }
+
+    @Test
+    void aRequestThatIsUnderWayAtTheEndOfAStopIsAnswered() throws Exception {
+        final Fleet.Member member = fleet.members().get("d1-edge");
+        final CountDownLatch over = new CountDownLatch(1);
+        try (RawCaller caller = new RawCaller(member.http)) {
+            upstream.manner = (came, out) -> over.await();
+            upstream.came.clear();
+            caller.send(RawCaller.head("GET", TARGET, KEY, RawCaller.freshId()) + "\r\n");
+            assertThat(upstream.next(5000)).isNotNull();
+            signal(member, "TERM");
+            final RawCaller.Got got = caller.got();
+            assertThat(got).as("an answer, not a cut").isNotNull();
+            assertThat(got.status()).isEqualTo(503);
+            assertThat(got.header("Spokestall-Outcome")).isEqualTo("undecided");
+            assertThat(got.header("Connection")).isEqualTo("close");
+        } finally {
+            over.countDown();
+            upstream.reset();
+        }
+        startAgain(member);
+    }
 }
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/Departure.java
@@ -0,0 +1,78 @@
+package spokestall;
+
+import spokestall.time.Clock;
+
+/**
+ * A node's way out towards those outside: it serves on while connections are open, each answer ending its connection;
+ * then takes no more of them; then denies what still comes, which has not run; then ends the connections at rest; and at
+ * the end of its time answers what is still under way. It is over sooner when no connection is open.
+ */
+final class Departure {
+    /** How long after its begin each step comes, the last one ending it, and how often it is looked at. An answer that
+     * was given has so long to be written. */
+    record Pace(long acceptMs, long admitMs, long restMs, long mostMs, long lookMs, long writeMs) {}
+
+    /** What the node does of it. */
+    interface Requests {
+        /** Denies what comes from now on. */
+        void deny();
+
+        /** Answers all that is under way. */
+        void giveUp();
+
+        /** Whether anything is under way. */
+        boolean open();
+    }
+
+    private final Connections connections;
+    private final Requests requests;
+    private final Clock clock;
+    private final Pace pace;
+    private final Runnable done;
+    private final long begunMs;
+    private boolean closed;
+    private boolean denying;
+    private boolean ending;
+
+    Departure(
+            final Connections connections,
+            final Requests requests,
+            final Clock clock,
+            final Pace pace,
+            final Runnable done) {
+        this.connections = connections;
+        this.requests = requests;
+        this.clock = clock;
+        this.pace = pace;
+        this.done = done;
+        this.begunMs = clock.nowMs();
+    }
+
+    void begin() {
+        connections.endWithAnswers();
+        look();
+    }
+
+    private void look() {
+        final long spentMs = clock.nowMs() - begunMs;
+        closed = step(closed, spentMs >= pace.acceptMs(), connections::stopAccepting);
+        denying = step(denying, spentMs >= pace.admitMs(), requests::deny);
+        ending = step(ending, spentMs >= pace.restMs(), connections::endResting);
+        final boolean quiet = connections.open() == 0 && !requests.open();
+        if (closed && quiet) {
+            done.run();
+        } else if (spentMs >= pace.mostMs()) {
+            requests.giveUp();
+            clock.after(pace.writeMs(), done);
+        } else {
+            clock.after(pace.lookMs(), this::look);
+        }
+    }
+
+    private static boolean step(final boolean made, final boolean due, final Runnable step) {
+        if (!made && due) {
+            step.run();
+        }
+        return made || due;
+    }
+}
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -51,6 +51,7 @@
 import spokestall.policy.Acceptance;
 import spokestall.policy.Book;
 import spokestall.policy.OwnForm;
+import spokestall.policy.Policy;
 import spokestall.policy.PolicyForm;
 import spokestall.policy.Rules;
 import spokestall.policy.Snapshot;
@@ -152,6 +153,7 @@
     private long policyFloor;
     private long tokenSeen;
     private boolean stopped;
+    private Consumer<Policy> watcher = policy -> {};
 
     /** Example: {@code new Node(settings, true, rim).start();} */
     public Node(final Settings settings, final boolean core, final Rim rim) {
@@ -638,26 +640,47 @@
         calls.run(method, params, done);
     }
 
-    /** Leaves: where answers first, then what is in flight, then the duties; done is run when all is given up.
-     * Example: {@code node.leave(() -> System.exit(0));} */
-    public void leave(final Runnable done) {
-        leave(() -> {}, done);
-    }
-
-    /** The same; closing is run when no more wires are to be taken. Example: {@code node.leave(front::stop, exit);} */
-    public void leave(final Runnable closing, final Runnable done) {
+    /** Leaves: where answers first, then what is in flight and the connections, then the duties; done is run when all
+     * is given up. Example: {@code node.leave(front.connections(), () -> System.exit(0));} */
+    public void leave(final Connections connections, final Runnable done) {
         LOG.atInfo().log("event=leaving node=%s", name);
         view.leave();
         follower.tick();
-        if (edge != null) {
-            clock.after(settings.part("stopWaitMs", 0.3), () -> {
+        final Departure.Pace departing = new Departure.Pace(
+                settings.part("stopWaitMs", 0.2),
+                settings.part("stopWaitMs", 0.75),
+                settings.part("stopWaitMs", 0.9),
+                settings.ms("stopWaitMs"),
+                20,
+                50);
+        new Departure(connections, new Underway(), clock, departing, () -> {
+                    if (serves) {
+                        counter.stop();
+                    }
+                    giveUp(done);
+                })
+                .begin();
+    }
+
+    /** What is under way at this node's edge, if it has one. */
+    private final class Underway implements Departure.Requests {
+        @Override
+        public void deny() {
+            if (edge != null) {
                 edge.leave();
-                closing.run();
-                drained(clock.nowMs() + settings.ms("stopWaitMs"), () -> giveUp(done));
-            });
-        } else {
-            closing.run();
-            giveUp(done);
+            }
+        }
+
+        @Override
+        public void giveUp() {
+            if (edge != null) {
+                edge.giveUp();
+            }
+        }
+
+        @Override
+        public boolean open() {
+            return openAsks() > 0;
         }
     }
 
@@ -670,15 +693,6 @@
         }
     }
 
-    private void drained(final long untilMs, final Runnable done) {
-        if (edge.open() == 0 || clock.nowMs() >= untilMs) {
-            counter.stop();
-            clock.after(50, done);
-        } else {
-            clock.after(20, () -> drained(untilMs, done));
-        }
-    }
-
     private void stop(final Runnable done) {
         stopped = true;
         LOG.atInfo().log("event=stop node=%s", name);
@@ -798,7 +812,14 @@
         }
     }
 
+    /** Has someone told of the policy in force, now and each time it moves. Example: {@code node.watch(p -> ...);} */
+    public void watch(final Consumer<Policy> newer) {
+        watcher = newer;
+        watcher.accept(book.policy());
+    }
+
     private void policyMoved() {
+        watcher.accept(book.policy());
         if (serves) {
             givenBack();
         }
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -48,6 +49,7 @@
     private final Map<Long, Consumer<HandNote.Back>> handAsks = new HashMap<>();
     private final Map<Result, Long> told = new EnumMap<>(Result.class);
     private final Map<Result, Long> said = new EnumMap<>(Result.class);
+    private final Set<Run> underway = new HashSet<>();
     private boolean leaving;
     private long nextHandId = 1;
 
@@ -92,6 +94,11 @@
         leaving = true;
     }
 
+    /** Answers all that is under way; what may have run is said to be undecided. Example: {@code edge.giveUp();} */
+    public void giveUp() {
+        List.copyOf(underway).forEach(Run::giveUp);
+    }
+
     /** Admission, before the body is read; done hears the final answer of an ask that was let in.
      * Example: {@code edge.open(head, answer -> ...) instanceof Opened.Admit} */
     public Opened open(final AskHead head, final Consumer<Answer> done) {
@@ -163,6 +170,7 @@
                         head, target, hash, tenant, binding, rule, parts.clock().nowMs() + spanMs(head, binding)),
                 bytes,
                 done);
+        underway.add(run);
         if (head.bodyBytes() == 0) {
             run.keep();
         }
@@ -225,7 +233,8 @@
         return new Answer(result, ran, null, null, goes, waitMs);
     }
 
-    void ended(final String tenant, final Result result) {
+    void ended(final Run run, final String tenant, final Result result) {
+        underway.remove(run);
         places.leave(tenant);
         told.merge(result, 1L, Long::sum);
     }
--- a/spokestall/src/main/java/spokestall/edge/Run.java
+++ b/spokestall/src/main/java/spokestall/edge/Run.java
@@ -188,11 +188,18 @@
             parts.elector().over(ask.rule(), tenantName());
         }
         hold(out || answer.content() == null ? 0 : answer.content().body().length);
-        edge.ended(tenantName(), answer.result());
+        edge.ended(this, tenantName(), answer.result());
         body = null;
         done.accept(answer);
     }
 
+    /** Ends it with what is known of it, as this node is going. */
+    void giveUp() {
+        if (stage != Stage.ENDED) {
+            stopBefore(Result.HELD);
+        }
+    }
+
     /** Ends it in spokestall's own words: proven not to have run only if this call sent nothing that may have, or may yet. */
     private void give(final Result result) {
         final boolean before = Ticket.of(ask.head().askId()) != null;
--- a/spokestall/src/main/java/spokestall/policy/OwnForm.java
+++ b/spokestall/src/main/java/spokestall/policy/OwnForm.java
@@ -10,6 +10,9 @@
 
 /** spokestall's own form of a policy: cells with their tenants, bindings for all, services and holds. */
 public final class OwnForm implements PolicyForm {
+    private static final int HEAD_MAX_BYTES = 16 << 10;
+    private static final long HEAD_WAIT_MS = 10_000;
+    private static final long REST_MAX_MS = 60_000;
     private final Rules rules;
 
     /** Example: {@code new OwnForm(new Rules(schema, regions, districts))}; a book that checks nothing may have null. */
@@ -37,7 +40,14 @@
         tree.path("services").fields().forEachRemaining(e -> services.put(e.getKey(), rule(e.getKey(), e.getValue())));
         final Set<String> holds = new HashSet<>();
         tree.path("holds").fieldNames().forEachRemaining(holds::add);
-        return new Policy(version, tree, tenants, bindings, services, holds);
+        return new Policy(version, tree, tenants, bindings, services, holds, limits(tree.path("limits")));
+    }
+
+    private static ClientLimits limits(final JsonNode l) {
+        return new ClientLimits(
+                l.path("headMaxBytes").asInt(HEAD_MAX_BYTES),
+                l.path("headWaitMs").asLong(HEAD_WAIT_MS),
+                l.path("restMaxMs").asLong(REST_MAX_MS));
     }
 
     private static Tenant tenant(final String cell, final String name, final JsonNode source, final Policy before) {
--- a/spokestall/src/main/java/spokestall/policy/Policy.java
+++ b/spokestall/src/main/java/spokestall/policy/Policy.java
@@ -23,19 +23,22 @@
     private final Map<String, Bindings> byHost = new HashMap<>();
     private final Map<String, ServiceRule> services;
     private final Set<String> holds;
+    private final ClientLimits limits;
 
-    /** Example: {@code new Policy(17, tree, tenants, bindings, services, holds)} */
+    /** Example: {@code new Policy(17, tree, tenants, bindings, services, holds, limits)} */
     public Policy(
             final long version,
             final JsonNode tree,
             final Collection<Tenant> tenants,
             final Collection<Binding> bindings,
             final Map<String, ServiceRule> services,
-            final Set<String> holds) {
+            final Set<String> holds,
+            final ClientLimits limits) {
         this.version = version;
         this.tree = tree;
         this.services = services;
         this.holds = holds;
+        this.limits = limits;
         for (final Tenant tenant : tenants) {
             this.tenants.put(tenant.name(), tenant);
             for (final String key : tenant.keys()) {
@@ -96,6 +99,11 @@
         return services;
     }
 
+    /** What clients may send, and how long they may take. Example: {@code port.limits(policy.limits());} */
+    public ClientLimits limits() {
+        return limits;
+    }
+
     /** Districts that are to be empty. Example: {@code policy.holds().contains("d1")} */
     public Set<String> holds() {
         return holds;
--- a/spokestall/src/main/java/spokestall/rim/AskPort.java
+++ b/spokestall/src/main/java/spokestall/rim/AskPort.java
@@ -89,9 +89,6 @@
             return;
         }
         exchange.setStatusCode(status);
-        if (node.leaving()) {
-            exchange.setPersistent(false);
-        }
         if (exchange.isRequestComplete()) {
             endUnless(exchange, pace.answerWaitMs(), exchange::isComplete);
         } else {
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/rim/ClientConnection.java
@@ -0,0 +1,203 @@
+package spokestall.rim;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.ConnectionUtils;
+import io.undertow.util.StringWriteChannelListener;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * One client's connection: whether a request is under way on it, and since when it rests or waits for the rest of a head.
+ * It stands where the connection's bytes are read, so it knows when a head begins. It is ended in order: its sending half
+ * is closed, what arrives then is left unread, and a while later it is closed whole.
+ */
+final class ClientConnection extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** What holds for all connections at a port, as it is now. */
+    interface Terms {
+        /** From the first byte of a request's head until it is whole. */
+        long headWaitMs();
+
+        /** From one answer to the next request. */
+        long restMaxMs();
+
+        /** Monotonic. */
+        long nowMs();
+    }
+
+    private static final long NONE = Long.MIN_VALUE;
+    /** For the closing of the sending half to reach the client before what it sends meets a reset. */
+    private static final long LINGER_MS = 1000;
+
+    private static final String TIMED_OUT =
+            "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    private final StreamConnection connection;
+    private final Terms terms;
+    private final int headMaxBytes;
+    private HttpServerConnection http;
+    private long restSinceMs;
+    private long headSinceMs = NONE;
+    private boolean busy;
+    private boolean ended;
+    private XnioExecutor.Key timer;
+    private long timerMs;
+
+    ClientConnection(final StreamConnection connection, final Terms terms, final int headMaxBytes) {
+        super(connection.getSourceChannel().getConduit());
+        this.connection = connection;
+        this.terms = terms;
+        this.headMaxBytes = headMaxBytes;
+        this.restSinceMs = terms.nowMs();
+    }
+
+    /** The connection that a request came on. */
+    static ClientConnection of(final HttpServerExchange exchange) {
+        final HttpServerConnection http = (HttpServerConnection) exchange.getConnection();
+        return (ClientConnection) http.getOriginalSourceConduit();
+    }
+
+    /** The longest head that this connection takes. */
+    int headMaxBytes() {
+        return headMaxBytes;
+    }
+
+    @Override
+    public int read(final ByteBuffer into) throws IOException {
+        final int bytes = super.read(into);
+        if (bytes >= 0) {
+            came(bytes);
+        }
+        return bytes;
+    }
+
+    /** A head that came whole is taken before more is read; one of which nothing more is there now must be waited for. */
+    private synchronized void came(final int bytes) {
+        if (busy || ended) {
+            return;
+        }
+        if (bytes > 0 && headSinceMs == NONE) {
+            headSinceMs = terms.nowMs();
+        } else if (bytes == 0 && headSinceMs != NONE) {
+            arm();
+        }
+    }
+
+    /** Its bounds count from now on. */
+    synchronized void opened() {
+        arm();
+    }
+
+    /** A request's head is whole. */
+    synchronized void begun(final HttpServerExchange exchange) {
+        http = (HttpServerConnection) exchange.getConnection();
+        busy = true;
+        headSinceMs = NONE;
+    }
+
+    /** A request's answer is written. */
+    synchronized void completed(final boolean last) {
+        busy = false;
+        ended |= last;
+        headSinceMs = NONE;
+        restSinceMs = terms.nowMs();
+        arm();
+    }
+
+    synchronized void closed() {
+        ended = true;
+        disarm();
+    }
+
+    /** Whether a request is under way here or may still come. */
+    synchronized boolean open() {
+        return !ended;
+    }
+
+    /** Ends it if no request is under way and none has begun to come. */
+    synchronized void endIfResting() {
+        if (!busy && !ended && headSinceMs == NONE && (http == null || http.getExtraBytes() == null)) {
+            end();
+        }
+    }
+
+    /** A timer that is early enough stays, and looks again when it fires. */
+    private void arm() {
+        if (busy || ended) {
+            return;
+        }
+        final long dueMs = dueMs();
+        if (timer != null && timerMs > dueMs) {
+            disarm();
+        }
+        if (timer == null) {
+            timerMs = dueMs;
+            timer = after(Math.max(1, dueMs - terms.nowMs()), this::fired);
+        }
+    }
+
+    private void disarm() {
+        if (timer != null) {
+            timer.remove();
+            timer = null;
+        }
+    }
+
+    private long dueMs() {
+        return headSinceMs != NONE ? headSinceMs + terms.headWaitMs() : restSinceMs + terms.restMaxMs();
+    }
+
+    private synchronized void fired() {
+        timer = null;
+        if (busy || ended) {
+            return;
+        }
+        if (terms.nowMs() < dueMs()) {
+            arm();
+        } else if (headSinceMs != NONE) {
+            timedOut();
+        } else {
+            endIfResting();
+        }
+    }
+
+    private void timedOut() {
+        ended = true;
+        connection.getSourceChannel().suspendReads();
+        new StringWriteChannelListener(TIMED_OUT) {
+            @Override
+            protected void writeDone(final StreamSinkChannel channel) {
+                ConnectionUtils.cleanClose(connection);
+            }
+        }.setup(connection.getSinkChannel());
+    }
+
+    private void end() {
+        ended = true;
+        disarm();
+        connection.getSourceChannel().suspendReads();
+        try {
+            connection.getSinkChannel().shutdownWrites();
+            connection.getSinkChannel().flush();
+        } catch (final IOException e) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        timer = after(LINGER_MS, () -> IoUtils.safeClose(connection));
+    }
+
+    private XnioExecutor.Key after(final long waitMs, final Runnable task) {
+        return connection.getIoThread().executeAfter(task, waitMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task where this connection is read and written. */
+    void execute(final Runnable task) {
+        connection.getIoThread().execute(task);
+    }
+}
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -45,6 +45,11 @@
     /** How often the settings file is looked at; a change that is signalled is read at once. */
     private static final long LOOK_MS = 2000;
 
+    /** How long a stop may take over its wait, for the duties to be given up, and at the least. */
+    private static final double STOP_RATIO = 1.15;
+
+    private static final long STOP_LEAST_MS = 200;
+
     private final Settings settings;
     private final SettingsSource source;
     private final boolean core;
@@ -165,14 +170,17 @@
             return refused("address: can't listen on " + settings.listen() + " or " + settings.text("http") + " or "
                     + settings.operators() + ": " + e.getMessage());
         }
-        stage.execute(node::start);
+        stage.execute(() -> {
+            node.watch(policy -> server.limits(policy.limits()));
+            node.start();
+        });
         watch(timer, workers, stage, server);
         final CountDownLatch stopped = new CountDownLatch(1);
         final CountDownLatch gone = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            stage.execute(() -> node.leave(server::stop, stopped::countDown));
+            stage.execute(() -> node.leave(server.connections(), stopped::countDown));
             try {
-                stopped.await(2 * settings.ms("stopWaitMs") + 2000, TimeUnit.MILLISECONDS);
+                stopped.await((long) (STOP_RATIO * settings.ms("stopWaitMs")) + STOP_LEAST_MS, TimeUnit.MILLISECONDS);
             } catch (final InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/spokestall/src/main/java/spokestall/rim/Front.java
+++ b/spokestall/src/main/java/spokestall/rim/Front.java
@@ -1,15 +1,21 @@
 package spokestall.rim;
 
+import java.io.IOException;
+import spokestall.Connections;
+import spokestall.policy.ClientLimits;
 import spokestall.settings.Settings;
 
 /** What listens to those outside the fleet. */
 public interface Front {
     /** Begins to listen; throws when an address can't be had. Example: {@code front.start();} */
-    void start();
+    void start() throws IOException;
 
     /** Goes on with newer settings. Example: {@code front.renew(settings);} */
     void renew(Settings newer);
 
-    /** Takes no more wires; those that are open go on. Example: {@code front.stop();} */
-    void stop();
+    /** Keeps clients to these limits from now on. Example: {@code front.limits(policy.limits());} */
+    void limits(ClientLimits newer);
+
+    /** The connections to those outside. Example: {@code node.leave(front.connections(), exit);} */
+    Connections connections();
 }
--- a/spokestall/src/main/java/spokestall/rim/HttpServer.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpServer.java
@@ -1,8 +1,6 @@
 package spokestall.rim;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -10,10 +8,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
+import spokestall.Connections;
 import spokestall.Node;
 import spokestall.policy.Book;
+import spokestall.policy.ClientLimits;
 import spokestall.rpc.Reply;
 import spokestall.rpc.Result;
 import spokestall.settings.Settings;
@@ -34,7 +35,7 @@
     private final Stage stage;
     private final Bounds bounds;
     private final AskPort asks;
-    private final Undertow server;
+    private final HttpPort port;
 
     HttpServer(
             final Node node,
@@ -47,23 +48,21 @@
         this.stage = stage;
         this.bounds = bounds;
         this.asks = new AskPort(node, stage, new OwnAsks(), new AskPort.Pace(bounds.answerWaitMs(), bounds.lingerMs()));
-        this.server = Undertow.builder()
-                .setWorker(worker)
-                .addHttpListener(callers.getPort(), callers.getAddress().getHostAddress(), e -> handle(e, false))
-                .addHttpListener(operators.getPort(), operators.getAddress().getHostAddress(), e -> handle(e, true))
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, bounds.wiresMax())
-                .setSocketOption(Options.CONNECTION_LOW_WATER, bounds.wiresMax())
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 << 10)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-                .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .build();
+        this.port = new HttpPort(
+                worker,
+                OptionMap.builder()
+                        .set(Options.CONNECTION_HIGH_WATER, bounds.wiresMax())
+                        .set(Options.CONNECTION_LOW_WATER, bounds.wiresMax())
+                        .getMap(),
+                OptionMap.EMPTY,
+                node.book().policy().limits());
+        port.listen(callers, e -> handle(e, false));
+        port.listen(operators, e -> handle(e, true));
     }
 
     @Override
-    public void start() {
-        server.start();
+    public void start() throws IOException {
+        port.start();
     }
 
     @Override
@@ -72,8 +71,13 @@
     }
 
     @Override
-    public void stop() {
-        server.stop();
+    public void limits(final ClientLimits newer) {
+        port.limits(newer);
+    }
+
+    @Override
+    public Connections connections() {
+        return port;
     }
 
     private void handle(final HttpServerExchange exchange, final boolean operator) {
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/rim/HttpPortTest.java
@@ -0,0 +1,184 @@
+package spokestall.rim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import spokestall.policy.ClientLimits;
+
+/** Clients' connections at a real port. */
+class HttpPortTest {
+    private static final int HEAD_BYTES = 2048;
+    private static final long HEAD_WAIT_MS = 400;
+    private static final long REST_MS = 400;
+    private static final long LONG_MS = 60_000;
+    private static final String GET = "GET /x HTTP/1.1\r\nHost: a\r\n";
+    private final BlockingQueue<HttpServerExchange> held = new LinkedBlockingQueue<>();
+    private XnioWorker worker;
+    private HttpPort port;
+    private InetSocketAddress at;
+
+    @BeforeEach
+    void start() throws Exception {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            at = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        port.stopAccepting();
+        worker.shutdownNow();
+    }
+
+    private void listen(final ClientLimits limits) throws IOException {
+        port = new HttpPort(worker, OptionMap.EMPTY, OptionMap.EMPTY, limits);
+        port.listen(at, exchange -> {
+            if (exchange.getRequestPath().equals("/held")) {
+                exchange.dispatch(() -> held.add(exchange));
+            } else {
+                exchange.getResponseSender().send("well");
+            }
+        });
+        port.start();
+    }
+
+    private Socket connect() throws IOException {
+        final Socket socket = new Socket(at.getAddress(), at.getPort());
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    private static void send(final Socket socket, final String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** One answer's head and its body of four bytes, if it has one. */
+    private static String answer(final Socket socket) throws IOException {
+        final InputStream in = socket.getInputStream();
+        final StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            final int one = in.read();
+            assertThat(one).as("after: " + head).isNotNegative();
+            head.append((char) one);
+        }
+        if (head.indexOf("Content-Length: 4") > 0) {
+            in.readNBytes(4);
+        }
+        return head.toString();
+    }
+
+    private static boolean closed(final Socket socket) throws IOException {
+        return socket.getInputStream().read() < 0;
+    }
+
+    private static long elapsedMs(final long sinceNs) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNs);
+    }
+
+    @Test
+    void aConnectionRestsAsLongAsItMayAndIsThenClosedInOrder() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, LONG_MS, REST_MS));
+        try (Socket socket = connect()) {
+            send(socket, GET + "\r\n");
+            answer(socket);
+            final long sinceNs = System.nanoTime();
+            assertThat(closed(socket)).isTrue();
+            assertThat(elapsedMs(sinceNs)).isBetween(REST_MS - 50, 10_000L);
+        }
+    }
+
+    @Test
+    void aRaisedRestCountsForAConnectionThatRestsAlready() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, LONG_MS, REST_MS));
+        try (Socket socket = connect()) {
+            send(socket, GET + "\r\n");
+            answer(socket);
+            final long sinceNs = System.nanoTime();
+            port.limits(new ClientLimits(HEAD_BYTES, LONG_MS, 4 * REST_MS));
+            assertThat(closed(socket)).isTrue();
+            assertThat(elapsedMs(sinceNs)).isGreaterThan(4 * REST_MS - 50);
+        }
+    }
+
+    @Test
+    void aHeadThatTakesTooLongIsAnsweredAsNotRun() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, HEAD_WAIT_MS, LONG_MS));
+        try (Socket socket = connect()) {
+            send(socket, GET);
+            assertThat(answer(socket)).startsWith("HTTP/1.1 408 ").contains("Connection: close");
+            assertThat(closed(socket)).isTrue();
+        }
+    }
+
+    @Test
+    void aLargerHeadIsTakenOnceTheLimitIsRaisedAndOlderConnectionsEndWithTheirAnswer() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, LONG_MS, LONG_MS));
+        final String large = GET + "X: " + "x".repeat(2 * HEAD_BYTES) + "\r\n\r\n";
+        try (Socket refused = connect();
+                Socket older = connect()) {
+            send(refused, large);
+            assertThat(answer(refused)).startsWith("HTTP/1.1 400 ");
+            send(older, GET + "\r\n");
+            assertThat(answer(older)).startsWith("HTTP/1.1 200 ").doesNotContain("Connection: close");
+            port.limits(new ClientLimits(4 * HEAD_BYTES, LONG_MS, LONG_MS));
+            send(older, GET + "\r\n");
+            assertThat(answer(older)).startsWith("HTTP/1.1 200 ").contains("Connection: close");
+        }
+        try (Socket newer = connect()) {
+            send(newer, large);
+            assertThat(answer(newer)).startsWith("HTTP/1.1 200 ");
+        }
+    }
+
+    @Test
+    void connectionsAtRestAreEndedWhileARequestUnderWayIsAnsweredFirst() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, LONG_MS, LONG_MS));
+        try (Socket atRest = connect();
+                Socket underWay = connect()) {
+            send(atRest, GET + "\r\n");
+            answer(atRest);
+            send(underWay, GET.replace("/x", "/held") + "\r\n");
+            final HttpServerExchange exchange = held.poll(10, TimeUnit.SECONDS);
+            assertThat(port.open()).isEqualTo(2);
+            port.endWithAnswers();
+            port.endResting();
+            assertThat(closed(atRest)).isTrue();
+            assertThat(port.open()).isEqualTo(1);
+            exchange.getResponseSender().send("well");
+            assertThat(answer(underWay)).startsWith("HTTP/1.1 200 ").contains("Connection: close");
+            assertThat(closed(underWay)).isTrue();
+            assertThat(port.open()).isZero();
+        }
+    }
+
+    @Test
+    void whatComesAfterTheEndOfARestIsNotRead() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, LONG_MS, LONG_MS));
+        try (Socket socket = connect()) {
+            send(socket, GET + "\r\n");
+            answer(socket);
+            port.endResting();
+            assertThat(closed(socket)).isTrue();
+            send(socket, GET.replace("/x", "/held") + "\r\n");
+            assertThat(held.poll(100, TimeUnit.MILLISECONDS)).isNull();
+        }
+    }
+}
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/rim/RestLimitTest.java
@@ -0,0 +1,33 @@
+package spokestall.rim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class RestLimitTest {
+    @Test
+    void aLoweredLimitCountsWhenARestBegunUnderTheOlderIsOver() {
+        final RestLimit limit = new RestLimit(15_000, 0);
+        limit.change(3000, 100_000);
+        assertThat(limit.atMs(100_000)).isEqualTo(15_000);
+        assertThat(limit.atMs(114_999)).isEqualTo(15_000);
+        assertThat(limit.atMs(115_000)).isEqualTo(3000);
+    }
+
+    @Test
+    void aRaisedLimitCountsAtOnce() {
+        final RestLimit limit = new RestLimit(3000, 0);
+        limit.change(15_000, 1000);
+        assertThat(limit.atMs(1000)).isEqualTo(15_000);
+    }
+
+    @Test
+    void theLongestOfSeveralInARowIsKeptTo() {
+        final RestLimit limit = new RestLimit(15_000, 0);
+        limit.change(8000, 100_000);
+        limit.change(2000, 101_000);
+        limit.change(2000, 110_000);
+        assertThat(limit.atMs(115_999)).isEqualTo(15_000);
+        assertThat(limit.atMs(116_000)).isEqualTo(2000);
+    }
+}
