The stage and its timers run on the thread that reads wires, where workers is 0

Cause: an ask went from the I/O thread to the stage's worker and back six to eight times, and each timer through a third thread; each step woke another thread. Machines of a seventh of a core run one thread at a time. Excluded: several stages (one node's logic is one stage by design).

--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -7,13 +7,14 @@
 import java.security.SecureRandom;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import spokestall.Node;
 import spokestall.audit.Audit;
@@ -66,10 +67,16 @@
 
     /** Runs until the process is told to stop; the exit code is 0 after a clean stop, 2 if it could not start. */
     public int run() throws IOException {
-        final ExecutorService workers = Executors.newFixedThreadPool((int) settings.ms("workers"));
+        final XnioWorker worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads"))
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+        final XnioIoThread timer = worker.getIoThread();
+        final Stage stage = new Stage(turns(timer), STAGE_BOUND);
         final ExecutorService disk = Executors.newSingleThreadExecutor();
-        final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-        final Stage stage = new Stage(workers, STAGE_BOUND);
         if (core) {
             final String why = DataFolder.open(Path.of(settings.text("data")), settings.text("name"));
             if (why != null) {
@@ -90,13 +97,6 @@
             return refused("data: the ring's files can't be made: " + e.getMessage());
         }
         final Audit audit = audit(Executors.newSingleThreadExecutor());
-        final XnioWorker worker = Xnio.getInstance()
-                .createWorker(OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads"))
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
-                        .set(Options.TCP_NODELAY, true)
-                        .getMap());
         final Clock clock = new SystemClock(timer, stage);
         final Wires wires = new Wires(
                 worker,
@@ -160,6 +160,13 @@
         return 0;
     }
 
+    /** What runs the stage's turns: workers of its own, or the thread that has its timers and wires. There an event goes
+     * from a wire to the stage and back without waking another thread. */
+    private Executor turns(final XnioIoThread io) {
+        final int workers = (int) settings.ms("workers");
+        return workers == 0 ? io : Executors.newFixedThreadPool(workers);
+    }
+
     /** A core goes on without its audit, and says so, rather than not at all. */
     private Audit audit(final ExecutorService writer) {
         if (!core || settings.ms("auditFiles") == 0) {
--- a/spokestall/src/main/java/spokestall/rim/SystemClock.java
+++ b/spokestall/src/main/java/spokestall/rim/SystemClock.java
@@ -1,17 +1,17 @@
 package spokestall.rim;
 
 import java.util.concurrent.Executor;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
 import spokestall.time.Clock;
 
 /** The process's own time; later events come back on its stage. */
 public final class SystemClock implements Clock {
-    private final ScheduledExecutorService timer;
+    private final XnioExecutor timer;
     private final Executor stage;
 
-    /** Example: {@code new SystemClock(timer, stage)} */
-    public SystemClock(final ScheduledExecutorService timer, final Executor stage) {
+    /** Example: {@code new SystemClock(ioThread, stage)} */
+    public SystemClock(final XnioExecutor timer, final Executor stage) {
         this.timer = timer;
         this.stage = stage;
     }
@@ -31,7 +31,7 @@
         if (waitMs <= 0) {
             stage.execute(event);
         } else {
-            timer.schedule(() -> stage.execute(event), waitMs, TimeUnit.MILLISECONDS);
+            timer.executeAfter(() -> stage.execute(event), waitMs, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -179,7 +179,7 @@
                 Codec.VERSION);
         number("auditFiles", 8, "audit files kept, the oldest going first; 0: no audit is written", 0, 1000);
         number("auditFileBytes", 1 << 20, "size of each", 4096, 1 << 30);
-        number("workers", 4, "worker threads", 1, 256);
+        number("workers", 4, "worker threads; 0: the thread that reads and writes wires does their work too", 0, 256);
         number("ioThreads", 2, "threads that read and write wires", 1, 64);
         number("wireRestMs", 1000, "how long a wire to an upstream may rest and be used again", 1, 600_000);
         number("connectMs", 2000, "how long opening a wire to an upstream may take", 1, 60_000);
