--- a/spokestall/src/main/java/spokestall/rpc/Calls.java
+++ b/spokestall/src/main/java/spokestall/rpc/Calls.java
@@ -10,7 +10,7 @@
 import com.networknt.schema.ValidationMessage;
 import java.io.IOException;
 import java.io.InputStream;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -25,7 +25,9 @@
     }
 
     private final JsonNode file;
-    private final Map<String, JsonSchema> schemas = new LinkedHashMap<>();
+    /** Made when a call first comes: a program that takes its orders in another form never needs them. */
+    private final Map<String, JsonSchema> schemas = new HashMap<>();
+
     private final Map<String, Call> calls = new TreeMap<>();
 
     /** Reads the schema file in the program. Example: {@code Calls calls = new Calls();} */
@@ -35,12 +37,6 @@
         } catch (final IOException e) {
             throw new IllegalStateException("the schema file can't be read", e);
         }
-        file.path("methods")
-                .fields()
-                .forEachRemaining(e -> schemas.put(
-                        e.getKey(),
-                        JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
-                                .getSchema(e.getValue().path("params"))));
     }
 
     /** The schema file. Example: {@code calls.file().at("/$defs/policy")} */
@@ -50,7 +46,7 @@
 
     /** Example: {@code calls.on("status", this::status);} */
     public void on(final String method, final Call call) {
-        if (!schemas.containsKey(method)) {
+        if (!known(method)) {
             throw new IllegalStateException(method + " is not in the schema file");
         }
         calls.put(method, call);
@@ -60,11 +56,11 @@
     public void run(final String method, final JsonNode params, final Consumer<Reply> done) {
         final Call call = calls.get(method);
         if (call == null) {
-            final Result why = schemas.containsKey(method) ? Result.NOT_READY : Result.UNKNOWN_METHOD;
+            final Result why = known(method) ? Result.NOT_READY : Result.UNKNOWN_METHOD;
             done.accept(Reply.of(why, null));
             return;
         }
-        final Set<ValidationMessage> troubles = schemas.get(method).validate(params);
+        final Set<ValidationMessage> troubles = schema(method).validate(params);
         if (!troubles.isEmpty()) {
             final ObjectNode out = file.isObject() ? ((ObjectNode) file).objectNode() : null;
             final ArrayNode list = out.putArray("troubles");
@@ -76,4 +72,15 @@
         }
         call.run(params, done);
     }
+
+    private boolean known(final String method) {
+        return file.path("methods").has(method);
+    }
+
+    private JsonSchema schema(final String method) {
+        return schemas.computeIfAbsent(
+                method,
+                m -> JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                        .getSchema(file.path("methods").path(m).path("params")));
+    }
 }
--- a/spokestall/src/main/java/spokestall/wire/Codec.java
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -6,6 +6,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.lang.reflect.Constructor;
+import java.lang.reflect.Method;
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
@@ -279,20 +280,26 @@
         return SHAPES.get(type).read(in, version);
     }
 
-    /** How a record's fields lie one after another. */
+    /** How a record's fields lie one after another. What reflection tells of them is asked once. */
     private static final class Shape {
-        private final RecordComponent[] parts;
+        /** One field of a record. */
+        private record Field(Method get, Type type, int since, Object absent) {}
+
+        private final Field[] fields;
         private final Constructor<?> make;
 
         Shape(final Class<?> type) {
-            parts = type.getRecordComponents();
+            final RecordComponent[] parts = type.getRecordComponents();
             if (parts == null) {
                 throw new IllegalStateException(type + " is no record");
             }
             final Class<?>[] types = new Class<?>[parts.length];
+            fields = new Field[parts.length];
             for (int i = 0; i < parts.length; i++) {
                 types[i] = parts[i].getType();
-                parts[i].getAccessor().setAccessible(true);
+                final Method get = parts[i].getAccessor();
+                get.setAccessible(true);
+                fields[i] = new Field(get, parts[i].getGenericType(), since(parts[i]), absent(types[i]));
             }
             try {
                 make = type.getDeclaredConstructor(types);
@@ -304,10 +311,9 @@
 
         void write(final DataOutputStream out, final Object value, final int version) throws IOException {
             try {
-                for (final RecordComponent part : parts) {
-                    if (since(part) <= version) {
-                        Codec.write(
-                                out, part.getGenericType(), part.getAccessor().invoke(value), version);
+                for (final Field field : fields) {
+                    if (field.since <= version) {
+                        Codec.write(out, field.type, field.get.invoke(value), version);
                     }
                 }
             } catch (final ReflectiveOperationException e) {
@@ -327,11 +333,9 @@
         }
 
         Object read(final DataInputStream in, final int version) throws IOException {
-            final Object[] values = new Object[parts.length];
-            for (int i = 0; i < parts.length; i++) {
-                values[i] = since(parts[i]) > version
-                        ? absent(parts[i].getType())
-                        : Codec.read(in, parts[i].getGenericType(), version);
+            final Object[] values = new Object[fields.length];
+            for (int i = 0; i < fields.length; i++) {
+                values[i] = fields[i].since > version ? fields[i].absent : Codec.read(in, fields[i].type, version);
             }
             try {
                 return make.newInstance(values);
