Ring: the first file is reclaimed too, and no commit overwrites what it may still need

Cause, three in Ring: (1) the first file had no first number in a ring's first life, so it was never written again: what was put once there (the disk's identity, the mark of having caught up) was gone from the disk after some 200 records of a small ring, and a core that restarted after a long first life opened blank. (2) One commit could go on to several files and reclaim several, also into files that it had freed itself; torn by a power loss, the ring opened blank. (3) One refused write stopped the voter for the rest of its life, so two full disks an hour apart were two lost voters. A record is at most half a file. Waiting puts of a disk that refuses are bounded by 4096. Excluded: the torn-tail rule itself (runs, floors) is unchanged.

--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -47,6 +47,7 @@
     private Voters voters;
     private State state = State.BLANK;
     private long tableEpochDown;
+    private boolean diskTakes = true;
 
     /** Example: {@code new Voter("d1-core", ring, post, guard, freshId)}; freshId is used only on a blank disk. */
     public Voter(final String name, final Ring ring, final Post post, final Guard guard, final String freshId) {
@@ -58,7 +59,7 @@
         openedBlank = had == null;
         diskId = had == null ? freshId : new String(had, StandardCharsets.UTF_8);
         if (had == null) {
-            ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), this::keep);
+            ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), ok -> {});
         }
         final byte[] table = ring.table().get(VOTERS);
         voters = table == null ? null : Codec.record(table, Voters.class);
@@ -81,10 +82,7 @@
     /** Keeps a record of this node's own beside the registers. Example: {@code voter.keepOwn("~form", bytes, ok -> ...);} */
     public void keepOwn(final String key, final byte[] value, final Consumer<Boolean> done) {
         assert key.startsWith("~") : key;
-        ring.put(key, value, ok -> {
-            keep(ok);
-            done.accept(ok);
-        });
+        ring.put(key, value, done);
     }
 
     /** A record of this node's own, or null. Example: {@code voter.own("~form")} */
@@ -95,7 +93,7 @@
     /** Whether this voter has its state, be it voting at this moment or not. Example: {@code voter.hasState()} */
     public boolean hasState() {
         final byte[] caught = ring.table().get(CAUGHT);
-        return ring.state() != Ring.State.BROKEN
+        return ring.canWrite()
                 && state != State.RESIGNED
                 && seated()
                 && caught != null
@@ -109,7 +107,7 @@
 
     /** Whether this disk still takes writes. Example: {@code voter.canWrite()} */
     public boolean canWrite() {
-        return ring.state() != Ring.State.BROKEN;
+        return ring.canWrite();
     }
 
     /** Called for each register change that is down. Example: {@code voter.watch((key, register) -> ...);} */
@@ -119,7 +117,7 @@
 
     /** Example: {@code if (voter.state() != Voter.State.VOTING) ...} */
     public State state() {
-        return ring.state() == Ring.State.BROKEN ? State.STOPPED : state;
+        return ring.canWrite() ? state : State.STOPPED;
     }
 
     /** The table this voter knows, or null. Example: {@code voter.voters().epoch()} */
@@ -155,15 +153,9 @@
         }
     }
 
-    private void keep(final boolean ok) {
-        if (!ok && ring.state() == Ring.State.BROKEN) {
-            change(State.STOPPED, "disk");
-        }
-    }
-
     /** Takes a newer table. Votes of older tables are denied from here on. Example: {@code voter.adopt(table);} */
     public void adopt(final Voters table) {
-        if (!table.newerThan(voters) || ring.state() == Ring.State.BROKEN) {
+        if (!table.newerThan(voters) || !ring.canWrite()) {
             return;
         }
         final boolean newGeneration = voters == null || voters.generation() != table.generation();
@@ -176,7 +168,6 @@
         final boolean resigned = was == State.RESIGNED && !newGeneration;
         change(State.CATCHING_UP, "table");
         ring.put(VOTERS, Codec.bytes(table), ok -> {
-            keep(ok);
             if (!ok || mark != tableEpochDown) {
                 return;
             }
@@ -199,13 +190,13 @@
         for (final String key : List.copyOf(registers.keySet())) {
             drop(key);
         }
-        ring.put(CAUGHT, null, this::keep);
+        ring.put(CAUGHT, null, ok -> {});
     }
 
     /** Lets a register go for good. Example: {@code voter.drop("usage/12");} */
     public void drop(final String key) {
         if (registers.remove(key) != null) {
-            ring.put(key, null, this::keep);
+            ring.put(key, null, ok -> {});
         }
     }
 
@@ -220,7 +211,7 @@
      * Example: {@code voter.restart(freshId);} */
     public void restart(final String freshId) {
         diskId = freshId;
-        ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), this::keep);
+        ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), ok -> {});
         dropAll();
         change(State.BLANK, "restarted");
     }
@@ -234,7 +225,7 @@
         voters = table;
         final long mark = ++tableEpochDown;
         change(State.CATCHING_UP, "founded");
-        ring.put(VOTERS, Codec.bytes(table), this::keep);
+        ring.put(VOTERS, Codec.bytes(table), ok -> {});
         for (final BallotNote.Entry entry : entries) {
             store(entry.key(), entry.register(), ok -> {});
         }
@@ -262,7 +253,6 @@
 
     private void finishCatchUp(final long mark) {
         ring.put(CAUGHT, caughtMark().getBytes(StandardCharsets.UTF_8), ok -> {
-            keep(ok);
             if (ok && mark == tableEpochDown && seated() && state == State.CATCHING_UP) {
                 change(State.VOTING, "caught-up");
             }
@@ -277,7 +267,9 @@
 
     /** Asks again for what is missing; called on every beat. Example: {@code voter.tick(address);} */
     public void tick(final String address) {
-        if (state != State.CATCHING_UP || !seated()) {
+        ring.retry();
+        tellDisk();
+        if (state() != State.CATCHING_UP || !seated()) {
             return;
         }
         for (final Seat seat : voters.seats()) {
@@ -287,6 +279,13 @@
         }
     }
 
+    private void tellDisk() {
+        if (diskTakes != ring.canWrite()) {
+            diskTakes = ring.canWrite();
+            LOG.atWarning().log("event=disk node=%s takesWrites=%s ring=%s", name, diskTakes, ring.state());
+        }
+    }
+
     private void askPage(final String address, final Seat seat) {
         post.send(
                 seat.address(),
@@ -405,7 +404,6 @@
         before.putIfAbsent(key, had == null ? Register.EMPTY : had);
         onTheWay.merge(key, 1, Integer::sum);
         ring.put(key, Codec.bytes(now), ok -> {
-            keep(ok);
             if (onTheWay.merge(key, -1, Integer::sum) == 0) {
                 onTheWay.remove(key);
                 before.remove(key);
@@ -448,7 +446,7 @@
     }
 
     private void caught(final BallotNote.CatchBack back, final String address) {
-        if (state != State.CATCHING_UP
+        if (state() != State.CATCHING_UP
                 || !seated()
                 || !voters.same(back.generation(), back.epoch())
                 || caughtFrom.containsKey(back.name())
--- a/spokestall/src/main/java/spokestall/ring/Ring.java
+++ b/spokestall/src/main/java/spokestall/ring/Ring.java
@@ -19,19 +19,26 @@
 /**
  * A table of keys kept in a ring of preallocated files. Puts that come while a commit is under way go down together
  * in the next one. The oldest file is freed by writing its live records again at the head. A torn tail is cut; a hole
- * in what had been synced makes the ring blank rather than wrong. After a disk error nothing is written any more.
+ * in what had been synced makes the ring blank rather than wrong. What the disk refuses to take is written again until it
+ * takes it; till then nothing is told as done.
  */
 public final class Ring {
-    /** Explicit states of a ring. */
+    /** Explicit states of a ring: it takes puts, or refuses some for want of room, or its disk refuses writes and is asked
+     * again, or what it holds can't be read. */
     public enum State {
         OPEN,
         FULL,
+        REFUSING,
         BROKEN
     }
 
     private static final int MAGIC = 0x53504b31;
     private static final int HEAD_BYTES = 4 + 4 + 8 + 8 + 8 + 4 + 4;
     private static final int SPARE_SEGMENTS = 2;
+    /** Of a record that only carries its numbers. */
+    private static final String NO_KEY = "";
+    /** Puts that wait for a disk that refuses. */
+    private static final int WAITING_MAX = 4096;
 
     private record Place(int segment, int bytes) {}
 
@@ -46,6 +53,8 @@
     private final List<Set<String>> keysIn = new ArrayList<>();
     private final long[] firstSeq;
     private final ArrayDeque<Put> waiting = new ArrayDeque<>();
+    private final List<Put> batch = new ArrayList<>();
+    private final List<Segments.Piece> pieces = new ArrayList<>();
     private State state = State.OPEN;
     private boolean blank = true;
     private boolean committing;
@@ -55,7 +64,9 @@
     private int head;
     private int at;
     private long liveBytes;
+    private int largestBytes;
     private long commits;
+    private long syncedSeq;
 
     /** Opens the files and reads what is live. Example: {@code Ring ring = new Ring(segments); if (ring.blank()) ...} */
     public Ring(final Segments segments) {
@@ -77,14 +88,32 @@
         return state;
     }
 
+    /** Whether the disk takes writes, as far as is known. Example: {@code if (!ring.canWrite()) stopVoting();} */
+    public boolean canWrite() {
+        return state == State.OPEN || state == State.FULL;
+    }
+
+    /** Writes again what the disk refused: the same bytes at the same places, so it is as if the disk had been slow.
+     * Example: {@code every(spanMs, ring::retry);} */
+    public void retry() {
+        if (state == State.REFUSING && !committing) {
+            submit();
+        }
+    }
+
     /** How many commits went down. Example: {@code syncs = ring.commits() - before;} */
     public long commits() {
         return commits;
     }
 
+    /** The number of the newest record that is synced. Example: {@code if (ring.syncedSeq() < told) restart();} */
+    public long syncedSeq() {
+        return syncedSeq;
+    }
+
     /** Bytes of live records as a share of what fits. Example: {@code ring.fill() > 0.8} */
     public double fill() {
-        return (double) liveBytes / limitBytes();
+        return (double) liveBytes / limitBytes(largestBytes);
     }
 
     /** All live entries. Example: {@code ring.table().forEach(this::load);} */
@@ -95,12 +124,13 @@
     /** Puts a value, or drops the key when it is null; done tells whether it is synced.
      * Example: {@code ring.put("duty/usage_report", bytes, ok -> answer(ok));} */
     public void put(final String key, final byte[] value, final Consumer<Boolean> done) {
-        if (state == State.BROKEN || value != null && oversize(key, value)) {
+        final boolean overdue = state == State.REFUSING && waiting.size() >= WAITING_MAX;
+        if (state == State.BROKEN || overdue || value != null && oversize(key, value)) {
             done.accept(false);
             return;
         }
         waiting.add(new Put(key, value, done));
-        if (!committing) {
+        if (!committing && state != State.REFUSING) {
             commit();
         }
     }
@@ -108,59 +138,88 @@
     private boolean oversize(final String key, final byte[] value) {
         final int bytes = recordBytes(key, value);
         final Place had = places.get(key);
-        final boolean full =
-                liveBytes - (had == null ? 0 : had.bytes) + bytes > limitBytes() || bytes > segments.sizeBytes();
+        final boolean full = bytes > recordBytesMax()
+                || liveBytes - (had == null ? 0 : had.bytes) + bytes > limitBytes(Math.max(bytes, largestBytes));
         change(full ? State.FULL : State.OPEN);
         return full;
     }
 
     private void change(final State to) {
-        if (state != State.BROKEN) {
+        if (state == State.OPEN || state == State.FULL) {
             state = to;
         }
     }
 
-    private long limitBytes() {
-        return (long) (segments.count() - SPARE_SEGMENTS - 1) * segments.sizeBytes() * 3 / 4;
+    /** The largest record there can be. Example: {@code value.length < ring.recordBytesMax() / 2} */
+    public int recordBytesMax() {
+        return segments.sizeBytes() / 2;
+    }
+
+    /** A file is left when the next record doesn't fit, so it may be short of full by the largest of them. */
+    private long limitBytes(final int largest) {
+        final int lost = Math.max(segments.sizeBytes() / 4, largest);
+        return (long) (segments.count() - SPARE_SEGMENTS - 1) * (segments.sizeBytes() - lost);
     }
 
     private static int recordBytes(final String key, final byte[] value) {
         return HEAD_BYTES + 2 + key.getBytes(StandardCharsets.UTF_8).length + 1 + (value == null ? 0 : value.length);
     }
 
+    /**
+     * What waits goes down together. A commit goes on to a further file at most once for what is put and once for what is
+     * written again, and only to files that were free before it: what it frees itself may still be needed if it is torn.
+     */
     private void commit() {
-        final List<Put> batch = new ArrayList<>();
-        final List<Segments.Piece> pieces = new ArrayList<>();
         final long batchSeq = nextSeq;
+        final boolean mayAdvance = freeSegments() >= SPARE_SEGMENTS;
+        final int from = head;
         int batchBytes = 0;
-        while (!waiting.isEmpty() && batchBytes < segments.sizeBytes() / 2) {
+        while (!waiting.isEmpty()
+                && batchBytes < segments.sizeBytes() / 2
+                && (fits(waiting.peek()) || mayAdvance && head == from)) {
             final Put put = waiting.poll();
             batch.add(put);
             batchBytes += recordBytes(put.key, put.value);
-            write(put.key, put.value, batchSeq, pieces);
+            write(put.key, put.value, batchSeq);
         }
-        reclaim(batchSeq, pieces);
+        if (freeSegments() < SPARE_SEGMENTS) {
+            reclaimOldest(batchSeq);
+        }
+        submit();
+    }
+
+    private boolean fits(final Put put) {
+        return at + recordBytes(put.key, put.value) <= segments.sizeBytes();
+    }
+
+    private void submit() {
         committing = true;
-        segments.commit(pieces, ok -> {
+        segments.commit(List.copyOf(pieces), ok -> {
             committing = false;
-            commits++;
-            if (!ok) {
-                change(State.BROKEN);
-            }
-            for (final Put put : batch) {
-                put.done.accept(ok);
-            }
-            if (state == State.BROKEN) {
-                while (!waiting.isEmpty()) {
-                    waiting.poll().done.accept(false);
-                }
-            } else if (!committing && !waiting.isEmpty()) {
-                commit();
+            if (ok) {
+                committed();
+            } else {
+                state = State.REFUSING;
             }
         });
     }
 
-    private void write(final String key, final byte[] value, final long batchSeq, final List<Segments.Piece> pieces) {
+    private void committed() {
+        commits++;
+        syncedSeq = nextSeq - 1;
+        state = state == State.REFUSING ? State.OPEN : state;
+        final List<Put> down = List.copyOf(batch);
+        batch.clear();
+        pieces.clear();
+        for (final Put put : down) {
+            put.done.accept(true);
+        }
+        if (!committing && !waiting.isEmpty()) {
+            commit();
+        }
+    }
+
+    private void write(final String key, final byte[] value, final long batchSeq) {
         final int bytes = recordBytes(key, value);
         if (at + bytes > segments.sizeBytes()) {
             head = (head + 1) % segments.count();
@@ -172,25 +231,25 @@
         index(key, value, head, bytes);
     }
 
-    /** Keeps the spare files ahead of the head free by writing what lives in the oldest one again. */
-    private void reclaim(final long batchSeq, final List<Segments.Piece> pieces) {
-        int turns = 0;
-        while (usedSegments() > segments.count() - SPARE_SEGMENTS && turns++ < segments.count()) {
-            final int oldest = oldest();
-            for (final String key : List.copyOf(keysIn.get(oldest))) {
-                write(key, table.get(key), batchSeq, pieces);
-            }
-            firstSeq[oldest] = 0;
-            floorSeq = firstSeq[oldest()];
+    /** Frees the oldest file by writing what lives in it again; the last record tells that it is no longer needed. */
+    private void reclaimOldest(final long batchSeq) {
+        final int oldest = oldest();
+        final List<String> keys = List.copyOf(keysIn.get(oldest));
+        for (int i = 0; i < keys.size() - 1; i++) {
+            write(keys.get(i), table.get(keys.get(i)), batchSeq);
         }
+        firstSeq[oldest] = 0;
+        floorSeq = firstSeq[oldest()];
+        final String last = keys.isEmpty() ? NO_KEY : keys.get(keys.size() - 1);
+        write(last, table.get(last), batchSeq);
     }
 
-    private int usedSegments() {
-        int used = 0;
+    private int freeSegments() {
+        int free = 0;
         for (final long first : firstSeq) {
-            used += first > 0 ? 1 : 0;
+            free += first == 0 ? 1 : 0;
         }
-        return used;
+        return free;
     }
 
     private int oldest() {
@@ -218,6 +277,7 @@
         places.put(key, new Place(segment, bytes));
         keysIn.get(segment).add(key);
         liveBytes += bytes;
+        largestBytes = Math.max(largestBytes, bytes);
     }
 
     private byte[] encode(final long seq, final long batchSeq, final String key, final byte[] value) {
@@ -293,11 +353,12 @@
         for (int i = 0; i < segments.count(); i++) {
             final byte[] in = segments.read(i);
             if (in == null) {
-                change(State.BROKEN);
+                state = State.BROKEN;
                 return;
             }
             scan(i, in, bySeq);
         }
+        firstSeq[head] = nextSeq;
         final List<List<Found>> runs = runs(bySeq);
         for (int i = runs.size() - 1; i >= 0; i--) {
             final List<Found> run = runs.get(i);
@@ -351,6 +412,7 @@
 
     private void replay(final List<Found> run, final Found last) {
         blank = false;
+        firstSeq[head] = 0;
         for (final Found found : run) {
             if (found.seq < last.floor) {
                 continue;
@@ -363,6 +425,7 @@
         head = last.segment;
         at = last.next;
         nextSeq = last.seq + 1;
+        syncedSeq = last.seq;
         floorSeq = last.floor;
         life = last.life + 1;
     }
--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -55,6 +56,14 @@
             }
         }
 
+        /** The commit under way fails. */
+        void refuse() {
+            flying.clear();
+            final Consumer<Boolean> done = waiting;
+            waiting = null;
+            done.accept(false);
+        }
+
         void losePower(final Random random) {
             for (final Piece p : flying) {
                 System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), random.nextInt(p.bytes().length + 1));
@@ -161,4 +170,105 @@
         assertThat(taken).containsExactly(true);
         assertThat(new Ring(disk).table()).containsOnlyKeys("after");
     }
+
+    /** Records of up to half a file, on a ring that is nearly as full as it may be. */
+    @Test
+    void largeRecordsOverwriteNothingThatTheNextPowerLossStillNeeds() {
+        final int size = 4096;
+        for (int seed = 0; seed < 300; seed++) {
+            final Random random = new Random(seed);
+            final Disk disk = new Disk(8, size);
+            Ring ring = new Ring(disk);
+            final AtomicBoolean anything = new AtomicBoolean();
+            final Map<String, String> synced = new HashMap<>();
+            final Map<String, List<String>> maybe = new HashMap<>();
+            for (int step = 0; step < 400; step++) {
+                final String key = "key-" + random.nextInt(9);
+                final int bytes = random.nextInt(3) == 0 ? 20 + random.nextInt(size / 2 - 150) : random.nextInt(200);
+                final String value = random.nextInt(9) == 0 ? null : step + "/" + "x".repeat(bytes);
+                maybe.computeIfAbsent(key, k -> new ArrayList<>()).add(value);
+                ring.put(key, value == null ? null : value.getBytes(), ok -> {
+                    if (ok) {
+                        synced.put(key, value);
+                        anything.set(true);
+                    }
+                    maybe.get(key).remove(value);
+                });
+                if (random.nextInt(4) == 0) {
+                    disk.sync();
+                }
+                if (random.nextInt(40) == 0) {
+                    disk.losePower(random);
+                    ring = new Ring(disk);
+                    assertThat(ring.blank() && anything.get())
+                            .as("blank, seed %s step %s", seed, step)
+                            .isFalse();
+                    for (int k = 0; k < 9; k++) {
+                        final String name = "key-" + k;
+                        final byte[] found = ring.table().get(name);
+                        final String text = found == null ? null : new String(found);
+                        final List<String> allowed = new ArrayList<>(maybe.getOrDefault(name, List.of()));
+                        allowed.add(synced.get(name));
+                        assertThat(allowed.contains(text))
+                                .as("%s of seed %s step %s", name, seed, step)
+                                .isTrue();
+                        synced.put(name, text);
+                    }
+                    maybe.clear();
+                }
+            }
+        }
+    }
+
+    @Test
+    void aDiskThatRefusesAWriteIsAskedAgainAndWhatItRefusedIsToldWhenItIsDown() {
+        final Disk disk = new Disk(6, 4096);
+        final Ring ring = new Ring(disk);
+        final List<Boolean> told = new ArrayList<>();
+        ring.put("one", new byte[10], told::add);
+        ring.put("two", new byte[20], told::add);
+        disk.refuse();
+        assertThat(told).isEmpty();
+        assertThat(ring.state()).isEqualTo(Ring.State.REFUSING);
+        assertThat(ring.canWrite()).isFalse();
+        ring.put("three", new byte[30], told::add);
+        ring.retry();
+        disk.refuse();
+        assertThat(ring.canWrite()).isFalse();
+        ring.retry();
+        ring.retry();
+        disk.sync();
+        assertThat(ring.canWrite()).isTrue();
+        disk.sync();
+        assertThat(told).containsExactly(true, true, true);
+        assertThat(new Ring(disk).table()).containsOnlyKeys("one", "two", "three");
+    }
+
+    @Test
+    void whatADiskThatRefusesHasToKeepWaitingIsBounded() {
+        final Disk disk = new Disk(6, 4096);
+        final Ring ring = new Ring(disk);
+        ring.put("first", new byte[1], ok -> {});
+        disk.refuse();
+        final List<Boolean> told = new ArrayList<>();
+        for (int i = 0; i < 100_000; i++) {
+            ring.put("key", new byte[1], told::add);
+        }
+        assertThat(told).hasSizeGreaterThan(90_000).containsOnly(false);
+    }
+
+    @Test
+    void whatWasWrittenOnceInTheFirstLifeIsStillThereAfterTheRingHasGoneRoundManyTimes() {
+        final Disk disk = new Disk(8, 4096);
+        final Ring ring = new Ring(disk);
+        ring.put("identity", "disk-1".getBytes(), ok -> {});
+        disk.sync();
+        for (int i = 0; i < 2000; i++) {
+            ring.put("other", ("value " + i + "x".repeat(100)).getBytes(), ok -> {});
+            disk.sync();
+            if (i % 50 == 0) {
+                assertThat(new Ring(disk).table()).as("after %s", i).containsOnlyKeys("identity", "other");
+            }
+        }
+    }
 }
