--- a/spokestall/src/main/java/spokestall/Keeping.java
+++ b/spokestall/src/main/java/spokestall/Keeping.java
@@ -13,7 +13,7 @@
 
 /** Which register keys the voters keep, and for how long; what was let go can't be made anew. */
 final class Keeping implements Guard {
-    private static final double CLAIMS_SHARE = 0.7;
+    private static final double FILLED_SHARE = 0.7;
     private final FleetClock fleet;
     private final DoubleSupplier fill;
     private final long claimKeepMs;
@@ -21,6 +21,7 @@
     private final long windowMs;
     private final Supplier<Voters> voters;
     private final LongSupplier policyFloor;
+    private final LongSupplier snapshotDown;
 
     Keeping(
             final FleetClock fleet,
@@ -29,6 +30,7 @@
             final long windowMs,
             final Supplier<Voters> voters,
             final LongSupplier policyFloor,
+            final LongSupplier snapshotDown,
             final DoubleSupplier fill) {
         this.fill = fill;
         this.fleet = fleet;
@@ -37,6 +39,7 @@
         this.windowMs = windowMs;
         this.voters = voters;
         this.policyFloor = policyFloor;
+        this.snapshotDown = snapshotDown;
     }
 
     @Override
@@ -59,10 +62,15 @@
                         + (voters.get().epoch() + 1));
     }
 
-    /** Claims come by the thousand; what keeps the fleet itself going must still fit when they don't. */
+    /** Claims come by the thousand, versions may be large; what keeps the fleet itself going must still fit when they don't. */
     @Override
     public boolean room(final String key) {
-        return !Claim.isKey(key) || fill.getAsDouble() < CLAIMS_SHARE;
+        return !Claim.isKey(key) && Versions.of(key) < 0 || fill.getAsDouble() < FILLED_SHARE;
+    }
+
+    @Override
+    public boolean holds(final long floor) {
+        return snapshotDown.getAsLong() >= floor;
     }
 
     @Override
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -89,9 +89,8 @@
     private static final String LEASE = "duty/usage_report";
     private static final Register NO_LEASE = new Register(Ballot.NONE, Ballot.NONE, null);
     private static final int POLICY_KEPT = 1024;
-    private static final int POLICY_KEPT_LEAST = 16;
-    /** A ring so full keeps fewer of the changes that followers may start from; large ones would fill it. */
-    private static final double CROWDED = 0.3;
+    /** The share of the ring that registers of versions that are in the snapshot may take. */
+    private static final double POLICY_KEPT_SHARE = 0.1;
 
     private static final int HURRIED = 4;
     private static final int WINDOWS_KEPT = 16;
@@ -148,7 +147,7 @@
     private List<UsageNote.Count> countsBefore = List.of();
     private boolean policyDirty;
     private boolean keepingPolicy;
-    private long policyFloor;
+    private long snapshotDown;
     private long tokenSeen;
     private boolean stopped;
 
@@ -281,7 +280,8 @@
                         settings.part("claimKeepMs", 0.2),
                         windowMs,
                         this::voters,
-                        () -> policyFloor,
+                        () -> voter().floor(),
+                        () -> snapshotDown,
                         ring::fill)
                 : null;
         this.voter = core ? new Voter(name, ring, post, keeping, freshId()) : null;
@@ -393,7 +393,7 @@
                 follower,
                 clock,
                 settings.part("policyBoundMs", 0.8),
-                (int) settings.ms("policyMaxBytes"),
+                policyBytesMost(),
                 feeds::tell);
         this.audit = rim.audit();
         this.auditor = core ? new Auditor(audit, book, fleet::nowMs) : null;
@@ -441,6 +441,11 @@
                                 settings.ms("any500") == 1)));
     }
 
+    /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
+    private int policyBytesMost() {
+        return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") * 3 / 8);
+    }
+
     private int told(final String count) {
         return settings.ms(count) == 0 ? UNTOLD : (int) settings.ms(count);
     }
@@ -462,7 +467,8 @@
         if (had != null) {
             final Snapshot snapshot = Codec.record(had, Snapshot.class);
             book.load(snapshot);
-            policyFloor = snapshot.version() - POLICY_KEPT;
+            snapshotDown = snapshot.version();
+            raiseFloor();
         }
         if (voter.voters() != null) {
             proposer.adopt(voter.voters());
@@ -796,13 +802,23 @@
         voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
             keepingPolicy = false;
             if (ok) {
-                policyFloor =
-                        Math.max(policyFloor, version - (ring.fill() > CROWDED ? POLICY_KEPT_LEAST : POLICY_KEPT));
+                snapshotDown = version;
+                raiseFloor();
                 keepPolicy();
             }
         });
     }
 
+    private void raiseFloor() {
+        final long bytesMost = (long) (ring.capacityBytes() * POLICY_KEPT_SHARE);
+        voter.raiseFloor(Versions.floor(voter.registers(), snapshotDown, POLICY_KEPT, bytesMost), this::letVersionsGo);
+    }
+
+    /** Below the floor a register is not needed: what it decided is in the snapshot on this disk. */
+    private void letVersionsGo() {
+        Versions.upTo(voter.registers(), voter.floor()).forEach(voter::drop);
+    }
+
     /** Upstreams of a district that is given back may have turned cold while nothing was sent there. */
     private void givenBack() {
         final Set<String> now = book.policy().holds();
--- a/spokestall/src/main/java/spokestall/ballot/BallotNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/BallotNote.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import spokestall.wire.Note;
+import spokestall.wire.Since;
 
 /** What proposers and voters say to each other. */
 public sealed interface BallotNote extends Note {
@@ -29,8 +30,15 @@
     /** A voter that lost its disk asks the others for all they have, page by page. */
     record CatchAsk(String from, String name, long generation, long epoch, String after) implements BallotNote {}
 
-    /** One page of a voter's registers. */
-    record CatchBack(String name, long generation, long epoch, String after, List<Entry> entries, boolean last)
+    /** One page of a voter's registers, and the version up to which it has let registers of versions go. */
+    record CatchBack(
+            String name,
+            long generation,
+            long epoch,
+            String after,
+            List<Entry> entries,
+            boolean last,
+            @Since(4) long floor)
             implements BallotNote {}
 
     /** One register under its key. */
--- a/spokestall/src/main/java/spokestall/ballot/Guard.java
+++ b/spokestall/src/main/java/spokestall/ballot/Guard.java
@@ -2,6 +2,12 @@
 
 /** Says which keys a voter still keeps, and which values it will never take. */
 public interface Guard {
+    /** Whether what registers up to a version decided is on this disk in another form, so that they may be missing here.
+     * Example: {@code if (guard.holds(voter.floor())) vote();} */
+    default boolean holds(final long floor) {
+        return true;
+    }
+
     /** Whether the answers below can be relied on yet. Example: {@code if (!guard.ready()) stayBlank();} */
     boolean ready();
 
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -1,6 +1,7 @@
 package spokestall.ballot;
 
 import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,6 +32,7 @@
     private static final String VOTERS = "~voters";
     private static final String CAUGHT = "~caught";
     private static final String DISK = "~disk";
+    private static final String FLOOR = "~floor";
     private static final int PAGE_BYTES = 256 << 10;
     private final String name;
     private final Ring ring;
@@ -47,6 +49,8 @@
     private Voters voters;
     private State state = State.BLANK;
     private long tableEpochDown;
+    private long floor;
+    private long floorOfOthers;
     private boolean diskTakes = true;
 
     /** Example: {@code new Voter("d1-core", ring, post, guard, freshId)}; freshId is used only on a blank disk. */
@@ -61,6 +65,8 @@
         if (had == null) {
             ring.put(DISK, diskId.getBytes(StandardCharsets.UTF_8), ok -> {});
         }
+        final byte[] kept = ring.table().get(FLOOR);
+        floor = kept == null ? 0 : ByteBuffer.wrap(kept).getLong();
         final byte[] table = ring.table().get(VOTERS);
         voters = table == null ? null : Codec.record(table, Voters.class);
         ring.table().forEach((key, value) -> {
@@ -200,6 +206,25 @@
         }
     }
 
+    /** The version up to which the registers of versions were let go; none of them is ever made anew here. */
+    public long floor() {
+        return floor;
+    }
+
+    /** Raises the floor; registers may be let go once it is down, so that none is missing here without it.
+     * Example: {@code voter.raiseFloor(version - kept, this::letGo);} */
+    public void raiseFloor(final long to, final Runnable down) {
+        if (to <= floor) {
+            return;
+        }
+        ring.put(FLOOR, ByteBuffer.allocate(Long.BYTES).putLong(to).array(), ok -> {
+            if (ok && to > floor) {
+                floor = to;
+                down.run();
+            }
+        });
+    }
+
     /** Stops voting for the sake of a new generation's ballot. Example: {@code voter.resign(voters.generation());} */
     public void resign(final long generation) {
         if (voters == null || voters.generation() <= generation) {
@@ -262,6 +287,7 @@
     private void restartCatchUp() {
         catchUp.clear();
         caughtFrom.clear();
+        floorOfOthers = 0;
         change(State.CATCHING_UP, "seated");
     }
 
@@ -277,6 +303,7 @@
                 askPage(address, seat);
             }
         }
+        finishIfCaught();
     }
 
     private void tellDisk() {
@@ -442,7 +469,8 @@
                     + (e.getValue().value() == null ? 0 : e.getValue().value().length);
         }
         post.send(
-                ask.from(), new BallotNote.CatchBack(name, ask.generation(), ask.epoch(), ask.after(), entries, last));
+                ask.from(),
+                new BallotNote.CatchBack(name, ask.generation(), ask.epoch(), ask.after(), entries, last, floor));
     }
 
     private void caught(final BallotNote.CatchBack back, final String address) {
@@ -453,6 +481,7 @@
                 || !catchUp.getOrDefault(back.name(), "").equals(back.after())) {
             return;
         }
+        floorOfOthers = Math.max(floorOfOthers, back.floor());
         for (final BallotNote.Entry entry : back.entries()) {
             merge(entry.key(), entry.register());
             catchUp.put(back.name(), entry.key());
@@ -462,7 +491,13 @@
             return;
         }
         caughtFrom.put(back.name(), true);
-        if (caughtFrom.size() >= voters.meeting()) {
+        finishIfCaught();
+    }
+
+    /** What the others let go is not among their registers, so it must be here in the form that they keep it in. */
+    private void finishIfCaught() {
+        if (caughtFrom.size() >= voters.meeting() && guard.holds(floorOfOthers)) {
+            raiseFloor(floorOfOthers, () -> {});
             finishCatchUp(tableEpochDown);
         }
     }
--- a/spokestall/src/main/java/spokestall/policy/Book.java
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -14,9 +14,15 @@
     public static final ObjectMapper JSON = new ObjectMapper();
 
     private static final int IDS_KEPT = 512;
+    private static final long CHANGES_BYTES_MOST = 2 << 20;
+    /** So many changes cost a follower more than the whole. */
+    private static final int CHANGES_AT_ONCE = 32;
+
     private final int changesKept;
     private final TreeMap<Long, Change> changes = new TreeMap<>();
     private final Map<String, Long> changeIds = new LinkedHashMap<>();
+    private long changesBytes;
+    private Snapshot snapshot;
     private long bytesMost;
     private final PolicyForm form;
     private Policy policy;
@@ -63,11 +69,17 @@
         assert version > policy.version() : version + " after " + policy.version();
         policy = form.read(version, preview(change), policy);
         bytesMost = (change.kind() == Change.Kind.PUT ? 0 : bytesMost) + change.json().length;
+        keep(version, change);
+        remember(change.changeId(), version);
+    }
+
+    /** The newest one is kept however large it is: it is told to all. */
+    private void keep(final long version, final Change change) {
         changes.put(version, change);
-        while (changes.size() > changesKept) {
-            changes.pollFirstEntry();
+        changesBytes += change.json().length;
+        while (changes.size() > changesKept || changesBytes > CHANGES_BYTES_MOST && changes.size() > 1) {
+            changesBytes -= changes.pollFirstEntry().getValue().json().length;
         }
-        remember(change.changeId(), version);
     }
 
     private void remember(final String changeId, final long version) {
@@ -89,6 +101,7 @@
             throw new IllegalArgumentException("bad snapshot", e);
         }
         changes.clear();
+        changesBytes = 0;
         changeIds.clear();
         snapshot.changeIds().forEach(this::remember);
         return true;
@@ -96,9 +109,13 @@
 
     /** This version whole. Example: {@code post.send(to, book.snapshot());} */
     public Snapshot snapshot() {
+        if (snapshot != null && snapshot.version() == policy.version()) {
+            return snapshot;
+        }
         try {
-            return new Snapshot(
+            snapshot = new Snapshot(
                     policy.version(), JSON.writeValueAsBytes(policy.tree()), new LinkedHashMap<>(changeIds));
+            return snapshot;
         } catch (final JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
@@ -109,12 +126,13 @@
         return changes.tailMap(place, false);
     }
 
-    /** The changes after a place, or null when they don't reach back that far. Example: {@code book.after(17)} */
+    /** The changes after a place, or null when they don't reach back that far or are so many that the snapshot is
+     * quicker. Example: {@code book.after(17)} */
     public Map<Long, Change> after(final long place) {
         if (place == policy.version()) {
             return Map.of();
         }
-        if (changes.isEmpty() || !changes.containsKey(place + 1)) {
+        if (!changes.containsKey(place + 1) || policy.version() - place > CHANGES_AT_ONCE) {
             return null;
         }
         return changes.tailMap(place, false);
--- a/spokestall/src/main/java/spokestall/ring/Ring.java
+++ b/spokestall/src/main/java/spokestall/ring/Ring.java
@@ -116,6 +116,11 @@
         return (double) liveBytes / limitBytes(largestBytes);
     }
 
+    /** How many bytes of live records fit. Example: {@code ring.capacityBytes() / 10} */
+    public long capacityBytes() {
+        return limitBytes(largestBytes);
+    }
+
     /** All live entries. Example: {@code ring.table().forEach(this::load);} */
     public Map<String, byte[]> table() {
         return table;
--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -4,8 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import spokestall.feed.Versions;
 import spokestall.ring.Ring;
 import spokestall.ring.Segments;
 
@@ -32,6 +35,34 @@
         }
     };
 
+    /** Keeps what versions decided in a snapshot of its own. */
+    private record Holding(AtomicLong snapshotDown) implements Guard {
+        @Override
+        public boolean holds(final long floor) {
+            return snapshotDown.get() >= floor;
+        }
+
+        @Override
+        public boolean ready() {
+            return true;
+        }
+
+        @Override
+        public boolean gone(final String key) {
+            return false;
+        }
+
+        @Override
+        public boolean room(final String key) {
+            return true;
+        }
+
+        @Override
+        public boolean takes(final String key, final byte[] value) {
+            return true;
+        }
+    }
+
     /** A disk that is down at once. */
     private static final class Quick implements Segments {
         private final byte[][] files = new byte[8][1 << 14];
@@ -80,15 +111,64 @@
             voter.adopt(table);
             for (int i = 1; i <= table.meeting(); i++) {
                 assertThat(voter.state()).as("%s of %s", i, seats).isEqualTo(Voter.State.CATCHING_UP);
-                final BallotNote.CatchBack back = new BallotNote.CatchBack("v" + i, 3, 4, "", List.of(), true);
+                final BallotNote.CatchBack back = new BallotNote.CatchBack("v" + i, 3, 4, "", List.of(), true, 0);
                 voter.hear(back, "v0");
                 voter.hear(back, "v0");
-                voter.hear(new BallotNote.CatchBack("v" + (i + 1), 3, 3, "", List.of(), true), "v0");
+                voter.hear(new BallotNote.CatchBack("v" + (i + 1), 3, 3, "", List.of(), true, 0), "v0");
             }
             assertThat(voter.state()).isEqualTo(Voter.State.VOTING);
         }
     }
 
+    private static BallotNote.CatchBack allOf(final String name, final long floor) {
+        return new BallotNote.CatchBack(name, 3, 4, "", List.of(), true, floor);
+    }
+
+    @Test
+    void aJoinerTakesTheHighestFloorOfThoseThatItReadFromAndKeepsItThroughARestart() {
+        final Quick disk = new Quick();
+        final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
+        voter.adopt(table(5));
+        voter.hear(allOf("v1", 7), "v0");
+        voter.hear(allOf("v2", 40), "v0");
+        voter.hear(allOf("v3", 0), "v0");
+        assertThat(voter.state()).isEqualTo(Voter.State.VOTING);
+        assertThat(voter.floor()).isEqualTo(40);
+        final Voter again = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "other");
+        assertThat(again.state()).isEqualTo(Voter.State.VOTING);
+        assertThat(again.floor()).isEqualTo(40);
+    }
+
+    @Test
+    void aJoinerDoesNotVoteBeforeWhatTheOthersLetGoIsOnItsOwnDisk() {
+        final AtomicLong snapshotDown = new AtomicLong(39);
+        final Voter voter =
+                new Voter("v0", new Ring(new Quick()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
+        voter.adopt(table(5));
+        voter.hear(allOf("v1", 7), "v0");
+        voter.hear(allOf("v2", 40), "v0");
+        voter.hear(allOf("v3", 0), "v0");
+        voter.tick("v0");
+        assertThat(voter.state()).isEqualTo(Voter.State.CATCHING_UP);
+        snapshotDown.set(40);
+        voter.tick("v0");
+        assertThat(voter.state()).isEqualTo(Voter.State.VOTING);
+    }
+
+    @Test
+    void theFloorLeavesTheNewestVersionAndNoMoreThanSoManyBytes() {
+        final TreeMap<String, Register> registers = new TreeMap<>();
+        for (int version = 1; version <= 100; version++) {
+            final byte[] value = new byte[version == 90 ? 5000 : 10];
+            registers.put(Versions.key(version), new Register(Ballot.NONE, Ballot.NONE, value));
+        }
+        assertThat(Versions.floor(registers, 100, 1024, 1 << 20)).isZero();
+        assertThat(Versions.floor(registers, 100, 30, 1 << 20)).isEqualTo(70);
+        assertThat(Versions.floor(registers, 100, 1024, 1000)).isEqualTo(90);
+        assertThat(Versions.floor(registers, 90, 1024, 1000)).isEqualTo(89);
+        assertThat(Versions.upTo(registers, 89)).hasSize(89).doesNotContain(Versions.key(90));
+    }
+
     @Test
     void whoResignedFromAGenerationVotesInNoneOfItsEpochs() {
         final Voter voter = joiner();
