A long history in virtual time: what a core grows to, and how it comes back

History makes one change after the other, small patches and large whole policies mixed, while cores are restarted, lose power or their disk and are cut off for 20 s, one at a time; at given counts it tells ring fill, registers, changes kept, and for each way of coming back the time until the core votes with a proof that its policy is newest, the bytes sent to it and the time its start takes. `bin/proof history 10 100 1000`; HistoryTest holds it to bounds.

--- a/proof/src/main/java/spokestall/proof/Growth.java
+++ b/proof/src/main/java/spokestall/proof/Growth.java
@@ -70,7 +70,7 @@
         return (after - before) / 1024 / kept.length * (kept[0].policy().version() > 0 ? 1 : 0);
     }
 
-    private static ObjectNode policy(final int bindings) {
+    static ObjectNode policy(final int bindings) {
         final ObjectNode policy = Deployment.PADMA.policy();
         for (int i = 0; i < bindings; i++) {
             bindings(policy, i % Deployment.TENANTS)
--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -82,10 +82,12 @@
             case "faults" -> faults(rest);
             case "sim" -> sim(rest);
             case "growth" -> Growth.run();
+            case "history" -> history(rest);
             case "traffic" -> traffic(rest);
             case "scale" -> scale(rest);
             default -> {
-                System.err.println("proof fleet|faults|sim|scale [--help], proof growth, proof traffic [key=value]...");
+                System.err.println(
+                        "proof fleet|faults|sim|scale [--help], proof growth, proof history [CHANGES]..., proof traffic [key=value]...");
                 yield 2;
             }
         };
@@ -239,6 +241,13 @@
         }
     }
 
+    /** At how many changes it is measured; the seed is 1. */
+    private static int history(final String[] args) {
+        Logger.getLogger("").setLevel(Level.OFF);
+        final List<Integer> marks = Arrays.stream(args).map(Integer::parseInt).toList();
+        return History.run(1, marks.isEmpty() ? List.of(10, 100, 1000) : marks);
+    }
+
     /** Settings as key=value; the seed is 1. */
     private static int traffic(final String[] args) {
         Logger.getLogger("").setLevel(Level.OFF);
--- a/proof/src/main/java/spokestall/proof/Traffic.java
+++ b/proof/src/main/java/spokestall/proof/Traffic.java
@@ -20,11 +20,13 @@
 
     private static final long REST_MS = 30_000;
     private final Map<String, Sum> sums = new TreeMap<>();
+    private final Map<String, Long> sentTo = new TreeMap<>();
 
     /** Counts one note on its way. */
     void sent(final SimNode from, final SimNode to, final Note note, final int bytes) {
         final Sum sum = sums.computeIfAbsent(note.getClass().getSimpleName(), k -> new Sum());
         sum.notes++;
+        sentTo.merge(to.name, (long) bytes, Long::sum);
         if (!from.region.equals(to.region)) {
             sum.regions += bytes;
         } else if (!from.district.equals(to.district)) {
@@ -34,6 +36,11 @@
         }
     }
 
+    /** Bytes that were sent to a node, lost or not. */
+    long sentTo(final String node) {
+        return sentTo.getOrDefault(node, 0L);
+    }
+
     Map<String, Sum> sums() {
         return sums;
     }
--- a/proof/src/main/java/spokestall/proof/World.java
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -106,7 +106,7 @@
         this.settings = new TreeMap<>(scenario.settings());
         settings.putAll(plant.settings());
         settings.putAll(more);
-        this.segmentBytes = scenario.segmentBytes();
+        this.segmentBytes = Integer.parseInt(settings.getOrDefault("ringSegmentBytes", "" + scenario.segmentBytes()));
         this.plant = plant;
         this.sim = new Sim(seed, traced);
         this.deployment = deployment;
--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/HistoryTest.java
@@ -0,0 +1,41 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Hundreds of changes with cores coming back all along: what a core grows to is bounded, and how it comes back too. */
+class HistoryTest {
+    private static final long CATCH_UP_MS = 4000;
+
+    @BeforeAll
+    static void quiet() {
+        Logger.getLogger("").setLevel(Level.OFF);
+    }
+
+    @Test
+    void manyLargeChangesLeaveRoomAndCoresComeBackInTime() {
+        final History history = new History(1, List.of(10, 60, 200), 4, 9000);
+        assertThat(history.play()).as("all changes were acknowledged").isTrue();
+        assertThat(history.lost()).isEmpty();
+        assertThat(history.rows()).hasSize(3).allSatisfy(row -> {
+            assertThat(row.ringFill()).isLessThan(0.7);
+            assertThat(row.bookBytes()).isLessThan(3 << 20);
+        });
+        assertThat(history.backs())
+                .allSatisfy(back -> assertThat(back.tookMs()).as("%s", back).isLessThan(CATCH_UP_MS));
+    }
+
+    @Test
+    void manySmallChangesLeaveRoomAndCoresComeBackInTime() {
+        final History history = new History(2, List.of(100, 700), 50, 200);
+        assertThat(history.play()).as("all changes were acknowledged").isTrue();
+        assertThat(history.lost()).isEmpty();
+        assertThat(history.backs())
+                .allSatisfy(back -> assertThat(back.tookMs()).as("%s", back).isLessThan(CATCH_UP_MS));
+    }
+}
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -594,6 +594,11 @@
         return voter;
     }
 
+    /** How full a core's ring is, 1 when nothing more fits. Example: {@code node.ringFill() < 0.7} */
+    public double ringFill() {
+        return ring.fill();
+    }
+
     /** The duty's keeper, or null on an edge. Example: {@code node.keeper().execution()} */
     public LeaseKeeper keeper() {
         return keeper;
