Ring files: one that is lost or cut short makes the ring blank, and their folder's own name is synced

Cause: FileSegments.open made every file that was missing anew, full of zeros; when it was the newest, the ring opened as of before it, and the core would have voted without the promises that it had given. The name of the ring's folder was never synced in the data folder, so a power loss after the first start could take the ring as a whole. After: since nothing is written to a file before all are made and synced, files of unequal length with something written in one of them mean a loss: what is left is emptied first, then all is made anew, and the ring is blank, which is told (event=ring_files_lost). Files of one length that are all shorter (a larger ringSegmentBytes) still grow. Not held here: a newest file whose bytes are zero at full length looks like an older state; see the ring's newest number.

--- a/spokestall/src/main/java/spokestall/ring/FileSegments.java
+++ b/spokestall/src/main/java/spokestall/ring/FileSegments.java
@@ -1,5 +1,6 @@
 package spokestall.ring;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -7,6 +8,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,6 +17,7 @@
 
 /** Preallocated files in the data folder. Writes and syncs run on the disk stage, never on the caller's. */
 public final class FileSegments implements Segments {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final List<FileChannel> files = new ArrayList<>();
     private final int sizeBytes;
     private final Executor disk;
@@ -25,20 +28,71 @@
             final Path folder, final int count, final int sizeBytes, final Executor disk, final Executor back)
             throws IOException {
         Files.createDirectories(folder);
-        final FileSegments made = new FileSegments(sizeBytes, disk, back);
+        final List<Path> paths = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            final Path path = folder.resolve("segment-" + i);
+            paths.add(folder.resolve("segment-" + i));
+        }
+        if (partlyLost(paths)) {
+            LOG.atSevere().log("event=ring_files_lost folder=%s", folder);
+            clear(paths);
+        }
+        final FileSegments made = new FileSegments(sizeBytes, disk, back);
+        for (final Path path : paths) {
             final FileChannel file = FileChannel.open(
                     path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
             made.fill(file);
             made.files.add(file);
         }
-        try (FileChannel dir = FileChannel.open(folder, StandardOpenOption.READ)) {
-            dir.force(true);
-        }
+        sync(folder);
+        sync(folder.toAbsolutePath().getParent());
         return made;
     }
 
+    /** Nothing is written to a file before all are made and synced, their folder's names too. So if one is not there, or
+     * shorter than another, while another has been written to, it was lost, and with it what cannot be told. */
+    private static boolean partlyLost(final List<Path> paths) throws IOException {
+        final Set<Long> sizes = new HashSet<>();
+        for (final Path path : paths) {
+            sizes.add(Files.exists(path) ? Files.size(path) : 0L);
+        }
+        if (sizes.size() == 1) {
+            return false;
+        }
+        for (final Path path : paths) {
+            if (Files.exists(path) && written(path)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean written(final Path path) throws IOException {
+        for (final byte one : Files.readAllBytes(path)) {
+            if (one != 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Empties what is left before anything is made anew: cut short in between, it is still seen that a file is lost. */
+    private static void clear(final List<Path> paths) throws IOException {
+        for (final Path path : paths) {
+            if (Files.exists(path)) {
+                try (FileChannel file = FileChannel.open(path, StandardOpenOption.WRITE)) {
+                    zero(file, 0, file.size());
+                    file.force(true);
+                }
+            }
+        }
+    }
+
+    private static void sync(final Path folder) throws IOException {
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+            names.force(true);
+        }
+    }
+
     private FileSegments(final int sizeBytes, final Executor disk, final Executor back) {
         this.sizeBytes = sizeBytes;
         this.disk = disk;
@@ -46,13 +100,17 @@
     }
 
     private void fill(final FileChannel file) throws IOException {
+        zero(file, file.size(), sizeBytes);
+        file.force(true);
+    }
+
+    private static void zero(final FileChannel file, final long from, final long until) throws IOException {
         final ByteBuffer zeros = ByteBuffer.allocate(1 << 16);
-        long at = file.size();
-        while (at < sizeBytes) {
-            zeros.clear().limit((int) Math.min(zeros.capacity(), sizeBytes - at));
+        long at = from;
+        while (at < until) {
+            zeros.clear().limit((int) Math.min(zeros.capacity(), until - at));
             at += file.write(zeros, at);
         }
-        file.force(true);
     }
 
     @Override
