--- a/proof/src/test/java/spokestall/proof/HistoryTest.java
+++ b/proof/src/test/java/spokestall/proof/HistoryTest.java
@@ -30,6 +30,16 @@
                 .allSatisfy(back -> assertThat(back.tookMs()).as("%s", back).isLessThan(CATCH_UP_MS));
     }
 
+    @Test
+    void largeChangesAloneLeaveRoom() {
+        final History history = new History(3, List.of(20, 60), 1, 9000);
+        assertThat(history.play()).as("all changes were acknowledged").isTrue();
+        assertThat(history.lost()).isEmpty();
+        assertThat(history.rows()).allSatisfy(row -> assertThat(row.ringFill()).isLessThan(0.7));
+        assertThat(history.backs())
+                .allSatisfy(back -> assertThat(back.tookMs()).as("%s", back).isLessThan(CATCH_UP_MS));
+    }
+
     @Test
     void manySmallChangesLeaveRoomAndCoresComeBackInTime() {
         final History history = new History(2, List.of(100, 700), 50, 200);
