Seats: a core that joins takes a silent seat; one long silent is given up

Cause: Formation.join only ever added seats (Voters.add); each replaced machine left a seat that counts against the majority, five of them left eleven seats with five dead and no majority. And a disk whose seat was gone kept its identity: seated anew, it opened as a voter although it had missed what was confirmed.

Excluded: a cause in the registers; the table's register takes any next epoch as it is.

After: 6, 7 and 5 seats, everyone votes 4 s after each replacement, in virtual time.

Conclusion: silence is said in each Standing (bits by place in the table, version 4 of the notes) and counts when a majority of the seats says so under the same table; Membership decides, the register agrees. Seats are given up from even tables only, never below what the settings say must be borne.

--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -317,14 +317,17 @@
                                 settings.part("leaveBoundMs", 0.75),
                                 8 * farMs,
                                 settings.part("leaveBoundMs", 0.25),
-                                settings.ms("noteVersion") < 3),
+                                settings.ms("noteVersion") < 3,
+                                settings.part("leaveBoundMs", 0.75),
+                                settings.part("leaveBoundMs", 8)),
                         new Merge(fleet),
                         this::remains,
                         this::coreAndEdgeAddresses,
                         this::otherCoreAddresses,
                         founder,
                         this::freshId,
-                        fleet::settled)
+                        fleet::settled,
+                        new Losses(settings, view))
                 : null;
         this.prober = core
                 ? new Prober(
--- a/spokestall/src/main/java/spokestall/ballot/FormNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/FormNote.java
@@ -6,7 +6,8 @@
 
 /** What cores say to each other about who can vote, and the ballot for a new generation. */
 public sealed interface FormNote extends Note {
-    /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. */
+    /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. The last two have
+     * a bit for each place in the table: seats it has not heard for long, and for so long that they may be given up. */
     record Standing(
             String name,
             String address,
@@ -17,7 +18,9 @@
             boolean canWrite,
             @Since(3) long generation,
             @Since(3) long epoch,
-            @Since(3) boolean founding)
+            @Since(3) boolean founding,
+            @Since(4) long silentSeats,
+            @Since(4) long goneSeats)
             implements FormNote {
         /** The older form has the table always, and its numbers nowhere else. */
         public Standing {
--- a/spokestall/src/main/java/spokestall/ballot/Formation.java
+++ b/spokestall/src/main/java/spokestall/ballot/Formation.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
 import spokestall.wire.Post;
@@ -34,9 +35,18 @@
     }
 
     /** Spans and sizes, from the settings; cores is 0 if nobody said how many. A settled core says its standing each
-     * sayMs, always with its table if others read the older form only. */
+     * sayMs, always with its table if others read the older form only. A seat unheard for silentMs may be given to a core
+     * that joins, one unheard for goneMs given up. */
     public record Pace(
-            int cores, long freshMs, long settleMs, long waitAllMs, long roundMs, long sayMs, boolean alwaysTable) {}
+            int cores,
+            long freshMs,
+            long settleMs,
+            long waitAllMs,
+            long roundMs,
+            long sayMs,
+            boolean alwaysTable,
+            long silentMs,
+            long goneMs) {}
 
     /** What an acceptor keeps on disk about a new generation's ballot. */
     record Kept(long base, Ballot promised, Ballot accepted, Founding founding) {}
@@ -60,6 +70,8 @@
     private final Founder founder;
     private final Supplier<String> freshId;
     private final BooleanSupplier ready;
+    private final Membership membership;
+    private final Silence silence;
     private final Map<String, Heard> heard = new TreeMap<>();
     private final Map<String, Remains> remains = new TreeMap<>();
     private final Map<String, FormNote.FormPromise> promises = new TreeMap<>();
@@ -72,7 +84,8 @@
     private long count;
     private long wantedSinceMs = -1;
     private long stuckSinceMs = -1;
-    private boolean joining;
+    private boolean changing;
+    private long unseatedSinceMs = -1;
     private Founding proposed;
     private Founding founded;
     private FormNote.Standing said;
@@ -80,7 +93,8 @@
     private long changedMs;
 
     /** {@code others} are all other nodes known, {@code cores} the cores among them; {@code founder} is null on a core
-     * that may not found the first generation by the seeds. Example: see {@code Node}, which joins it to the voter, the proposer and the view. */
+     * that may not found the first generation by the seeds; {@code mostLost} tells how many of some seats the largest loss
+     * that must be borne can take. Example: see {@code Node}, which joins it to the voter, the proposer and the view. */
     public Formation(
             final String name,
             final String address,
@@ -96,7 +110,8 @@
             final Supplier<List<String>> cores,
             final Founder founder,
             final Supplier<String> freshId,
-            final BooleanSupplier ready) {
+            final BooleanSupplier ready,
+            final ToIntFunction<List<Seat>> mostLost) {
         this.name = name;
         this.address = address;
         this.by = by;
@@ -112,6 +127,8 @@
         this.founder = founder;
         this.freshId = freshId;
         this.ready = ready;
+        this.membership = new Membership(name, mostLost);
+        this.silence = new Silence(pace.sayMs());
         final byte[] had = voter.own(FORM);
         kept = had == null ? null : Codec.record(had, Kept.class);
         if (kept != null && kept.base == generation()) {
@@ -135,7 +152,14 @@
                 voter.canWrite(),
                 0,
                 0,
-                founder != null && voter.voters() == null);
+                founder != null && voter.voters() == null,
+                unheard(pace.silentMs()),
+                unheard(pace.goneMs()));
+    }
+
+    private long unheard(final long boundMs) {
+        final Voters table = voter.voters();
+        return table == null ? 0 : silence.silentSeats(table, name, boundMs, clock.nowMs());
     }
 
     /** The cores heard of late, by name, with what they said. Example: {@code formation.fresh().size()} */
@@ -209,7 +233,9 @@
                         mine.canWrite(),
                         mine.generation(),
                         mine.epoch(),
-                        mine.founding());
+                        mine.founding(),
+                        mine.silentSeats(),
+                        mine.goneSeats());
         for (final String other : edgesToo ? others.get() : cores.get()) {
             post.send(other, have.contains(other) ? lean : mine);
         }
@@ -217,6 +243,9 @@
 
     /** One beat: says its standing, joins, or starts a new generation. Example: {@code formation.tick();} */
     public void tick() {
+        if (voter.voters() != null) {
+            silence.beat(voter.voters(), clock.nowMs());
+        }
         say();
         voter.tick(address);
         final Map<String, FormNote.Standing> fresh = fresh();
@@ -236,7 +265,7 @@
             consider(fresh);
         } else {
             wantedSinceMs = -1;
-            join(fresh);
+            changeSeats(fresh);
         }
     }
 
@@ -378,6 +407,7 @@
         if (heard.size() >= 4 * Voters.SEATS_MAX && !heard.containsKey(s.name())) {
             return;
         }
+        silence.heard(s.name(), clock.nowMs());
         final Heard had = heard.put(s.name(), new Heard(s, clock.nowMs()));
         if (s.newerThan(voter.voters())) {
             if (s.table() != null) {
@@ -539,51 +569,90 @@
         change(Phase.IDLE, "founded");
     }
 
-    /** A blank core, one that came back at another address, or one without a seat asks for its seat, once a majority is
-     * there to agree. One seat is changed by each epoch. */
-    private void join(final Map<String, FormNote.Standing> fresh) {
+    /** Asks for one change of the table, once a majority is there to agree. One seat is changed by each epoch. */
+    private void changeSeats(final Map<String, FormNote.Standing> fresh) {
         final Voters table = voter.voters();
-        if (table == null || joining || !voter.canWrite()) {
+        if (table == null || changing || !voter.canWrite() || !majorityVotes(table, fresh)) {
             return;
         }
+        switch (voter.state()) {
+            case RESIGNED -> startOverIfStuck();
+            case BLANK -> join(table, fresh);
+            case VOTING -> {
+                unseatedSinceMs = -1;
+                if (moved(table)) {
+                    propose(table.swap(seat()));
+                } else {
+                    membership.thinned(table, fresh).ifPresent(this::propose);
+                }
+            }
+            default -> {
+                if (moved(table)) {
+                    propose(table.swap(seat()));
+                }
+            }
+        }
+    }
+
+    private Seat seat() {
+        return new Seat(name, address, voter.diskId());
+    }
+
+    /** Whether a majority of the seats vote, this core's own not among them unless it votes. */
+    private boolean majorityVotes(final Voters table, final Map<String, FormNote.Standing> fresh) {
         int voting = 0;
         for (final FormNote.Standing s : fresh.values()) {
-            voting += s.voting() && !s.name().equals(name) ? 1 : 0;
+            voting += s.voting() && table.seat(s.name()) != null ? 1 : 0;
         }
-        if (voting < table.majority()) {
-            stuckSinceMs = -1;
-            return;
+        if (voting >= table.majority()) {
+            return true;
         }
-        if (voter.state() == Voter.State.RESIGNED) {
-            stuckSinceMs = stuckSinceMs < 0 ? clock.nowMs() : stuckSinceMs;
-            if (clock.nowMs() - stuckSinceMs > 4 * pace.roundMs()) {
-                kept = null;
-                voter.restart(freshId.get());
-                voter.keepOwn(FORM, null, ok -> {});
-            }
-            return;
+        stuckSinceMs = -1;
+        return false;
+    }
+
+    /** The other generation's ballot that this core resigned for came to nothing: it begins as a blank one. */
+    private void startOverIfStuck() {
+        stuckSinceMs = stuckSinceMs < 0 ? clock.nowMs() : stuckSinceMs;
+        if (clock.nowMs() - stuckSinceMs > 4 * pace.roundMs()) {
+            kept = null;
+            voter.restart(freshId.get());
+            voter.keepOwn(FORM, null, ok -> {});
         }
+    }
+
+    /** This core's disk has its seat under another address. */
+    private boolean moved(final Voters table) {
         final Seat seat = table.seat(name);
-        final boolean moved = seat != null
+        return seat != null
                 && seat.diskId().equals(voter.diskId())
                 && !seat.address().equals(address);
-        if (seat == null && table.seats().size() >= Voters.SEATS_MAX) {
+    }
+
+    /** A core without a seat of its own asks for one. A disk that has voted and lost its seat meanwhile gets a fresh
+     * identity first. */
+    private void join(final Voters table, final Map<String, FormNote.Standing> fresh) {
+        if (voter.hasVoted()) {
+            voter.restart(freshId.get());
             return;
         }
-        if (voter.state() == Voter.State.BLANK || moved) {
-            joining = true;
-            final Seat wanted = new Seat(name, address, voter.diskId());
-            final byte[] mine = Codec.bytes(seat == null ? table.add(wanted) : table.swap(wanted));
-            proposer.change(
-                    "voters/" + table.generation() + "/" + (table.epoch() + 1),
-                    pace.roundMs() * 2,
-                    now -> now == null ? new Edit.Set(mine) : Edit.LEAVE,
-                    this::joined);
-        }
+        unseatedSinceMs = unseatedSinceMs < 0 ? clock.nowMs() : unseatedSinceMs;
+        final boolean waited = clock.nowMs() - unseatedSinceMs > 2 * pace.silentMs();
+        membership.joined(table, seat(), fresh, waited).ifPresent(this::propose);
+    }
+
+    private void propose(final Voters next) {
+        changing = true;
+        final byte[] mine = Codec.bytes(next);
+        proposer.change(
+                "voters/" + next.generation() + "/" + next.epoch(),
+                pace.roundMs() * 2,
+                now -> now == null ? new Edit.Set(mine) : Edit.LEAVE,
+                this::changed);
     }
 
-    private void joined(final Outcome outcome) {
-        joining = false;
+    private void changed(final Outcome outcome) {
+        changing = false;
         if (outcome instanceof Outcome.Done done && done.value() != null) {
             final Voters table = Codec.record(done.value(), Voters.class);
             adopt(table);
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ballot/Membership.java
@@ -0,0 +1,99 @@
+package spokestall.ballot;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+import java.util.function.ToLongFunction;
+
+/**
+ * Decides which one seat the next epoch's table changes. A seat counts as silent, or as gone, only when a majority of the
+ * seats say so under the very same table. It decides only: a table is agreed in its register.
+ */
+final class Membership {
+    private final String name;
+    private final ToIntFunction<List<Seat>> mostLost;
+
+    /** {@code mostLost}: how many of these seats the largest loss that must be borne can take. */
+    Membership(final String name, final ToIntFunction<List<Seat>> mostLost) {
+        this.name = name;
+        this.mostLost = mostLost;
+    }
+
+    /** The table with this core's seat in it, or none while it should wait: the seat of its own name, else the seat of a
+     * core that is gone, else one more. A seat is added while others are unheard only once it has waited long enough
+     * that they would have been called silent. */
+    Optional<Voters> joined(
+            final Voters table, final Seat own, final Map<String, FormNote.Standing> fresh, final boolean waited) {
+        if (table.seat(name) != null) {
+            return Optional.of(table.swap(own));
+        }
+        for (final Seat seat : table.seats()) {
+            if (seat.address().equals(own.address())) {
+                return Optional.of(table.replace(seat.name(), own));
+            }
+        }
+        for (int place = 0; place < table.seats().size(); place++) {
+            final String seat = table.seats().get(place).name();
+            if (!fresh.containsKey(seat) && agreed(table, fresh, place, FormNote.Standing::silentSeats)) {
+                return Optional.of(table.replace(seat, own));
+            }
+        }
+        final boolean allHeard = table.seats().stream().allMatch(seat -> fresh.containsKey(seat.name()));
+        final boolean fits = table.seats().size() < Voters.SEATS_MAX;
+        return fits && (allHeard || waited) ? Optional.of(table.add(own)) : Optional.empty();
+    }
+
+    /** The table without a seat that is gone, or none. An odd table keeps it: with one seat silent it needs as many votes
+     * as the even one below it. */
+    Optional<Voters> thinned(final Voters table, final Map<String, FormNote.Standing> fresh) {
+        if (table.seats().size() % 2 != 0 || !proposes(table, fresh) || joinerWaits(table, fresh)) {
+            return Optional.empty();
+        }
+        for (int place = 0; place < table.seats().size(); place++) {
+            final String seat = table.seats().get(place).name();
+            if (!fresh.containsKey(seat) && agreed(table, fresh, place, FormNote.Standing::goneSeats)) {
+                final Voters next = table.remove(seat);
+                return bears(next) ? Optional.of(next) : Optional.empty();
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Whether a majority is left after the largest loss, and a seat of that majority after one more such loss of disks. */
+    private boolean bears(final Voters next) {
+        return next.seats().size() >= 2 * mostLost.applyAsInt(next.seats()) + 1;
+    }
+
+    /** The first by name of those that vote, so that they don't all propose the same at once. */
+    private boolean proposes(final Voters table, final Map<String, FormNote.Standing> fresh) {
+        for (final FormNote.Standing s : fresh.values()) {
+            if (votes(table, s)) {
+                return s.name().equals(name);
+            }
+        }
+        return false;
+    }
+
+    /** A core without a seat takes the one that is gone. */
+    private static boolean joinerWaits(final Voters table, final Map<String, FormNote.Standing> fresh) {
+        return fresh.values().stream().anyMatch(s -> table.seat(s.name()) == null && s.canWrite());
+    }
+
+    private static boolean agreed(
+            final Voters table,
+            final Map<String, FormNote.Standing> fresh,
+            final int place,
+            final ToLongFunction<FormNote.Standing> places) {
+        int say = 0;
+        for (final FormNote.Standing s : fresh.values()) {
+            say += votes(table, s) && (places.applyAsLong(s) >> place & 1) == 1 ? 1 : 0;
+        }
+        return say >= table.majority();
+    }
+
+    private static boolean votes(final Voters table, final FormNote.Standing s) {
+        final Seat seat = table.seat(s.name());
+        return s.voting() && seat != null && seat.diskId().equals(s.diskId()) && table.same(s.generation(), s.epoch());
+    }
+}
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -102,6 +102,13 @@
                 && new String(caught, StandardCharsets.UTF_8).equals(caughtMark());
     }
 
+    /** Whether this disk's identity has voted, or may have: it must never get a seat anew, since what it missed without
+     * one it would not know of. Example: {@code if (!seated && voter.hasVoted()) voter.restart(freshId);} */
+    public boolean hasVoted() {
+        final byte[] caught = ring.table().get(CAUGHT);
+        return caught != null && new String(caught, StandardCharsets.UTF_8).startsWith(diskId + "/");
+    }
+
     /** Whether the disk was blank when this life began. Example: {@code if (voter.openedBlank()) mayFound();} */
     public boolean openedBlank() {
         return openedBlank;
@@ -216,7 +223,8 @@
         }
     }
 
-    /** Starts over as a blank voter with a fresh identity, after a resignation that came to nothing.
+    /** Starts over as a blank voter with a fresh identity, after a resignation that came to nothing or the
+     * loss of its seat.
      * Example: {@code voter.restart(freshId);} */
     public void restart(final String freshId) {
         diskId = freshId;
--- a/spokestall/src/main/java/spokestall/ballot/Voters.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voters.java
@@ -3,7 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The table of voters. A generation starts from what was left after a loss; an epoch swaps one seat's disk or adds one. */
+/** The table of voters. A generation starts from what was left after a loss; an epoch
+ * changes one seat: swaps its disk, gives it to another core, adds one or removes one. */
 public record Voters(long generation, long epoch, List<Seat> seats) {
     /** How far the generation is shifted up in versions and tokens. */
     public static final int GENERATION_SHIFT = 20;
@@ -48,9 +49,7 @@
 
     /** The next epoch, with one seat's disk swapped. Example: {@code voters.swap(new Seat("d1-core", at, disk))} */
     public Voters swap(final Seat fresh) {
-        final List<Seat> next = new ArrayList<>(seats);
-        next.replaceAll(s -> s.name().equals(fresh.name()) ? fresh : s);
-        return new Voters(generation, epoch + 1, next);
+        return replace(fresh.name(), fresh);
     }
 
     /** The next epoch, with one seat more. Example: {@code voters.add(new Seat("d7-core", at, disk))} */
@@ -60,4 +59,24 @@
         next.add(fresh);
         return new Voters(generation, epoch + 1, next);
     }
+
+    /** The next epoch, with the seat of a core that is gone given to another. Example:
+     * {@code voters.replace("d1-core", new Seat("d1-core-2", at, disk))} */
+    public Voters replace(final String goneSeatName, final Seat fresh) {
+        assert seat(goneSeatName) != null : goneSeatName;
+        assert goneSeatName.equals(fresh.name()) || seat(fresh.name()) == null : fresh;
+        final List<Seat> next = new ArrayList<>(seats);
+        next.replaceAll(s -> s.name().equals(goneSeatName) ? fresh : s);
+        return new Voters(generation, epoch + 1, next);
+    }
+
+    /** The next epoch, with one seat fewer. Only a table of an even number may lose one: its majority has a seat more
+     * than the next one needs, so what a majority accepted is with a majority of those that stay.
+     * Example: {@code voters.remove("d1-core")} */
+    public Voters remove(final String goneSeatName) {
+        assert seat(goneSeatName) != null && seats.size() % 2 == 0 : goneSeatName;
+        final List<Seat> next = new ArrayList<>(seats);
+        next.removeIf(s -> s.name().equals(goneSeatName));
+        return new Voters(generation, epoch + 1, next);
+    }
 }
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -95,6 +95,9 @@
                 "edges in the fleet, by which shared bounds are divided; 0: not told, by those that are known",
                 0,
                 1024);
+        number("lossCores", 1, "cores that may be lost at once", 0, 31);
+        number("lossDistricts", 1, "districts that may be lost at once", 0, 31);
+        number("lossRegions", 1, "regions that may be lost at once", 0, 31);
         number("bootstrap", 0, "1 only at the very first start of a whole fleet that was not told its cores", 0, 1);
         number("alsoEdge", 0, "1: a core answers callers too", 0, 1);
         number("keyed", 1, "1: an ask is looked up by its key; 0: by its host and path, and some need no key", 0, 1);
--- a/spokestall/src/main/java/spokestall/wire/Codec.java
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -27,7 +27,7 @@
     /** No list, text or byte field may say it is longer than this. */
     public static final int FIELD_MAX = 32 << 20;
     /** The version of notes that this program has, and the oldest that it can read and write. */
-    public static final int VERSION = 3;
+    public static final int VERSION = 4;
     /** See {@link #VERSION}. */
     public static final int OLDEST = 1;
 
--- a/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -61,6 +61,9 @@
         boolean up;
         boolean bootstrap;
         int lives;
+        /** Gone for good, and its disk with it. */
+        boolean gone;
+
         Voter voter;
         Formation formation;
         Proposer proposer;
@@ -140,14 +143,15 @@
                             proposer,
                             this::send,
                             own,
-                            new Formation.Pace(0, 2400, 600, 3000, 880, 1000, false),
+                            new Formation.Pace(0, 2400, 600, 3000, 880, 1000, false, 3000, 30_000),
                             (base, left, seats) -> founding(base, seats),
                             () -> new Remains(name, 0, 0, null, 0, voter.hasState(), registers()),
                             () -> others(true),
                             () -> others(false),
                             founder,
                             this::freshId,
-                            () -> true)
+                            () -> true,
+                            SeatsBench.this::mostLost)
                     : null;
             if (core && voter.voters() != null) {
                 proposer.adopt(voter.voters());
@@ -181,6 +185,9 @@
         }
 
         private String freshId() {
+            if (keepsIdentity && voter != null) {
+                return voter.diskId();
+            }
             return name + "/" + random.nextInt(1 << 30);
         }
 
@@ -208,8 +215,24 @@
             disk = new Disk();
         }
 
+        /** The machine never comes back. */
+        void goForGood() {
+            stop();
+            gone = true;
+        }
+
+        /** What its disk has, synced. */
+        Map<String, byte[]> synced() {
+            return new Ring(disk).table();
+        }
+
+        /** Three regions, by the number in its name. */
+        int region() {
+            return Integer.parseInt(name.replaceAll("[^0-9]", "")) % 3;
+        }
+
         void send(final String to, final Note note) {
-            SeatsBench.this.send(to, note);
+            SeatsBench.this.send(name, to, emptied(note));
         }
 
         void hear(final Note note) {
@@ -289,6 +312,12 @@
 
     double loss;
     boolean alwaysFirst;
+    /** A disk that lost its seat keeps its identity (a planted fault). */
+    boolean keepsIdentity;
+    /** Whoever asks to catch up is told there is nothing (a planted fault). */
+    boolean emptyPages;
+    /** Pairs of machines, as "from>to", between which nothing passes. */
+    final Set<String> cut = new HashSet<>();
     /** Edges hear no feed. */
     boolean deafEdges;
 
@@ -301,6 +330,7 @@
     private long nowMs;
     private long made;
     private long generations = 1;
+    private Voters newest;
 
     SeatsBench(final long seed) {
         random = new Random(seed);
@@ -320,7 +350,27 @@
         return new Founding(new Voters(generation, 1, seats), List.of());
     }
 
-    private void send(final String to, final Note note) {
+    private Note emptied(final Note note) {
+        return emptyPages && note instanceof BallotNote.CatchBack b
+                ? new BallotNote.CatchBack(b.name(), b.generation(), b.epoch(), b.after(), List.of(), true)
+                : note;
+    }
+
+    private int mostLost(final List<Seat> seats) {
+        final int[] inRegion = new int[3];
+        seats.forEach(seat -> inRegion[machines.get(seat.name()).region()]++);
+        return Math.max(inRegion[0], Math.max(inRegion[1], inRegion[2]));
+    }
+
+    /** The newest table that any machine took. */
+    Voters newest() {
+        return newest;
+    }
+
+    private void send(final String from, final String to, final Note note) {
+        if (cut.contains(from + ">" + to)) {
+            return;
+        }
         notes++;
         tables += note instanceof FormNote.Standing s && s.table() != null || note instanceof BallotNote.Table ? 1 : 0;
         final int times = random.nextDouble() < loss ? random.nextInt(2) * 2 : 1;
@@ -338,6 +388,7 @@
     private void look(final Machine m) {
         final Voters table = m.up ? m.proposer.voters() : null;
         if (table != null) {
+            newest = table.newerThan(newest) ? table : newest;
             final List<Seat> had = seatsOf.putIfAbsent(table.generation() + "/" + table.epoch(), table.seats());
             assertThat(had == null || had.equals(table.seats()))
                     .as("one table for %s, at %s: %s, %s", m.name, nowMs, had, table)
--- a/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
@@ -290,4 +290,71 @@
         assertThat(bench.notes - notes).isLessThanOrEqualTo(6 * 5 * 11);
         assertThat(bench.tables - tables).isZero();
     }
+
+    /** Six machines go for good one after another, each followed by an empty one under another name and address. */
+    @Test
+    void aMachineThatIsReplacedLeavesNoSeatBehind() {
+        final SeatsBench bench = fleet(1, 6, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        for (int i = 0; i < 6; i++) {
+            bench.machines.get("c" + i).goForGood();
+            bench.run(bench.nowMs() + 1000);
+            bench.machine("n" + i, true, false).start();
+            bench.run(bench.nowMs() + 4000);
+            assertThat(bench.whole()).as(i + " " + bench.shown()).isTrue();
+            assertThat(bench.newest().seats()).hasSize(6);
+        }
+        assertThat(bench.founded).hasSize(1);
+    }
+
+    /** As when each new machine comes before the old one leaves: one seat more, and no more than that. */
+    @Test
+    void aMachineThatIsReplacedInOrderLeavesNoMoreThanOneSeatBehind() {
+        final SeatsBench bench = fleet(1, 6, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        for (int i = 0; i < 6; i++) {
+            bench.machine("n" + i, true, false).start();
+            bench.run(bench.nowMs() + 4000);
+            assertThat(bench.whole()).as(i + " " + bench.shown()).isTrue();
+            bench.machines.get("c" + i).goForGood();
+            bench.run(bench.nowMs() + 4000);
+            assertThat(bench.newest().seats()).hasSize(7);
+        }
+        assertThat(bench.founded).hasSize(1);
+    }
+
+    /** A seat whose core never comes back is given up, and the core that does come back has no vote by its old disk. */
+    @Test
+    void aSeatLongSilentIsGivenUpAndItsDiskHasNoVoteWhenItIsBack() {
+        final SeatsBench bench = fleet(1, 6, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        final SeatsBench.Machine away = bench.machines.get("c2");
+        final String disk = away.voter.diskId();
+        away.stop();
+        bench.run(bench.nowMs() + 28_000);
+        assertThat(bench.newest().seats()).as("not yet").hasSize(6);
+        bench.run(bench.nowMs() + 6000);
+        assertThat(bench.newest().seats()).hasSize(5);
+        assertThat(bench.newest().seat("c2")).isNull();
+        away.start();
+        bench.run(bench.nowMs() + 4000);
+        assertThat(bench.whole()).as(bench.shown()).isTrue();
+        assertThat(bench.newest().seat("c2").diskId())
+                .isEqualTo(away.voter.diskId())
+                .isNotEqualTo(disk);
+    }
+
+    /** Of four seats one may be given up where one loss must be borne; of two none is. */
+    @Test
+    void noSeatIsGivenUpBelowWhatMustBeBorne() {
+        final SeatsBench bench = fleet(1, 4, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        bench.machines.get("c1").stop();
+        bench.run(bench.nowMs() + 60_000);
+        assertThat(bench.newest().seats()).as("c0 and c3 are of one region").hasSize(4);
+    }
 }
