--- a/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -15,6 +17,7 @@
 import spokestall.ring.Ring;
 import spokestall.ring.Segments;
 import spokestall.time.Clock;
+import spokestall.wire.Codec;
 import spokestall.wire.Note;
 
 /** A fleet of unknown size in virtual time: cores and edges that come late, restart, and lose disks, with notes late, lost
@@ -61,6 +64,9 @@
         boolean up;
         boolean bootstrap;
         int lives;
+        /** Gone for good, and its disk with it. */
+        boolean gone;
+
         Voter voter;
         Formation formation;
         Proposer proposer;
@@ -140,14 +146,15 @@
                             proposer,
                             this::send,
                             own,
-                            new Formation.Pace(0, 2400, 600, 3000, 880, 1000, false),
+                            new Formation.Pace(0, 2400, 600, 3000, 880, 1000, false, 2000, 32_000),
                             (base, left, seats) -> founding(base, seats),
                             () -> new Remains(name, 0, 0, null, 0, voter.hasState(), registers()),
                             () -> others(true),
                             () -> others(false),
                             founder,
                             this::freshId,
-                            () -> true)
+                            () -> true,
+                            SeatsBench.this::mostLost)
                     : null;
             if (core && voter.voters() != null) {
                 proposer.adopt(voter.voters());
@@ -208,8 +215,24 @@
             disk = new Disk();
         }
 
+        /** The machine never comes back. */
+        void goForGood() {
+            stop();
+            gone = true;
+        }
+
+        /** What its disk has, synced. */
+        Map<String, byte[]> synced() {
+            return new Ring(disk).table();
+        }
+
+        /** Three regions, by the number in its name. */
+        int region() {
+            return Integer.parseInt(name.replaceAll("[^0-9]", "")) % 3;
+        }
+
         void send(final String to, final Note note) {
-            SeatsBench.this.send(to, note);
+            SeatsBench.this.send(name, to, emptied(note));
         }
 
         void hear(final Note note) {
@@ -289,6 +312,12 @@
 
     double loss;
     boolean alwaysFirst;
+    /** Whoever asks to catch up is told there is nothing (a planted fault). */
+    boolean emptyPages;
+    /** A whole region may be lost at once, else one machine. */
+    boolean regions;
+    /** Pairs of machines, as "from>to", between which nothing passes. */
+    final Set<String> cut = new HashSet<>();
     /** Edges hear no feed. */
     boolean deafEdges;
 
@@ -301,6 +330,7 @@
     private long nowMs;
     private long made;
     private long generations = 1;
+    private Voters newest;
 
     SeatsBench(final long seed) {
         random = new Random(seed);
@@ -320,7 +350,30 @@
         return new Founding(new Voters(generation, 1, seats), List.of());
     }
 
-    private void send(final String to, final Note note) {
+    private Note emptied(final Note note) {
+        return emptyPages && note instanceof BallotNote.CatchBack b
+                ? new BallotNote.CatchBack(b.name(), b.generation(), b.epoch(), b.after(), List.of(), true)
+                : note;
+    }
+
+    int mostLost(final List<Seat> seats) {
+        if (!regions) {
+            return 1;
+        }
+        final int[] inRegion = new int[3];
+        seats.forEach(seat -> inRegion[machines.get(seat.name()).region()]++);
+        return Math.max(inRegion[0], Math.max(inRegion[1], inRegion[2]));
+    }
+
+    /** The newest table that any machine took. */
+    Voters newest() {
+        return newest;
+    }
+
+    private void send(final String from, final String to, final Note note) {
+        if (cut.contains(from + ">" + to)) {
+            return;
+        }
         notes++;
         tables += note instanceof FormNote.Standing s && s.table() != null || note instanceof BallotNote.Table ? 1 : 0;
         final int times = random.nextDouble() < loss ? random.nextInt(2) * 2 : 1;
@@ -338,6 +391,7 @@
     private void look(final Machine m) {
         final Voters table = m.up ? m.proposer.voters() : null;
         if (table != null) {
+            newest = table.newerThan(newest) ? table : newest;
             final List<Seat> had = seatsOf.putIfAbsent(table.generation() + "/" + table.epoch(), table.seats());
             assertThat(had == null || had.equals(table.seats()))
                     .as("one table for %s, at %s: %s, %s", m.name, nowMs, had, table)
@@ -349,6 +403,54 @@
         }
     }
 
+    /** What a seat of the newest table has on its disk, synced; empty if its disk is gone or has not caught up. */
+    private Optional<Map<String, byte[]>> state(final Seat seat) {
+        final Machine m = machines.get(seat.name());
+        final Map<String, byte[]> table = m.gone ? Map.of() : m.synced();
+        final boolean same = seat.diskId().equals(text(table.get("~disk")));
+        final String mark = seat.diskId() + "/" + newest.generation();
+        return same && mark.equals(text(table.get("~caught"))) ? Optional.of(table) : Optional.empty();
+    }
+
+    private static String text(final byte[] value) {
+        return value == null ? "" : new String(value, StandardCharsets.UTF_8);
+    }
+
+    /** How many disks have what, of those with a seat in the newest table. */
+    record Copies(int seats, int withState, int fewest, String fewestKey) {
+        /** The copies that there have to be: a majority, less the seats whose disks are lost or still catch up. */
+        int owed() {
+            return seats / 2 + 1 - (seats - withState);
+        }
+    }
+
+    /** Counts the copies of written-once values on disks, synced. */
+    Copies copies(final Map<String, String> confirmed) {
+        final List<Map<String, byte[]>> states = newest.seats().stream()
+                .map(this::state)
+                .flatMap(Optional::stream)
+                .toList();
+        int fewest = Integer.MAX_VALUE;
+        String fewestKey = "";
+        for (final Map.Entry<String, String> e : confirmed.entrySet()) {
+            int have = 0;
+            for (final Map<String, byte[]> state : states) {
+                final byte[] register = state.get(e.getKey());
+                have += register != null
+                                && e.getValue()
+                                        .equals(text(Codec.record(register, Register.class)
+                                                .value()))
+                        ? 1
+                        : 0;
+            }
+            if (have < fewest) {
+                fewest = have;
+                fewestKey = e.getKey();
+            }
+        }
+        return new Copies(newest.seats().size(), states.size(), fewest, fewestKey);
+    }
+
     List<Machine> cores() {
         return machines.values().stream().filter(m -> m.core && m.up).toList();
     }
