A stop looks once more after its port is closed

Cause: a connection that the port took at the moment of its closing could come after the look that found none open, and the process went with it. Excluded: connections that the kernel holds and nobody took are reset unread. Now: quiet counts from the look after the one that closed the port. Before: DepartureTest.itWaitsForAConnectionThat... ends at 200 with a connection open. After: DepartureTest passes.

--- a/spokestall/src/main/java/spokestall/Departure.java
+++ b/spokestall/src/main/java/spokestall/Departure.java
@@ -55,11 +55,14 @@
 
     private void look() {
         final long spentMs = clock.nowMs() - begunMs;
+        // A connection may be taken at the very moment that the port closes, so it is quiet at the next look at the
+        // soonest.
+        final boolean closedBefore = closed;
         closed = step(closed, spentMs >= pace.acceptMs(), connections::stopAccepting);
         denying = step(denying, spentMs >= pace.admitMs(), requests::deny);
         ending = step(ending, spentMs >= pace.restMs(), connections::endResting);
         final boolean quiet = connections.open() == 0 && !requests.open();
-        if (closed && quiet) {
+        if (closedBefore && quiet) {
             done.run();
         } else if (spentMs >= pace.mostMs()) {
             requests.giveUp();
