--- a/spokestall/src/main/java/spokestall/rim/Wires.java
+++ b/spokestall/src/main/java/spokestall/rim/Wires.java
@@ -34,6 +34,11 @@
     private static final long QUEUE_BYTES = 2L * FRAME_MAX;
     private static final long AGAIN_MS = 200;
     private static final int UNKNOWN_MAX = 64;
+    /** What one read takes at the most: most notes come whole, head and all, by a single one. */
+    private static final int READ_BYTES = 4096;
+    /** As many signs of being heard are read at once; one is enough to know. */
+    private static final int ECHOES = 64;
+
     private final XnioWorker worker;
     private final Consumer<Note> heard;
     private final long silentMs;
@@ -109,6 +114,7 @@
     /** One wire that came in. */
     private final class In {
         private final StreamConnection wire;
+        private final ByteBuffer came = ByteBuffer.allocate(READ_BYTES);
         private ByteBuffer frame = ByteBuffer.allocate(4);
         private boolean head = true;
         private boolean owed;
@@ -119,23 +125,16 @@
 
         void read(final ConduitStreamSourceChannel channel) {
             try {
-                while (true) {
-                    final int n = channel.read(frame);
-                    if (n <= 0) {
-                        echo();
-                    }
-                    if (n < 0) {
-                        IoUtils.safeClose(wire);
-                        return;
-                    }
-                    owed |= n > 0;
-                    if (frame.hasRemaining()) {
-                        if (n == 0) {
-                            return;
-                        }
-                        continue;
-                    }
-                    next();
+                int n = channel.read(came.clear());
+                while (n > 0) {
+                    owed = true;
+                    take(came.flip());
+                    // A read that was not filled took all there was.
+                    n = n < READ_BYTES ? 0 : channel.read(came.clear());
+                }
+                echo();
+                if (n < 0) {
+                    IoUtils.safeClose(wire);
                 }
             } catch (final IOException e) {
                 LOG.atFine().log("event=wire_closed why=%s", e.getMessage());
@@ -143,6 +142,17 @@
             }
         }
 
+        private void take(final ByteBuffer bytes) throws IOException {
+            while (bytes.hasRemaining()) {
+                final int part = Math.min(bytes.remaining(), frame.remaining());
+                frame.put(bytes.array(), bytes.position(), part);
+                bytes.position(bytes.position() + part);
+                if (!frame.hasRemaining()) {
+                    next();
+                }
+            }
+        }
+
         /** One byte back for any that were heard, so that a long note on a slow wire counts too: the other side sees that someone is there. */
         private void echo() throws IOException {
             if (owed) {
@@ -255,13 +265,11 @@
             }
             to.getSourceChannel().setReadListener(c -> {
                 try {
-                    final ByteBuffer echoes = ByteBuffer.allocate(64);
-                    int n = c.read(echoes);
-                    while (n > 0) {
+                    final ByteBuffer echoes = ByteBuffer.allocate(ECHOES);
+                    final int n = c.read(echoes);
+                    if (n > 0) {
                         heardBack(to);
-                        n = c.read(echoes.clear());
-                    }
-                    if (n < 0) {
+                    } else if (n < 0) {
                         closed(to);
                     }
                 } catch (final IOException e) {
--- a/spokestall/src/test/java/spokestall/rim/WiresTest.java
+++ b/spokestall/src/test/java/spokestall/rim/WiresTest.java
@@ -2,10 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
@@ -92,4 +95,39 @@
         there.close();
         worker.shutdownNow();
     }
+
+    @Test
+    void aNoteThatComesInPiecesIsHeardOnceItIsWhole() throws Exception {
+        Codec.number(202, Hello.class);
+        final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        final LinkedBlockingQueue<Note> heard = new LinkedBlockingQueue<>();
+        final int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        final Wires there = new Wires(worker, heard::add, 300, Codec.VERSION, new Peers("127.0.0.0/8"));
+        there.listen(Addresses.of("127.0.0.1:" + port));
+        final Hello large = new Hello(1, "n".repeat(50_000));
+        final Hello small = new Hello(2, "x");
+        try (Socket wire = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            wire.setSoTimeout(20_000);
+            final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            for (final Hello note : List.of(large, small, large)) {
+                final byte[] frame = Codec.note(note, Codec.VERSION);
+                new DataOutputStream(bytes).writeInt(frame.length);
+                bytes.write(frame);
+            }
+            // Each piece is known to have been read before the next one leaves, by the byte that comes back for it.
+            final byte[] all = bytes.toByteArray();
+            for (int from = 0; from < all.length; from += 8191) {
+                wire.getOutputStream().write(all, from, Math.min(8191, all.length - from));
+                assertThat(wire.getInputStream().read()).isGreaterThanOrEqualTo(0);
+            }
+        }
+        assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo(large);
+        assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo(small);
+        assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo(large);
+        there.close();
+        worker.shutdownNow();
+    }
 }
