--- a/spokestall/src/main/java/spokestall/rim/Wires.java
+++ b/spokestall/src/main/java/spokestall/rim/Wires.java
@@ -145,7 +145,7 @@
         private void take(final ByteBuffer bytes) throws IOException {
             while (bytes.hasRemaining()) {
                 final int part = Math.min(bytes.remaining(), frame.remaining());
-                frame.put(bytes.array(), bytes.position(), part);
+                frame.put(bytes.slice().limit(part));
                 bytes.position(bytes.position() + part);
                 if (!frame.hasRemaining()) {
                     next();
--- a/spokestall/src/test/java/spokestall/ballot/MembershipModelTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/MembershipModelTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +27,7 @@
     private static final int TROUBLES = 9;
 
     /** The faults planted, all off by default. */
-    private static final Consumer<SeatsBench> NONE = bench -> {};
+    private static void none(final SeatsBench bench) {}
 
     /** One seed's run. */
     private static final class Run {
@@ -75,14 +76,14 @@
                 by.proposer.change(
                         key,
                         2500,
-                        now -> now == null ? new Edit.Set(value.getBytes()) : Edit.LEAVE,
+                        now -> now == null ? new Edit.Set(value.getBytes(StandardCharsets.UTF_8)) : Edit.LEAVE,
                         outcome -> confirm(key, outcome));
             }
         }
 
         private void confirm(final String key, final Outcome outcome) {
             if (outcome instanceof Outcome.Done done && done.value() != null) {
-                final String value = new String(done.value());
+                final String value = new String(done.value(), StandardCharsets.UTF_8);
                 assertThat(confirmed.getOrDefault(key, value)).as(shown()).isEqualTo(value);
                 confirmed.put(key, value);
             }
@@ -287,7 +288,7 @@
                     .keySet()
                     .forEach(key -> bench.machines.get("e2").proposer.read(key, 3000, outcome -> {
                         if (outcome instanceof Outcome.Done done) {
-                            read.put(key, new String(done.value()));
+                            read.put(key, new String(done.value(), StandardCharsets.UTF_8));
                         }
                     }));
             bench.run(bench.nowMs() + 4000);
@@ -300,7 +301,7 @@
         int writes = 0;
         int least = Integer.MAX_VALUE;
         for (int seed = 0; seed < SEEDS; seed++) {
-            final Run run = new Run(seed, NONE).all();
+            final Run run = new Run(seed, MembershipModelTest::none).all();
             writes += run.confirmed.size();
             least = Math.min(least, run.leastCopies);
             assertThat(run.calmCopies).as("copies in calm times, seed " + seed).isGreaterThanOrEqualTo(3);
--- a/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -352,7 +352,7 @@
 
     private Note emptied(final Note note) {
         return emptyPages && note instanceof BallotNote.CatchBack b
-                ? new BallotNote.CatchBack(b.name(), b.generation(), b.epoch(), b.after(), List.of(), true)
+                ? new BallotNote.CatchBack(b.name(), b.generation(), b.epoch(), b.after(), List.of(), true, b.floor())
                 : note;
     }
 
--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -189,7 +189,7 @@
                 final int bytes = random.nextInt(3) == 0 ? 20 + random.nextInt(size / 2 - 150) : random.nextInt(200);
                 final String value = random.nextInt(9) == 0 ? null : step + "/" + "x".repeat(bytes);
                 maybe.computeIfAbsent(key, k -> new ArrayList<>()).add(value);
-                ring.put(key, value == null ? null : value.getBytes(), ok -> {
+                ring.put(key, value == null ? null : value.getBytes(StandardCharsets.UTF_8), ok -> {
                     if (ok) {
                         synced.put(key, value);
                         anything.set(true);
@@ -208,7 +208,7 @@
                     for (int k = 0; k < 9; k++) {
                         final String name = "key-" + k;
                         final byte[] found = ring.table().get(name);
-                        final String text = found == null ? null : new String(found);
+                        final String text = found == null ? null : new String(found, StandardCharsets.UTF_8);
                         final List<String> allowed = new ArrayList<>(maybe.getOrDefault(name, List.of()));
                         allowed.add(synced.get(name));
                         assertThat(allowed.contains(text))
@@ -263,10 +263,10 @@
     void whatWasWrittenOnceInTheFirstLifeIsStillThereAfterTheRingHasGoneRoundManyTimes() {
         final Disk disk = new Disk(8, 4096);
         final Ring ring = new Ring(disk);
-        ring.put("identity", "disk-1".getBytes(), ok -> {});
+        ring.put("identity", "disk-1".getBytes(StandardCharsets.UTF_8), ok -> {});
         disk.sync();
         for (int i = 0; i < 2000; i++) {
-            ring.put("other", ("value " + i + "x".repeat(100)).getBytes(), ok -> {});
+            ring.put("other", ("value " + i + "x".repeat(100)).getBytes(StandardCharsets.UTF_8), ok -> {});
             disk.sync();
             if (i % 50 == 0) {
                 assertThat(new Ring(disk).table()).as("after %s", i).containsOnlyKeys("identity", "other");
