--- a/spokestall/src/test/java/spokestall/rim/HttpPortTest.java
+++ b/spokestall/src/test/java/spokestall/rim/HttpPortTest.java
@@ -177,8 +177,15 @@
             answer(socket);
             port.endResting();
             assertThat(closed(socket)).isTrue();
-            send(socket, GET.replace("/x", "/held") + "\r\n");
-            assertThat(held.poll(100, TimeUnit.MILLISECONDS)).isNull();
+            send(socket, GET.replace("/x", "/held?late") + "\r\n");
+            try (Socket other = connect()) {
+                send(other, GET.replace("/x", "/held?marker") + "\r\n");
+                final HttpServerExchange first = held.poll(10, TimeUnit.SECONDS);
+                assertThat(first.getQueryString()).isEqualTo("marker");
+                first.getResponseSender().send("well");
+                assertThat(answer(other)).startsWith("HTTP/1.1 200 ");
+            }
+            assertThat(held).isEmpty();
         }
     }
 }
