An accepted order is known for a stated time, on all nodes alike, through foundings too

Cause: Book kept the ids of the newest 512 changes, so an order that was still being repeated could be pushed out by quick others and be told stale though it was in force; a generation's founding (Merge.policy) dropped all ids, so after a lost majority every confirmed order was refused. An evacuation's call has no identity: one that waited at a frozen node while it was given and withdrawn elsewhere emptied the zone anew when the node woke. A node that stood still answered by proofs of before its standstill. Excluded: each node's own clock as the measure (nodes would differ); a larger count alone (no stated time). Acceptance.takeUnnamed takes an order without identity only where the proof was fresh when it came. Follower.current says nothing after its time. A proposal whose version the node has reached is ended by what was chosen. Before: an order followed by 600 quick ones was stale (512 kept). After: AcceptedOrdersTest, RepeatedOrderTest, WaitingOrderTest and LeftBehindTest green; seen to fail: Plant.LEAPING_CHANGES forgets the order, Plant.FORGED_PROOFS lets a cut-off core hand out what it has, the same waiting order taken by agree empties the district. Conclusion: identity is a bound in time by agreed changes, equal on all nodes.

--- a/proof/src/main/java/spokestall/proof/Growth.java
+++ b/proof/src/main/java/spokestall/proof/Growth.java
@@ -28,7 +28,7 @@
             book.apply(
                     1,
                     new Change(
-                            "all", Change.Kind.PUT, policy(bindings).toString().getBytes()));
+                            "all", Change.Kind.PUT, policy(bindings).toString().getBytes(), 0));
             final long[] us = new long[TURNS];
             int bytes = 0;
             for (int i = 0; i < TURNS; i++) {
@@ -96,6 +96,6 @@
                 .putObject("new" + i)
                 .put("path", "/new/" + i)
                 .put("service", Deployment.PADMA.big);
-        return new Change("new" + i, Change.Kind.PATCH, patch.toString().getBytes());
+        return new Change("new" + i, Change.Kind.PATCH, patch.toString().getBytes(), 0);
     }
 }
--- a/proof/src/main/java/spokestall/proof/Plant.java
+++ b/proof/src/main/java/spokestall/proof/Plant.java
@@ -35,7 +35,11 @@
     /** Nothing that is reported arrives for a while, though the fleet could. */
     DEAF_PLATFORM(Map.of()),
     /** Words on upstreams are a little too old: over three seconds, not over five. */
-    SLOW_LEAVING(Map.of("leaveBoundMs", "24000"));
+    SLOW_LEAVING(Map.of("leaveBoundMs", "24000")),
+    /** Whoever asks a core that it is cut off from hears that what it has is the newest. */
+    FORGED_PROOFS(Map.of()),
+    /** Each change of the policy says that it was made an hour after the one before. */
+    LEAPING_CHANGES(Map.of());
 
     private final Map<String, String> settings;
 
--- a/proof/src/main/java/spokestall/proof/World.java
+++ b/proof/src/main/java/spokestall/proof/World.java
@@ -207,11 +207,22 @@
         } else if (note instanceof HandNote.Back back && back.content() != null) {
             carried(back.key(), target);
         }
+        if (plant == Plant.FORGED_PROOFS && !net.open(from.address, to)) {
+            final Note forged = Forger.proof(note, from, target);
+            if (forged != null) {
+                sim.after(1, () -> from.hear(life, forged));
+            }
+        }
         traffic.sent(
                 from,
                 target,
                 note,
-                net.carry(from.address, to, note, from.noteVersion(), arrived -> target.hear(targetLife, arrived)));
+                net.carry(
+                        from.address,
+                        to,
+                        Forger.altered(plant, note),
+                        from.noteVersion(),
+                        arrived -> target.hear(targetLife, arrived)));
     }
 
     /** A kept answer goes to a node: it must be at home there. */
--- a/proof/src/test/java/spokestall/proof/LeftBehindTest.java
+++ b/proof/src/test/java/spokestall/proof/LeftBehindTest.java
@@ -37,13 +37,19 @@
     @Test
     void aCoreThatIsLeftBehindSaysNothingThatTheMajorityWouldNotSay() {
         for (final Apart how : Apart.values()) {
-            IntStream.rangeClosed(1, SEEDS).forEach(seed -> play(seed, how));
+            IntStream.rangeClosed(1, SEEDS).forEach(seed -> play(seed, how, Plant.NONE));
         }
         assertThat(wrong).isEmpty();
     }
 
-    private void play(final long seed, final Apart how) {
-        final OperatorFleet fleet = new OperatorFleet(seed, Deployment.values()[(int) (seed % 2)]).begun();
+    @Test
+    void aCoreThatAnswersWithoutAProofIsSeen() {
+        play(1, Apart.BOTH_WAYS, Plant.FORGED_PROOFS);
+        assertThat(wrong).anyMatch(w -> w.contains("handed out")).anyMatch(w -> w.contains("STALE_BASE"));
+    }
+
+    private void play(final long seed, final Apart how, final Plant plant) {
+        final OperatorFleet fleet = new OperatorFleet(seed, Deployment.values()[(int) (seed % 2)], plant).begun();
         final Random random = new Random(seed);
         final List<SimNode> cores = fleet.world.cores();
         final SimNode lone = cores.get(random.nextInt(cores.size()));
--- a/proof/src/test/java/spokestall/proof/OperatorFleet.java
+++ b/proof/src/test/java/spokestall/proof/OperatorFleet.java
@@ -18,6 +18,7 @@
 final class OperatorFleet {
     static final ObjectMapper JSON = new ObjectMapper();
     private static final long STEP_MS = 5;
+    private static final long REPLY_MS = 5000;
     final World world;
 
     /** A call's reply, once it has come. */
@@ -31,19 +32,18 @@
     }
 
     OperatorFleet(final long seed, final Deployment deployment) {
+        this(seed, deployment, Plant.NONE);
+    }
+
+    OperatorFleet(final long seed, final Deployment deployment, final Plant plant) {
         Logger.getLogger("").setLevel(Level.OFF);
-        world = new World(seed, deployment, false, Plant.NONE, Scenario.CALM);
+        world = new World(seed, deployment, false, plant, Scenario.CALM);
     }
 
     /** Starts all nodes and puts the deployment's policy. */
     OperatorFleet begun() {
         world.nodes.values().forEach(SimNode::start);
-        until(
-                "all vote",
-                30_000,
-                () -> world.cores().stream()
-                        .allMatch(c -> c.node().voter().state() == Voter.State.VOTING
-                                && c.node().follower().fresh()));
+        fresh();
         final ObjectNode params = JSON.createObjectNode();
         params.set("policy", world.policy());
         final SimNode core = world.cores().get(0);
@@ -54,6 +54,17 @@
         return this;
     }
 
+    /** Waits until every node is up and proved fresh, and every core votes. */
+    void fresh() {
+        until("all nodes are fresh", 30_000, () -> nodes().stream().allMatch(OperatorFleet::able));
+    }
+
+    private static boolean able(final SimNode node) {
+        return node.running()
+                && node.node().follower().fresh()
+                && (!node.core || node.node().voter().state() == Voter.State.VOTING);
+    }
+
     long nowMs() {
         return world.sim.nowMs();
     }
@@ -87,16 +98,34 @@
     }
 
     /** Gives an order without a base of its own, as a platform's calls do. */
-    Call agree(final SimNode to, final String changeId, final Draft draft, final long waitMs) {
+    void agree(
+            final SimNode to, final String changeId, final Draft draft, final long waitMs, final Consumer<Reply> done) {
+        to.run(to.life(), () -> to.node().acceptance().agree(changeId, draft, waitMs, done));
+    }
+
+    /** Gives an order made against a base, at any node. */
+    void take(final SimNode to, final long base, final String changeId, final Draft draft, final Consumer<Reply> done) {
+        to.run(to.life(), () -> to.node().acceptance().take(base, changeId, draft, done));
+    }
+
+    /** Gives an order made against a base and waits for its reply. */
+    Call taken(final SimNode to, final long base, final String changeId, final Draft draft) {
         final Call call = new Call();
-        to.run(to.life(), () -> to.node().acceptance().agree(changeId, draft, waitMs, into(call)));
-        return call;
+        take(to, base, changeId, draft, into(call));
+        return waited(call);
+    }
+
+    List<SimNode> nodes() {
+        return List.copyOf(world.nodes.values());
     }
 
     /** Makes a call and waits for its reply. */
     Call done(final SimNode to, final String method, final JsonNode params) {
-        final Call call = call(to, method, params);
-        final long endMs = nowMs() + 5000;
+        return waited(call(to, method, params));
+    }
+
+    private Call waited(final Call call) {
+        final long endMs = nowMs() + REPLY_MS;
         while (call.reply == null && nowMs() < endMs) {
             run(STEP_MS);
         }
--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/RepeatedOrderTest.java
@@ -0,0 +1,178 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import spokestall.policy.Change;
+import spokestall.policy.Draft;
+import spokestall.rpc.Reply;
+import spokestall.rpc.Result;
+
+/** Orders that race on one base, and orders that come again: one is confirmed, always, everywhere, and never two. */
+class RepeatedOrderTest {
+    private static final int RACERS = 8;
+    private static final int ROUNDS = 5;
+    private static final int SEEDS = 8;
+    private static final int LATER_CHANGES = 600;
+    private static final long SILENCE_MS = 1000;
+    private static final double ANSWERS_LOST = 0.4;
+
+    /** One order of one operator: sent as it was, to any node, until it has a clear answer. */
+    private static final class Order {
+        private final OperatorFleet fleet;
+        private final Random random;
+        private final String id;
+        private final long base;
+        private Result told;
+        private long version;
+        private int calls;
+
+        Order(final OperatorFleet fleet, final Random random, final String id, final long base) {
+            this.fleet = fleet;
+            this.random = random;
+            this.id = id;
+            this.base = base;
+        }
+
+        private Draft draft() {
+            final ObjectNode patch = (ObjectNode) fleet.bind(base, id, id).get("patch");
+            return tree -> new Draft.Drafted.Write(Change.Kind.PATCH, patch);
+        }
+
+        void send(final SimNode to) {
+            final int call = ++calls;
+            fleet.world.sim.after(SILENCE_MS, () -> {
+                if (told == null && calls == call) {
+                    send(fleet.world.any(fleet.nodes(), random));
+                }
+            });
+            fleet.take(to, base, id, draft(), reply -> {
+                if (random.nextDouble() >= ANSWERS_LOST) {
+                    hear(reply);
+                }
+            });
+        }
+
+        private void hear(final Reply reply) {
+            if (told == null && (reply.result() == Result.OK || reply.result() == Result.STALE_BASE)) {
+                told = reply.result();
+                version = reply.fields().path("version").asLong();
+            }
+        }
+    }
+
+    @Test
+    void ofEightOnOneBaseOneIsConfirmedWhateverDiesAndTheOneIsConfirmedAgainEverywhere() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            final Random random = new Random(seed);
+            final OperatorFleet fleet = new OperatorFleet(seed, Deployment.values()[seed % 2]).begun();
+            final Map<String, Order> confirmed = new LinkedHashMap<>();
+            final List<Order> beaten = new ArrayList<>();
+            for (int round = 0; round < ROUNDS; round++) {
+                final List<Order> racers = race(fleet, random, "s" + seed + "r" + round);
+                final List<Order> won =
+                        racers.stream().filter(o -> o.told == Result.OK).toList();
+                assertThat(won).as("seed %s, round %s", seed, round).hasSize(1);
+                confirmed.put(won.get(0).id, won.get(0));
+                racers.stream().filter(o -> o.told != Result.OK).forEach(beaten::add);
+            }
+            sendAgain(fleet, confirmed.values(), Result.OK);
+            fleet.nodes().forEach(SimNode::losePower);
+            fleet.run(200);
+            fleet.nodes().forEach(SimNode::start);
+            fleet.fresh();
+            sendAgain(fleet, confirmed.values(), Result.OK);
+            sendAgain(fleet, beaten.subList(0, 2), Result.STALE_BASE);
+        }
+    }
+
+    /** Eight orders on one base at eight nodes, while one of these dies and others are cut off or lose power. */
+    private static List<Order> race(final OperatorFleet fleet, final Random random, final String name) {
+        fleet.fresh();
+        final long base = fleet.newestVersion();
+        final List<SimNode> nodes = new ArrayList<>(fleet.nodes());
+        java.util.Collections.shuffle(nodes, random);
+        final List<Order> racers = new ArrayList<>();
+        for (int i = 0; i < RACERS; i++) {
+            final Order order = new Order(fleet, random, name + "o" + i, base);
+            racers.add(order);
+            order.send(nodes.get(i));
+        }
+        final SimNode dying = nodes.get(random.nextInt(RACERS));
+        fleet.world.sim.after(random.nextInt(300), dying::losePower);
+        fleet.world.sim.after(1500, dying::start);
+        final SimNode cut = nodes.get(random.nextInt(RACERS));
+        fleet.world.sim.after(
+                random.nextInt(300),
+                () -> fleet.othersThan(cut).forEach(o -> fleet.world.net.cut(cut.address, o.address, true)));
+        fleet.world.sim.after(2500, fleet.world.net::heal);
+        fleet.until(
+                name + " all have a clear answer", 20_000, () -> racers.stream().allMatch(o -> o.told != null));
+        return racers;
+    }
+
+    private static void sendAgain(final OperatorFleet fleet, final Iterable<Order> orders, final Result right) {
+        for (final Order order : orders) {
+            for (final SimNode node : fleet.nodes()) {
+                final OperatorFleet.Call call = fleet.taken(node, order.base, order.id, order.draft());
+                assertThat(call.result())
+                        .as(order.id + " again at " + node.name)
+                        .isEqualTo(right);
+                if (right == Result.OK) {
+                    assertThat(call.reply.fields().path("version").asLong()).isEqualTo(order.version);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aConfirmedOrderIsConfirmedAgainAfterHundredsOfOthersAndRestartsAndALostMajority() {
+        final OperatorFleet fleet = new OperatorFleet(1, Deployment.PADMA).begun();
+        final Order first = followedByHundreds(fleet);
+        sendAgain(fleet, List.of(first), Result.OK);
+        blank(fleet.world.cores().subList(2, 3));
+        fleet.fresh();
+        sendAgain(fleet, List.of(first), Result.OK);
+        blank(fleet.world.cores().subList(0, 4));
+        fleet.run(2000);
+        fleet.fresh();
+        sendAgain(fleet, List.of(first), Result.OK);
+    }
+
+    /** Beyond the stated bound, ten minutes and 512 orders, it is stale: by then no one sends it again. */
+    @Test
+    void anOrderWhoseTimeIsOverIsForgottenAndThisIsSeen() {
+        final OperatorFleet fleet = new OperatorFleet(1, Deployment.PADMA, Plant.LEAPING_CHANGES).begun();
+        final Order first = followedByHundreds(fleet);
+        final SimNode edge = fleet.world.edges().get(0);
+        assertThat(fleet.taken(edge, first.base, first.id, first.draft()).result())
+                .isEqualTo(Result.STALE_BASE);
+    }
+
+    private static Order followedByHundreds(final OperatorFleet fleet) {
+        final Order first = new Order(fleet, new Random(1), "first-of-many", fleet.newestVersion());
+        first.send(fleet.nodes().get(0));
+        fleet.until("it is confirmed", 5000, () -> first.told == Result.OK);
+        for (int i = 0; i < LATER_CHANGES; i++) {
+            final SimNode at = fleet.world.cores().get(i % 3);
+            final OperatorFleet.Call call =
+                    fleet.done(at, "policy.patch", fleet.bind(fleet.newestVersion(), "later-" + i, "l" + i % 20));
+            assertThat(call.result()).isEqualTo(Result.OK);
+        }
+        return first;
+    }
+
+    private static void blank(final List<SimNode> cores) {
+        cores.forEach(c -> {
+            c.losePower();
+            c.disk.wipe();
+            c.start();
+        });
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/WaitingOrderTest.java
@@ -0,0 +1,97 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.NullNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import spokestall.policy.Change;
+import spokestall.policy.Draft;
+import spokestall.rpc.Reply;
+import spokestall.rpc.Result;
+
+/** Orders without an id of their own that wait at a node that stands still, while they are given and undone elsewhere. */
+class WaitingOrderTest {
+    private static final int SEEDS = 20;
+    private static final long WAIT_MS = 950;
+    private static final String DISTRICT = "d2";
+
+    private static Draft hold(final boolean begin) {
+        return tree -> {
+            if (tree.path("holds").has(DISTRICT) == begin) {
+                return new Draft.Drafted.Already();
+            }
+            final ObjectNode patch = OperatorFleet.JSON.createObjectNode();
+            patch.putObject("holds").set(DISTRICT, begin ? OperatorFleet.JSON.createObjectNode() : NullNode.instance);
+            return new Draft.Drafted.Write(Change.Kind.PATCH, patch);
+        };
+    }
+
+    private static OperatorFleet.Call ordered(final OperatorFleet fleet, final SimNode at, final boolean begin) {
+        final OperatorFleet.Call call = new OperatorFleet.Call();
+        order(fleet, at, begin, reply -> call.reply = reply);
+        fleet.until("a hold is settled", 3000, () -> call.reply != null);
+        return call;
+    }
+
+    private static void order(
+            final OperatorFleet fleet,
+            final SimNode at,
+            final boolean begin,
+            final java.util.function.Consumer<Reply> done) {
+        final String id = "hold-" + fleet.nowMs() + at.name;
+        at.run(at.life(), () -> at.node().acceptance().takeUnnamed(id, hold(begin), WAIT_MS, done));
+    }
+
+    private static List<SimNode> heldAt(final OperatorFleet fleet) {
+        return fleet.nodes().stream()
+                .filter(n -> n.node().book().policy().holds().contains(DISTRICT))
+                .toList();
+    }
+
+    @Test
+    void anOrderThatWaitedAtAFrozenNodeDoesNotUndoWhatWasConfirmedSince() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            final Random random = new Random(seed);
+            final OperatorFleet fleet = new OperatorFleet(seed, Deployment.values()[seed % 2]).begun();
+            fleet.fresh();
+            final SimNode frozen =
+                    fleet.nodes().get(random.nextInt(fleet.nodes().size()));
+            final SimNode other = fleet.world.any(fleet.othersThan(frozen), random);
+            if (seed % 2 == 0) {
+                frozen.freeze();
+                order(fleet, frozen, true, reply -> assertThat(reply.result()).isEqualTo(Result.NOT_READY));
+            } else {
+                order(fleet, frozen, true, reply -> {});
+                fleet.run(random.nextInt(250));
+                frozen.freeze();
+            }
+            fleet.run(1000);
+            assertThat(ordered(fleet, other, true).result()).isEqualTo(Result.OK);
+            fleet.run(3000);
+            assertThat(ordered(fleet, other, false).result()).isEqualTo(Result.OK);
+            fleet.run(500);
+            frozen.thaw();
+            fleet.run(5000);
+            assertThat(heldAt(fleet)).as("seed %s", seed).isEmpty();
+        }
+    }
+
+    /** The attack itself: an order that is taken without that look does empty the district anew. */
+    @Test
+    void takenLikeAnOrderWithAnIdItWouldUndoIt() {
+        final OperatorFleet fleet = new OperatorFleet(1, Deployment.PADMA).begun();
+        fleet.fresh();
+        final SimNode frozen = fleet.nodes().get(3);
+        frozen.freeze();
+        fleet.agree(frozen, "waited", hold(true), WAIT_MS, reply -> {});
+        assertThat(ordered(fleet, fleet.nodes().get(0), true).result()).isEqualTo(Result.OK);
+        fleet.run(3000);
+        assertThat(ordered(fleet, fleet.nodes().get(0), false).result()).isEqualTo(Result.OK);
+        frozen.thaw();
+        fleet.run(5000);
+        assertThat(heldAt(fleet)).isNotEmpty();
+    }
+}
--- a/spokestall/src/main/java/spokestall/Merge.java
+++ b/spokestall/src/main/java/spokestall/Merge.java
@@ -75,9 +75,9 @@
         return newest;
     }
 
-    /** The newest policy anyone has, and on top of it what was accepted after it and may have been acknowledged. */
-    private static byte[] policy(
-            final List<Remains> remains, final TreeMap<String, Register> newest, final long generation) {
+    /** The newest policy anyone has, and on top of it what was accepted after it and may have been acknowledged; with the
+     * orders that made it, which may be sent again. */
+    private byte[] policy(final List<Remains> remains, final TreeMap<String, Register> newest, final long generation) {
         final Book book = new Book(1);
         for (final Remains r : remains) {
             if (r.policy() != null) {
@@ -93,6 +93,6 @@
             }
         });
         return Codec.bytes(new Change(
-                "founding-" + generation, Change.Kind.PUT, book.snapshot().json()));
+                "founding-" + generation, Change.Kind.PUT, book.snapshot().json(), fleet.nowMs(), book.orders()));
     }
 }
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -392,6 +392,7 @@
                 proposer,
                 follower,
                 clock,
+                () -> fleet.settled() ? fleet.nowMs() : 0,
                 settings.part("policyBoundMs", 0.8),
                 (int) settings.ms("policyMaxBytes"),
                 feeds::tell);
@@ -774,6 +775,7 @@
     }
 
     private void policyMoved() {
+        clock.after(0, acceptance::moved);
         if (serves) {
             givenBack();
         }
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -54,11 +54,7 @@
         }
     }
 
-    private record Waiting(long sinceMs, Consumer<Boolean> waiter) {
-        void done(final boolean current) {
-            waiter.accept(current);
-        }
-    }
+    private record Waiting(long sinceMs, long untilMs, Consumer<Boolean> waiter) {}
 
     private static final int WAITING_MAX = 256;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
@@ -197,18 +193,19 @@
         }
     }
 
-    /** Tells when the policy here is proved newest by an ask made from now on, or that it wasn't in time.
+    /** Tells when the policy here is proved newest by an ask made from now on, or that it wasn't in time: a node that stood
+     * still meanwhile says nothing of what it was told before.
      * Example: {@code follower.current(500, current -> answer(current));} */
     public void current(final long waitMs, final Consumer<Boolean> done) {
         if (waitMs <= 0 || waiting.size() >= WAITING_MAX) {
             done.accept(false);
             return;
         }
-        final Waiting mine = new Waiting(clock.nowMs(), done);
+        final Waiting mine = new Waiting(clock.nowMs(), clock.nowMs() + waitMs, done);
         waiting.add(mine);
         clock.after(waitMs, () -> {
             if (waiting.remove(mine)) {
-                mine.done(false);
+                mine.waiter.accept(false);
             }
         });
         askAgain(mine, waitMs);
@@ -410,7 +407,8 @@
     private void prove(final Voters table) {
         proof(table);
         while (!waiting.isEmpty() && waiting.peek().sinceMs <= provedMs) {
-            waiting.poll().done(true);
+            final Waiting proved = waiting.poll();
+            proved.waiter.accept(clock.nowMs() < proved.untilMs);
         }
     }
 
--- a/spokestall/src/main/java/spokestall/policy/Acceptance.java
+++ b/spokestall/src/main/java/spokestall/policy/Acceptance.java
@@ -5,9 +5,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import spokestall.ballot.Edit;
 import spokestall.ballot.Outcome;
 import spokestall.ballot.Proposer;
@@ -27,11 +29,13 @@
     private final Proposer proposer;
     private final Follower follower;
     private final Clock clock;
+    private final LongSupplier fleetMs;
     private final long waitMs;
     private final int bytesMax;
     private final LongConsumer news;
+    private final List<Attempt> attempts = new ArrayList<>();
 
-    /** Example: see {@code Node}. */
+    /** The fleet's time is zero while it isn't known. Example: see {@code Node}. */
     public Acceptance(
             final String name,
             final Book book,
@@ -39,6 +43,7 @@
             final Proposer proposer,
             final Follower follower,
             final Clock clock,
+            final LongSupplier fleetMs,
             final long waitMs,
             final int bytesMax,
             final LongConsumer news) {
@@ -48,6 +53,7 @@
         this.proposer = proposer;
         this.follower = follower;
         this.clock = clock;
+        this.fleetMs = fleetMs;
         this.waitMs = waitMs;
         this.bytesMax = bytesMax;
         this.news = news;
@@ -97,6 +103,21 @@
         });
     }
 
+    /**
+     * Takes an order that has no id of its own and can't be told from a new one when it comes again. What waited at a node
+     * that stood still or was cut off may have been sent again and undone elsewhere since, so only a node that was in touch
+     * when the order came takes it. {@code changeId} must be a fresh one.
+     * Example: {@code acceptance.takeUnnamed("hold-5f", tree -> ..., 2000, reply -> ...);}
+     */
+    public void takeUnnamed(
+            final String changeId, final Draft draft, final long waitLeftMs, final Consumer<Reply> done) {
+        if (follower.fresh()) {
+            agree(changeId, draft, waitLeftMs, done);
+        } else {
+            done.accept(notReady(changeId));
+        }
+    }
+
     /** Whether the policy here is one of the generation that voters hold now. */
     private boolean governed() {
         return proposer.voters() != null
@@ -130,7 +151,7 @@
             final Draft.Drafted.Write write,
             final long deadlineMs,
             final Consumer<Reply> done) {
-        final Change change = new Change(changeId, write.kind(), bytes(write.json()));
+        final Change change = change(changeId, write);
         final Reply denied = check(change);
         if (denied != null) {
             done.accept(denied);
@@ -138,22 +159,32 @@
         }
         final long leftMs = Math.min(waitMs, deadlineMs - clock.nowMs());
         propose(
-                book.policy().version() + 1,
-                change,
-                leftMs,
-                new Proposed(done, () -> again(changeId, draft, deadlineMs, done)));
+                new Attempt(book.policy().version() + 1, change, done, () -> again(changeId, draft, deadlineMs, done)),
+                leftMs);
     }
 
-    /** Another change was first: the order is judged anew by what is newest now, never by what it lost against. */
+    /**
+     * Another change was first. What still fits on top of it is proposed at once, for that is taken only where nothing newer
+     * is; any other end is judged by what is proved newest, never by what the order lost against.
+     */
     private void again(final String changeId, final Draft draft, final long deadlineMs, final Consumer<Reply> done) {
         final long leftMs = deadlineMs - clock.nowMs();
-        if (leftMs > 0) {
-            agree(changeId, draft, leftMs, done);
-        } else {
+        if (leftMs <= 0) {
             done.accept(notReady(changeId));
+        } else if (governed()
+                && book.versionOf(changeId) == null
+                && draft.on(book.policy().tree()) instanceof Draft.Drafted.Write write
+                && check(change(changeId, write)) == null) {
+            write(changeId, draft, write, deadlineMs, done);
+        } else {
+            agree(changeId, draft, leftMs, done);
         }
     }
 
+    private Change change(final String changeId, final Draft.Drafted.Write write) {
+        return new Change(changeId, write.kind(), bytes(write.json()), fleetMs.getAsLong());
+    }
+
     /** The newest policy, proved newest after the call came; null when that can't be had in time.
      * Example: {@code acceptance.newest(1000, policy -> ...);} */
     public void newest(final long waitLeftMs, final Consumer<Policy> done) {
@@ -166,23 +197,64 @@
         return before + change.json().length > bytesMax && bytes(after).length > bytesMax;
     }
 
-    /** What follows a proposal: the reply where its own end is known, another way where another change was first. */
-    private record Proposed(Consumer<Reply> known, Runnable beaten) {}
+    /** A proposal under way: what follows where its own end is known, and where another change was first. */
+    private static final class Attempt {
+        private final long next;
+        private final Change change;
+        private final Consumer<Reply> known;
+        private final Runnable beaten;
 
-    private void propose(final long next, final Change change, final long leftMs, final Proposed then) {
-        final byte[] value = Codec.bytes(change);
-        proposer.change(Versions.key(next), leftMs, now -> edit(next, change, value, now), outcome -> {
-            if (outcome instanceof Outcome.Done done && done.value() != null) {
-                chosen(next, change, done.value(), then);
-            } else if (outcome instanceof Outcome.Undecided) {
-                then.known.accept(
-                        Reply.of(Result.UNDECIDED, fields(book.policy().version(), change.changeId())));
-            } else if (outcome instanceof Outcome.NotDone) {
-                then.known.accept(notReady(change.changeId()));
-            } else {
-                then.beaten.run();
+        Attempt(final long next, final Change change, final Consumer<Reply> known, final Runnable beaten) {
+            this.next = next;
+            this.change = change;
+            this.known = known;
+            this.beaten = beaten;
+        }
+    }
+
+    private void propose(final Attempt attempt, final long leftMs) {
+        final byte[] value = Codec.bytes(attempt.change);
+        attempts.add(attempt);
+        proposer.change(
+                Versions.key(attempt.next),
+                leftMs,
+                now -> edit(attempt.next, attempt.change, value, now),
+                outcome -> ended(attempt, outcome));
+    }
+
+    private void ended(final Attempt attempt, final Outcome outcome) {
+        if (outcome instanceof Outcome.Done done && done.value() != null) {
+            chosen(attempt, done.value());
+        }
+        if (!attempts.remove(attempt)) {
+            return;
+        }
+        final String changeId = attempt.change.changeId();
+        if (outcome instanceof Outcome.Done done && done.value() != null && same(done.value(), attempt.change)) {
+            attempt.known.accept(accepted(attempt.next, changeId));
+        } else if (outcome instanceof Outcome.Undecided) {
+            attempt.known.accept(Reply.of(Result.UNDECIDED, fields(book.policy().version(), changeId)));
+        } else if (outcome instanceof Outcome.NotDone) {
+            attempt.known.accept(notReady(changeId));
+        } else {
+            attempt.beaten.run();
+        }
+    }
+
+    /** The policy here moved: a proposal for a version that it has reached need not find out by itself how it ended.
+     * Example: {@code acceptance.moved();} */
+    public void moved() {
+        final long version = book.policy().version();
+        for (final Attempt attempt : List.copyOf(attempts)) {
+            if (attempt.next <= version && attempts.remove(attempt)) {
+                final Long known = book.versionOf(attempt.change.changeId());
+                if (known != null) {
+                    attempt.known.accept(accepted(known, attempt.change.changeId()));
+                } else {
+                    attempt.beaten.run();
+                }
             }
-        });
+        }
     }
 
     private Edit edit(final long next, final Change change, final byte[] value, final byte[] now) {
@@ -196,17 +268,12 @@
         return Codec.record(value, Change.class).changeId().equals(change.changeId());
     }
 
-    private void chosen(final long next, final Change change, final byte[] value, final Proposed then) {
-        follower.learn(next, value);
-        news.accept(next);
-        final boolean ours = same(value, change);
+    private void chosen(final Attempt attempt, final byte[] value) {
+        follower.learn(attempt.next, value);
+        news.accept(attempt.next);
         LOG.atInfo().log(
-                "event=policy_change node=%s version=%s changeId=%s accepted=%s", name, next, change.changeId(), ours);
-        if (ours) {
-            then.known.accept(accepted(next, change.changeId()));
-        } else {
-            then.beaten.run();
-        }
+                "event=policy_change node=%s version=%s changeId=%s accepted=%s",
+                name, attempt.next, attempt.change.changeId(), same(value, attempt.change));
     }
 
     private Reply notReady(final String changeId) {
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/policy/AcceptedOrder.java
@@ -0,0 +1,4 @@
+package spokestall.policy;
+
+/** An order that was accepted: the id it came with, the version it became, and the fleet's time in the agreed change. */
+public record AcceptedOrder(String changeId, long version, long acceptedMs) {}
--- a/spokestall/src/main/java/spokestall/policy/Book.java
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -13,10 +13,9 @@
     /** The one reader of JSON. */
     public static final ObjectMapper JSON = new ObjectMapper();
 
-    private static final int IDS_KEPT = 512;
     private final int changesKept;
     private final TreeMap<Long, Change> changes = new TreeMap<>();
-    private final Map<String, Long> changeIds = new LinkedHashMap<>();
+    private final AcceptedOrders orders = new AcceptedOrders();
     private long bytesMost;
     private final PolicyForm form;
     private Policy policy;
@@ -43,9 +42,10 @@
         return bytesMost;
     }
 
-    /** The version a change id was accepted as, or null. Example: {@code book.versionOf("chg-1")} */
+    /** The version an order was accepted as, or null: those of ten minutes at least, and never fewer than 512, but never more
+     * than 2048. Example: {@code book.versionOf("chg-1")} */
     public Long versionOf(final String changeId) {
-        return changeIds.get(changeId);
+        return orders.versionOf(changeId);
     }
 
     /** The tree after a change, not yet applied. Example: {@code book.preview(change)} */
@@ -67,14 +67,15 @@
         while (changes.size() > changesKept) {
             changes.pollFirstEntry();
         }
-        remember(change.changeId(), version);
+        if (!change.before().isEmpty()) {
+            orders.replace(change.before());
+        }
+        orders.accept(change.changeId(), version, change.acceptedMs());
     }
 
-    private void remember(final String changeId, final long version) {
-        changeIds.put(changeId, version);
-        if (changeIds.size() > IDS_KEPT) {
-            changeIds.remove(changeIds.keySet().iterator().next());
-        }
+    /** The orders that were accepted lately, the oldest first. Example: {@code new Snapshot(17, json, book.orders())} */
+    public List<AcceptedOrder> orders() {
+        return orders.all();
     }
 
     /** Starts from a snapshot if it is newer. Example: {@code book.load(snapshot);} */
@@ -89,16 +90,14 @@
             throw new IllegalArgumentException("bad snapshot", e);
         }
         changes.clear();
-        changeIds.clear();
-        snapshot.changeIds().forEach(this::remember);
+        orders.replace(snapshot.orders());
         return true;
     }
 
     /** This version whole. Example: {@code post.send(to, book.snapshot());} */
     public Snapshot snapshot() {
         try {
-            return new Snapshot(
-                    policy.version(), JSON.writeValueAsBytes(policy.tree()), new LinkedHashMap<>(changeIds));
+            return new Snapshot(policy.version(), JSON.writeValueAsBytes(policy.tree()), orders.all());
         } catch (final JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
--- a/spokestall/src/main/java/spokestall/policy/Snapshot.java
+++ b/spokestall/src/main/java/spokestall/policy/Snapshot.java
@@ -1,6 +1,39 @@
 package spokestall.policy;
 
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import spokestall.wire.Since;
 
-/** A whole version with the newest change ids, to start from. */
-public record Snapshot(long version, byte[] json, Map<String, Long> changeIds) {}
+/** A whole version with the orders that were accepted lately, to start from; older programs read some of their ids. */
+public record Snapshot(
+        long version,
+        byte[] json,
+        Map<String, Long> changeIds,
+        @Since(4) List<AcceptedOrder> orders) {
+    /** So many ids programs of the older versions keep. */
+    private static final int IDS_BEFORE = 512;
+
+    /** What an older program wrote has ids alone. */
+    public Snapshot {
+        orders = orders == null ? untimed(changeIds) : orders;
+    }
+
+    /** Example: {@code new Snapshot(17, json, orders)} */
+    public Snapshot(final long version, final byte[] json, final List<AcceptedOrder> orders) {
+        this(version, json, ids(orders), orders);
+    }
+
+    private static List<AcceptedOrder> untimed(final Map<String, Long> changeIds) {
+        return changeIds.entrySet().stream()
+                .map(e -> new AcceptedOrder(e.getKey(), e.getValue(), 0))
+                .toList();
+    }
+
+    private static Map<String, Long> ids(final List<AcceptedOrder> orders) {
+        final Map<String, Long> ids = new LinkedHashMap<>();
+        orders.subList(Math.max(0, orders.size() - IDS_BEFORE), orders.size())
+                .forEach(o -> ids.put(o.changeId(), o.version()));
+        return ids;
+    }
+}
--- a/spokestall/src/main/java/spokestall/wire/Codec.java
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -20,14 +20,14 @@
  * Writes records as {@code DataOutputStream} fields in the order they are declared, and reads them back. A note begins with
  * its version, but for the first one, which has none: there a kind's number stands first, whose upper byte is zero. A
  * program reads the versions up to its own and writes whichever it is told to. Records alone (values that are kept) have
- * the first version's fields. From the third version on, whole numbers and lengths take as many bytes as they need
+ * the first version's fields, and behind them their later ones, which older programs leave unread. From the third version on, whole numbers and lengths take as many bytes as they need
  * ({@link Numbers}).
  */
 public final class Codec {
     /** No list, text or byte field may say it is longer than this. */
     public static final int FIELD_MAX = 32 << 20;
     /** The version of notes that this program has, and the oldest that it can read and write. */
-    public static final int VERSION = 3;
+    public static final int VERSION = 4;
     /** See {@link #VERSION}. */
     public static final int OLDEST = 1;
 
@@ -95,12 +95,19 @@
     /** Reads a record alone. Example: {@code Lease lease = Codec.record(value, Lease.class);} */
     public static <T extends Record> T record(final byte[] bytes, final Class<T> type) {
         try {
-            return type.cast(read(new DataInputStream(new ByteArrayInputStream(bytes)), type, OLDEST));
+            return type.cast(readAlone(new DataInputStream(new ByteArrayInputStream(bytes)), type));
         } catch (final IOException e) {
             throw new IllegalArgumentException("not a " + type.getSimpleName(), e);
         }
     }
 
+    private static Object readAlone(final DataInputStream in, final Class<?> type) throws IOException {
+        if (!in.readBoolean()) {
+            return null;
+        }
+        return SHAPES.get(type).readAlone(in);
+    }
+
     private static byte[] bytes(final int number, final Object record, final int version) {
         try {
             final ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
@@ -112,6 +119,9 @@
                 out.writeShort(number);
             }
             write(out, record.getClass(), record, version);
+            if (number < 0) {
+                SHAPES.get(record.getClass()).writeLater(out, record);
+            }
             return bytes.toByteArray();
         } catch (final IOException e) {
             throw new IllegalStateException(e);
@@ -315,6 +325,20 @@
             }
         }
 
+        /** The fields that the first version lacks, one after another. */
+        void writeLater(final DataOutputStream out, final Object value) throws IOException {
+            try {
+                for (final RecordComponent part : parts) {
+                    if (since(part) > OLDEST) {
+                        Codec.write(
+                                out, part.getGenericType(), part.getAccessor().invoke(value), OLDEST);
+                    }
+                }
+            } catch (final ReflectiveOperationException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
         private static int since(final RecordComponent part) {
             final Since since = part.getAnnotation(Since.class);
             return since == null ? OLDEST : since.value();
@@ -327,12 +351,31 @@
         }
 
         Object read(final DataInputStream in, final int version) throws IOException {
+            return made(values(in, version));
+        }
+
+        /** A program that was older wrote none of the later fields. */
+        Object readAlone(final DataInputStream in) throws IOException {
+            final Object[] values = values(in, OLDEST);
+            for (int i = 0; i < parts.length; i++) {
+                if (since(parts[i]) > OLDEST && in.available() > 0) {
+                    values[i] = Codec.read(in, parts[i].getGenericType(), OLDEST);
+                }
+            }
+            return made(values);
+        }
+
+        private Object[] values(final DataInputStream in, final int version) throws IOException {
             final Object[] values = new Object[parts.length];
             for (int i = 0; i < parts.length; i++) {
                 values[i] = since(parts[i]) > version
                         ? absent(parts[i].getType())
                         : Codec.read(in, parts[i].getGenericType(), version);
             }
+            return values;
+        }
+
+        private Object made(final Object[] values) throws IOException {
             try {
                 return make.newInstance(values);
             } catch (final ReflectiveOperationException e) {
--- a/spokestall/src/main/java/spokestall/wire/Since.java
+++ b/spokestall/src/main/java/spokestall/wire/Since.java
@@ -5,8 +5,8 @@
 import java.lang.annotation.RetentionPolicy;
 import java.lang.annotation.Target;
 
-/** Marks a field of a record that notes have from a version on. It must be a number or a truth: where it is absent, it
- * is read as zero or false. */
+/** Marks a field of a record that notes have from a version on: where it is absent, it is read as zero, false or null. A
+ * record alone has such fields behind all others, where older programs don't look. */
 @Target(ElementType.RECORD_COMPONENT)
 @Retention(RetentionPolicy.RUNTIME)
 public @interface Since {
--- a/spokestall/src/test/java/spokestall/feed/FollowerTest.java
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import spokestall.ballot.Proposer;
@@ -79,7 +78,7 @@
     }
 
     private static Snapshot snapshot(final long version) {
-        return new Snapshot(version, "{}".getBytes(StandardCharsets.UTF_8), Map.of());
+        return new Snapshot(version, "{}".getBytes(StandardCharsets.UTF_8), List.of());
     }
 
     /** Beats and gives what was sent. */
--- a/spokestall/src/test/java/spokestall/wire/CodecTest.java
+++ b/spokestall/src/test/java/spokestall/wire/CodecTest.java
@@ -42,6 +42,17 @@
                 .hasMessageStartingWith("kind ");
     }
 
+    @Test
+    void aRecordAloneHasItsLaterFieldsBehindTheOthersAndIsReadWithoutThem() {
+        final Beat whole = beat(3, true);
+        final byte[] bytes = Codec.bytes(whole);
+        final Beat read = Codec.record(bytes, Beat.class);
+        assertThat(read.warm()).isTrue();
+        assertThat(read.last()).isEqualTo("end");
+        final byte[] older = Arrays.copyOf(bytes, bytes.length - 1);
+        assertThat(Codec.record(older, Beat.class)).isEqualTo(beat(0, false));
+    }
+
     @Test
     void theThirdVersionTakesAsManyBytesAsItsNumbersNeed() throws Exception {
         for (final int n : new int[] {0, 1, -1, 63, 64, -65, 1 << 20, Integer.MAX_VALUE, Integer.MIN_VALUE}) {
