A proposer that was outranked lets the other end its second phase first

Cause: eight orders at eight nodes met in one register after another: each loser proved the newest anew before it proposed again, found out by rounds of its own what had been chosen, and came back within a round trip, which broke the second phase of the one ahead. Excluded: an order's wait at the caller (950 ms a call, pauses of 50 ms more each); longer yields (three and five times the backoff gave the same).

--- a/spokestall/src/main/java/spokestall/ballot/Proposer.java
+++ b/spokestall/src/main/java/spokestall/ballot/Proposer.java
@@ -143,6 +143,7 @@
         private byte[] proposed;
         private boolean wrote;
         private boolean denied;
+        private boolean outranked;
 
         Round(
                 final String key,
@@ -224,7 +225,8 @@
             });
         }
 
-        /** Comes back after a jittered wait, so that two proposers don't meet again. */
+        /** Comes back after a jittered wait, so that two proposers don't meet again; one that was outranked leaves the other
+         * the time for its second phase first. */
         private void later(final Phase next) {
             rounds.remove(goId);
             if (phase == Phase.ENDED) {
@@ -233,7 +235,9 @@
             final long id = goId;
             final long spanMs = pace.backoffMs() * Math.min(8, 1L << Math.min(goes, 3));
             phase = next;
-            clock.after(1 + (long) (random.nextDouble() * spanMs), () -> {
+            final long yieldMs = outranked ? 2 * pace.backoffMs() : 0;
+            outranked = false;
+            clock.after(1 + yieldMs + (long) (random.nextDouble() * spanMs), () -> {
                 if (goId == id) {
                     begin(next);
                 }
@@ -277,6 +281,7 @@
             final boolean good = reply == BallotNote.Reply.YES && seat.diskId().equals(diskId);
             gone |= reply == BallotNote.Reply.GONE;
             denied |= reply == BallotNote.Reply.DENIED;
+            outranked |= reply == BallotNote.Reply.LOWER;
             (good ? yes : no).add(voter);
             return true;
         }
