--- a/spokestall/src/main/java/spokestall/wire/Codec.java
+++ b/spokestall/src/main/java/spokestall/wire/Codec.java
@@ -21,7 +21,7 @@
  * Writes records as {@code DataOutputStream} fields in the order they are declared, and reads them back. A note begins with
  * its version, but for the first one, which has none: there a kind's number stands first, whose upper byte is zero. A
  * program reads the versions up to its own and writes whichever it is told to. Records alone (values that are kept) have
- * the first version's fields. From the third version on, whole numbers and lengths take as many bytes as they need
+ * the first version's fields, and behind them their later ones, which older programs leave unread. From the third version on, whole numbers and lengths take as many bytes as they need
  * ({@link Numbers}).
  */
 public final class Codec {
@@ -96,12 +96,19 @@
     /** Reads a record alone. Example: {@code Lease lease = Codec.record(value, Lease.class);} */
     public static <T extends Record> T record(final byte[] bytes, final Class<T> type) {
         try {
-            return type.cast(read(new DataInputStream(new ByteArrayInputStream(bytes)), type, OLDEST));
+            return type.cast(readAlone(new DataInputStream(new ByteArrayInputStream(bytes)), type));
         } catch (final IOException e) {
             throw new IllegalArgumentException("not a " + type.getSimpleName(), e);
         }
     }
 
+    private static Object readAlone(final DataInputStream in, final Class<?> type) throws IOException {
+        if (!in.readBoolean()) {
+            return null;
+        }
+        return SHAPES.get(type).readAlone(in);
+    }
+
     private static byte[] bytes(final int number, final Object record, final int version) {
         try {
             final ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
@@ -113,6 +120,9 @@
                 out.writeShort(number);
             }
             write(out, record.getClass(), record, version);
+            if (number < 0) {
+                SHAPES.get(record.getClass()).writeLater(out, record);
+            }
             return bytes.toByteArray();
         } catch (final IOException e) {
             throw new IllegalStateException(e);
@@ -321,6 +331,19 @@
             }
         }
 
+        /** The fields that the first version lacks, one after another. */
+        void writeLater(final DataOutputStream out, final Object value) throws IOException {
+            try {
+                for (final Field field : fields) {
+                    if (field.since > OLDEST) {
+                        Codec.write(out, field.type, field.get.invoke(value), OLDEST);
+                    }
+                }
+            } catch (final ReflectiveOperationException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
         private static int since(final RecordComponent part) {
             final Since since = part.getAnnotation(Since.class);
             return since == null ? OLDEST : since.value();
@@ -333,10 +356,29 @@
         }
 
         Object read(final DataInputStream in, final int version) throws IOException {
+            return made(values(in, version));
+        }
+
+        /** A program that was older wrote none of the later fields. */
+        Object readAlone(final DataInputStream in) throws IOException {
+            final Object[] values = values(in, OLDEST);
+            for (int i = 0; i < fields.length; i++) {
+                if (fields[i].since > OLDEST && in.available() > 0) {
+                    values[i] = Codec.read(in, fields[i].type, OLDEST);
+                }
+            }
+            return made(values);
+        }
+
+        private Object[] values(final DataInputStream in, final int version) throws IOException {
             final Object[] values = new Object[fields.length];
             for (int i = 0; i < fields.length; i++) {
                 values[i] = fields[i].since > version ? fields[i].absent : Codec.read(in, fields[i].type, version);
             }
+            return values;
+        }
+
+        private Object made(final Object[] values) throws IOException {
             try {
                 return make.newInstance(values);
             } catch (final ReflectiveOperationException e) {
