Folders are synced by one function, the audit's too

Cause: the audit's key is renamed into place and its files are made without a sync of their folder; a power loss could take the key and leave files that it signed. Not brought about by a test: the files of a test can't lose a name. After: Folders.sync, used by the ring's files, the data folder and the audit. AuditFilesTest, DataFolderTest and FileSegmentsTest pass.

--- a/spokestall/src/main/java/spokestall/rim/AuditFiles.java
+++ b/spokestall/src/main/java/spokestall/rim/AuditFiles.java
@@ -25,6 +25,7 @@
 import java.util.stream.Stream;
 import spokestall.audit.Audit;
 import spokestall.audit.Chain;
+import spokestall.ring.Folders;
 
 /**
  * A core's audit on disk: a few files of bounded size, the oldest going first, beside the key that signs them and the one
@@ -95,6 +96,8 @@
         put(fresh, made.toJSONString());
         put(folder.resolve("public.jwk"), made.toPublicJWK().toJSONString());
         Files.move(fresh, own, StandardCopyOption.ATOMIC_MOVE);
+        Folders.sync(folder);
+        Folders.sync(folder.toAbsolutePath().getParent());
         return made;
     }
 
@@ -146,6 +149,7 @@
 
     private void append() throws IOException {
         file = FileChannel.open(path(number), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        Folders.sync(folder);
     }
 
     @Override
--- a/spokestall/src/main/java/spokestall/rim/DataFolder.java
+++ b/spokestall/src/main/java/spokestall/rim/DataFolder.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import spokestall.ring.Folders;
 
 /** The data folder's owner: one node, one format, one process at a time. What is another's is never overwritten. */
 public final class DataFolder {
@@ -44,9 +45,7 @@
             file.force(true);
         }
         Files.move(fresh, owner, StandardCopyOption.ATOMIC_MOVE);
-        try (FileChannel dir = FileChannel.open(folder, StandardOpenOption.READ)) {
-            dir.force(true);
-        }
+        Folders.sync(folder);
         return null;
     }
 }
--- a/spokestall/src/main/java/spokestall/ring/FileSegments.java
+++ b/spokestall/src/main/java/spokestall/ring/FileSegments.java
@@ -43,8 +43,8 @@
             made.fill(file);
             made.files.add(file);
         }
-        sync(folder);
-        sync(folder.toAbsolutePath().getParent());
+        Folders.sync(folder);
+        Folders.sync(folder.toAbsolutePath().getParent());
         return made;
     }
 
@@ -87,12 +87,6 @@
         }
     }
 
-    private static void sync(final Path folder) throws IOException {
-        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
-            names.force(true);
-        }
-    }
-
     private FileSegments(final int sizeBytes, final Executor disk, final Executor back) {
         this.sizeBytes = sizeBytes;
         this.disk = disk;
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/ring/Folders.java
@@ -0,0 +1,18 @@
+package spokestall.ring;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/** Folders on disk: a name that was made, renamed or removed in one lasts once it is synced. */
+public final class Folders {
+    private Folders() {}
+
+    /** Syncs the names in a folder. Example: {@code Folders.sync(data.resolve("ring"));} */
+    public static void sync(final Path folder) throws IOException {
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+            names.force(true);
+        }
+    }
+}
