A disk that was put back to an older state is told by the others before its first vote

Cause: a core knows its state only by its own disk. Restored from a copy, it had the same identity and older registers, and voted at once without the promises it had given since; so with a newest ring file whose bytes are zero. After: standings (notes of version 4) carry how far the sender's ring is synced and how far the receiver's disk was heard to be; a core that hears of more than it has starts over with a fresh identity and joins as a blank one. It gives no vote after its start before it has heard majority - 1 other seats, so one of any majority has spoken.

--- a/proof/src/main/java/spokestall/proof/SimDisk.java
+++ b/proof/src/main/java/spokestall/proof/SimDisk.java
@@ -157,6 +157,22 @@
         full = false;
     }
 
+    /** All that is on it now. */
+    byte[][] copy() {
+        final byte[][] copy = new byte[down.length][];
+        for (int i = 0; i < down.length; i++) {
+            copy[i] = down[i].clone();
+        }
+        return copy;
+    }
+
+    /** Puts it back to what it was. */
+    void restore(final byte[][] copy) {
+        for (int i = 0; i < down.length; i++) {
+            down[i] = copy[i].clone();
+        }
+    }
+
     void stall(final long spanMs) {
         stalledUntilMs = sim.nowMs() + spanMs;
     }
--- a/spokestall/src/main/java/spokestall/Keeping.java
+++ b/spokestall/src/main/java/spokestall/Keeping.java
@@ -1,5 +1,6 @@
 package spokestall;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -14,6 +15,7 @@
 /** Which register keys the voters keep, and for how long; what was let go can't be made anew. */
 final class Keeping implements Guard {
     private static final double FILLED_SHARE = 0.7;
+    private final BooleanSupplier ready;
     private final FleetClock fleet;
     private final DoubleSupplier fill;
     private final long claimKeepMs;
@@ -24,6 +26,7 @@
     private final LongSupplier snapshotDown;
 
     Keeping(
+            final BooleanSupplier ready,
             final FleetClock fleet,
             final long claimKeepMs,
             final long marginMs,
@@ -32,6 +35,7 @@
             final LongSupplier policyFloor,
             final LongSupplier snapshotDown,
             final DoubleSupplier fill) {
+        this.ready = ready;
         this.fill = fill;
         this.fleet = fleet;
         this.claimKeepMs = claimKeepMs;
@@ -44,7 +48,7 @@
 
     @Override
     public boolean ready() {
-        return fleet.settled();
+        return ready.getAsBoolean();
     }
 
     @Override
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -275,6 +275,7 @@
         this.ring = core ? new Ring(rim.segments()) : null;
         this.keeping = core
                 ? new Keeping(
+                        () -> fleet.settled() && checked(),
                         fleet,
                         settings.ms("claimKeepMs"),
                         settings.part("claimKeepMs", 0.2),
@@ -441,6 +442,10 @@
                                 settings.ms("any500") == 1)));
     }
 
+    private boolean checked() {
+        return formation.checked();
+    }
+
     /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
     private int policyBytesMost() {
         return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") * 3 / 8);
@@ -594,6 +599,11 @@
         return voter;
     }
 
+    /** Whether this core's voter may give votes now. Example: {@code assertThat(node.votes()).isTrue();} */
+    public boolean votes() {
+        return voter.state() == Voter.State.VOTING && keeping.ready();
+    }
+
     /** How full a core's ring is, 1 when nothing more fits. Example: {@code node.ringFill() < 0.7} */
     public double ringFill() {
         return ring.fill();
--- a/spokestall/src/main/java/spokestall/ballot/FormNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/FormNote.java
@@ -1,12 +1,15 @@
 package spokestall.ballot;
 
 import java.util.List;
+import spokestall.feed.Marks;
 import spokestall.wire.Note;
 import spokestall.wire.Since;
 
 /** What cores say to each other about who can vote, and the ballot for a new generation. */
 public sealed interface FormNote extends Note {
-    /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. */
+    /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. It says
+     * how far its disk is written, and how far it has heard that the other's is, so that a disk that was put back to an
+     * older state is told from the one that it was. */
     record Standing(
             String name,
             String address,
@@ -17,7 +20,10 @@
             boolean canWrite,
             @Since(3) long generation,
             @Since(3) long epoch,
-            @Since(3) boolean founding)
+            @Since(3) boolean founding,
+            @Since(4) long written,
+            @Since(4) long yourDisk,
+            @Since(4) long yourWritten)
             implements FormNote {
         /** The older form has the table always, and its numbers nowhere else. */
         public Standing {
@@ -25,6 +31,30 @@
             epoch = table == null ? epoch : table.epoch();
         }
 
+        /** With how far disks are written. Example: {@code standing.written(812, Marks.of(peerDisk), 790)} */
+        Standing written(final long own, final long disk, final long others) {
+            return new Standing(
+                    name,
+                    address,
+                    diskId,
+                    table,
+                    hasState,
+                    voting,
+                    canWrite,
+                    generation,
+                    epoch,
+                    founding,
+                    own,
+                    disk,
+                    others);
+        }
+
+        /** Whether whoever says so has heard that this disk was written further than it is.
+         * Example: {@code if (s.heardFurther(voter.diskId(), voter.written())) startOver();} */
+        public boolean heardFurther(final String ownDisk, final long ownWritten) {
+            return yourWritten > ownWritten && yourDisk == Marks.of(ownDisk);
+        }
+
         /** Whether whoever says so has a newer table. Example: {@code if (s.newerThan(mine)) ask();} */
         public boolean newerThan(final Voters mine) {
             return generation > 0 && new Voters(generation, epoch, List.of()).newerThan(mine);
--- a/spokestall/src/main/java/spokestall/ballot/Formation.java
+++ b/spokestall/src/main/java/spokestall/ballot/Formation.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import spokestall.feed.Marks;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
 import spokestall.wire.Post;
@@ -41,7 +42,8 @@
     /** What an acceptor keeps on disk about a new generation's ballot. */
     record Kept(long base, Ballot promised, Ballot accepted, Founding founding) {}
 
-    private record Heard(FormNote.Standing standing, long heardMs) {}
+    /** What a core said last, and how far its disk was written at the most. */
+    private record Heard(FormNote.Standing standing, long heardMs, long written) {}
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String FORM = "~form";
@@ -135,7 +137,44 @@
                 voter.canWrite(),
                 0,
                 0,
-                founder != null && voter.voters() == null);
+                founder != null && voter.voters() == null,
+                0,
+                0,
+                0);
+    }
+
+    private void say(final String to, final FormNote.Standing what) {
+        FormNote.Standing with = what.written(voter.written(), 0, 0);
+        for (final Heard h : heard.values()) {
+            if (h.standing.address().equals(to)) {
+                with = what.written(voter.written(), Marks.of(h.standing.diskId()), h.written);
+            }
+        }
+        post.send(to, with);
+    }
+
+    /** Whether so many others have spoken in this life that one of any majority has: had this disk been written further
+     * than it is, one of them would have said so before the first vote. */
+    public boolean checked() {
+        final Voters table = voter.voters();
+        if (table == null) {
+            return false;
+        }
+        int told = 0;
+        for (final Seat seat : table.seats()) {
+            told += !seat.name().equals(name) && heard.containsKey(seat.name()) ? 1 : 0;
+        }
+        return told >= table.majority() - 1;
+    }
+
+    /** What this core once promised may not be on a disk that was put back to an older state: it starts over. */
+    private void older(final FormNote.Standing s) {
+        LOG.atSevere().log(
+                "event=disk_older node=%s written=%s heard=%s from=%s",
+                name, voter.written(), s.yourWritten(), s.name());
+        kept = null;
+        voter.restart(freshId.get());
+        voter.keepOwn(FORM, null, ok -> {});
     }
 
     /** The cores heard of late, by name, with what they said. Example: {@code formation.fresh().size()} */
@@ -209,9 +248,12 @@
                         mine.canWrite(),
                         mine.generation(),
                         mine.epoch(),
-                        mine.founding());
+                        mine.founding(),
+                        0,
+                        0,
+                        0);
         for (final String other : edgesToo ? others.get() : cores.get()) {
-            post.send(other, have.contains(other) ? lean : mine);
+            say(other, have.contains(other) ? lean : mine);
         }
     }
 
@@ -378,12 +420,17 @@
         if (heard.size() >= 4 * Voters.SEATS_MAX && !heard.containsKey(s.name())) {
             return;
         }
-        final Heard had = heard.put(s.name(), new Heard(s, clock.nowMs()));
+        if (s.heardFurther(voter.diskId(), voter.written()) && voter.canWrite()) {
+            older(s);
+        }
+        final Heard had = heard.get(s.name());
+        final boolean sameDisk = had != null && had.standing.diskId().equals(s.diskId());
+        heard.put(s.name(), new Heard(s, clock.nowMs(), sameDisk ? Math.max(had.written, s.written()) : s.written()));
         if (s.newerThan(voter.voters())) {
             if (s.table() != null) {
                 adopt(s.table());
             } else {
-                post.send(s.address(), standing());
+                say(s.address(), standing());
             }
         } else if (s.lacks(voter.voters())) {
             post.send(
@@ -394,7 +441,7 @@
         }
         if (had == null || clock.nowMs() - had.heardMs > pace.freshMs()) {
             // Whoever has just come should not have to wait for the next beat.
-            post.send(s.address(), standing());
+            say(s.address(), standing());
         }
     }
 
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -136,6 +136,11 @@
         return diskId;
     }
 
+    /** The number of the newest record that is synced. Example: {@code if (voter.written() < told) startOver();} */
+    public long written() {
+        return ring.syncedSeq();
+    }
+
     /** All registers by key. Example: {@code voter.registers().tailMap("policy/")} */
     public TreeMap<String, Register> registers() {
         return registers;
