--- a/proof/src/test/java/spokestall/proof/CallersTest.java
+++ b/proof/src/test/java/spokestall/proof/CallersTest.java
@@ -341,6 +341,28 @@
         }
     }
 
+    @Test
+    void aCallerThatAsksMaySendItsBodyIsToldSoOnceItIsLetIn() throws Exception {
+        final String expecting = "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+        try (RawCaller caller = new RawCaller(edge)) {
+            for (int i = 0; i < 2; i++) {
+                caller.send(RawCaller.head("POST", "/transfers/a", KEY, RawCaller.freshId()) + expecting);
+                assertThat(caller.got().status()).isEqualTo(100);
+                caller.send("body");
+                assertThat(caller.got().status()).isEqualTo(200);
+                assertThat(came().body()).isEqualTo("body");
+            }
+        }
+        try (RawCaller caller = new RawCaller(edge)) {
+            caller.send(RawCaller.head("POST", "/transfers/a", "no-such-key", RawCaller.freshId()) + expecting);
+            assertThat(caller.got().status()).as("denied without its body").isEqualTo(401);
+            assertThat(caller.ended())
+                    .as("what comes next could be the body or another ask")
+                    .isTrue();
+        }
+        nothingCame();
+    }
+
     private static boolean usable() {
         try {
             return ask("GET", "/transfers/a", "").status() == 200;
--- a/spokestall/src/main/java/spokestall/rim/AskPort.java
+++ b/spokestall/src/main/java/spokestall/rim/AskPort.java
@@ -1,11 +1,15 @@
 package spokestall.rim;
 
+import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpContinue;
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -83,9 +87,16 @@
         });
     }
 
+    /** Whether nothing may be written any more: its answer is under way, or its caller has gone. */
+    private static boolean answered(final HttpServerExchange exchange) {
+        return exchange.isResponseStarted()
+                || exchange.isComplete()
+                || !exchange.getConnection().isOpen();
+    }
+
     /** Sends an answer whose headers are set. */
     void send(final HttpServerExchange exchange, final int status, final byte[] body) {
-        if (exchange.isResponseStarted()) {
+        if (answered(exchange)) {
             return;
         }
         exchange.setStatusCode(status);
@@ -174,8 +185,27 @@
         });
     }
 
+    /** Who sends the body only when told to is told so now, when the ask is let in. */
     private void body(final HttpServerExchange exchange, final Admitted ask) {
         carry(exchange, ask);
+        if (!HttpContinue.requiresContinueResponse(exchange)) {
+            receive(exchange, ask);
+            return;
+        }
+        HttpContinue.sendContinueResponse(exchange, new IoCallback() {
+            @Override
+            public void onComplete(final HttpServerExchange e, final Sender sender) {
+                receive(e, ask);
+            }
+
+            @Override
+            public void onException(final HttpServerExchange e, final Sender sender, final IOException trouble) {
+                stage.execute(() -> ask.drop(Result.MALFORMED));
+            }
+        });
+    }
+
+    private void receive(final HttpServerExchange exchange, final Admitted ask) {
         // The receiver's own bound leaves the wire open for the answer; an entity bound would cut it.
         final Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(Math.max(1, ask.rule().askMaxBytes()));
@@ -190,7 +220,7 @@
     }
 
     private void answer(final HttpServerExchange exchange, final Answer a) {
-        if (exchange.isResponseStarted()) {
+        if (answered(exchange)) {
             return;
         }
         if (a.content() != null) {
