A wire to an upstream rests as long as the upstream says, not four seconds at the most

Cause: upstreams tell how long they keep a wire (ten seconds here), and 0.7 of that was bounded by wireRestMs, four seconds. Excluded: preferring upstreams with an open wire (the same few would be asked by each node; not tried). The setting holds where an upstream says nothing; a minute at the most. Wires kept at an upstream: 16 a node as before.

--- a/spokestall/src/main/java/spokestall/rim/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.xnio.IoUtils;
@@ -38,6 +39,9 @@
     private static final int IDLE_PER_ADDRESS = 16;
     private static final int ADDRESSES_MAX = 4096;
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
+    /** However long the other end says. */
+    private static final long REST_MOST_MS = 60_000;
+
     private static final int HEADERS_MAX = 16 << 10;
     private static final Set<String> BODILESS = Set.of("GET", "HEAD", "DELETE", "OPTIONS");
 
@@ -46,11 +50,17 @@
     private final XnioWorker worker;
     private final ByteBufferPool pool;
     private final long restMs;
+    private final LongSupplier nowMs;
     private final Map<String, ArrayDeque<Idle>> idle = new ConcurrentHashMap<>();
 
-    /** A wire rests for restMs at the most, and for less than its other end says.
+    /** A wire rests for less than its other end says, and for restMs where that says nothing.
      * Example: {@code new HttpClient(worker, new DefaultByteBufferPool(true, 16384), 1000)} */
     public HttpClient(final XnioWorker worker, final ByteBufferPool pool, final long restMs) {
+        this(worker, pool, restMs, () -> System.nanoTime() / 1_000_000);
+    }
+
+    HttpClient(final XnioWorker worker, final ByteBufferPool pool, final long restMs, final LongSupplier nowMs) {
+        this.nowMs = nowMs;
         this.restMs = restMs;
         this.worker = worker;
         this.pool = pool;
@@ -67,10 +77,10 @@
             return null;
         }
         synchronized (of) {
-            final long nowMs = System.nanoTime() / 1_000_000;
+            final long atMs = nowMs.getAsLong();
             while (!of.isEmpty()) {
                 final Idle one = of.pollLast();
-                if (one.wire.isOpen() && nowMs - one.sinceMs < (repeatable ? one.restMs : one.restMs / 2)) {
+                if (one.wire.isOpen() && atMs - one.sinceMs < (repeatable ? one.restMs : one.restMs / 2)) {
                     return one.wire;
                 }
                 IoUtils.safeClose(one.wire);
@@ -86,7 +96,7 @@
         }
         final ArrayDeque<Idle> of = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
         synchronized (of) {
-            of.addLast(new Idle(wire, System.nanoTime() / 1_000_000, rest));
+            of.addLast(new Idle(wire, nowMs.getAsLong(), rest));
             while (of.size() > IDLE_PER_ADDRESS) {
                 IoUtils.safeClose(of.pollFirst().wire);
             }
@@ -176,7 +186,7 @@
             if (!request.getRequestHeaders().contains(Headers.HOST)) {
                 request.getRequestHeaders().put(Headers.HOST, call.address());
             }
-            if (System.nanoTime() / 1_000_000 >= untilMs) {
+            if (nowMs.getAsLong() >= untilMs) {
                 keepIdle(call.address(), made, restMs);
                 end(new HttpResult.NotSent("barred"));
                 return;
@@ -312,7 +322,7 @@
         /** Well below what the other end says, whose time runs from earlier and may be told in whole seconds. */
         private long restMs(final String keepAlive) {
             final Matcher told = KEEP_ALIVE.matcher(keepAlive == null ? "" : keepAlive);
-            return told.find() ? Math.min(restMs, Long.parseLong(told.group(1)) * 700) : restMs;
+            return told.find() ? Math.min(REST_MOST_MS, Long.parseLong(told.group(1)) * 700) : restMs;
         }
 
         private void trouble(final String why) {
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -181,7 +181,12 @@
         number("auditFileBytes", 1 << 20, "size of each", 4096, 1 << 30);
         number("workers", 4, "worker threads; 0: the thread that reads and writes wires does their work too", 0, 256);
         number("ioThreads", 2, "threads that read and write wires", 1, 64);
-        number("wireRestMs", 1000, "how long a wire to an upstream may rest and be used again", 1, 600_000);
+        number(
+                "wireRestMs",
+                1000,
+                "how long a wire to an upstream may rest and be used again, where the upstream does not say",
+                1,
+                600_000);
         number("connectMs", 2000, "how long opening a wire to an upstream may take", 1, 60_000);
         number("whereS", 2, "how long callers may use the edges they were told", 0.1, 600);
         number("stopWaitMs", 3000, "how long a clean stop lets go what is in flight", 0, 600_000);
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/rim/HttpClientTest.java
@@ -0,0 +1,146 @@
+package spokestall.rim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+class HttpClientTest {
+    private static final long REST_MS = 1000;
+    private final AtomicLong nowMs = new AtomicLong(1_000_000);
+    private final AtomicInteger wires = new AtomicInteger();
+    private final XnioWorker worker = createWorker();
+    private final HttpClient client =
+            new HttpClient(worker, new DefaultByteBufferPool(true, 16 << 10), REST_MS, nowMs::get);
+
+    private static XnioWorker createWorker() {
+        try {
+            return Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @AfterEach
+    void end() {
+        worker.shutdownNow();
+    }
+
+    /** Answers every request on every wire, with a field more if there is one. */
+    private ServerSocket server(final String field) throws IOException {
+        final ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        daemon(() -> {
+            while (true) {
+                final Socket wire = server.accept();
+                wires.incrementAndGet();
+                daemon(() -> answer(wire, field));
+            }
+        });
+        return server;
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void daemon(final Task task) {
+        final Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (final IOException e) {
+                // The test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void answer(final Socket wire, final String field) throws IOException {
+        final BufferedReader in =
+                new BufferedReader(new InputStreamReader(wire.getInputStream(), StandardCharsets.US_ASCII));
+        while (true) {
+            String line = in.readLine();
+            while (line != null && !line.isEmpty()) {
+                line = in.readLine();
+            }
+            if (line == null) {
+                return;
+            }
+            wire.getOutputStream()
+                    .write(("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + field + "\r\nok")
+                            .getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    private void call(final ServerSocket at, final boolean repeatable) throws InterruptedException {
+        final CountDownLatch kept = new CountDownLatch(1);
+        final HttpCall call = new HttpCall(
+                "127.0.0.1:" + at.getLocalPort(),
+                "GET",
+                "/",
+                List.of(),
+                new byte[0],
+                20_000,
+                20_000,
+                1 << 10,
+                false,
+                repeatable,
+                Runnable::run,
+                () -> Long.MAX_VALUE,
+                () -> {});
+        client.call(call, result -> {
+            assertThat(result).isInstanceOf(HttpResult.Whole.class);
+            // The wire is kept by a task that was queued before this one.
+            worker.getIoThread().execute(kept::countDown);
+        });
+        assertThat(kept.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aWireRestsNearlyAsLongAsItsOtherEndSays() throws Exception {
+        try (ServerSocket server = server("Keep-Alive: timeout=10\r\n")) {
+            call(server, true);
+            nowMs.addAndGet(6_900);
+            call(server, true);
+            assertThat(wires).hasValue(1);
+            nowMs.addAndGet(3_600);
+            call(server, false);
+            assertThat(wires)
+                    .as("what runs once takes none that rested for half of that")
+                    .hasValue(2);
+            nowMs.addAndGet(7_100);
+            call(server, true);
+            assertThat(wires).hasValue(3);
+        }
+    }
+
+    @Test
+    void whereTheOtherEndSaysNothingTheSettingHolds() throws Exception {
+        try (ServerSocket server = server("")) {
+            call(server, true);
+            nowMs.addAndGet(REST_MS - 1);
+            call(server, true);
+            assertThat(wires).hasValue(1);
+            nowMs.addAndGet(REST_MS + 1);
+            call(server, true);
+            assertThat(wires).hasValue(2);
+        }
+    }
+}
