An ask costs less: one look at each upstream, no patterns, streams or lower-case copies, no count of members

Cause (sampling of edges under asks): the election went over the upstreams with room twice and looked up the bounds of each twice; the pattern of the id was compiled for each ask, fields were checked by streams and compared by lower-case copies; the retry budget counted all members at each ask; the cache of keys woke a thread of the common pool for its upkeep. Excluded: a fixed sample of upstreams (where slots are told all are compared).

--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -142,6 +142,7 @@
     final Feeds feeds = new Feeds(this);
     private final long windowMs;
     private int sharersMost = 1;
+    private long sharersSeen = -1;
     private Set<String> heldBefore = Set.of();
     private Kept keptList;
     private Kept keptUsage;
@@ -982,6 +983,10 @@
         if (settings.ms("edges") > 0) {
             return (int) settings.ms("edges");
         }
+        if (view.changes() == sharersSeen) {
+            return sharersMost;
+        }
+        sharersSeen = view.changes();
         int serving = serves ? 1 : 0;
         for (final Member m : view.members()) {
             serving += m.serves() ? 1 : 0;
--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import spokestall.hand.HandNote;
 import spokestall.policy.Binding;
 import spokestall.policy.KeyHash;
@@ -41,6 +42,8 @@
     /** Methods that speak of the wire, not of what is behind it. */
     private static final Set<String> NOT_PROXIED = Set.of("CONNECT", "TRACE");
 
+    private static final Pattern ASK_ID = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+
     private final Parts parts;
     private final Pace pace;
     private final Places places;
@@ -93,7 +96,7 @@
         final Ran doubt = ticket != null ? Ran.UNDECIDED : Ran.NOT_RUN;
         if (pace.habits().keyed() && head.key() == null
                 || head.askId() == null
-                || !head.askId().matches("[A-Za-z0-9._:-]{1,128}")
+                || !ASK_ID.matcher(head.askId()).matches()
                 || head.spanMs() == Long.MIN_VALUE
                 || NOT_PROXIED.contains(head.method())) {
             return denied(Result.MALFORMED, doubt);
--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -1,7 +1,7 @@
 package spokestall.edge;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -80,56 +80,49 @@
     /** The upstream for a go, or null when none may take it.
      * Example: {@code elector.elect(rule, u -> binding.home(tenant, u.region()), Set.of())} */
     public Upstream elect(final ServiceRule rule, final Predicate<Upstream> fits, final Set<String> tried) {
-        final long nowMs = clock.nowMs();
-        final List<Upstream> sound = new ArrayList<>();
-        final List<Upstream> aside = new ArrayList<>();
-        for (final Upstream u : ready.apply(rule.name())) {
-            if (fits.test(u) && !tried.contains(u.instance()) && room(u) > 0) {
-                (ejected(u.instance(), nowMs) ? aside : sound).add(u);
-            }
-        }
-        final Upstream found = pick(rule, sound);
-        return found != null ? found : pick(rule, aside);
-    }
-
-    private Upstream pick(final ServiceRule rule, final List<Upstream> left) {
-        while (!left.isEmpty()) {
-            final Upstream best = cheapest(rule, left);
-            if (warmEnough(rule, best)) {
-                return best;
-            }
-            left.remove(best);
+        final Set<String> passed = new HashSet<>(tried);
+        Upstream best = cheapest(rule, fits, passed);
+        while (best != null && !warmEnough(rule, best)) {
+            passed.add(best.instance());
+            best = cheapest(rule, fits, passed);
         }
-        return null;
+        return best;
     }
 
-    private Upstream cheapest(final ServiceRule rule, final List<Upstream> left) {
+    /** The one of the least cost that has room; one that was put aside only if there is no other. */
+    private Upstream cheapest(final ServiceRule rule, final Predicate<Upstream> fits, final Set<String> passed) {
+        final long nowMs = clock.nowMs();
         Upstream best = null;
+        boolean bestAside = true;
         double least = Double.MAX_VALUE;
-        for (final Upstream u : left) {
-            final double cost = cost(rule, u) * (0.95 + 0.1 * random.nextDouble());
-            if (cost < least) {
+        for (final Upstream u : ready.apply(rule.name())) {
+            if (!fits.test(u) || passed.contains(u.instance())) {
+                continue;
+            }
+            final Limit limit = limits.get(u.instance());
+            final boolean aside = ejected(u.instance(), nowMs);
+            if (aside && !bestAside || limit != null && limit.room() <= 0) {
+                continue;
+            }
+            final double cost = cost(rule, u, limit == null ? 0 : limit.open()) * (0.95 + 0.1 * random.nextDouble());
+            if (cost < least || bestAside && !aside) {
                 least = cost;
                 best = u;
+                bestAside = aside;
             }
         }
         return best;
     }
 
-    private double cost(final ServiceRule rule, final Upstream u) {
+    private double cost(final ServiceRule rule, final Upstream u, final int open) {
         final double quick = Math.max(QUICK_LEAST, Math.min(QUICK_MOST, quickness.of(rule.name(), u.instance())));
-        final double queue = (demand(u) + 1.0) / Math.max(1, u.slots()) * quick;
+        final double queue = (open + 1.0) / Math.max(1, u.slots()) * quick;
         return queue
                 + (u.region().equals(region)
                         ? u.district().equals(district) ? 0 : pace.districtCost()
                         : pace.regionCost());
     }
 
-    private int demand(final Upstream u) {
-        final Limit limit = limits.get(u.instance());
-        return limit == null ? 0 : limit.open();
-    }
-
     private int room(final Upstream u) {
         final Limit limit = limits.get(u.instance());
         return limit == null ? Limit.FIRST : limit.room();
--- a/spokestall/src/main/java/spokestall/policy/KeyHash.java
+++ b/spokestall/src/main/java/spokestall/policy/KeyHash.java
@@ -9,8 +9,10 @@
 
 /** Keys are kept as hashes only. */
 public final class KeyHash {
-    private static final LoadingCache<String, String> SEEN =
-            Caffeine.newBuilder().maximumSize(10_000).build(key -> hex(key.getBytes(StandardCharsets.UTF_8)));
+    private static final LoadingCache<String, String> SEEN = Caffeine.newBuilder()
+            .maximumSize(10_000)
+            .executor(Runnable::run)
+            .build(key -> hex(key.getBytes(StandardCharsets.UTF_8)));
 
     private KeyHash() {}
 
--- a/spokestall/src/main/java/spokestall/rim/AskPort.java
+++ b/spokestall/src/main/java/spokestall/rim/AskPort.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import spokestall.Node;
@@ -29,6 +30,7 @@
     public record Pace(long answerWaitMs, long lingerMs) {}
 
     private static final AttachmentKey<AtomicReference<Admitted>> ASK = AttachmentKey.create(AtomicReference.class);
+    private static final Pattern PORT = Pattern.compile(":\\d*$");
     private final Node node;
     private final Stage stage;
     private final AskSpeech speech;
@@ -141,7 +143,7 @@
     /** The host that is asked for, without its port. */
     private static String host(final HttpServerExchange exchange) {
         final String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
-        return host == null ? "" : host.replaceFirst(":\\d*$", "").toLowerCase(Locale.ROOT);
+        return host == null ? "" : PORT.matcher(host).replaceFirst("").toLowerCase(Locale.ROOT);
     }
 
     /** The target as it came. Undertow keeps path and query apart, so a lone question mark at the end is lost. */
--- a/spokestall/src/main/java/spokestall/rim/Fields.java
+++ b/spokestall/src/main/java/spokestall/rim/Fields.java
@@ -5,29 +5,28 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
-import java.util.TreeSet;
 import spokestall.wire.Header;
 
 /** Header fields between wires: which ones go on, and whether they frame a message in one way only. */
 public final class Fields {
     /** Fields that speak of one wire, or that each wire is given anew. */
-    private static final Set<String> OF_THE_WIRE = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-connection",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "proxy-authentication-info",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "expect",
-            "host",
-            "content-length");
+    private static final Set<HttpString> OF_THE_WIRE = Set.of(
+            Headers.CONNECTION,
+            new HttpString("Keep-Alive"),
+            new HttpString("Proxy-Connection"),
+            Headers.PROXY_AUTHENTICATE,
+            Headers.PROXY_AUTHORIZATION,
+            new HttpString("Proxy-Authentication-Info"),
+            Headers.TE,
+            Headers.TRAILER,
+            Headers.TRANSFER_ENCODING,
+            Headers.UPGRADE,
+            Headers.EXPECT,
+            Headers.HOST,
+            Headers.CONTENT_LENGTH);
 
     private static final String OWN = "spokestall-";
     private static final String NOT_IN_NAMES = "\"(),/:;<=>?@[\\]{}";
@@ -38,26 +37,32 @@
     /** The end-to-end fields: none of the wire's, none that Connection names, none of spokestall's own.
      * Example: {@code Fields.endToEnd(exchange.getRequestHeaders())} */
     public static List<Header> endToEnd(final HeaderMap from) {
-        final Set<String> named = new TreeSet<>();
+        final Set<HttpString> named = new HashSet<>();
         final HeaderValues connection = from.get(Headers.CONNECTION);
         if (connection != null) {
             for (final String line : connection) {
                 for (final String one : line.split(",")) {
-                    named.add(one.trim().toLowerCase(Locale.ROOT));
+                    named.add(new HttpString(one.trim()));
                 }
             }
         }
         final List<Header> found = new ArrayList<>();
         for (final HeaderValues values : from) {
-            final String name = values.getHeaderName().toString();
-            final String lower = name.toLowerCase(Locale.ROOT);
-            if (!OF_THE_WIRE.contains(lower) && !named.contains(lower) && !lower.startsWith(OWN)) {
-                values.forEach(v -> found.add(new Header(name, v)));
+            final HttpString field = values.getHeaderName();
+            final String name = field.toString();
+            if (!OF_THE_WIRE.contains(field) && !named.contains(field) && !own(name)) {
+                for (final String value : values) {
+                    found.add(new Header(name, value));
+                }
             }
         }
         return found;
     }
 
+    private static boolean own(final String name) {
+        return name.regionMatches(true, 0, OWN, 0, OWN.length());
+    }
+
     static void put(final HeaderMap into, final List<Header> headers) {
         headers.forEach(h -> into.add(new HttpString(h.name()), h.value()));
     }
@@ -73,7 +78,7 @@
                 }
             }
             for (final String value : values) {
-                if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 0x7f)) {
+                if (!plain(value)) {
                     return "a field's value";
                 }
             }
@@ -89,8 +94,23 @@
         return null;
     }
 
+    private static boolean plain(final String value) {
+        for (int i = 0; i < value.length(); i++) {
+            final char c = value.charAt(i);
+            if (c < ' ' && c != '\t' || c == 0x7f) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean digits(final String text) {
-        return !text.isEmpty() && text.length() <= LENGTH_DIGITS && text.chars().allMatch(c -> c >= '0' && c <= '9');
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= LENGTH_DIGITS;
     }
 
     /** How many characters the fields have together. */
--- a/spokestall/src/main/java/spokestall/view/View.java
+++ b/spokestall/src/main/java/spokestall/view/View.java
@@ -38,6 +38,7 @@
     private boolean leaving;
     private int beat;
     private long changedMs;
+    private long changes;
     /** No member is unheard for too long before then. */
     private long nextGoneMs;
 
@@ -87,6 +88,11 @@
         return known.values();
     }
 
+    /** Grows with every member that is new, or serves now and did not. Example: {@code if (view.changes() != seen) count();} */
+    public long changes() {
+        return changes;
+    }
+
     private long goneMs(final String name) {
         return learnedMs.getOrDefault(name, 0L) + pace.goneMs();
     }
@@ -181,6 +187,7 @@
             newMs.put(m.name(), clock.nowMs());
             changedMs = clock.nowMs();
         }
+        changes += had == null || had.serves() != m.serves() ? 1 : 0;
         known.put(m.name(), m);
         learnedMs.put(m.name(), clock.nowMs() - ageMs);
         nextGoneMs = Math.min(nextGoneMs, goneMs(m.name()));
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/rim/FieldsTest.java
@@ -0,0 +1,64 @@
+package spokestall.rim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import org.junit.jupiter.api.Test;
+import spokestall.wire.Header;
+
+class FieldsTest {
+    private static HeaderMap fields(final String... namesAndValues) {
+        final HeaderMap map = new HeaderMap();
+        for (int i = 0; i < namesAndValues.length; i += 2) {
+            map.add(new HttpString(namesAndValues[i]), namesAndValues[i + 1]);
+        }
+        return map;
+    }
+
+    @Test
+    void onlyEndToEndFieldsGoOnInWhateverCase() {
+        final HeaderMap map = fields(
+                "connection",
+                "close, X-Hop",
+                "x-hop",
+                "1",
+                "KEEP-ALIVE",
+                "timeout=5",
+                "hOst",
+                "a",
+                "content-length",
+                "3",
+                "Transfer-encoding",
+                "chunked",
+                "SPOKESTALL-Anything",
+                "x",
+                "proxy-authentication-info",
+                "y",
+                "Accept",
+                "text/plain",
+                "accept",
+                "text/html",
+                "X-Own",
+                "z");
+        assertThat(Fields.endToEnd(map))
+                .containsExactlyInAnyOrder(
+                        new Header("Accept", "text/plain"),
+                        new Header("Accept", "text/html"),
+                        new Header("X-Own", "z"));
+    }
+
+    @Test
+    void whatCouldBeReadInTwoWaysIsOdd() {
+        assertThat(Fields.odd(fields("A", "b\tc", "Content-Length", "12"))).isNull();
+        assertThat(Fields.odd(fields("A", "b\u0001"))).isNotNull();
+        assertThat(Fields.odd(fields("A", "b\u007f"))).isNotNull();
+        assertThat(Fields.odd(fields("A b", "c"))).isNotNull();
+        assertThat(Fields.odd(fields("Content-Length", ""))).isNotNull();
+        assertThat(Fields.odd(fields("Content-Length", "1x"))).isNotNull();
+        assertThat(Fields.odd(fields("Content-Length", "1234567890123456789"))).isNotNull();
+        assertThat(Fields.odd(fields("Content-Length", "1", "Content-Length", "1")))
+                .isNotNull();
+        assertThat(Fields.odd(fields("Transfer-Encoding", "gzip"))).isNotNull();
+    }
+}
