A change of the duty's holder waits no longer than the order of holders needs

Cause: the lease was as long as the span in which the platform looks at the order of holders (3 s), a released one rested for that span for everybody, an acquisition whose outcome was unclear and the lease of an earlier life of the same node were watched like a stranger's. Tests: LeaseKeeperTest (five new), ReporterTest; each new rule taken out turned its own test red.

--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -515,11 +515,7 @@
         if (core) {
             every(settings.part("leaveBoundMs", 0.0625), formation::tick);
             every(settings.part("leaveBoundMs", 0.125), prober::tick);
-            every(settings.part("leaseMs", 0.1), () -> {
-                if (fleet.settled()) {
-                    keeper.tick();
-                }
-            });
+            every(settings.part("leaseMs", 0.1), this::keepLease);
             every(settings.part("reportDueMs", 0.01), reporter::tick);
             every(settings.part("keyBoundMs", 0.2), this::tidy);
             every(settings.ms("countPushMs"), keptUsage::tick);
@@ -672,6 +668,17 @@
         }
     }
 
+    /**
+     * A node that leaves acquires no lease; one that it holds it keeps until its last request is answered. Neither does one that
+     * doesn't vote: without the registers it can't tell which windows it may report.
+     */
+    private void keepLease() {
+        final boolean mayAcquire = voter.state() == Voter.State.VOTING && !leaving();
+        if (fleet.settled() && (keeper.state() == LeaseKeeper.State.HOLDING || mayAcquire)) {
+            keeper.tick();
+        }
+    }
+
     private Long presentLife(final String name) {
         final Feeds.Present p = feeds.edges().get(name);
         return p == null ? null : p.member().life();
--- a/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -25,8 +25,9 @@
         STOPPED
     }
 
-    /** Spans, from the settings. A duty that was released rests for restMs before another takes it: where those who are told of
-     * it look at who acted within a span, a holder that comes back in between would seem to act beside the new one. */
+    /** Spans, from the settings. A node does not acquire the lease from another holder until restMs after it ceased to hold it
+     * itself: where the order of holders is looked at within a span, a holder that comes back in between would seem to act
+     * beside the one that followed it. */
     public record Pace(
             long leaseMs, long renewMs, long storeWaitMs, long marginMs, long turnMs, long maxRunMs, long restMs) {}
 
@@ -34,6 +35,12 @@
     public interface Work {
         /** Example: {@code work.begin(execution)} */
         void begin(Execution execution);
+
+        /** Whether no call made under an ended execution may still arrive. Only then may a new execution follow without waiting
+         * for the lease to expire. Work that makes no calls is always idle. Example: {@code if (work.idle()) release();} */
+        default boolean idle() {
+            return true;
+        }
     }
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
@@ -56,6 +63,11 @@
     private boolean renewing;
     private long renewAskedMs;
     private Execution execution;
+    /** When this node last may have acted as the holder: an earlier life of it until this one was made. */
+    private long ceasedMs;
+
+    /** The owner value of the last execution that ended in this life, or null. */
+    private String endedOwner;
 
     /** Example: {@code new LeaseKeeper("usage_report", "d1-core", proposer, clock, random, pace, reporter)} */
     public LeaseKeeper(
@@ -88,6 +100,7 @@
         this.random = random;
         this.pace = pace;
         this.work = work;
+        this.ceasedMs = clock.nowMs();
     }
 
     /** Example: {@code keeper.state() == LeaseKeeper.State.HOLDING} */
@@ -185,13 +198,35 @@
         }
     }
 
-    /** Whether what was seen has been unchanged for so long that it is this keeper's turn. */
+    /** Whether the lease as seen may be acquired by this node now. */
     private boolean due() {
-        final Lease now = seen;
+        if (ownEarlier(seen)) {
+            return true;
+        }
+        final long nowMs = clock.nowMs();
+        return nowMs - ceasedMs >= pace.restMs() && nowMs - seenMs >= freeAfterMs(seen) + turnMs(seen);
+    }
+
+    /**
+     * Whether the lease names this node as the holder by an acquisition whose outcome was unclear, or by an earlier life. Nothing
+     * is done under it and nobody else acquired it since, so its expiry need not be waited for. An execution that has ended in
+     * this life is left to others. Of a lease that an older generation allotted, a later change may have been lost.
+     */
+    private boolean ownEarlier(final Lease now) {
+        return now != null
+                && now.holder().equals(name)
+                && !now.owner().equals(endedOwner)
+                && now.token() >= proposer.voters().firstNumber()
+                && work.idle();
+    }
+
+    /** How long a lease must be seen unchanged before it is free. A release is only written once nothing can be on its way. */
+    private long freeAfterMs(final Lease now) {
+        if (now != null && now.released()) {
+            return 0;
+        }
         // No lease at all may mean that one was lost with its disks while its holder still works.
-        final long spanMs = now == null ? pace.leaseMs() : Math.max(now.spanMs(), pace.leaseMs());
-        final long runsOutMs = now != null && now.released() ? pace.restMs() : spanMs + pace.marginMs();
-        return clock.nowMs() - seenMs >= runsOutMs + turnMs(now);
+        return (now == null ? pace.leaseMs() : Math.max(now.spanMs(), pace.leaseMs())) + pace.marginMs();
     }
 
     /**
@@ -216,7 +251,7 @@
         final String owner = name + "/" + Long.toHexString(random.nextLong());
         final String executionId = Long.toHexString(random.nextLong());
         execution = null;
-        change(State.ACQUIRING, expired == null ? "none" : expired.released() ? "released" : "expired");
+        change(State.ACQUIRING, whyFree(expired));
         proposer.change(
                 Lease.key(duty),
                 pace.storeWaitMs(),
@@ -239,6 +274,16 @@
                 outcome -> acquired(outcome, owner, executionId, askedMs));
     }
 
+    private String whyFree(final Lease expired) {
+        if (expired == null) {
+            return "none";
+        }
+        if (expired.holder().equals(name)) {
+            return "own";
+        }
+        return expired.released() ? "released" : "expired";
+    }
+
     private void acquired(final Outcome outcome, final String owner, final String executionId, final long askedMs) {
         final long nowMs = clock.nowMs();
         seen = null;
@@ -261,7 +306,8 @@
                 return;
             }
         }
-        // Denied, late or unclear: nothing is begun. If it took hold all the same, it runs out like any other.
+        // Denied, late or unclear: nothing is begun. If it took hold all the same, the next look finds it and begins
+        // anew.
         change(State.WATCHING, outcome instanceof Outcome.Done ? "denied" : "unclear");
     }
 
@@ -318,10 +364,17 @@
         release("renewal");
     }
 
+    /** Ends the execution. The lease is released only if no call of it is under way; else it is left to expire. */
     private void release(final String why) {
         final Execution mine = execution;
         mine.cancel();
+        ceasedMs = clock.nowMs();
+        endedOwner = mine.owner();
         change(State.RELEASING, why);
+        if (!work.idle()) {
+            ended("calls_open");
+            return;
+        }
         proposer.change(
                 Lease.key(duty),
                 pace.storeWaitMs(),
@@ -333,18 +386,18 @@
                                     now.owner(), now.holder(), now.renewal(), now.token(), now.spanMs(), true)))
                             : Edit.LEAVE;
                 },
-                outcome -> {
-                    seen = null;
-                    looked = false;
-                    final boolean stopping = stopped != null;
-                    change(
-                            stopping ? State.STOPPED : State.WATCHING,
-                            outcome instanceof Outcome.Done ? "released" : "unclear");
-                    execution = null;
-                    if (stopping) {
-                        stopped.run();
-                    }
-                });
+                outcome -> ended(outcome instanceof Outcome.Done ? "released" : "unclear"));
+    }
+
+    private void ended(final String why) {
+        seen = null;
+        looked = false;
+        final boolean stopping = stopped != null;
+        change(stopping ? State.STOPPED : State.WATCHING, why);
+        execution = null;
+        if (stopping) {
+            stopped.run();
+        }
     }
 
     private Runnable stopped;
--- a/spokestall/src/main/java/spokestall/duty/Reporter.java
+++ b/spokestall/src/main/java/spokestall/duty/Reporter.java
@@ -82,6 +82,8 @@
     private long sentMs;
     private long lastSealed;
     private long missed;
+    private int callsOpen;
+    private boolean unanswered;
 
     /** Example: see {@code Node}. */
     public Reporter(
@@ -125,6 +127,7 @@
     public void begin(final Execution begun) {
         execution = begun;
         units.clear();
+        unanswered = false;
         sentMs = clock.nowMs();
         next = Math.floorDiv(fleet.nowMs() - pace.dueMs(), pace.windowMs());
         LOG.atInfo().log(
@@ -132,6 +135,12 @@
                 name, begun.executionId(), begun.token(), next);
     }
 
+    /** A call that ended with no good answer may still be on its way. */
+    @Override
+    public boolean idle() {
+        return callsOpen == 0 && !unanswered;
+    }
+
     /** One beat. Example: {@code reporter.tick();} */
     public void tick() {
         if (execution == null) {
@@ -172,14 +181,14 @@
         if (unit.stage == Stage.GATHER) {
             gather(mine, unit, lateMs);
         } else if (unit.stage == Stage.SEND) {
-            if (lateMs + pace.sendWaitMs() > pace.dueMs()) {
+            if (lateMs + pace.sendWaitMs() / 2 > pace.dueMs()) {
                 missed++;
                 LOG.atWarning().log(
                         "event=window_missed node=%s window=%s executionId=%s lateMs=%s",
                         name, unit.window, mine.executionId(), lateMs);
                 unit.stage = Stage.OVER;
             } else if (clock.nowMs() - sentMs >= 1000 / pace.perS()) {
-                send(mine, unit);
+                send(mine, unit, Math.min(pace.sendWaitMs(), pace.dueMs() - lateMs));
             }
         }
     }
@@ -240,19 +249,22 @@
                 });
     }
 
-    private void send(final Execution mine, final Unit unit) {
+    private void send(final Execution mine, final Unit unit, final long waitMs) {
         if (!mine.mayWork(clock.nowMs())) {
             return;
         }
         unit.stage = Stage.SENDING;
         sentMs = clock.nowMs();
+        callsOpen++;
         platform.report(
                 name,
                 mine.token(),
                 unit.sealed,
-                pace.sendWaitMs(),
+                waitMs,
                 () -> mine == execution && mine.mayWork(clock.nowMs()) ? mine.deadlineMs() : Long.MIN_VALUE,
                 ok -> {
+                    callsOpen--;
+                    unanswered |= !ok;
                     LOG.atInfo().log(
                             "event=report node=%s executionId=%s token=%s window=%s ok=%s lateMs=%s",
                             name,
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -158,7 +158,7 @@
         number("reportDueMs", 10_000, "a window's counts must be in within this after its end", 1000, 600_000);
         number("dutiesPerS", 2, "calls a second that the platform takes for duties", 0.1, 1000);
         number("leaseMs", 2000, "the lease on a duty", 200, 600_000);
-        number("restMs", 0, "how long a duty that was released rests before another takes it", 0, 600_000);
+        number("restMs", 0, "how long a node that held a duty waits before it follows another holder", 0, 600_000);
         number("maxRunMs", 600_000, "the longest one acquisition may work", 1000, 86_400_000);
         number("farMs", 110, "the longest round trip between two nodes that is not trouble", 1, 5000);
         number("claimKeepMs", 600_000, "how long run-once claims are kept", 10_000, 86_400_000);
--- a/spokestall/src/test/java/spokestall/duty/LeaseKeeperTest.java
+++ b/spokestall/src/test/java/spokestall/duty/LeaseKeeperTest.java
@@ -17,6 +17,7 @@
 
 class LeaseKeeperTest {
     private static final LeaseKeeper.Pace PACE = new LeaseKeeper.Pace(2000, 400, 800, 200, 100, 20_000, 0);
+    private static final long LOOKED_AT_MS = 3000;
 
     /** Keepers in a lossy network, now and then stopped in the middle of things: never two may work, tokens rise. */
     @Test
@@ -171,4 +172,163 @@
         }
         assertThat(begunMs[0] - fromMs).isBetween(PACE.leaseMs() + PACE.marginMs(), 2 * PACE.leaseMs());
     }
+
+    private static final LeaseKeeper.Pace RESTING = new LeaseKeeper.Pace(2000, 400, 800, 200, 100, 20_000, 3600);
+
+    /** One life of a node: its keeper, what it began, and until when it may have acted. */
+    private static final class Life implements LeaseKeeper.Work {
+        private final BallotBench bench;
+        private final String name;
+        private final LeaseKeeper keeper;
+        private final List<Execution> begun = new ArrayList<>();
+        private boolean callsOpen;
+
+        Life(final BallotBench bench, final String name, final int number, final LeaseKeeper.Pace pace) {
+            this.bench = bench;
+            this.name = name;
+            this.keeper = new LeaseKeeper(
+                    "usage_report", name, bench.proposer(name + "." + number), bench.clock, bench.random, pace, this);
+        }
+
+        @Override
+        public void begin(final Execution execution) {
+            begun.add(execution);
+        }
+
+        @Override
+        public boolean idle() {
+            return !callsOpen;
+        }
+
+        boolean acts() {
+            return !begun.isEmpty() && begun.get(begun.size() - 1).mayWork(bench.clock.nowMs());
+        }
+    }
+
+    /** Ticks these until one of them begins an execution, and tells how long that took; the whole span if none did. */
+    private static long begins(final BallotBench bench, final long spanMs, final Life awaited, final Life... others) {
+        final long fromMs = bench.clock.nowMs();
+        final int before = awaited.begun.size();
+        while (awaited.begun.size() == before && bench.clock.nowMs() < fromMs + spanMs) {
+            awaited.keeper.tick();
+            for (final Life other : others) {
+                other.keeper.tick();
+            }
+            bench.run(bench.clock.nowMs() + 20);
+        }
+        return bench.clock.nowMs() - fromMs;
+    }
+
+    /** A holder's process ended and came back before anyone else acquired: nothing is done under its old lease. An acquisition
+     * whose outcome came too late is seen like this one. */
+    @Test
+    void aHolderThatRestartsAcquiresItsOwnLeaseWithoutWaitingForItsExpiry() {
+        final BallotBench bench = new BallotBench(3, 0);
+        final Life before = new Life(bench, "k", 1, RESTING);
+        begins(bench, 10_000, before);
+        final Life after = new Life(bench, "k", 2, RESTING);
+        assertThat(begins(bench, 10_000, after)).isLessThan(PACE.leaseMs() / 2);
+        assertThat(after.begun.get(0).token()).isGreaterThan(before.begun.get(0).token());
+    }
+
+    /** A lease of an older generation may have been acquired by another since, which was lost with the disks. */
+    @Test
+    void aLeaseThatAnOlderGenerationAllottedIsWatchedByItsOwnHolderToo() {
+        final BallotBench bench = new BallotBench(4, 0);
+        bench.proposer("w")
+                .change(
+                        Lease.key("usage_report"),
+                        800,
+                        value -> new Edit.Set(Codec.bytes(new Lease("k/1", "k", 0, 7, PACE.leaseMs(), false))),
+                        outcome -> {});
+        bench.run(bench.clock.nowMs() + 500);
+        assertThat(begins(bench, 10_000, new Life(bench, "k", 1, PACE)))
+                .isGreaterThanOrEqualTo(PACE.leaseMs() + PACE.marginMs());
+    }
+
+    /** A node in order hands over: what it released is acquired at once, but not by one that held it a short while ago. */
+    @Test
+    void aReleasedLeaseIsAcquiredAtOnceButNotByAFormerHolderWithinItsRest() {
+        final BallotBench bench = new BallotBench(6, 0);
+        final Life one = new Life(bench, "k1", 1, RESTING);
+        final Life two = new Life(bench, "k2", 1, RESTING);
+        begins(bench, 10_000, one);
+        begins(bench, RESTING.restMs(), two, one);
+        final long stoppedMs = bench.clock.nowMs();
+        one.keeper.stop(() -> {});
+        assertThat(begins(bench, 10_000, two)).isLessThan(PACE.leaseMs() / 2);
+        final Life oneAgain = new Life(bench, "k1", 2, RESTING);
+        begins(bench, 500, oneAgain, two);
+        two.keeper.stop(() -> {});
+        begins(bench, 10_000, oneAgain);
+        assertThat(oneAgain.begun).hasSize(1);
+        assertThat(bench.clock.nowMs() - stoppedMs).isGreaterThanOrEqualTo(RESTING.restMs());
+    }
+
+    /** A call that may still arrive keeps the lease from being released: it runs out instead. */
+    @Test
+    void aHolderWithACallUnderWayLeavesItsLeaseToExpire() {
+        final BallotBench bench = new BallotBench(7, 0);
+        final Life one = new Life(bench, "k1", 1, RESTING);
+        final Life two = new Life(bench, "k2", 1, RESTING);
+        begins(bench, 10_000, one);
+        begins(bench, RESTING.restMs(), two, one);
+        one.callsOpen = true;
+        one.keeper.stop(() -> {});
+        assertThat(begins(bench, 10_000, two)).isGreaterThan(PACE.leaseMs() - PACE.renewMs());
+    }
+
+    /** Holders that end, come back and hand over at any moment: one works at a time, and none follows its successor within the
+     * span in which the order of holders is looked at. */
+    @Test
+    void noHolderComesBackAfterItsSuccessorWithinTheSpanThatIsLookedAt() {
+        int held = 0;
+        for (int seed = 0; seed < 30; seed++) {
+            held += held(seed);
+        }
+        assertThat(held).isGreaterThan(100);
+    }
+
+    private static int held(final long seed) {
+        final BallotBench bench = new BallotBench(seed, 0.05);
+        final List<Life> lives = new ArrayList<>();
+        final List<String> actors = new ArrayList<>();
+        final List<Long> lastActMs = new ArrayList<>();
+        for (int k = 0; k < 4; k++) {
+            lives.add(new Life(bench, "k" + k, 0, RESTING));
+        }
+        int number = 1;
+        for (int beat = 0; beat < 8000; beat++) {
+            final long nowMs = bench.clock.nowMs();
+            final List<Life> acting = lives.stream().filter(Life::acts).toList();
+            assertThat(acting).hasSizeLessThanOrEqualTo(1);
+            for (final Life life : acting) {
+                if (actors.isEmpty() || !actors.get(actors.size() - 1).equals(life.name)) {
+                    final int before = actors.lastIndexOf(life.name);
+                    assertThat(before < 0 ? Long.MAX_VALUE : nowMs - lastActMs.get(before))
+                            .isGreaterThanOrEqualTo(LOOKED_AT_MS);
+                    actors.add(life.name);
+                    lastActMs.add(nowMs);
+                }
+                lastActMs.set(lastActMs.size() - 1, nowMs);
+            }
+            if (bench.random.nextInt(200) == 0) {
+                final int of = acting.isEmpty() || bench.random.nextInt(3) == 0
+                        ? bench.random.nextInt(lives.size())
+                        : lives.indexOf(acting.get(0));
+                final Life old = lives.get(of);
+                if (bench.random.nextBoolean()) {
+                    old.keeper.stop(() -> {});
+                }
+                lives.set(of, new Life(bench, old.name, number++, RESTING));
+            }
+            for (int k = 0; k < lives.size(); k++) {
+                if ((beat + k) % 10 == 0) {
+                    lives.get(k).keeper.tick();
+                }
+            }
+            bench.run(nowMs + 20);
+        }
+        return actors.size();
+    }
 }
