The directory is answered from a published list, and a node in contact always names edges

Cause: the list was empty, and so the answer 503, where nobody's own word was fresh: on an edge for as long as its core gave no news (1.5 s old, and the next core is asked only then), on a core that had just started or has no seat (nobody asks it), everywhere after a loss of power until a proof was back. And the answer waited for the node's one stage behind its requests. A node that knows nobody says 503, so that the client asks the next one rather than leave the edges it has for one that has just started.

--- /dev/null
+++ b/proof/src/test/java/spokestall/proof/DirectoryTest.java
@@ -0,0 +1,82 @@
+package spokestall.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Whatever has gone, a node that runs and knows another one has edges to name to callers. */
+class DirectoryTest {
+    private static final long BEAT_MS = 100;
+    private static final long FROM_MS = 2000;
+    private static final long UNTIL_MS = 90_000;
+    /** A node answers within a second; this is half of it. */
+    private static final long WITHOUT_MAX_MS = 500;
+
+    @BeforeAll
+    static void quiet() {
+        Logger.getLogger("").setLevel(Level.OFF);
+    }
+
+    private static boolean knowsAnother(final World world, final SimNode node) {
+        final boolean[] knows = {false};
+        world.call(
+                node,
+                "status",
+                JsonNodeFactory.instance.objectNode(),
+                reply -> knows[0] = reply.fields().path("nodes").size() > 0);
+        return knows[0];
+    }
+
+    /** The longest that any node was in contact and had nothing to name, by node. */
+    private static Map<String, Long> longestWithout(final Scenario scenario, final long seed) {
+        final SimRun run = new SimRun(seed, Deployment.PADMA, scenario, false, Plant.NONE);
+        final Map<String, Long> sinceMs = new HashMap<>();
+        final Map<String, Long> longestMs = new TreeMap<>();
+        final Runnable look = new Runnable() {
+            @Override
+            public void run() {
+                final long nowMs = run.world.sim.nowMs();
+                for (final SimNode node : run.world.nodes.values()) {
+                    final boolean without = node.running()
+                            && node.node().directory().edges().isEmpty()
+                            && !node.node().leaving()
+                            && knowsAnother(run.world, node);
+                    if (!without) {
+                        sinceMs.remove(node.name);
+                    } else {
+                        sinceMs.putIfAbsent(node.name, nowMs);
+                        longestMs.merge(node.name, nowMs - sinceMs.get(node.name), Math::max);
+                    }
+                }
+                if (nowMs < UNTIL_MS) {
+                    run.world.sim.after(BEAT_MS, this);
+                }
+            }
+        };
+        run.world.sim.after(FROM_MS, look);
+        assertThat(run.play()).isTrue();
+        longestMs.values().removeIf(ms -> ms <= WITHOUT_MAX_MS);
+        return longestMs;
+    }
+
+    @Test
+    void aNodeInContactHasEdgesToName() {
+        for (final Scenario scenario : List.of(
+                Scenario.RESTART_ALL,
+                Scenario.DISTRICT_POWER,
+                Scenario.NODE_KILLS,
+                Scenario.CUTS,
+                Scenario.SPLIT,
+                Scenario.MOVED)) {
+            assertThat(longestWithout(scenario, 3)).as(scenario.name()).isEmpty();
+        }
+    }
+}
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -32,12 +32,12 @@
 import spokestall.duty.UsageBook;
 import spokestall.duty.UsageCounter;
 import spokestall.duty.UsageNote;
+import spokestall.edge.Directory;
 import spokestall.edge.Edge;
 import spokestall.edge.Elector;
 import spokestall.edge.Habits;
 import spokestall.edge.Parts;
 import spokestall.edge.Upstreams;
-import spokestall.edge.Where;
 import spokestall.feed.FeedNote;
 import spokestall.feed.Follower;
 import spokestall.feed.Versions;
@@ -140,6 +140,8 @@
     final Audit audit;
     final Calls calls = new Calls();
     final Feeds feeds = new Feeds(this);
+    private final Directory directory = new Directory();
+    private final long startedMs;
     private final long windowMs;
     private int sharersMost = 1;
     private Set<String> heldBefore = Set.of();
@@ -172,6 +174,7 @@
         this.address = settings.text("address");
         this.clock = rim.clock();
         this.random = rim.random();
+        this.startedMs = clock.nowMs();
         this.life = clock.wallMs() << 10 | random.nextInt(1 << 10);
         this.fleet = new FleetClock(clock, settings.part("farMs", 2));
         this.post = (to, note) -> {
@@ -510,8 +513,14 @@
                 "event=start node=%s role=%s address=%s district=%s region=%s life=%s",
                 name, core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
         hurry(clock.nowMs() + settings.part("leaveBoundMs", 1.5), 0);
-        every(settings.part("leaveBoundMs", 0.125), view::tick);
-        every(settings.ms("proofMs"), follower::tick);
+        every(settings.part("leaveBoundMs", 0.125), () -> {
+            view.tick();
+            publishEdges();
+        });
+        every(settings.ms("proofMs"), () -> {
+            follower.tick();
+            publishEdges();
+        });
         if (core) {
             every(settings.part("leaveBoundMs", 0.0625), formation::tick);
             every(settings.part("leaveBoundMs", 0.125), prober::tick);
@@ -550,6 +559,7 @@
             return;
         }
         view.greet(voters() == null ? List.of() : coreAddresses());
+        publishEdges();
         if (voters() != null && !follower.fresh() || turn < HURRIED || turn % (2 * HURRIED) == 0) {
             // Before there are voters nothing can be proved; a founding takes seconds.
             follower.tick();
@@ -620,6 +630,7 @@
         LOG.atInfo().log("event=leaving node=%s", name);
         view.leave();
         follower.tick();
+        publishEdges();
         if (edge != null) {
             clock.after(settings.part("stopWaitMs", 0.3), () -> {
                 edge.leave();
@@ -997,10 +1008,9 @@
         return sharersMost;
     }
 
-    /** Edges for a caller of a place: those of its district, of its region where that has but one, else any.
-     * Example: {@code node.edgesNear("r1", "d1")} */
-    public List<Member> edgesNear(final String region, final String district) {
-        return Where.near(edgesForClients(), region, district);
+    /** The edges that callers are told of, for any thread. Example: {@code Where.near(node.directory().edges(), "r1", "d1")} */
+    public Directory directory() {
+        return directory;
     }
 
     /** Whether this node takes asks now. Example: {@code if (!node.ready()) answer(503);} */
@@ -1018,18 +1028,49 @@
         return acceptance;
     }
 
+    /**
+     * The edges believed to serve: those whose own word is fresh. Where none is, as after a loss of power or while no core
+     * answers, those last named, then those that are known at all: a caller that is told of none can only wait.
+     */
     Collection<Member> edgesForClients() {
-        if (core) {
-            return feeds.freshEdges();
-        }
         final Map<String, Member> found = new TreeMap<>();
-        follower.edges(settings.heardMs()).forEach(e -> found.put(e.name(), e));
-        if (view.self().leaving()) {
+        heardEdges().forEach(e -> found.put(e.name(), e));
+        if (ready()) {
+            found.put(name, view.self());
+        }
+        if (found.isEmpty()) {
+            follower.edges(settings.part("leaveBoundMs", 2)).forEach(e -> found.put(e.name(), e));
+        }
+        if (found.isEmpty()) {
+            view.members().stream().filter(Member::serves).forEach(e -> found.put(e.name(), e));
+        }
+        if (leaving()) {
             found.remove(name);
         }
         return found.values();
     }
 
+    /** A core that has just started, or that nobody asks since it has no seat, goes by the word of another core. */
+    private Collection<Member> heardEdges() {
+        final long spanMs = settings.heardMs();
+        if (!core) {
+            return follower.edges(spanMs);
+        }
+        final Collection<Member> asking = feeds.freshEdges();
+        final boolean justStarted = clock.nowMs() - startedMs < spanMs;
+        if (!asking.isEmpty() && !justStarted) {
+            return asking;
+        }
+        final List<Member> both = new ArrayList<>(follower.edges(spanMs));
+        both.addAll(asking);
+        return both;
+    }
+
+    /** Callers are told of what was heard up to now. */
+    private void publishEdges() {
+        directory.publish(edgesForClients());
+    }
+
     /** Nodes configured with other counts of nodes than this one: shared bounds are divided by them. */
     List<String> differing() {
         final Member self = view.self();
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/edge/Directory.java
@@ -0,0 +1,46 @@
+package spokestall.edge;
+
+import java.util.Collection;
+import java.util.List;
+import spokestall.view.Member;
+
+/**
+ * The edges that callers are told of, as an immutable list: published by the node's stage, read by any thread. An answer made
+ * from it does not wait for the stage, and holds for as long as the list is the same object.
+ */
+public final class Directory {
+    private volatile List<Member> edges = List.of();
+
+    /** Takes the edges as they are believed to serve now; a list that names the same ones keeps its place.
+     * Example: {@code directory.publish(node.edgesForClients());} */
+    public void publish(final Collection<Member> now) {
+        if (!same(now)) {
+            edges = List.copyOf(now);
+        }
+    }
+
+    /** The edges last published. Example: {@code directory.edges() == answeredFor} */
+    public List<Member> edges() {
+        return edges;
+    }
+
+    private boolean same(final Collection<Member> now) {
+        if (now.size() != edges.size()) {
+            return false;
+        }
+        int i = 0;
+        for (final Member member : now) {
+            if (!same(member, edges.get(i++))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean same(final Member one, final Member other) {
+        return one.httpAddress().equals(other.httpAddress())
+                && one.district().equals(other.district())
+                && one.region().equals(other.region())
+                && one.leaving() == other.leaving();
+    }
+}
