A reading that was long on its way no longer moves the fleet's clock

Cause: FleetClock.heard took half of any round trip as the way, so replies that waited for a machine that stood still for 6.5 s were up to 3.25 s off; such readings stepped nodes, and the others followed. Excluded: the duty's changes (one holder throughout) and the counts' ways (all windows were summed whole). Now: a reading whose round trip is longer than the step does not replace one that the peer gave before; a first one still counts, so a node settles where each reading takes long.

--- a/proof/src/test/java/spokestall/proof/SimTest.java
+++ b/proof/src/test/java/spokestall/proof/SimTest.java
@@ -37,6 +37,7 @@
         runs.add(pool.submit(() -> Sweep.one(5, Deployment.VERDE, Scenario.RESTART_IN_TURN, Plant.NONE)));
         runs.add(pool.submit(() -> Sweep.one(26, Deployment.PADMA, Scenario.REGION_KILL, Plant.NONE)));
         runs.add(pool.submit(() -> Sweep.one(201, Deployment.VERDE, Scenario.RESTART_IN_TURN, Plant.NONE)));
+        runs.add(pool.submit(() -> Sweep.one(5, Deployment.PADMA, Scenario.FREEZE_AT_SEND, Plant.NONE)));
         final Map<Rule, Long> checks = new EnumMap<>(Rule.class);
         final List<String> bad = new ArrayList<>();
         for (final Future<Sweep.Outcome> run : runs) {
--- a/spokestall/src/main/java/spokestall/time/FleetClock.java
+++ b/spokestall/src/main/java/spokestall/time/FleetClock.java
@@ -37,9 +37,14 @@
         return settled;
     }
 
-    /** Takes a peer's reading. Example: {@code fleet.heard("d1-core", peerMs, true, askedMs);} */
+    /** Takes a peer's reading. One that was long on its way, as when either end stood still, may be off by half of that: it does
+     * not replace a reading that the peer has given before. Example: {@code fleet.heard("d1-core", peerMs, true, askedMs);} */
     public void heard(final String peer, final long peerMs, final boolean peerSettled, final long askedMs) {
         final long nowMs = clock.nowMs();
+        if (nowMs - askedMs > stepMs
+                && (settledPeers.containsKey(peer) || !peerSettled && freshPeers.containsKey(peer))) {
+            return;
+        }
         final Map<String, Long> of = peerSettled ? settledPeers : freshPeers;
         if (of.size() < PEERS_MAX || of.containsKey(peer)) {
             of.put(peer, peerMs + (nowMs - askedMs) / 2 - nowMs);
--- a/spokestall/src/test/java/spokestall/time/FleetClockTest.java
+++ b/spokestall/src/test/java/spokestall/time/FleetClockTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -54,4 +55,34 @@
             assertThat(fleet.nowMs()).isBetween(trueMs, trueMs + 20);
         }
     }
+
+    /** Replies that waited for a machine that stood still are off by half of that time. */
+    @Test
+    void readingsThatWereLongOnTheirWayMoveNothing() {
+        final Hand hand = new Hand();
+        hand.wallMs = 50_000;
+        final FleetClock fleet = new FleetClock(hand, 100);
+        for (final String peer : List.of("a", "b", "c")) {
+            fleet.heard(peer, 50_000, true, 0);
+        }
+        hand.nowMs = 6500;
+        for (final String peer : List.of("a", "b", "c")) {
+            fleet.heard(peer, 50_010, true, 0);
+            fleet.heard(peer, 50_010, false, 0);
+        }
+        assertThat(fleet.nowMs()).isBetween(56_400L, 56_600L);
+    }
+
+    /** Where each reading takes long, one that is off is better than none. */
+    @Test
+    void aFirstReadingCountsHoweverLongItTook() {
+        final Hand hand = new Hand();
+        hand.nowMs = 400;
+        hand.wallMs = 10_000;
+        final FleetClock fleet = new FleetClock(hand, 100);
+        fleet.heard("a", 50_000, true, 0);
+        fleet.heard("b", 50_000, true, 0);
+        assertThat(fleet.settled()).isTrue();
+        assertThat(fleet.nowMs()).isBetween(49_900L, 50_400L);
+    }
 }
