--- a/spokestall/src/main/java/spokestall/rim/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -103,7 +103,8 @@
         }
 
         void begin() {
-            final ClientConnection kept = call.freshWire() ? null : idle.take(peer, call.repeatable(), nowMs.getAsLong());
+            final ClientConnection kept =
+                    call.freshWire() ? null : idle.take(peer, call.repeatable(), nowMs.getAsLong());
             final XnioIoThread io = kept != null ? kept.getIoThread() : worker.getIoThread();
             timer = io.executeAfter(() -> trouble("timeout"), Math.max(1, call.waitMs()), TimeUnit.MILLISECONDS);
             if (kept != null) {
