A request whose head has come in part when a stop ends is answered 408, not cut

Cause: endResting left a connection alone on which a head had begun, and the process went with it. Excluded: heads that are whole are requests under way and are answered by Edge.giveUp. Now: it is answered as not run, as at the head's time limit. Before: HttpPortTest.aHeadThatHasComeInPart... waits for an answer that doesn't come. After: HttpPortTest, DepartureTest, SignalsTest pass.

--- a/spokestall/src/main/java/spokestall/rim/ClientConnection.java
+++ b/spokestall/src/main/java/spokestall/rim/ClientConnection.java
@@ -120,9 +120,14 @@
         return !ended;
     }
 
-    /** Ends it if no request is under way and none has begun to come. */
-    synchronized void endIfResting() {
-        if (!busy && !ended && headSinceMs == NONE && (http == null || http.getExtraBytes() == null)) {
+    /** Ends it if no request is under way; one whose head has come in part is answered as not run. */
+    synchronized void endUnlessUnderWay() {
+        if (busy || ended || http != null && http.getExtraBytes() != null) {
+            return;
+        }
+        if (headSinceMs != NONE) {
+            timedOut();
+        } else {
             end();
         }
     }
@@ -160,10 +165,8 @@
         }
         if (terms.nowMs() < dueMs()) {
             arm();
-        } else if (headSinceMs != NONE) {
-            timedOut();
         } else {
-            endIfResting();
+            endUnlessUnderWay();
         }
     }
 
--- a/spokestall/src/main/java/spokestall/rim/HttpPort.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpPort.java
@@ -170,7 +170,7 @@
 
     @Override
     public void endResting() {
-        clients.forEach(client -> client.execute(client::endIfResting));
+        clients.forEach(client -> client.execute(client::endUnlessUnderWay));
     }
 
     @Override
--- a/spokestall/src/test/java/spokestall/rim/HttpPortTest.java
+++ b/spokestall/src/test/java/spokestall/rim/HttpPortTest.java
@@ -169,6 +169,20 @@
         }
     }
 
+    @Test
+    void aHeadThatHasComeInPartAtTheEndIsAnsweredAsNotRun() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, LONG_MS, LONG_MS));
+        try (Socket inPart = connect();
+                Socket other = connect()) {
+            send(inPart, GET);
+            send(other, GET + "\r\n");
+            answer(other);
+            port.endResting();
+            assertThat(answer(inPart)).startsWith("HTTP/1.1 408 ").contains("Connection: close");
+            assertThat(closed(inPart)).isTrue();
+        }
+    }
+
     @Test
     void whatComesAfterTheEndOfARestIsNotRead() throws Exception {
         listen(new ClientLimits(HEAD_BYTES, LONG_MS, LONG_MS));
