--- a/spokestall/src/main/java/spokestall/edge/Edge.java
+++ b/spokestall/src/main/java/spokestall/edge/Edge.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,12 +43,13 @@
     private static final Set<String> NOT_PROXIED = Set.of("CONNECT", "TRACE");
 
     private final Parts parts;
-    private final Pace pace;
+    private Pace pace;
     private final Places places;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Map<Long, Consumer<HandNote.Back>> handAsks = new HashMap<>();
     private final Map<Result, Long> told = new EnumMap<>(Result.class);
     private final Map<Result, Long> said = new EnumMap<>(Result.class);
+    private final Set<Run> underway = new HashSet<>();
     private boolean leaving;
     private long nextHandId = 1;
 
@@ -58,6 +60,12 @@
         this.places = new Places(pace.asksOpenMax(), pace.heldMaxBytes());
     }
 
+    /** Keeps to other bounds from now on; places and bytes stay as they were handed out.
+     * Example: {@code edge.pace(newer);} */
+    public void pace(final Pace newer) {
+        pace = newer;
+    }
+
     Pace pace() {
         return pace;
     }
@@ -86,6 +94,11 @@
         leaving = true;
     }
 
+    /** Answers all that is under way; what may have run is said to be undecided. Example: {@code edge.giveUp();} */
+    public void giveUp() {
+        List.copyOf(underway).forEach(Run::giveUp);
+    }
+
     /** Admission, before the body is read; done hears the final answer of an ask that was let in.
      * Example: {@code edge.open(head, answer -> ...) instanceof Opened.Admit} */
     public Opened open(final AskHead head, final Consumer<Answer> done) {
@@ -157,6 +170,7 @@
                         head, target, hash, tenant, binding, rule, parts.clock().nowMs() + spanMs(head, binding)),
                 bytes,
                 done);
+        underway.add(run);
         if (head.bodyBytes() == 0) {
             run.keep();
         }
@@ -219,7 +233,8 @@
         return new Answer(result, ran, null, null, goes, waitMs);
     }
 
-    void ended(final String tenant, final Result result) {
+    void ended(final Run run, final String tenant, final Result result) {
+        underway.remove(run);
         places.leave(tenant);
         told.merge(result, 1L, Long::sum);
     }
@@ -228,7 +243,7 @@
         return budgets.computeIfAbsent(
                 rule.name(),
                 s -> new RetryBudget(
-                        pace.retryShare(),
+                        () -> pace.retryShare(),
                         () -> pace.retryAllowance() / parts.sharers().getAsInt()));
     }
 
--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -7,13 +7,14 @@
 import java.security.SecureRandom;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import spokestall.Node;
 import spokestall.audit.Audit;
@@ -21,6 +22,7 @@
 import spokestall.ring.FileSegments;
 import spokestall.ring.Segments;
 import spokestall.settings.Settings;
+import spokestall.settings.SettingsSource;
 import spokestall.time.Clock;
 
 /** A node as a process: the rim around it, from its start to a clean stop. */
@@ -40,7 +42,16 @@
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int STAGE_BOUND = 8192;
+    /** How often the settings file is looked at; a change that is signalled is read at once. */
+    private static final long LOOK_MS = 2000;
+
+    /** How long a stop may take over its wait, for the duties to be given up, and at the least. */
+    private static final double STOP_RATIO = 1.15;
+
+    private static final long STOP_LEAST_MS = 200;
+
     private final Settings settings;
+    private final SettingsSource source;
     private final boolean core;
     private final Around around;
     private final Speech speech;
@@ -56,8 +67,24 @@
         this(settings, core, new Around() {}, speech);
     }
 
+    /** With settings that may change while it runs. Example: {@code new Daemon(settings, source, true, Speech.own()).run()} */
+    public Daemon(final Settings settings, final SettingsSource source, final boolean core, final Speech speech) {
+        this(settings, source, core, new Around() {}, speech);
+    }
+
     /** Example: {@code new Daemon(settings, true, new Daemon.Around() { }, Speech.own()).run()} */
     public Daemon(final Settings settings, final boolean core, final Around around, final Speech speech) {
+        this(settings, SettingsSource.constant(settings), core, around, speech);
+    }
+
+    /** All of it. Example: {@code new Daemon(settings, source, true, new Daemon.Around() { }, Speech.own()).run()} */
+    public Daemon(
+            final Settings settings,
+            final SettingsSource source,
+            final boolean core,
+            final Around around,
+            final Speech speech) {
+        this.source = source;
         this.speech = speech;
         this.around = around;
         this.settings = settings;
@@ -66,10 +93,16 @@
 
     /** Runs until the process is told to stop; the exit code is 0 after a clean stop, 2 if it could not start. */
     public int run() throws IOException {
-        final ExecutorService workers = Executors.newFixedThreadPool((int) settings.ms("workers"));
+        final XnioWorker worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads"))
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+        final XnioIoThread timer = worker.getIoThread();
+        final Stage stage = new Stage(turns(timer), STAGE_BOUND);
         final ExecutorService disk = Executors.newSingleThreadExecutor();
-        final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-        final Stage stage = new Stage(workers, STAGE_BOUND);
         if (core) {
             final String why = DataFolder.open(Path.of(settings.text("data")), settings.text("name"));
             if (why != null) {
@@ -90,13 +123,6 @@
             return refused("data: the ring's files can't be made: " + e.getMessage());
         }
         final Audit audit = audit(Executors.newSingleThreadExecutor());
-        final XnioWorker worker = Xnio.getInstance()
-                .createWorker(OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads"))
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
-                        .set(Options.TCP_NODELAY, true)
-                        .getMap());
         final Clock clock = new SystemClock(timer, stage);
         final Wires wires = new Wires(
                 worker,
@@ -143,13 +169,17 @@
             return refused("address: can't listen on " + settings.listen() + " or " + settings.text("http") + " or "
                     + settings.operators() + ": " + e.getMessage());
         }
-        stage.execute(node::start);
+        stage.execute(() -> {
+            node.watch(policy -> server.limits(policy.limits()));
+            node.start();
+        });
+        watch(timer, worker, stage, server);
         final CountDownLatch stopped = new CountDownLatch(1);
         final CountDownLatch gone = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            stage.execute(() -> node.leave(server::stop, stopped::countDown));
+            stage.execute(() -> node.leave(server.connections(), stopped::countDown));
             try {
-                stopped.await(2 * settings.ms("stopWaitMs") + 2000, TimeUnit.MILLISECONDS);
+                stopped.await((long) (STOP_RATIO * settings.ms("stopWaitMs")) + STOP_LEAST_MS, TimeUnit.MILLISECONDS);
             } catch (final InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -160,6 +190,23 @@
         return 0;
     }
 
+    /** Settings are read and checked off the stage, and taken on it. */
+    private void watch(final XnioIoThread timer, final Executor reader, final Stage stage, final Front server) {
+        final SettingsWatch watch = new SettingsWatch(
+                source, new Stage(reader, STAGE_BOUND), newer -> stage.execute(() -> server.renew(node.renew(newer))));
+        Hangup.process().listen(watch::signalled);
+        if (source.file().isPresent()) {
+            timer.executeAtInterval(watch::look, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** What runs the stage's turns: workers of its own, or the thread that has its timers and wires. There an event goes
+     * from a wire to the stage and back without waking another thread. */
+    private Executor turns(final XnioIoThread io) {
+        final int workers = (int) settings.ms("workers");
+        return workers == 0 ? io : Executors.newFixedThreadPool(workers);
+    }
+
     /** A core goes on without its audit, and says so, rather than not at all. */
     private Audit audit(final ExecutorService writer) {
         if (!core || settings.ms("auditFiles") == 0) {
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -95,6 +95,9 @@
                 "edges in the fleet, by which shared bounds are divided; 0: not told, by those that are known",
                 0,
                 1024);
+        number("lossCores", 1, "cores that may be lost at once", 0, 31);
+        number("lossDistricts", 1, "districts that may be lost at once", 0, 31);
+        number("lossRegions", 1, "regions that may be lost at once", 0, 31);
         number("bootstrap", 0, "1 only at the very first start of a whole fleet that was not told its cores", 0, 1);
         number("alsoEdge", 0, "1: a core answers callers too", 0, 1);
         number("keyed", 1, "1: an ask is looked up by its key; 0: by its host and path, and some need no key", 0, 1);
@@ -179,7 +182,7 @@
                 Codec.VERSION);
         number("auditFiles", 8, "audit files kept, the oldest going first; 0: no audit is written", 0, 1000);
         number("auditFileBytes", 1 << 20, "size of each", 4096, 1 << 30);
-        number("workers", 4, "worker threads", 1, 256);
+        number("workers", 4, "worker threads; 0: the thread that reads and writes wires does their work too", 0, 256);
         number("ioThreads", 2, "threads that read and write wires", 1, 64);
         number("wireRestMs", 1000, "how long a wire to an upstream may rest and be used again", 1, 600_000);
         number("connectMs", 2000, "how long opening a wire to an upstream may take", 1, 60_000);
@@ -400,6 +403,11 @@
         }
     }
 
+    /** Every key with its value as given, or its fallback. */
+    Map<String, String> values() {
+        return values;
+    }
+
     /** A text. Example: {@code settings.text("name")} */
     public String text(final String key) {
         return values.get(key);
--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -91,7 +92,7 @@
                         : String.format("%03d/%05d", seed, step)
                                 + "x".repeat(random.nextBoolean() ? 20 : random.nextInt(200));
                 maybe.computeIfAbsent(key, k -> new ArrayList<>()).add(value);
-                ring.put(key, value == null ? null : value.getBytes(), ok -> {
+                ring.put(key, value == null ? null : value.getBytes(StandardCharsets.UTF_8), ok -> {
                     assertThat(ok).isTrue();
                     synced.put(key, value);
                     maybe.get(key).remove(0);
@@ -109,7 +110,7 @@
                     for (int k = 0; k < 12; k++) {
                         final String name = "key-" + k;
                         final byte[] found = ring.table().get(name);
-                        final String text = found == null ? null : new String(found);
+                        final String text = found == null ? null : new String(found, StandardCharsets.UTF_8);
                         final List<String> allowed = new ArrayList<>(maybe.getOrDefault(name, List.of()));
                         allowed.add(synced.get(name));
                         assertThat(allowed).as("%s of seed %s", name, seed).contains(text);
@@ -130,7 +131,7 @@
             final Disk disk = new Disk(6, 4096);
             final Ring ring = new Ring(disk);
             for (int i = 0; i < 60; i++) {
-                ring.put("key-" + i % 7, ("value " + i).getBytes(), ok -> {});
+                ring.put("key-" + i % 7, ("value " + i).getBytes(StandardCharsets.UTF_8), ok -> {});
                 disk.sync();
             }
             final int last = 59;
@@ -142,7 +143,8 @@
                 blank++;
                 assertThat(again.table()).isEmpty();
             } else {
-                assertThat(new String(again.table().get("key-" + last % 7))).isEqualTo("value 59");
+                assertThat(new String(again.table().get("key-" + last % 7), StandardCharsets.UTF_8))
+                        .isEqualTo("value 59");
             }
         }
         assertThat(blank).isEqualTo(200);
@@ -187,7 +189,7 @@
                 final int bytes = random.nextInt(3) == 0 ? 20 + random.nextInt(size / 2 - 150) : random.nextInt(200);
                 final String value = random.nextInt(9) == 0 ? null : step + "/" + "x".repeat(bytes);
                 maybe.computeIfAbsent(key, k -> new ArrayList<>()).add(value);
-                ring.put(key, value == null ? null : value.getBytes(), ok -> {
+                ring.put(key, value == null ? null : value.getBytes(StandardCharsets.UTF_8), ok -> {
                     if (ok) {
                         synced.put(key, value);
                         anything.set(true);
@@ -206,7 +208,7 @@
                     for (int k = 0; k < 9; k++) {
                         final String name = "key-" + k;
                         final byte[] found = ring.table().get(name);
-                        final String text = found == null ? null : new String(found);
+                        final String text = found == null ? null : new String(found, StandardCharsets.UTF_8);
                         final List<String> allowed = new ArrayList<>(maybe.getOrDefault(name, List.of()));
                         allowed.add(synced.get(name));
                         assertThat(allowed.contains(text))
@@ -261,10 +263,10 @@
     void whatWasWrittenOnceInTheFirstLifeIsStillThereAfterTheRingHasGoneRoundManyTimes() {
         final Disk disk = new Disk(8, 4096);
         final Ring ring = new Ring(disk);
-        ring.put("identity", "disk-1".getBytes(), ok -> {});
+        ring.put("identity", "disk-1".getBytes(StandardCharsets.UTF_8), ok -> {});
         disk.sync();
         for (int i = 0; i < 2000; i++) {
-            ring.put("other", ("value " + i + "x".repeat(100)).getBytes(), ok -> {});
+            ring.put("other", ("value " + i + "x".repeat(100)).getBytes(StandardCharsets.UTF_8), ok -> {});
             disk.sync();
             if (i % 50 == 0) {
                 assertThat(new Ring(disk).table()).as("after %s", i).containsOnlyKeys("identity", "other");
