--- a/spokestall/src/main/java/spokestall/edge/Elector.java
+++ b/spokestall/src/main/java/spokestall/edge/Elector.java
@@ -1,7 +1,7 @@
 package spokestall.edge;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -49,7 +49,7 @@
     private final Clock clock;
     private final FleetClock fleet;
     private final Random random;
-    private final Pace pace;
+    private Pace pace;
     private final Map<String, Limit> limits = new HashMap<>();
     private final Map<String, Integer> reserved = new HashMap<>();
     private final Map<String, Integer> held = new HashMap<>();
@@ -77,64 +77,57 @@
         this.pace = pace;
     }
 
+    /** Keeps to other bounds from now on. Example: {@code elector.pace(newer);} */
+    public void pace(final Pace newer) {
+        pace = newer;
+    }
+
     /** The upstream for a go, or null when none may take it.
      * Example: {@code elector.elect(rule, u -> binding.home(tenant, u.region()), Set.of())} */
     public Upstream elect(final ServiceRule rule, final Predicate<Upstream> fits, final Set<String> tried) {
-        final List<Upstream> all = new ArrayList<>();
-        for (final Upstream u : ready.apply(rule.name())) {
-            if (fits.test(u) && !tried.contains(u.instance())) {
-                all.add(u);
-            }
+        final Set<String> passed = new HashSet<>(tried);
+        Upstream best = cheapest(rule, fits, passed);
+        while (best != null && !warmEnough(rule, best)) {
+            passed.add(best.instance());
+            best = cheapest(rule, fits, passed);
         }
-        final Upstream found = pick(rule, all, false);
-        return found != null ? found : pick(rule, all, true);
+        return best;
     }
 
-    private Upstream pick(final ServiceRule rule, final List<Upstream> among, final boolean alsoEjected) {
+    /** The one of the least cost that has room; one that was put aside only if there is no other. */
+    private Upstream cheapest(final ServiceRule rule, final Predicate<Upstream> fits, final Set<String> passed) {
         final long nowMs = clock.nowMs();
-        final List<Upstream> left = new ArrayList<>();
-        for (final Upstream u : among) {
-            if (ejected(u.instance(), nowMs) == alsoEjected && room(u) > 0) {
-                left.add(u);
-            }
-        }
-        while (!left.isEmpty()) {
-            final Upstream best = cheapest(rule, left);
-            if (warmEnough(rule, best)) {
-                return best;
-            }
-            left.remove(best);
-        }
-        return null;
-    }
-
-    private Upstream cheapest(final ServiceRule rule, final List<Upstream> left) {
         Upstream best = null;
+        boolean bestAside = true;
         double least = Double.MAX_VALUE;
-        for (final Upstream u : left) {
-            final double cost = cost(rule, u) * (0.95 + 0.1 * random.nextDouble());
-            if (cost < least) {
+        for (final Upstream u : ready.apply(rule.name())) {
+            if (!fits.test(u) || passed.contains(u.instance())) {
+                continue;
+            }
+            final Limit limit = limits.get(u.instance());
+            final boolean aside = ejected(u.instance(), nowMs);
+            if (aside && !bestAside || limit != null && limit.room() <= 0) {
+                continue;
+            }
+            final double cost = cost(rule, u, limit == null ? 0 : limit.open()) * (0.95 + 0.1 * random.nextDouble());
+            if (cost < least || bestAside && !aside) {
                 least = cost;
                 best = u;
+                bestAside = aside;
             }
         }
         return best;
     }
 
-    private double cost(final ServiceRule rule, final Upstream u) {
+    private double cost(final ServiceRule rule, final Upstream u, final int open) {
         final double quick = Math.max(QUICK_LEAST, Math.min(QUICK_MOST, quickness.of(rule.name(), u.instance())));
-        final double queue = (demand(u) + 1.0) / Math.max(1, u.slots()) * quick;
+        final double queue = (open + 1.0) / Math.max(1, u.slots()) * quick;
         return queue
                 + (u.region().equals(region)
                         ? u.district().equals(district) ? 0 : pace.districtCost()
                         : pace.regionCost());
     }
 
-    private int demand(final Upstream u) {
-        final Limit limit = limits.get(u.instance());
-        return limit == null ? 0 : limit.open();
-    }
-
     private int room(final Upstream u) {
         final Limit limit = limits.get(u.instance());
         return limit == null ? Limit.FIRST : limit.room();
@@ -143,13 +136,15 @@
     /** Whether upstreams have room for one more go of the tenant: more than is kept for others already, and than the
      * tenant has. Example: {@code if (!elector.mayReserve(rule, "tenant-1", fits)) deny();} */
     public boolean mayReserve(final ServiceRule rule, final String tenant, final Predicate<Upstream> fits) {
-        int room = -reserved.getOrDefault(rule.name(), 0);
+        final int taken = reserved.getOrDefault(rule.name(), 0) + held.getOrDefault(tenant + " " + rule.name(), 0);
+        int room = 0;
         for (final Upstream u : ready.apply(rule.name())) {
-            if (fits.test(u)) {
-                room += room(u);
+            room += fits.test(u) ? room(u) : 0;
+            if (room > taken) {
+                return true;
             }
         }
-        return room > held.getOrDefault(tenant + " " + rule.name(), 0);
+        return false;
     }
 
     /** Keeps the room that {@link #mayReserve} found in the same event, so that the ask finds it once it is claimed. It is
