--- a/proof/src/main/java/spokestall/proof/Plant.java
+++ b/proof/src/main/java/spokestall/proof/Plant.java
@@ -41,6 +41,7 @@
     /** Each change of the policy says that it was made an hour after the one before. */
     LEAPING_CHANGES(Map.of());
 
+    @SuppressWarnings("ImmutableEnumChecker") // All are made by Map.of.
     private final Map<String, String> settings;
 
     Plant(final Map<String, String> settings) {
--- a/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsTest.java
@@ -2,13 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class SeatsTest {
     private static long number(final byte[] value) {
-        return value == null ? 0 : Long.parseLong(new String(value));
+        return value == null ? 0 : Long.parseLong(new String(value, StandardCharsets.UTF_8));
     }
 
     private static SeatsBench fleet(final long seed, final int cores, final int edges, final double told) {
@@ -148,7 +149,7 @@
                     by.proposer.change(
                             "count",
                             2500,
-                            now -> new Edit.Set(Long.toString(number(now) + 1).getBytes()),
+                            now -> new Edit.Set(Long.toString(number(now) + 1).getBytes(StandardCharsets.UTF_8)),
                             o -> {
                                 if (o instanceof Outcome.Done d && d.wrote()) {
                                     assertThat(number(d.value())).isGreaterThan(floor);
@@ -290,4 +291,146 @@
         assertThat(bench.notes - notes).isLessThanOrEqualTo(6 * 5 * 11);
         assertThat(bench.tables - tables).isZero();
     }
+
+    /** Six machines go for good one after another, each followed by an empty one under another name and address. */
+    @Test
+    void aMachineThatIsReplacedLeavesNoSeatBehind() {
+        final SeatsBench bench = fleet(1, 6, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        for (int i = 0; i < 6; i++) {
+            bench.machines.get("c" + i).goForGood();
+            bench.run(bench.nowMs() + 1000);
+            bench.machine("n" + i, true, false).start();
+            bench.run(bench.nowMs() + 4000);
+            assertThat(bench.whole()).as(i + " " + bench.shown()).isTrue();
+            assertThat(bench.newest().seats()).hasSize(6);
+        }
+        assertThat(bench.founded).hasSize(1);
+    }
+
+    /** As when each new machine comes before the old one leaves: one seat more, and no more than that. */
+    @Test
+    void aMachineThatIsReplacedInOrderLeavesNoMoreThanOneSeatBehind() {
+        final SeatsBench bench = fleet(1, 6, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        for (int i = 0; i < 6; i++) {
+            bench.machine("n" + i, true, false).start();
+            bench.run(bench.nowMs() + 4000);
+            assertThat(bench.whole()).as(i + " " + bench.shown()).isTrue();
+            bench.machines.get("c" + i).goForGood();
+            bench.run(bench.nowMs() + 4000);
+            assertThat(bench.newest().seats()).hasSize(7);
+        }
+        assertThat(bench.founded).hasSize(1);
+    }
+
+    /** A seat whose core never comes back is given up, and the core that does come back has no vote by its old disk. */
+    @Test
+    void aSeatLongSilentIsGivenUpAndItsDiskHasNoVoteWhenItIsBack() {
+        final SeatsBench bench = fleet(1, 6, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        final SeatsBench.Machine away = bench.machines.get("c2");
+        final String disk = away.voter.diskId();
+        away.stop();
+        bench.run(bench.nowMs() + 28_000);
+        assertThat(bench.newest().seats()).as("not yet").hasSize(6);
+        bench.run(bench.nowMs() + 6000);
+        assertThat(bench.newest().seats()).hasSize(5);
+        assertThat(bench.newest().seat("c2")).isNull();
+        away.start();
+        bench.run(bench.nowMs() + 4000);
+        assertThat(bench.whole()).as(bench.shown()).isTrue();
+        assertThat(bench.newest().seat("c2").diskId())
+                .isEqualTo(away.voter.diskId())
+                .isNotEqualTo(disk);
+    }
+
+    /** Of four seats one may be given up where one loss must be borne; of two none is. */
+    @Test
+    void noSeatIsGivenUpBelowWhatMustBeBorne() {
+        final SeatsBench bench = fleet(1, 4, 2, 1);
+        bench.regions = true;
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        bench.machines.get("c1").stop();
+        bench.run(bench.nowMs() + 60_000);
+        assertThat(bench.newest().seats()).as("c0 and c3 are of one region").hasSize(4);
+    }
+
+    /** Half of the disks are gone, so a new generation is founded; the other half's are slow, but nothing is left behind. */
+    @Test
+    void aFoundingWaitsForACoreWithStateThatIsMerelySlow() {
+        for (int seed = 0; seed < 10; seed++) {
+            final SeatsBench bench = fleet(seed, 6, 2, 1);
+            bench.machines.values().forEach(SeatsBench.Machine::start);
+            bench.run(15_000);
+            for (int i = 0; i < 3; i++) {
+                bench.machines.get("c" + i).wipe();
+                bench.machines.get("c" + (i + 3)).slowDisk(700 + 150 * i);
+            }
+            bench.run(bench.nowMs() + 1000);
+            for (int i = 0; i < 3; i++) {
+                bench.machines.get("c" + i).start();
+            }
+            bench.run(bench.nowMs() + 30_000);
+            final long first = bench.founded.get(0L).iterator().next();
+            assertThat(bench.founded.get(first)).as(bench.shown()).hasSize(1);
+            final long second = bench.founded.get(first).iterator().next();
+            assertThat(bench.mergedFrom.get(second)).as("seed " + seed).containsExactlyInAnyOrder("c3", "c4", "c5");
+            assertThat(bench.whole()).as(bench.shown()).isTrue();
+        }
+    }
+
+    /** Whoever proposes a founding dies after the others promised: they have resigned, and the next one needs their state. */
+    @Test
+    void aFoundingThatIsInterruptedLeavesNoStateBehind() {
+        for (int seed = 0; seed < 20; seed++) {
+            final SeatsBench bench = fleet(seed, 6, 2, 1);
+            bench.machines.values().forEach(SeatsBench.Machine::start);
+            bench.run(15_000);
+            for (int i = 0; i < 3; i++) {
+                bench.machines.get("c" + i).wipe();
+                bench.machines.get("c" + i).start();
+            }
+            final SeatsBench.Machine some = bench.machines.get("c4");
+            while (some.voter.state() != Voter.State.RESIGNED && bench.nowMs() < 40_000) {
+                bench.run(bench.nowMs() + 5);
+            }
+            bench.run(bench.nowMs() + bench.random.nextInt(150));
+            for (int i = 0; i < 3; i++) {
+                bench.machines.get("c" + i).stop();
+            }
+            bench.run(bench.nowMs() + bench.random.nextInt(4000));
+            for (int i = 0; i < 3; i++) {
+                bench.machines.get("c" + i).start();
+            }
+            bench.run(bench.nowMs() + 20_000);
+            final long first = bench.founded.get(0L).iterator().next();
+            assertThat(bench.founded.get(first)).as(bench.shown()).hasSize(1);
+            final long second = bench.founded.get(first).iterator().next();
+            assertThat(bench.mergedFrom.get(second)).as("seed " + seed).containsExactlyInAnyOrder("c3", "c4", "c5");
+            assertThat(bench.whole()).as(bench.shown()).isTrue();
+        }
+    }
+
+    /** A core with state whose disk has stopped is waited for, but not for ever. */
+    @Test
+    void aFoundingDoesNotWaitForEver() {
+        final SeatsBench bench = fleet(1, 6, 2, 1);
+        bench.machines.values().forEach(SeatsBench.Machine::start);
+        bench.run(15_000);
+        for (int i = 0; i < 3; i++) {
+            bench.machines.get("c" + i).wipe();
+        }
+        bench.machines.get("c3").slowDisk(1_000_000);
+        bench.run(bench.nowMs() + 1000);
+        for (int i = 0; i < 3; i++) {
+            bench.machines.get("c" + i).start();
+        }
+        bench.run(bench.nowMs() + 30_000);
+        assertThat(bench.founded).as(bench.shown()).hasSizeGreaterThan(1);
+    }
 }
