Tests of a core left behind: slowed, the first seed, every call answered, the directory

LeftBehindTest now has a slowed core and the first seed cut off while nodes that are told of it restart; a call that gets no answer counts as wrong.

--- a/proof/src/test/java/spokestall/proof/LeftBehindTest.java
+++ b/proof/src/test/java/spokestall/proof/LeftBehindTest.java
@@ -6,11 +6,13 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import spokestall.ballot.Voter;
+import spokestall.edge.Where;
 import spokestall.rpc.Result;
 
 /** What a core that the majority has left behind answers its operators, and how soon it is back in touch. */
@@ -19,6 +21,9 @@
     private static final long CONTACT_MS = 5000;
     private static final int SEEDS = 6;
     private static final int TURNS = 8;
+    private static final long SLOW_MS = 400;
+    /** How long a node that hears no one may still name edges. */
+    private static final long NAMED_MS = 20_000;
     /** Answers that say nothing of the policy: come back, or ask elsewhere. */
     private static final Set<Result> SAYS_NOTHING =
             EnumSet.of(Result.NOT_READY, Result.UNDECIDED, Result.NOT_FRESH, Result.BUSY);
@@ -29,7 +34,9 @@
         HEARS_NOTHING,
         IS_NOT_HEARD,
         RESTARTED_WHILE_CUT,
+        FIRST_SEED_CUT,
         FROZEN,
+        SLOWED,
         DISK_STALLED
     }
 
@@ -49,11 +56,57 @@
         assertThat(wrong).anyMatch(w -> w.contains("handed out")).anyMatch(w -> w.contains("STALE_BASE"));
     }
 
+    /** A directory answer is made of who is known: who can't be reached is let go of within the bound, and named no longer. */
+    @Test
+    void aCutOffNodeLetsGoOfTheEdgesThatItCannotReachAndIsNotReady() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            final SimNode lone = namesNoneWhenCut(seed, Plant.NONE);
+            assertThat(lone).as("seed %s", seed).isNull();
+        }
+    }
+
+    @Test
+    void aNodeThatNamesEdgesWithoutAProofIsSeen() {
+        assertThat(namesNoneWhenCut(2, Plant.FORGED_PROOFS)).isNotNull();
+    }
+
+    /** The cut-off node that still names edges or is ready when it should not, or null. */
+    private static SimNode namesNoneWhenCut(final long seed, final Plant plant) {
+        final OperatorFleet fleet = new OperatorFleet(seed, Deployment.PADMA, plant, Map.of("alsoEdge", "1")).begun();
+        final Random random = new Random(seed);
+        final SimNode lone = fleet.nodes().get(random.nextInt(fleet.nodes().size()));
+        fleet.until(
+                "it names edges",
+                CONTACT_MS,
+                () -> named(lone) > 0 && lone.node().ready());
+        for (final SimNode other : fleet.othersThan(lone)) {
+            fleet.world.net.cut(other.address, lone.address, true);
+            if (seed % 2 == 0) {
+                fleet.world.net.cut(lone.address, other.address, true);
+            }
+        }
+        fleet.run(NAMED_MS);
+        if (lone.node().ready() || named(lone) > 0) {
+            return lone;
+        }
+        fleet.world.net.heal();
+        fleet.until(
+                "it names edges again",
+                CONTACT_MS,
+                () -> named(lone) > 0 && lone.node().ready());
+        return null;
+    }
+
+    private static int named(final SimNode node) {
+        return Where.near(node.node().directory().edges(), node.region, node.district)
+                .size();
+    }
+
     private void play(final long seed, final Apart how, final Plant plant) {
         final OperatorFleet fleet = new OperatorFleet(seed, Deployment.values()[(int) (seed % 2)], plant).begun();
         final Random random = new Random(seed);
         final List<SimNode> cores = fleet.world.cores();
-        final SimNode lone = cores.get(random.nextInt(cores.size()));
+        final SimNode lone = cores.get(how == Apart.FIRST_SEED_CUT ? 0 : random.nextInt(cores.size()));
         final SimNode other = cores.get((cores.indexOf(lone) + 1 + random.nextInt(5)) % 6);
         apart(fleet, lone, how, true);
         for (int turn = 0; turn < TURNS; turn++) {
@@ -66,6 +119,9 @@
                 fleet.run(500);
                 lone.start();
             }
+            if (how == Apart.FIRST_SEED_CUT && turn == 2) {
+                restartByTheSeeds(fleet, lone, other);
+            }
             fleet.run(500 + random.nextInt(1000));
             askLone(fleet, lone, other, id, turn);
         }
@@ -84,6 +140,22 @@
                 Result.OK);
     }
 
+    /** Nodes that start now are told of seeds the first of which is cut off from all. */
+    private void restartByTheSeeds(final OperatorFleet fleet, final SimNode lone, final SimNode other) {
+        final List<SimNode> again =
+                List.of(fleet.world.edges().get(1), fleet.world.edges().get(4), other);
+        again.forEach(SimNode::kill);
+        fleet.run(300);
+        again.forEach(SimNode::start);
+        fleet.until(
+                "nodes are back by the other seeds",
+                CONTACT_MS,
+                () -> again.stream().allMatch(n -> n.node().follower().fresh()));
+        if (lone.node().follower().fresh()) {
+            wrong.add(lone.name + " is fresh by nodes that it can't reach");
+        }
+    }
+
     /** Calls that the majority would take or answer otherwise than by what the lone core has. */
     private void askLone(
             final OperatorFleet fleet, final SimNode lone, final SimNode other, final String id, final int turn) {
@@ -125,7 +197,7 @@
     }
 
     private void nothingOr(final Result right, final String what, final OperatorFleet.Call call) {
-        if (call.result() != null && call.result() != right && !SAYS_NOTHING.contains(call.result())) {
+        if (call.result() != right && !SAYS_NOTHING.contains(call.result())) {
             wrong.add(what + ": " + call.result());
         }
     }
@@ -139,7 +211,8 @@
     private static void apart(final OperatorFleet fleet, final SimNode lone, final Apart how, final boolean now) {
         for (final SimNode other : fleet.othersThan(lone)) {
             switch (how) {
-                case BOTH_WAYS, RESTARTED_WHILE_CUT -> fleet.world.net.cutBoth(lone.address, other.address, now);
+                case BOTH_WAYS, RESTARTED_WHILE_CUT, FIRST_SEED_CUT ->
+                    fleet.world.net.cutBoth(lone.address, other.address, now);
                 case HEARS_NOTHING -> fleet.world.net.cut(other.address, lone.address, now);
                 case IS_NOT_HEARD -> fleet.world.net.cut(lone.address, other.address, now);
                 default -> {}
@@ -149,6 +222,8 @@
             lone.freeze();
         } else if (how == Apart.FROZEN) {
             lone.thaw();
+        } else if (how == Apart.SLOWED) {
+            fleet.world.net.slow(lone.address, now ? SLOW_MS : 0);
         } else if (how == Apart.DISK_STALLED && now) {
             lone.disk.stall(CUT_MS);
         }
--- a/proof/src/test/java/spokestall/proof/OperatorFleet.java
+++ b/proof/src/test/java/spokestall/proof/OperatorFleet.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.logging.Level;
@@ -36,8 +37,12 @@
     }
 
     OperatorFleet(final long seed, final Deployment deployment, final Plant plant) {
+        this(seed, deployment, plant, Map.of());
+    }
+
+    OperatorFleet(final long seed, final Deployment deployment, final Plant plant, final Map<String, String> settings) {
         Logger.getLogger("").setLevel(Level.OFF);
-        world = new World(seed, deployment, false, plant, Scenario.CALM);
+        world = new World(seed, deployment, false, plant, Scenario.CALM, settings);
     }
 
     /** Starts all nodes and puts the deployment's policy. */
