Voter: whoever resigns while a table is on its way to the disk stays resigned

Cause: Voter.adopt set the state again when the table was down, whatever had come between: a voter that had promised a new generation's ballot (resigned) voted on in the old one, so two generations could each have a majority.

Excluded: the catch-up of a resigned voter; its mark goes down after the table, by then it was resigned again.

Before: VoterTest.whoResignsWhileATableIsOnItsWayToTheDiskStaysResigned finds VOTING. After: RESIGNED.

Conclusion: RESIGNED is left only by a newer generation or a fresh identity.

--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -181,16 +181,16 @@
         final long mark = ++tableEpochDown;
         // Until the table is down no vote is given, so a power loss can't bring the old table back under a new vote.
         final boolean stays = was == State.VOTING && !newGeneration && seated();
-        // Whoever resigned from a generation has done so for all its epochs.
-        final boolean resigned = was == State.RESIGNED && !newGeneration;
-        change(State.CATCHING_UP, "table");
+        // Whoever resigned from a generation has done so for all its epochs, also while a table is on its way to the
+        // disk.
+        if (was != State.RESIGNED || newGeneration) {
+            change(State.CATCHING_UP, "table");
+        }
         ring.put(VOTERS, Codec.bytes(table), ok -> {
-            if (!ok || mark != tableEpochDown) {
+            if (!ok || mark != tableEpochDown || state == State.RESIGNED) {
                 return;
             }
-            if (resigned) {
-                change(State.RESIGNED, "table-down");
-            } else if (stays) {
+            if (stays) {
                 change(State.VOTING, "table-down");
             } else if (!seated()) {
                 change(State.BLANK, "not-seated");
--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -102,4 +102,69 @@
         voter.adopt(new Voters(9, 1, table(3).seats()));
         assertThat(voter.state()).isEqualTo(Voter.State.CATCHING_UP);
     }
+
+    /** A disk whose writes are down when the test says so. */
+    private static final class Held implements Segments {
+        private final Quick quick = new Quick();
+        private final List<Runnable> held = new ArrayList<>();
+        private boolean holds;
+
+        @Override
+        public int count() {
+            return quick.count();
+        }
+
+        @Override
+        public int sizeBytes() {
+            return quick.sizeBytes();
+        }
+
+        @Override
+        public byte[] read(final int segment) {
+            return quick.read(segment);
+        }
+
+        @Override
+        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+            held.add(() -> quick.commit(pieces, done));
+            if (!holds) {
+                letGo();
+            }
+        }
+
+        void letGo() {
+            while (!held.isEmpty()) {
+                held.remove(0).run();
+            }
+        }
+    }
+
+    @Test
+    void whoResignsWhileATableIsOnItsWayToTheDiskStaysResigned() {
+        final Held disk = new Held();
+        final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
+        voter.found(table(3), List.of());
+        disk.holds = true;
+        voter.adopt(table(3).add(new Seat("new", "new", "x")));
+        voter.resign(3);
+        disk.letGo();
+        assertThat(voter.state()).isEqualTo(Voter.State.RESIGNED);
+    }
+
+    @Test
+    void whoResignedCatchesUpInNoLaterEpoch() {
+        final Held disk = new Held();
+        final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
+        voter.found(table(3), List.of());
+        voter.resign(3);
+        disk.holds = true;
+        voter.adopt(table(3).add(new Seat("new", "new", "x")));
+        for (int i = 1; i < 3; i++) {
+            voter.hear(new BallotNote.CatchBack("v" + i, 3, 5, "", List.of(), true), "v0");
+        }
+        disk.letGo();
+        assertThat(voter.state()).isEqualTo(Voter.State.RESIGNED);
+        assertThat(voter.keepsState()).isTrue();
+        assertThat(voter.hasState()).isFalse();
+    }
 }
