--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -32,12 +32,12 @@
 import spokestall.duty.UsageBook;
 import spokestall.duty.UsageCounter;
 import spokestall.duty.UsageNote;
+import spokestall.edge.Directory;
 import spokestall.edge.Edge;
 import spokestall.edge.Elector;
 import spokestall.edge.Habits;
 import spokestall.edge.Parts;
 import spokestall.edge.Upstreams;
-import spokestall.edge.Where;
 import spokestall.feed.FeedNote;
 import spokestall.feed.Follower;
 import spokestall.feed.Versions;
@@ -51,6 +51,7 @@
 import spokestall.policy.Acceptance;
 import spokestall.policy.Book;
 import spokestall.policy.OwnForm;
+import spokestall.policy.Policy;
 import spokestall.policy.PolicyForm;
 import spokestall.policy.Rules;
 import spokestall.policy.Snapshot;
@@ -58,6 +59,7 @@
 import spokestall.ring.Segments;
 import spokestall.rpc.Calls;
 import spokestall.rpc.Reply;
+import spokestall.settings.Renewal;
 import spokestall.settings.Settings;
 import spokestall.time.Clock;
 import spokestall.time.FleetClock;
@@ -89,9 +91,8 @@
     private static final String LEASE = "duty/usage_report";
     private static final Register NO_LEASE = new Register(Ballot.NONE, Ballot.NONE, null);
     private static final int POLICY_KEPT = 1024;
-    private static final int POLICY_KEPT_LEAST = 16;
-    /** A ring so full keeps fewer of the changes that followers may start from; large ones would fill it. */
-    private static final double CROWDED = 0.3;
+    /** The share of the ring that registers of versions that are in the snapshot may take. */
+    private static final double POLICY_KEPT_SHARE = 0.1;
 
     private static final int HURRIED = 4;
     private static final int WINDOWS_KEPT = 16;
@@ -104,7 +105,7 @@
         Notes.number();
     }
 
-    final Settings settings;
+    Settings settings;
     final String name;
     private final String address;
     final boolean core;
@@ -140,17 +141,21 @@
     final Audit audit;
     final Calls calls = new Calls();
     final Feeds feeds = new Feeds(this);
+    private final Directory directory = new Directory();
+    private final long startedMs;
     private final long windowMs;
     private int sharersMost = 1;
+    private long sharersSeen = -1;
     private Set<String> heldBefore = Set.of();
     private Kept keptList;
     private Kept keptUsage;
     private List<UsageNote.Count> countsBefore = List.of();
     private boolean policyDirty;
     private boolean keepingPolicy;
-    private long policyFloor;
+    private long snapshotDown;
     private long tokenSeen;
     private boolean stopped;
+    private Consumer<Policy> watcher = policy -> {};
 
     /** Example: {@code new Node(settings, true, rim).start();} */
     public Node(final Settings settings, final boolean core, final Rim rim) {
@@ -172,6 +177,7 @@
         this.address = settings.text("address");
         this.clock = rim.clock();
         this.random = rim.random();
+        this.startedMs = clock.nowMs();
         this.life = clock.wallMs() << 10 | random.nextInt(1 << 10);
         this.fleet = new FleetClock(clock, settings.part("farMs", 2));
         this.post = (to, note) -> {
@@ -226,12 +232,7 @@
                 proposer,
                 post,
                 clock,
-                new Follower.Pace(
-                        settings.ms("freshMs"),
-                        32,
-                        3 * settings.ms("proofMs"),
-                        core ? 8 : 64,
-                        settings.ms("noteVersion") < 3),
+                followerPace(),
                 this::coreAddresses,
                 this::adopt,
                 this::policyMoved,
@@ -247,14 +248,7 @@
                         clock,
                         fleet,
                         random,
-                        new Elector.Pace(
-                                this::sharers,
-                                settings.number("warmRatio"),
-                                settings.number("warmSlack"),
-                                settings.part("leaveBoundMs", 0.25),
-                                settings.part("leaveBoundMs", 2),
-                                settings.number("districtCost"),
-                                settings.number("regionCost")));
+                        electorPace());
         this.counter = !serves
                 ? null
                 : new UsageCounter(
@@ -276,12 +270,14 @@
         this.ring = core ? new Ring(rim.segments()) : null;
         this.keeping = core
                 ? new Keeping(
+                        () -> fleet.settled() && checked(),
                         fleet,
                         settings.ms("claimKeepMs"),
                         settings.part("claimKeepMs", 0.2),
                         windowMs,
                         this::voters,
-                        () -> policyFloor,
+                        () -> voter().floor(),
+                        () -> snapshotDown,
                         ring::fill)
                 : null;
         this.voter = core ? new Voter(name, ring, post, keeping, freshId()) : null;
@@ -395,8 +391,9 @@
                 proposer,
                 follower,
                 clock,
+                () -> fleet.settled() ? fleet.nowMs() : 0,
                 settings.part("policyBoundMs", 0.8),
-                (int) settings.ms("policyMaxBytes"),
+                policyBytesMost(),
                 feeds::tell);
         this.audit = rim.audit();
         this.auditor = core ? new Auditor(audit, book, fleet::nowMs) : null;
@@ -423,25 +420,70 @@
                         random,
                         this::sharers,
                         this::homeCores),
-                new Edge.Pace(
-                        (int) settings.ms("askOpenMax"),
-                        settings.ms("heldMaxBytes"),
-                        settings.ms("claimKeepMs"),
-                        20 * settings.ms("farMs"),
-                        4 * settings.ms("farMs"),
-                        settings.ms("retryAfterMs"),
-                        3,
-                        settings.number("retryShare") * 0.9,
-                        settings.number("retryAllowance"),
-                        settings.ms("askSpanMaxMs"),
-                        settings.part("claimKeepMs", 0.01),
-                        new Habits(
-                                settings.ms("keyed") == 1,
-                                settings.ms("claims") == 1,
-                                settings.ms("homeEdges") == 1,
-                                settings.ms("holdsEdges") == 1,
-                                settings.ms("unsentFree") == 1,
-                                settings.ms("any500") == 1)));
+                edgePace());
+    }
+
+    private Follower.Pace followerPace() {
+        return new Follower.Pace(
+                settings.ms("freshMs"), 32, 3 * settings.ms("proofMs"), core ? 8 : 64, settings.ms("noteVersion") < 3);
+    }
+
+    private Elector.Pace electorPace() {
+        return new Elector.Pace(
+                this::sharers,
+                settings.number("warmRatio"),
+                settings.number("warmSlack"),
+                settings.part("leaveBoundMs", 0.25),
+                settings.part("leaveBoundMs", 2),
+                settings.number("districtCost"),
+                settings.number("regionCost"));
+    }
+
+    private Edge.Pace edgePace() {
+        return new Edge.Pace(
+                (int) settings.ms("askOpenMax"),
+                settings.ms("heldMaxBytes"),
+                settings.ms("claimKeepMs"),
+                20 * settings.ms("farMs"),
+                4 * settings.ms("farMs"),
+                settings.ms("retryAfterMs"),
+                3,
+                settings.number("retryShare") * 0.9,
+                settings.number("retryAllowance"),
+                settings.ms("askSpanMaxMs"),
+                settings.part("claimKeepMs", 0.01),
+                new Habits(
+                        settings.ms("keyed") == 1,
+                        settings.ms("claims") == 1,
+                        settings.ms("homeEdges") == 1,
+                        settings.ms("holdsEdges") == 1,
+                        settings.ms("unsentFree") == 1,
+                        settings.ms("any500") == 1));
+    }
+
+    /** Takes what a running node can change of newer settings, and tells which settings it goes on with. A founding
+     * that is under way keeps the seeds it began with. Example: {@code front.renew(node.renew(newer));} */
+    public Settings renew(final Settings newer) {
+        final Renewal renewal = Renewal.of(settings, newer, core);
+        settings = renewal.settings();
+        view.seeds(settings.seeds());
+        follower.pace(followerPace());
+        if (serves) {
+            elector.pace(electorPace());
+            edge.pace(edgePace());
+        }
+        LOG.atInfo().log(
+                "event=settings_renewed node=%s taken=%s waiting=%s", name, renewal.taken(), renewal.waiting());
+        return settings;
+    }
+
+    private boolean checked() {
+        return formation.checked();
+    }
+
+    /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
+    private int policyBytesMost() {
+        return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") * 3 / 8);
     }
 
     private int told(final String count) {
@@ -465,7 +507,8 @@
         if (had != null) {
             final Snapshot snapshot = Codec.record(had, Snapshot.class);
             book.load(snapshot);
-            policyFloor = snapshot.version() - POLICY_KEPT;
+            snapshotDown = snapshot.version();
+            raiseFloor();
         }
         if (voter.voters() != null) {
             proposer.adopt(voter.voters());
@@ -513,16 +556,18 @@
                 "event=start node=%s role=%s address=%s district=%s region=%s life=%s",
                 name, core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
         hurry(clock.nowMs() + settings.part("leaveBoundMs", 1.5), 0);
-        every(settings.part("leaveBoundMs", 0.125), view::tick);
-        every(settings.ms("proofMs"), follower::tick);
+        every(settings.part("leaveBoundMs", 0.125), () -> {
+            view.tick();
+            publishEdges();
+        });
+        every(settings.ms("proofMs"), () -> {
+            follower.tick();
+            publishEdges();
+        });
         if (core) {
             every(settings.part("leaveBoundMs", 0.0625), formation::tick);
             every(settings.part("leaveBoundMs", 0.125), prober::tick);
-            every(settings.part("leaseMs", 0.1), () -> {
-                if (fleet.settled()) {
-                    keeper.tick();
-                }
-            });
+            every(settings.part("leaseMs", 0.1), this::keepLease);
             every(settings.part("reportDueMs", 0.01), reporter::tick);
             every(settings.part("keyBoundMs", 0.2), this::tidy);
             every(settings.ms("countPushMs"), keptUsage::tick);
@@ -557,6 +602,7 @@
             return;
         }
         view.greet(voters() == null ? List.of() : coreAddresses());
+        publishEdges();
         if (voters() != null && !follower.fresh() || turn < HURRIED || turn % (2 * HURRIED) == 0) {
             // Before there are voters nothing can be proved; a founding takes seconds.
             follower.tick();
@@ -591,6 +637,16 @@
         return voter;
     }
 
+    /** Whether this core's voter may give votes now. Example: {@code assertThat(node.votes()).isTrue();} */
+    public boolean votes() {
+        return voter.state() == Voter.State.VOTING && keeping.ready();
+    }
+
+    /** How full a core's ring is, 1 when nothing more fits. Example: {@code node.ringFill() < 0.7} */
+    public double ringFill() {
+        return ring.fill();
+    }
+
     /** The duty's keeper, or null on an edge. Example: {@code node.keeper().execution()} */
     public LeaseKeeper keeper() {
         return keeper;
@@ -616,26 +672,48 @@
         calls.run(method, params, done);
     }
 
-    /** Leaves: where answers first, then what is in flight, then the duties; done is run when all is given up.
-     * Example: {@code node.leave(() -> System.exit(0));} */
-    public void leave(final Runnable done) {
-        leave(() -> {}, done);
-    }
-
-    /** The same; closing is run when no more wires are to be taken. Example: {@code node.leave(front::stop, exit);} */
-    public void leave(final Runnable closing, final Runnable done) {
+    /** Leaves: where answers first, then what is in flight and the connections, then the duties; done is run when all
+     * is given up. Example: {@code node.leave(front.connections(), () -> System.exit(0));} */
+    public void leave(final Connections connections, final Runnable done) {
         LOG.atInfo().log("event=leaving node=%s", name);
         view.leave();
         follower.tick();
-        if (edge != null) {
-            clock.after(settings.part("stopWaitMs", 0.3), () -> {
+        publishEdges();
+        final Departure.Pace departing = new Departure.Pace(
+                settings.part("stopWaitMs", 0.2),
+                settings.part("stopWaitMs", 0.75),
+                settings.part("stopWaitMs", 0.9),
+                settings.ms("stopWaitMs"),
+                20,
+                50);
+        new Departure(connections, new Underway(), clock, departing, () -> {
+                    if (serves) {
+                        counter.stop();
+                    }
+                    giveUp(done);
+                })
+                .begin();
+    }
+
+    /** What is under way at this node's edge, if it has one. */
+    private final class Underway implements Departure.Requests {
+        @Override
+        public void deny() {
+            if (edge != null) {
                 edge.leave();
-                closing.run();
-                drained(clock.nowMs() + settings.ms("stopWaitMs"), () -> giveUp(done));
-            });
-        } else {
-            closing.run();
-            giveUp(done);
+            }
+        }
+
+        @Override
+        public void giveUp() {
+            if (edge != null) {
+                edge.giveUp();
+            }
+        }
+
+        @Override
+        public boolean open() {
+            return openAsks() > 0;
         }
     }
 
@@ -648,15 +726,6 @@
         }
     }
 
-    private void drained(final long untilMs, final Runnable done) {
-        if (edge.open() == 0 || clock.nowMs() >= untilMs) {
-            counter.stop();
-            clock.after(50, done);
-        } else {
-            clock.after(20, () -> drained(untilMs, done));
-        }
-    }
-
     private void stop(final Runnable done) {
         stopped = true;
         LOG.atInfo().log("event=stop node=%s", name);
@@ -675,6 +744,17 @@
         }
     }
 
+    /**
+     * A node that leaves acquires no lease; one that it holds it keeps until its last request is answered. Neither does one that
+     * doesn't vote: without the registers it can't tell which windows it may report.
+     */
+    private void keepLease() {
+        final boolean mayAcquire = voter.state() == Voter.State.VOTING && !leaving();
+        if (fleet.settled() && (keeper.state() == LeaseKeeper.State.HOLDING || mayAcquire)) {
+            keeper.tick();
+        }
+    }
+
     private Long presentLife(final String name) {
         final Feeds.Present p = feeds.edges().get(name);
         return p == null ? null : p.member().life();
@@ -776,7 +856,15 @@
         }
     }
 
+    /** Has someone told of the policy in force, now and each time it moves. Example: {@code node.watch(p -> ...);} */
+    public void watch(final Consumer<Policy> newer) {
+        watcher = newer;
+        watcher.accept(book.policy());
+    }
+
     private void policyMoved() {
+        watcher.accept(book.policy());
+        clock.after(0, acceptance::moved);
         if (serves) {
             givenBack();
         }
@@ -799,13 +887,23 @@
         voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
             keepingPolicy = false;
             if (ok) {
-                policyFloor =
-                        Math.max(policyFloor, version - (ring.fill() > CROWDED ? POLICY_KEPT_LEAST : POLICY_KEPT));
+                snapshotDown = version;
+                raiseFloor();
                 keepPolicy();
             }
         });
     }
 
+    private void raiseFloor() {
+        final long bytesMost = (long) (ring.capacityBytes() * POLICY_KEPT_SHARE);
+        voter.raiseFloor(Versions.floor(voter.registers(), snapshotDown, POLICY_KEPT, bytesMost), this::letVersionsGo);
+    }
+
+    /** Below the floor a register is not needed: what it decided is in the snapshot on this disk. */
+    private void letVersionsGo() {
+        Versions.upTo(voter.registers(), voter.floor()).forEach(voter::drop);
+    }
+
     /** Upstreams of a district that is given back may have turned cold while nothing was sent there. */
     private void givenBack() {
         final Set<String> now = book.policy().holds();
@@ -985,6 +1083,10 @@
         if (settings.ms("edges") > 0) {
             return (int) settings.ms("edges");
         }
+        if (view.changes() == sharersSeen) {
+            return sharersMost;
+        }
+        sharersSeen = view.changes();
         int serving = serves ? 1 : 0;
         for (final Member m : view.members()) {
             serving += m.serves() ? 1 : 0;
@@ -993,10 +1095,9 @@
         return sharersMost;
     }
 
-    /** Edges for a caller of a place: those of its district, of its region where that has but one, else any.
-     * Example: {@code node.edgesNear("r1", "d1")} */
-    public List<Member> edgesNear(final String region, final String district) {
-        return Where.near(edgesForClients(), region, district);
+    /** The edges that callers are told of, for any thread. Example: {@code Where.near(node.directory().edges(), "r1", "d1")} */
+    public Directory directory() {
+        return directory;
     }
 
     /** Whether this node takes asks now. Example: {@code if (!node.ready()) answer(503);} */
@@ -1014,18 +1115,49 @@
         return acceptance;
     }
 
+    /**
+     * The edges believed to serve: those whose own word is fresh. Where none is, as after a loss of power or while no core
+     * answers, those last named, then those that are known at all: a caller that is told of none can only wait.
+     */
     Collection<Member> edgesForClients() {
-        if (core) {
-            return feeds.freshEdges();
-        }
         final Map<String, Member> found = new TreeMap<>();
-        follower.edges(settings.heardMs()).forEach(e -> found.put(e.name(), e));
-        if (view.self().leaving()) {
+        heardEdges().forEach(e -> found.put(e.name(), e));
+        if (ready()) {
+            found.put(name, view.self());
+        }
+        if (found.isEmpty()) {
+            follower.edges(settings.part("leaveBoundMs", 2)).forEach(e -> found.put(e.name(), e));
+        }
+        if (found.isEmpty()) {
+            view.members().stream().filter(Member::serves).forEach(e -> found.put(e.name(), e));
+        }
+        if (leaving()) {
             found.remove(name);
         }
         return found.values();
     }
 
+    /** A core that has just started, or that nobody asks since it has no seat, goes by the word of another core. */
+    private Collection<Member> heardEdges() {
+        final long spanMs = settings.heardMs();
+        if (!core) {
+            return follower.edges(spanMs);
+        }
+        final Collection<Member> asking = feeds.freshEdges();
+        final boolean justStarted = clock.nowMs() - startedMs < spanMs;
+        if (!asking.isEmpty() && !justStarted) {
+            return asking;
+        }
+        final List<Member> both = new ArrayList<>(follower.edges(spanMs));
+        both.addAll(asking);
+        return both;
+    }
+
+    /** Callers are told of what was heard up to now. */
+    private void publishEdges() {
+        directory.publish(edgesForClients());
+    }
+
     /** Nodes configured with other counts of nodes than this one: shared bounds are divided by them. */
     List<String> differing() {
         final Member self = view.self();
--- a/spokestall/src/main/java/spokestall/policy/Acceptance.java
+++ b/spokestall/src/main/java/spokestall/policy/Acceptance.java
@@ -5,8 +5,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import spokestall.ballot.Edit;
 import spokestall.ballot.Outcome;
 import spokestall.ballot.Proposer;
@@ -26,11 +29,13 @@
     private final Proposer proposer;
     private final Follower follower;
     private final Clock clock;
+    private final LongSupplier fleetMs;
     private final long waitMs;
     private final int bytesMax;
     private final LongConsumer news;
+    private final List<Attempt> attempts = new ArrayList<>();
 
-    /** Example: see {@code Node}. */
+    /** The fleet's time is zero while it isn't known. Example: see {@code Node}. */
     public Acceptance(
             final String name,
             final Book book,
@@ -38,6 +43,7 @@
             final Proposer proposer,
             final Follower follower,
             final Clock clock,
+            final LongSupplier fleetMs,
             final long waitMs,
             final int bytesMax,
             final LongConsumer news) {
@@ -47,35 +53,20 @@
         this.proposer = proposer;
         this.follower = follower;
         this.clock = clock;
+        this.fleetMs = fleetMs;
         this.waitMs = waitMs;
         this.bytesMax = bytesMax;
         this.news = news;
     }
 
-    /** Example: {@code acceptance.take(Change.Kind.PATCH, base, "chg-1", patch, reply -> ...);} */
-    public void take(
-            final Change.Kind kind,
-            final long base,
-            final String changeId,
-            final JsonNode json,
-            final java.util.function.Consumer<Reply> done) {
-        final Long known = book.versionOf(changeId);
-        if (known != null) {
-            done.accept(accepted(known, changeId));
-            return;
-        }
-        final long current = book.policy().version();
-        if (proposer.voters() == null || current < proposer.voters().firstNumber() || base > current) {
-            done.accept(Reply.of(Result.NOT_READY, fields(current, changeId)));
-            return;
-        }
-        final Change change = new Change(changeId, kind, bytes(json));
-        final Reply denied = base == current ? check(change) : null;
-        if (denied != null) {
-            done.accept(denied);
-        } else {
-            propose(base + 1, change, waitMs, done);
-        }
+    /** Takes a change made against one version; it is judged as {@link #agree} judges every order.
+     * Example: {@code acceptance.take(base, "chg-1", tree -> new Drafted.Write(PATCH, patch), reply -> ...);} */
+    public void take(final long base, final String changeId, final Draft draft, final Consumer<Reply> done) {
+        agree(
+                changeId,
+                tree -> book.policy().version() == base ? draft.on(tree) : new Draft.Drafted.Stale(),
+                waitMs,
+                done);
     }
 
     /** Why a change can't be made on top of the policy here, or null. */
@@ -97,66 +88,107 @@
 
     /**
      * Makes an order into a change on top of the newest policy, and anew when another change was first, until it holds,
-     * no longer fits or the wait is over. What it is judged by is proved newest after it came: an order is never called
-     * stale because this node is behind.
+     * no longer fits or the wait is over. What it is judged by is proved newest after it came, whatever the judgement: an
+     * order is never called stale, invalid, missing or taken because this node is behind or was left behind.
      * Example: {@code acceptance.agree("hold-1", tree -> ..., 2000, reply -> ...);}
      */
-    public void agree(
-            final String changeId,
-            final Draft draft,
-            final long waitLeftMs,
-            final java.util.function.Consumer<Reply> done) {
-        final long begunMs = clock.nowMs();
+    public void agree(final String changeId, final Draft draft, final long waitLeftMs, final Consumer<Reply> done) {
+        final long deadlineMs = clock.nowMs() + waitLeftMs;
         follower.current(waitLeftMs, current -> {
-            final Long known = book.versionOf(changeId);
-            if (known != null) {
-                done.accept(accepted(known, changeId));
-            } else if (!current
-                    || proposer.voters() == null
-                    || book.policy().version() < proposer.voters().firstNumber()) {
-                done.accept(Reply.of(Result.NOT_READY, fields(book.policy().version(), changeId)));
+            if (!current || !governed()) {
+                done.accept(notReady(changeId));
             } else {
-                drafted(changeId, draft, waitLeftMs - (clock.nowMs() - begunMs), done);
+                judge(changeId, draft, deadlineMs, done);
             }
         });
     }
 
-    private void drafted(
-            final String changeId,
-            final Draft draft,
-            final long waitLeftMs,
-            final java.util.function.Consumer<Reply> done) {
-        final long begunMs = clock.nowMs();
+    /**
+     * Takes an order that has no id of its own and can't be told from a new one when it comes again. What waited at a node
+     * that stood still or was cut off may have been sent again and undone elsewhere since, so only a node that was in touch
+     * when the order came takes it. {@code changeId} must be a fresh one.
+     * Example: {@code acceptance.takeUnnamed("hold-5f", tree -> ..., 2000, reply -> ...);}
+     */
+    public void takeUnnamed(
+            final String changeId, final Draft draft, final long waitLeftMs, final Consumer<Reply> done) {
+        if (follower.fresh()) {
+            agree(changeId, draft, waitLeftMs, done);
+        } else {
+            done.accept(notReady(changeId));
+        }
+    }
+
+    /** Whether the policy here is one of the generation that voters hold now. */
+    private boolean governed() {
+        return proposer.voters() != null
+                && book.policy().version() >= proposer.voters().firstNumber();
+    }
+
+    private void judge(final String changeId, final Draft draft, final long deadlineMs, final Consumer<Reply> done) {
+        final Long known = book.versionOf(changeId);
+        if (known != null) {
+            done.accept(accepted(known, changeId));
+            return;
+        }
         final long version = book.policy().version();
         final Draft.Drafted drafted = draft.on(book.policy().tree());
         if (drafted instanceof Draft.Drafted.Already) {
             done.accept(accepted(version, changeId));
         } else if (drafted instanceof Draft.Drafted.Stale) {
             done.accept(Reply.of(Result.STALE_BASE, fields(version, changeId)));
+        } else if (drafted instanceof Draft.Drafted.Missing) {
+            done.accept(Reply.of(Result.NOT_FOUND, fields(version, changeId)));
         } else if (drafted instanceof Draft.Drafted.Bad bad) {
             done.accept(invalid(changeId, List.of(new Rules.Trouble(bad.pointer(), bad.reason()))));
         } else if (drafted instanceof Draft.Drafted.Write write) {
-            final Change change = new Change(changeId, write.kind(), bytes(write.json()));
-            final Reply denied = check(change);
-            if (denied != null) {
-                done.accept(denied);
-                return;
-            }
-            propose(version + 1, change, Math.min(waitMs, waitLeftMs), reply -> {
-                final long leftMs = waitLeftMs - (clock.nowMs() - begunMs);
-                if (reply.result() == Result.STALE_BASE && leftMs > 0) {
-                    agree(changeId, draft, leftMs, done);
-                } else {
-                    done.accept(reply);
-                }
-            });
+            write(changeId, draft, write, deadlineMs, done);
         }
     }
 
+    private void write(
+            final String changeId,
+            final Draft draft,
+            final Draft.Drafted.Write write,
+            final long deadlineMs,
+            final Consumer<Reply> done) {
+        final Change change = change(changeId, write);
+        final Reply denied = check(change);
+        if (denied != null) {
+            done.accept(denied);
+            return;
+        }
+        final long leftMs = Math.min(waitMs, deadlineMs - clock.nowMs());
+        propose(
+                new Attempt(book.policy().version() + 1, change, done, () -> again(changeId, draft, deadlineMs, done)),
+                leftMs);
+    }
+
+    /**
+     * Another change was first. What still fits on top of it is proposed at once, for that is taken only where nothing newer
+     * is; any other end is judged by what is proved newest, never by what the order lost against.
+     */
+    private void again(final String changeId, final Draft draft, final long deadlineMs, final Consumer<Reply> done) {
+        final long leftMs = deadlineMs - clock.nowMs();
+        if (leftMs <= 0) {
+            done.accept(notReady(changeId));
+        } else if (governed()
+                && book.versionOf(changeId) == null
+                && draft.on(book.policy().tree()) instanceof Draft.Drafted.Write write
+                && check(change(changeId, write)) == null) {
+            write(changeId, draft, write, deadlineMs, done);
+        } else {
+            agree(changeId, draft, leftMs, done);
+        }
+    }
+
+    private Change change(final String changeId, final Draft.Drafted.Write write) {
+        return new Change(changeId, write.kind(), bytes(write.json()), fleetMs.getAsLong());
+    }
+
     /** The newest policy, proved newest after the call came; null when that can't be had in time.
      * Example: {@code acceptance.newest(1000, policy -> ...);} */
-    public void newest(final long waitLeftMs, final java.util.function.Consumer<Policy> done) {
-        follower.current(waitLeftMs, current -> done.accept(current ? book.policy() : null));
+    public void newest(final long waitLeftMs, final Consumer<Policy> done) {
+        follower.current(waitLeftMs, current -> done.accept(current && governed() ? book.policy() : null));
     }
 
     /** A part can't make the whole larger than the two are together, so the whole is written out only near the bound. */
@@ -165,45 +197,87 @@
         return before + change.json().length > bytesMax && bytes(after).length > bytesMax;
     }
 
-    private void propose(
-            final long next, final Change change, final long leftMs, final java.util.function.Consumer<Reply> done) {
-        final byte[] value = Codec.bytes(change);
+    /** A proposal under way: what follows where its own end is known, and where another change was first. */
+    private static final class Attempt {
+        private final long next;
+        private final Change change;
+        private final Consumer<Reply> known;
+        private final Runnable beaten;
+
+        Attempt(final long next, final Change change, final Consumer<Reply> known, final Runnable beaten) {
+            this.next = next;
+            this.change = change;
+            this.known = known;
+            this.beaten = beaten;
+        }
+    }
+
+    private void propose(final Attempt attempt, final long leftMs) {
+        final byte[] value = Codec.bytes(attempt.change);
+        attempts.add(attempt);
         proposer.change(
-                Versions.key(next),
+                Versions.key(attempt.next),
                 leftMs,
-                now -> now == null && next == book.policy().version() + 1
-                                || now != null
-                                        && Codec.record(now, Change.class)
-                                                .changeId()
-                                                .equals(change.changeId())
-                        ? new Edit.Set(now == null ? value : now)
-                        : Edit.LEAVE,
-                outcome -> {
-                    if (outcome instanceof Outcome.Done d && d.value() != null) {
-                        follower.learn(next, d.value());
-                        news.accept(next);
-                        final boolean ours =
-                                Codec.record(d.value(), Change.class).changeId().equals(change.changeId());
-                        LOG.atInfo().log(
-                                "event=policy_change node=%s version=%s changeId=%s accepted=%s",
-                                name, next, change.changeId(), ours);
-                        done.accept(
-                                ours
-                                        ? accepted(next, change.changeId())
-                                        : Reply.of(
-                                                Result.STALE_BASE,
-                                                fields(book.policy().version(), change.changeId())));
-                    } else if (outcome instanceof Outcome.Undecided) {
-                        done.accept(
-                                Reply.of(Result.UNDECIDED, fields(book.policy().version(), change.changeId())));
-                    } else if (outcome instanceof Outcome.NotDone) {
-                        done.accept(
-                                Reply.of(Result.NOT_READY, fields(book.policy().version(), change.changeId())));
-                    } else {
-                        done.accept(
-                                Reply.of(Result.STALE_BASE, fields(book.policy().version(), change.changeId())));
-                    }
-                });
+                now -> edit(attempt.next, attempt.change, value, now),
+                outcome -> ended(attempt, outcome));
+    }
+
+    private void ended(final Attempt attempt, final Outcome outcome) {
+        if (outcome instanceof Outcome.Done done && done.value() != null) {
+            chosen(attempt, done.value());
+        }
+        if (!attempts.remove(attempt)) {
+            return;
+        }
+        final String changeId = attempt.change.changeId();
+        if (outcome instanceof Outcome.Done done && done.value() != null && same(done.value(), attempt.change)) {
+            attempt.known.accept(accepted(attempt.next, changeId));
+        } else if (outcome instanceof Outcome.Undecided) {
+            attempt.known.accept(Reply.of(Result.UNDECIDED, fields(book.policy().version(), changeId)));
+        } else if (outcome instanceof Outcome.NotDone) {
+            attempt.known.accept(notReady(changeId));
+        } else {
+            attempt.beaten.run();
+        }
+    }
+
+    /** The policy here moved: a proposal for a version that it has reached need not find out by itself how it ended.
+     * Example: {@code acceptance.moved();} */
+    public void moved() {
+        final long version = book.policy().version();
+        for (final Attempt attempt : List.copyOf(attempts)) {
+            if (attempt.next <= version && attempts.remove(attempt)) {
+                final Long known = book.versionOf(attempt.change.changeId());
+                if (known != null) {
+                    attempt.known.accept(accepted(known, attempt.change.changeId()));
+                } else {
+                    attempt.beaten.run();
+                }
+            }
+        }
+    }
+
+    private Edit edit(final long next, final Change change, final byte[] value, final byte[] now) {
+        if (now == null) {
+            return next == book.policy().version() + 1 ? new Edit.Set(value) : Edit.LEAVE;
+        }
+        return same(now, change) ? new Edit.Set(now) : Edit.LEAVE;
+    }
+
+    private static boolean same(final byte[] value, final Change change) {
+        return Codec.record(value, Change.class).changeId().equals(change.changeId());
+    }
+
+    private void chosen(final Attempt attempt, final byte[] value) {
+        follower.learn(attempt.next, value);
+        news.accept(attempt.next);
+        LOG.atInfo().log(
+                "event=policy_change node=%s version=%s changeId=%s accepted=%s",
+                name, attempt.next, attempt.change.changeId(), same(value, attempt.change));
+    }
+
+    private Reply notReady(final String changeId) {
+        return Reply.of(Result.NOT_READY, fields(book.policy().version(), changeId));
     }
 
     private Reply accepted(final long version, final String changeId) {
--- a/spokestall/src/main/java/spokestall/policy/Book.java
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -13,10 +13,15 @@
     /** The one reader of JSON. */
     public static final ObjectMapper JSON = new ObjectMapper();
 
-    private static final int IDS_KEPT = 512;
+    private static final long CHANGES_BYTES_MOST = 2 << 20;
+    /** So many changes cost a follower more than the whole. */
+    private static final int CHANGES_AT_ONCE = 32;
+
     private final int changesKept;
     private final TreeMap<Long, Change> changes = new TreeMap<>();
-    private final Map<String, Long> changeIds = new LinkedHashMap<>();
+    private final AcceptedOrders orders = new AcceptedOrders();
+    private long changesBytes;
+    private Snapshot snapshot;
     private long bytesMost;
     private final PolicyForm form;
     private Policy policy;
@@ -43,9 +48,10 @@
         return bytesMost;
     }
 
-    /** The version a change id was accepted as, or null. Example: {@code book.versionOf("chg-1")} */
+    /** The version an order was accepted as, or null: those of ten minutes at least, and never fewer than 512, but never more
+     * than 2048. Example: {@code book.versionOf("chg-1")} */
     public Long versionOf(final String changeId) {
-        return changeIds.get(changeId);
+        return orders.versionOf(changeId);
     }
 
     /** The tree after a change, not yet applied. Example: {@code book.preview(change)} */
@@ -63,20 +69,27 @@
         assert version > policy.version() : version + " after " + policy.version();
         policy = form.read(version, preview(change), policy);
         bytesMost = (change.kind() == Change.Kind.PUT ? 0 : bytesMost) + change.json().length;
-        changes.put(version, change);
-        while (changes.size() > changesKept) {
-            changes.pollFirstEntry();
+        keep(version, change);
+        if (!change.before().isEmpty()) {
+            orders.replace(change.before());
         }
-        remember(change.changeId(), version);
+        orders.accept(change.changeId(), version, change.acceptedMs());
     }
 
-    private void remember(final String changeId, final long version) {
-        changeIds.put(changeId, version);
-        if (changeIds.size() > IDS_KEPT) {
-            changeIds.remove(changeIds.keySet().iterator().next());
+    /** The newest one is kept however large it is: it is told to all. */
+    private void keep(final long version, final Change change) {
+        changes.put(version, change);
+        changesBytes += change.json().length;
+        while (changes.size() > changesKept || changesBytes > CHANGES_BYTES_MOST && changes.size() > 1) {
+            changesBytes -= changes.pollFirstEntry().getValue().json().length;
         }
     }
 
+    /** The orders that were accepted lately, the oldest first. Example: {@code new Snapshot(17, json, book.orders())} */
+    public List<AcceptedOrder> orders() {
+        return orders.all();
+    }
+
     /** Starts from a snapshot if it is newer. Example: {@code book.load(snapshot);} */
     public boolean load(final Snapshot snapshot) {
         if (snapshot.version() <= policy.version()) {
@@ -89,16 +102,19 @@
             throw new IllegalArgumentException("bad snapshot", e);
         }
         changes.clear();
-        changeIds.clear();
-        snapshot.changeIds().forEach(this::remember);
+        changesBytes = 0;
+        orders.replace(snapshot.orders());
         return true;
     }
 
     /** This version whole. Example: {@code post.send(to, book.snapshot());} */
     public Snapshot snapshot() {
+        if (snapshot != null && snapshot.version() == policy.version()) {
+            return snapshot;
+        }
         try {
-            return new Snapshot(
-                    policy.version(), JSON.writeValueAsBytes(policy.tree()), new LinkedHashMap<>(changeIds));
+            snapshot = new Snapshot(policy.version(), JSON.writeValueAsBytes(policy.tree()), orders.all());
+            return snapshot;
         } catch (final JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
@@ -109,12 +125,13 @@
         return changes.tailMap(place, false);
     }
 
-    /** The changes after a place, or null when they don't reach back that far. Example: {@code book.after(17)} */
+    /** The changes after a place, or null when they don't reach back that far or are so many that the snapshot is
+     * quicker. Example: {@code book.after(17)} */
     public Map<Long, Change> after(final long place) {
         if (place == policy.version()) {
             return Map.of();
         }
-        if (changes.isEmpty() || !changes.containsKey(place + 1)) {
+        if (!changes.containsKey(place + 1) || policy.version() - place > CHANGES_AT_ONCE) {
             return null;
         }
         return changes.tailMap(place, false);
--- a/spokestall/src/main/java/spokestall/settings/Settings.java
+++ b/spokestall/src/main/java/spokestall/settings/Settings.java
@@ -161,7 +161,7 @@
         number("reportDueMs", 10_000, "a window's counts must be in within this after its end", 1000, 600_000);
         number("dutiesPerS", 2, "calls a second that the platform takes for duties", 0.1, 1000);
         number("leaseMs", 2000, "the lease on a duty", 200, 600_000);
-        number("restMs", 0, "how long a duty that was released rests before another takes it", 0, 600_000);
+        number("restMs", 0, "how long a node that held a duty waits before it follows another holder", 0, 600_000);
         number("maxRunMs", 600_000, "the longest one acquisition may work", 1000, 86_400_000);
         number("farMs", 110, "the longest round trip between two nodes that is not trouble", 1, 5000);
         number("claimKeepMs", 600_000, "how long run-once claims are kept", 10_000, 86_400_000);
@@ -182,9 +182,14 @@
                 Codec.VERSION);
         number("auditFiles", 8, "audit files kept, the oldest going first; 0: no audit is written", 0, 1000);
         number("auditFileBytes", 1 << 20, "size of each", 4096, 1 << 30);
-        number("workers", 4, "worker threads", 1, 256);
+        number("workers", 4, "worker threads; 0: the thread that reads and writes wires does their work too", 0, 256);
         number("ioThreads", 2, "threads that read and write wires", 1, 64);
-        number("wireRestMs", 1000, "how long a wire to an upstream may rest and be used again", 1, 600_000);
+        number(
+                "wireRestMs",
+                1000,
+                "how long a wire to an upstream may rest and be used again, where the upstream does not say",
+                1,
+                600_000);
         number("connectMs", 2000, "how long opening a wire to an upstream may take", 1, 60_000);
         number("whereS", 2, "how long callers may use the edges they were told", 0.1, 600);
         number("stopWaitMs", 3000, "how long a clean stop lets go what is in flight", 0, 600_000);
@@ -403,6 +408,11 @@
         }
     }
 
+    /** Every key with its value as given, or its fallback. */
+    Map<String, String> values() {
+        return values;
+    }
+
     /** A text. Example: {@code settings.text("name")} */
     public String text(final String key) {
         return values.get(key);
