--- a/spokestall/src/main/java/spokestall/ballot/FormNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/FormNote.java
@@ -48,6 +48,7 @@
                     generation,
                     epoch,
                     founding,
+                    catchingUp,
                     silentSeats,
                     goneSeats,
                     own,
