Voter: two that caught up as a table came don't wait for each other

Cause: a joiner whose catch-up was done, but not yet down, when the next table came stayed CATCHING_UP with its state on disk: it asked all anew and needed a page from as many voters as a majority leaves over. Two such joiners, with two wiped seats of six, needed three voters of two, and no founding came, since four seats had state.

Excluded: a lack in what they have; a restart opened each of them as a voter.

Conclusion: when a table is down, a seat with its state on disk votes, whichever way it came by it.

--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -201,7 +201,8 @@
             if (!ok || mark != tableEpochDown || state == State.RESIGNED) {
                 return;
             }
-            if (stays) {
+            if (stays || keepsState()) {
+                // The second: it had caught up as the table came, and has all that a seat that votes has.
                 change(State.VOTING, "table-down");
             } else if (!seated()) {
                 change(State.BLANK, "not-seated");
--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -240,11 +240,28 @@
         disk.holds = true;
         voter.adopt(table(3).add(new Seat("new", "new", "x")));
         for (int i = 1; i < 3; i++) {
-            voter.hear(new BallotNote.CatchBack("v" + i, 3, 5, "", List.of(), true), "v0");
+            voter.hear(new BallotNote.CatchBack("v" + i, 3, 5, "", List.of(), true, 0), "v0");
         }
         disk.letGo();
         assertThat(voter.state()).isEqualTo(Voter.State.RESIGNED);
         assertThat(voter.keepsState()).isTrue();
         assertThat(voter.hasState()).isFalse();
     }
+
+    /** Two joiners that each had caught up as the other's table came would wait for each other's votes for ever. */
+    @Test
+    void whoHasCaughtUpAsATableComesVotesOnceItIsDown() {
+        final Held disk = new Held();
+        final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
+        voter.adopt(table(3));
+        assertThat(voter.state()).isEqualTo(Voter.State.CATCHING_UP);
+        disk.holds = true;
+        for (int i = 1; i < 3; i++) {
+            voter.hear(new BallotNote.CatchBack("v" + i, 3, 4, "", List.of(), true, 0), "v0");
+        }
+        voter.adopt(table(3).add(new Seat("new", "new", "x")));
+        assertThat(voter.state()).as("before the table is down").isEqualTo(Voter.State.CATCHING_UP);
+        disk.letGo();
+        assertThat(voter.state()).isEqualTo(Voter.State.VOTING);
+    }
 }
