A test that decided versions stay decided, all machines replaced in turn or restarted

Planted and seen to fail: a joiner that does not take the others' floor votes on version 1 anew; so does a core that does not read its floor at its start.

--- /dev/null
+++ b/spokestall/src/test/java/spokestall/ballot/FloorTest.java
@@ -0,0 +1,210 @@
+package spokestall.ballot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import spokestall.feed.Versions;
+import spokestall.ring.Ring;
+import spokestall.ring.Segments;
+import spokestall.time.Clock;
+import spokestall.wire.Note;
+
+/** Versions that were decided and let go are decided for good, whoever is replaced or restarted after. */
+class FloorTest {
+    private static final int SEATS = 6;
+    private static final long DECIDED = 40;
+    private static final long FLOOR = 30;
+    private static final byte[] FIRST = {1};
+    private static final byte[] OTHER = {2};
+
+    /** A disk that is down at once. */
+    private static final class Quick implements Segments {
+        private final byte[][] files = new byte[8][1 << 14];
+
+        @Override
+        public int count() {
+            return files.length;
+        }
+
+        @Override
+        public int sizeBytes() {
+            return files[0].length;
+        }
+
+        @Override
+        public byte[] read(final int segment) {
+            return files[segment].clone();
+        }
+
+        @Override
+        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+            pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
+            done.accept(true);
+        }
+    }
+
+    /** A voter with its disk; versions up to the floor are gone for it. */
+    private final class Machine implements Guard {
+        private final String name;
+        private Quick disk = new Quick();
+        private Voter voter;
+
+        Machine(final String name) {
+            this.name = name;
+        }
+
+        void start(final String freshId) {
+            voter = new Voter(name, new Ring(disk), FloorTest.this::post, this, freshId);
+        }
+
+        @Override
+        public boolean ready() {
+            return true;
+        }
+
+        @Override
+        public boolean gone(final String key) {
+            final long version = Versions.of(key);
+            return version >= 0 && version <= voter.floor();
+        }
+
+        @Override
+        public boolean room(final String key) {
+            return true;
+        }
+
+        @Override
+        public boolean takes(final String key, final byte[] value) {
+            return true;
+        }
+    }
+
+    private record Sent(String to, Note note) {}
+
+    private record Timer(long atMs, Runnable what) {}
+
+    private final Map<String, Machine> machines = new TreeMap<>();
+    private final ArrayDeque<Sent> wire = new ArrayDeque<>();
+    private final List<Timer> timers = new ArrayList<>();
+    private final Clock clock = new Clock() {
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+            return nowMs;
+        }
+
+        @Override
+        public void after(final long waitMs, final Runnable event) {
+            timers.add(new Timer(nowMs + waitMs, event));
+        }
+    };
+    private final Proposer proposer = new Proposer(
+            "late#1", "late", this::post, clock, new Random(1), new Proposer.Pace(100, 10, 1000), (seat, key) -> {});
+    private Voters table;
+    private long nowMs;
+
+    private void post(final String to, final Note note) {
+        wire.add(new Sent(to, note));
+    }
+
+    private void run(final long spanMs) {
+        for (final long untilMs = nowMs + spanMs; nowMs < untilMs; nowMs++) {
+            deliver();
+            final List<Timer> due = timers.stream().filter(t -> t.atMs <= nowMs).toList();
+            timers.removeAll(due);
+            due.forEach(t -> t.what.run());
+        }
+        deliver();
+    }
+
+    private void deliver() {
+        while (!wire.isEmpty()) {
+            final Sent sent = wire.poll();
+            if (sent.to.equals("late")) {
+                proposer.hear((BallotNote) sent.note);
+            } else {
+                machines.get(sent.to).voter.hear((BallotNote) sent.note, sent.to);
+            }
+        }
+    }
+
+    /** Six voters that have decided some versions, all but the newest of which they have let go. */
+    private void found() {
+        final List<Seat> seats = new ArrayList<>();
+        for (int i = 0; i < SEATS; i++) {
+            final String name = "v" + i;
+            seats.add(new Seat(name, name, "disk-" + i));
+            machines.put(name, new Machine(name));
+            machines.get(name).start("disk-" + i);
+        }
+        table = new Voters(1, 1, seats);
+        machines.values().forEach(m -> m.voter.found(table, List.of()));
+        proposer.adopt(table);
+        for (long version = 1; version <= DECIDED; version++) {
+            assertThat(propose(version, FIRST)).isInstanceOf(Outcome.Done.class);
+        }
+        machines.values()
+                .forEach(m -> m.voter.raiseFloor(
+                        FLOOR, () -> Versions.upTo(m.voter.registers(), FLOOR).forEach(m.voter::drop)));
+    }
+
+    private Outcome propose(final long version, final byte[] value) {
+        final List<Outcome> told = new ArrayList<>();
+        proposer.change(Versions.key(version), 500, now -> now == null ? new Edit.Set(value) : Edit.LEAVE, told::add);
+        run(700);
+        return told.get(0);
+    }
+
+    private void replace(final int i) {
+        final Machine machine = machines.get("v" + i);
+        machine.disk = new Quick();
+        machine.start("disk-" + i + "-new");
+        table = table.swap(new Seat(machine.name, machine.name, machine.voter.diskId()));
+        machines.values().forEach(m -> m.voter.adopt(table));
+        for (int beat = 0; beat < 10; beat++) {
+            machine.voter.tick(machine.name);
+            run(1);
+        }
+        assertThat(machine.voter.state()).isEqualTo(Voter.State.VOTING);
+    }
+
+    private void decidedForGood() {
+        proposer.adopt(table);
+        for (long version = 1; version <= FLOOR; version++) {
+            assertThat(propose(version, OTHER)).as("version %s", version).isInstanceOf(Outcome.Gone.class);
+        }
+        for (long version = FLOOR + 1; version <= DECIDED; version++) {
+            assertThat(propose(version, OTHER))
+                    .as("version %s", version)
+                    .isInstanceOfSatisfying(
+                            Outcome.Done.class, done -> assertThat(done.value()).isEqualTo(FIRST));
+        }
+    }
+
+    @Test
+    void whenAllMachinesWereReplacedInTurnNoVersionIsDecidedAnew() {
+        found();
+        for (int i = 0; i < SEATS; i++) {
+            replace(i);
+        }
+        decidedForGood();
+    }
+
+    @Test
+    void whenAllMachinesWereRestartedNoVersionIsDecidedAnew() {
+        found();
+        machines.values().forEach(m -> m.start("not used"));
+        decidedForGood();
+    }
+}
