--- a/proof/src/main/java/spokestall/proof/History.java
+++ b/proof/src/main/java/spokestall/proof/History.java
@@ -24,6 +24,7 @@
         RESTART,
         POWER,
         WIPE,
+        FULL_DISK,
         CUT
     }
 
@@ -37,6 +38,7 @@
     private static final long PAUSE_MS = 100;
     private static final long DOWN_MS = 1000;
     private static final long CUT_MS = 20_000;
+    private static final long FULL_MS = 5000;
     private static final long STEP_MS = 10;
     private static final long MOST_MS = 4L * 3_600_000;
     private static final int TROUBLE_EVERY = 20;
@@ -229,6 +231,14 @@
             });
             return;
         }
+        if (from == Return.FULL_DISK) {
+            core.disk.fill(true);
+            world.sim.after(FULL_MS, () -> {
+                core.disk.fill(false);
+                back(core, from, 0, then);
+            });
+            return;
+        }
         if (from == Return.RESTART) {
             core.kill();
         } else {
--- a/proof/src/main/java/spokestall/proof/SimDisk.java
+++ b/proof/src/main/java/spokestall/proof/SimDisk.java
@@ -181,6 +181,10 @@
         slowMs = Math.max(1, ms);
     }
 
+    void fill(final boolean now) {
+        full = now;
+    }
+
     void fail(final boolean now) {
         failing = now;
     }
--- a/spokestall/src/test/java/spokestall/ballot/FloorTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/FloorTest.java
@@ -8,11 +8,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import spokestall.feed.Versions;
+import spokestall.ring.QuickSegments;
 import spokestall.ring.Ring;
-import spokestall.ring.Segments;
 import spokestall.time.Clock;
 import spokestall.wire.Note;
 
@@ -24,36 +23,10 @@
     private static final byte[] FIRST = {1};
     private static final byte[] OTHER = {2};
 
-    /** A disk that is down at once. */
-    private static final class Quick implements Segments {
-        private final byte[][] files = new byte[8][1 << 14];
-
-        @Override
-        public int count() {
-            return files.length;
-        }
-
-        @Override
-        public int sizeBytes() {
-            return files[0].length;
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return files[segment].clone();
-        }
-
-        @Override
-        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-            pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
-            done.accept(true);
-        }
-    }
-
     /** A voter with its disk; versions up to the floor are gone for it. */
     private final class Machine implements Guard {
         private final String name;
-        private Quick disk = new Quick();
+        private QuickSegments disk = new QuickSegments();
         private Voter voter;
 
         Machine(final String name) {
@@ -168,7 +141,7 @@
 
     private void replace(final int i) {
         final Machine machine = machines.get("v" + i);
-        machine.disk = new Quick();
+        machine.disk = new QuickSegments();
         machine.start("disk-" + i + "-new");
         table = table.swap(new Seat(machine.name, machine.name, machine.voter.diskId()));
         machines.values().forEach(m -> m.voter.adopt(table));
--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -6,11 +6,10 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import spokestall.feed.Versions;
+import spokestall.ring.QuickSegments;
 import spokestall.ring.Ring;
-import spokestall.ring.Segments;
 
 class VoterTest {
     private static final Guard OPEN = new Guard() {
@@ -63,32 +62,6 @@
         }
     }
 
-    /** A disk that is down at once. */
-    private static final class Quick implements Segments {
-        private final byte[][] files = new byte[8][1 << 14];
-
-        @Override
-        public int count() {
-            return files.length;
-        }
-
-        @Override
-        public int sizeBytes() {
-            return files[0].length;
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return files[segment].clone();
-        }
-
-        @Override
-        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-            pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
-            done.accept(true);
-        }
-    }
-
     private static Voters table(final int seats) {
         final List<Seat> all = new ArrayList<>();
         for (int i = 0; i < seats; i++) {
@@ -98,7 +71,7 @@
     }
 
     private static Voter joiner() {
-        return new Voter("v0", new Ring(new Quick()), (to, note) -> {}, OPEN, "disk-0");
+        return new Voter("v0", new Ring(new QuickSegments()), (to, note) -> {}, OPEN, "disk-0");
     }
 
     @Test
@@ -126,7 +99,7 @@
 
     @Test
     void aJoinerTakesTheHighestFloorOfThoseThatItReadFromAndKeepsItThroughARestart() {
-        final Quick disk = new Quick();
+        final QuickSegments disk = new QuickSegments();
         final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
@@ -143,7 +116,7 @@
     void aJoinerDoesNotVoteBeforeWhatTheOthersLetGoIsOnItsOwnDisk() {
         final AtomicLong snapshotDown = new AtomicLong(39);
         final Voter voter =
-                new Voter("v0", new Ring(new Quick()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
+                new Voter("v0", new Ring(new QuickSegments()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
         voter.hear(allOf("v2", 40), "v0");
