Tests: one clock that is moved by hand, in place of five

Cause: UsageCounterTest, FollowerTest, ProberTest, ElectorTest and FleetClockTest each had the same clock of their own. Before: five classes of 15 lines. After: time.ManualClock.

--- a/spokestall/src/test/java/spokestall/duty/UsageCounterTest.java
+++ b/spokestall/src/test/java/spokestall/duty/UsageCounterTest.java
@@ -6,36 +6,20 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import spokestall.time.Clock;
 import spokestall.time.FleetClock;
+import spokestall.time.ManualClock;
 
 class UsageCounterTest {
     private record Sent(String to, UsageNote.Counts counts) {}
 
     private static final List<String> CORES = List.of("a", "b", "c", "d");
     private final List<Sent> sent = new ArrayList<>();
-    private long nowMs = 1_000_000;
-    private final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new AssertionError();
-        }
-    };
+    private final ManualClock clock = new ManualClock(1_000_000);
     private final FleetClock fleet = new FleetClock(clock, 100);
 
     private UsageCounter counter(final long uncountedMs) {
-        fleet.heard("p", nowMs, true, nowMs);
-        fleet.heard("q", nowMs, true, nowMs);
+        fleet.heard("p", clock.nowMs(), true, clock.nowMs());
+        fleet.heard("q", clock.nowMs(), true, clock.nowMs());
         return new UsageCounter(
                 "e",
                 "e",
@@ -52,7 +36,7 @@
     }
 
     private List<Sent> beat(final UsageCounter counter, final long ms) {
-        nowMs += ms;
+        clock.advance(ms);
         sent.clear();
         counter.tick();
         return List.copyOf(sent);
@@ -96,7 +80,7 @@
         assertThat(beat(counter, 50)).isEmpty();
         final List<Sent> again = beat(counter, 60);
         assertThat(again).extracting(Sent::to).containsExactly("c", "d");
-        nowMs += 100;
+        clock.advance(100);
         assertThat(counter.mayBegin()).as("two of four are no majority").isFalse();
         had(counter, again.get(0), 1);
         assertThat(counter.mayBegin()).isTrue();
--- a/spokestall/src/test/java/spokestall/edge/ElectorTest.java
+++ b/spokestall/src/test/java/spokestall/edge/ElectorTest.java
@@ -11,29 +11,13 @@
 import org.junit.jupiter.api.Test;
 import spokestall.listing.Upstream;
 import spokestall.policy.ServiceRule;
-import spokestall.time.Clock;
 import spokestall.time.FleetClock;
+import spokestall.time.ManualClock;
 
 class ElectorTest {
     private static final ServiceRule RULE = new ServiceRule("s", 1000, 1000, 2000, 3000, 5.8);
     private final List<Upstream> listed = new ArrayList<>();
-    private long nowMs = 1_000_000;
-    private final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new IllegalStateException("nothing is to come later");
-        }
-    };
+    private final ManualClock clock = new ManualClock(1_000_000);
 
     private Elector elector(final int edges, final long seed) {
         return new Elector(
@@ -101,10 +85,10 @@
             all.get(i).chill(List.of("cold"), 3000);
         }
         final List<Long> sentMs = new ArrayList<>();
-        for (final long untilMs = nowMs + 2900; nowMs < untilMs; nowMs += 10) {
+        for (final long untilMs = clock.nowMs() + 2900; clock.nowMs() < untilMs; clock.advance(10)) {
             for (final Elector elector : all) {
                 if (elector.elect(RULE, u -> true, Set.of()) != null) {
-                    sentMs.add(nowMs);
+                    sentMs.add(clock.nowMs());
                 }
             }
         }
@@ -117,7 +101,7 @@
                     .isLessThanOrEqualTo(Math.round(1.2 * 5.8 + 4) + edges);
         }
         assertThat(sentMs).isNotEmpty();
-        nowMs += 200;
+        clock.advance(200);
         assertThat(all.get(0).elect(RULE, u -> true, Set.of())).as("warm again").isNotNull();
     }
 }
--- a/spokestall/src/test/java/spokestall/feed/FollowerTest.java
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -14,7 +14,7 @@
 import spokestall.listing.Listing;
 import spokestall.policy.Book;
 import spokestall.policy.Snapshot;
-import spokestall.time.Clock;
+import spokestall.time.ManualClock;
 import spokestall.view.Member;
 import spokestall.wire.Note;
 
@@ -27,23 +27,7 @@
             new Voters(1, 1, List.of(seat("a"), seat("b"), seat("c"), seat("d"), seat("e")));
     private static final long BASE = TABLE.firstNumber();
     private final List<Sent> sent = new ArrayList<>();
-    private long nowMs = 1_000_000;
-    private final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new AssertionError();
-        }
-    };
+    private final ManualClock clock = new ManualClock(1_000_000);
     private final Book book = new Book(8);
     private final Member self = new Member("edge", "x", "x", false, "d1", "r1", 7, 0, false, 5, 1, false);
     private final Follower follower;
@@ -136,7 +120,7 @@
         final List<Sent> first = beat();
         assertThat(askedForNews(first)).containsExactly("a");
         sent.clear();
-        nowMs += 20;
+        clock.advance(20);
         for (final String core : List.of("b", "c", "d", "e")) {
             proof(core, askId(first), BASE + 2);
         }
@@ -153,7 +137,7 @@
     void whenWhoWasAskedIsBehindItselfOneThatIsAheadIsAskedAtOnce() {
         final List<Sent> first = beat();
         sent.clear();
-        nowMs += 20;
+        clock.advance(20);
         for (final String core : List.of("e", "d", "c", "b")) {
             proof(core, askId(first), BASE + 2);
         }
@@ -164,10 +148,10 @@
     @Test
     void whenWhoWasAskedIsSilentABeatLaterAnotherIsAsked() {
         beat();
-        nowMs += BEAT_MS;
+        clock.advance(BEAT_MS);
         final List<Sent> second = beat();
         sent.clear();
-        nowMs += 20;
+        clock.advance(20);
         for (final String core : List.of("b", "c", "d", "e")) {
             proof(core, askId(second), BASE + 2);
         }
--- a/spokestall/src/test/java/spokestall/listing/ProberTest.java
+++ b/spokestall/src/test/java/spokestall/listing/ProberTest.java
@@ -8,30 +8,14 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
-import spokestall.time.Clock;
 import spokestall.time.FleetClock;
+import spokestall.time.ManualClock;
 import spokestall.view.Member;
 
 /** Three cores and an edge that hear each other at once; the platform's list is what the test says. */
 class ProberTest {
     private static final long LIST_MS = 1000;
-    private long nowMs = 5_000_000;
-    private final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new AssertionError();
-        }
-    };
+    private final ManualClock clock = new ManualClock(5_000_000);
     private final FleetClock fleet = new FleetClock(clock, 100);
     private final Map<String, Listing> listings = new TreeMap<>();
     private final Map<String, Prober> probers = new TreeMap<>();
@@ -41,10 +25,11 @@
     private final List<Member> members = new ArrayList<>();
 
     ProberTest() {
-        fleet.heard("p", nowMs, true, nowMs);
-        fleet.heard("q", nowMs, true, nowMs);
+        fleet.heard("p", clock.nowMs(), true, clock.nowMs());
+        fleet.heard("q", clock.nowMs(), true, clock.nowMs());
         for (final String name : List.of("a", "b", "c", "edge")) {
-            members.add(new Member(name, name, name, !name.equals("edge"), "d", "r", 1, nowMs, false, 3, 1, false));
+            members.add(
+                    new Member(name, name, name, !name.equals("edge"), "d", "r", 1, clock.nowMs(), false, 3, 1, false));
             listings.put(name, new Listing(1, 100, 4000, false));
         }
         for (final Member m : members.subList(0, 3)) {
@@ -85,7 +70,7 @@
     }
 
     private void run(final long spanMs, final String... dead) {
-        for (final long untilMs = nowMs + spanMs; nowMs < untilMs; nowMs += 100) {
+        for (final long untilMs = clock.nowMs() + spanMs; clock.nowMs() < untilMs; clock.advance(100)) {
             probers.forEach((name, p) -> {
                 if (!List.of(dead).contains(name)) {
                     p.tick();
--- a/spokestall/src/test/java/spokestall/time/FleetClockTest.java
+++ b/spokestall/src/test/java/spokestall/time/FleetClockTest.java
@@ -6,31 +6,9 @@
 import org.junit.jupiter.api.Test;
 
 class FleetClockTest {
-    private static final class Hand implements Clock {
-        private long nowMs;
-        private long wallMs;
-
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return wallMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new IllegalStateException("not used");
-        }
-    }
-
     @Test
     void settlesWhenOnlyOnePeerIsSettledYet() {
-        final Hand hand = new Hand();
-        hand.wallMs = 50_000;
-        final FleetClock fleet = new FleetClock(hand, 100);
+        final FleetClock fleet = new FleetClock(new ManualClock(0, 50_000), 100);
         fleet.heard("s", 70_000, true, 0);
         fleet.heard("b", 70_010, false, 0);
         fleet.heard("c", 69_990, false, 0);
@@ -42,12 +20,11 @@
     void oneJumpedClockMovesNothing() {
         final Random random = new Random(7);
         for (int run = 0; run < 200; run++) {
-            final Hand hand = new Hand();
             final long trueMs = 1_000_000_000L;
             final int jumped = random.nextInt(6);
             final long jumpMs = (random.nextBoolean() ? 1 : -1) * (3_600_000L + random.nextInt(100_000_000));
-            hand.wallMs = trueMs + (jumped == 0 ? jumpMs : random.nextInt(20));
-            final FleetClock fleet = new FleetClock(hand, 100);
+            final long calendarMs = trueMs + (jumped == 0 ? jumpMs : random.nextInt(20));
+            final FleetClock fleet = new FleetClock(new ManualClock(0, calendarMs), 100);
             for (int peer = 1; peer < 6; peer++) {
                 fleet.heard("p" + peer, trueMs + (jumped == peer ? jumpMs : random.nextInt(20)), false, 0);
             }
