--- a/spokestall/src/main/java/spokestall/rim/Daemon.java
+++ b/spokestall/src/main/java/spokestall/rim/Daemon.java
@@ -10,11 +10,11 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import spokestall.Node;
 import spokestall.audit.Audit;
@@ -93,10 +93,16 @@
 
     /** Runs until the process is told to stop; the exit code is 0 after a clean stop, 2 if it could not start. */
     public int run() throws IOException {
-        final ExecutorService workers = Executors.newFixedThreadPool((int) settings.ms("workers"));
+        final XnioWorker worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads"))
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+        final XnioIoThread timer = worker.getIoThread();
+        final Stage stage = new Stage(turns(timer), STAGE_BOUND);
         final ExecutorService disk = Executors.newSingleThreadExecutor();
-        final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-        final Stage stage = new Stage(workers, STAGE_BOUND);
         if (core) {
             final String why = DataFolder.open(Path.of(settings.text("data")), settings.text("name"));
             if (why != null) {
@@ -117,13 +123,6 @@
             return refused("data: the ring's files can't be made: " + e.getMessage());
         }
         final Audit audit = audit(Executors.newSingleThreadExecutor());
-        final XnioWorker worker = Xnio.getInstance()
-                .createWorker(OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, (int) settings.ms("ioThreads"))
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
-                        .set(Options.TCP_NODELAY, true)
-                        .getMap());
         final Clock clock = new SystemClock(timer, stage);
         final Wires wires = new Wires(
                 worker,
@@ -174,7 +173,7 @@
             node.watch(policy -> server.limits(policy.limits()));
             node.start();
         });
-        watch(timer, workers, stage, server);
+        watch(timer, worker, stage, server);
         final CountDownLatch stopped = new CountDownLatch(1);
         final CountDownLatch gone = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -192,16 +191,22 @@
     }
 
     /** Settings are read and checked off the stage, and taken on it. */
-    private void watch(
-            final ScheduledExecutorService timer, final Executor workers, final Stage stage, final Front server) {
+    private void watch(final XnioIoThread timer, final Executor reader, final Stage stage, final Front server) {
         final SettingsWatch watch = new SettingsWatch(
-                source, new Stage(workers, STAGE_BOUND), newer -> stage.execute(() -> server.renew(node.renew(newer))));
+                source, new Stage(reader, STAGE_BOUND), newer -> stage.execute(() -> server.renew(node.renew(newer))));
         Hangup.process().listen(watch::signalled);
         if (source.file().isPresent()) {
-            timer.scheduleWithFixedDelay(watch::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            timer.executeAtInterval(watch::look, LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /** What runs the stage's turns: workers of its own, or the thread that has its timers and wires. There an event goes
+     * from a wire to the stage and back without waking another thread. */
+    private Executor turns(final XnioIoThread io) {
+        final int workers = (int) settings.ms("workers");
+        return workers == 0 ? io : Executors.newFixedThreadPool(workers);
+    }
+
     /** A core goes on without its audit, and says so, rather than not at all. */
     private Audit audit(final ExecutorService writer) {
         if (!core || settings.ms("auditFiles") == 0) {
