Tests: one disk in memory, and one that is late, in place of four

Cause: VoterTest, RingTest, BallotBench and SeatsBench each had the same arrays of bytes behind the same interface. Excluded: the simulators' disks in proof, which lose, tear, fail and fill. Before: four classes. After: ring.MemorySegments, ring.DelayedSegments; RingTest's disk, which holds commits back, extends the first.

--- a/spokestall/src/test/java/spokestall/ballot/BallotBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/BallotBench.java
@@ -7,8 +7,8 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
+import spokestall.ring.DelayedSegments;
 import spokestall.ring.Ring;
-import spokestall.ring.Segments;
 import spokestall.time.Clock;
 import spokestall.wire.Note;
 
@@ -39,37 +39,6 @@
         }
     }
 
-    private final class Disk implements Segments {
-        private final byte[][] files = new byte[8][1 << 16];
-        private long life;
-
-        @Override
-        public int count() {
-            return files.length;
-        }
-
-        @Override
-        public int sizeBytes() {
-            return files[0].length;
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return files[segment].clone();
-        }
-
-        @Override
-        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-            final long mine = life;
-            clock.after(1 + random.nextInt(3), () -> {
-                if (life == mine) {
-                    pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
-                    done.accept(true);
-                }
-            });
-        }
-    }
-
     /** The bench's clock. */
     public final Clock clock = new Clock() {
         @Override
@@ -93,7 +62,7 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : Long.compare(a.number, b.number));
     private final Map<String, Consumer<Note>> ears = new HashMap<>();
-    private final List<Disk> disks = new ArrayList<>();
+    private final List<DelayedSegments> disks = new ArrayList<>();
     private final Voters table;
     private final double loss;
     private long nowMs;
@@ -106,7 +75,7 @@
         final List<Seat> seats = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             seats.add(new Seat("v" + i, "v" + i, "disk-" + i));
-            disks.add(new Disk());
+            disks.add(new DelayedSegments(8, 1 << 16, clock, () -> 1 + random.nextInt(3)));
         }
         table = new Voters(1, 1, seats);
         for (int i = 0; i < 6; i++) {
@@ -146,7 +115,7 @@
 
     /** The power of one voter goes and comes back at once: what was not synced is lost. */
     public void bounce(final int i) {
-        disks.get(i).life++;
+        disks.get(i).losePower();
         voter(i);
     }
 
--- a/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -13,9 +13,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Consumer;
+import spokestall.ring.DelayedSegments;
 import spokestall.ring.Ring;
-import spokestall.ring.Segments;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
 import spokestall.wire.Note;
@@ -25,36 +24,8 @@
 final class SeatsBench {
     private record Event(long atMs, long number, Runnable what) {}
 
-    private static final class Disk implements Segments {
-        private final byte[][] files = new byte[8][1 << 15];
-        private SeatsBench bench;
-        private long life;
-
-        @Override
-        public int count() {
-            return files.length;
-        }
-
-        @Override
-        public int sizeBytes() {
-            return files[0].length;
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return files[segment].clone();
-        }
-
-        @Override
-        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-            final long mine = life;
-            bench.clock.after(1 + bench.random.nextInt(8), () -> {
-                if (life == mine) {
-                    pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
-                    done.accept(true);
-                }
-            });
-        }
+    private DelayedSegments disk() {
+        return new DelayedSegments(8, 1 << 15, clock, () -> 1 + random.nextInt(8));
     }
 
     /** One machine, over all its lives. */
@@ -70,7 +41,7 @@
         Voter voter;
         Formation formation;
         Proposer proposer;
-        private Disk disk = new Disk();
+        private DelayedSegments disk = disk();
         private Council council;
         private Founder founder;
         private long startedMs;
@@ -86,7 +57,6 @@
             lives++;
             up = true;
             startedMs = nowMs;
-            disk.bench = SeatsBench.this;
             final int mine = lives;
             final boolean told = bootstrap && (lives == 1 || alwaysFirst);
             final Clock own = new Clock() {
@@ -207,12 +177,12 @@
 
         void stop() {
             up = false;
-            disk.life++;
+            disk.losePower();
         }
 
         void wipe() {
             stop();
-            disk = new Disk();
+            disk = disk();
         }
 
         /** The machine never comes back. */
--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import spokestall.feed.Versions;
+import spokestall.ring.MemorySegments;
 import spokestall.ring.Ring;
 import spokestall.ring.Segments;
 
@@ -63,30 +63,8 @@
         }
     }
 
-    /** A disk that is down at once. */
-    private static final class Quick implements Segments {
-        private final byte[][] files = new byte[8][1 << 14];
-
-        @Override
-        public int count() {
-            return files.length;
-        }
-
-        @Override
-        public int sizeBytes() {
-            return files[0].length;
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return files[segment].clone();
-        }
-
-        @Override
-        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-            pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
-            done.accept(true);
-        }
+    private static Segments disk() {
+        return new MemorySegments(8, 1 << 14);
     }
 
     private static Voters table(final int seats) {
@@ -98,7 +76,7 @@
     }
 
     private static Voter joiner() {
-        return new Voter("v0", new Ring(new Quick()), (to, note) -> {}, OPEN, "disk-0");
+        return new Voter("v0", new Ring(disk()), (to, note) -> {}, OPEN, "disk-0");
     }
 
     @Test
@@ -126,7 +104,7 @@
 
     @Test
     void aJoinerTakesTheHighestFloorOfThoseThatItReadFromAndKeepsItThroughARestart() {
-        final Quick disk = new Quick();
+        final Segments disk = disk();
         final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
@@ -142,8 +120,7 @@
     @Test
     void aJoinerDoesNotVoteBeforeWhatTheOthersLetGoIsOnItsOwnDisk() {
         final AtomicLong snapshotDown = new AtomicLong(39);
-        final Voter voter =
-                new Voter("v0", new Ring(new Quick()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
+        final Voter voter = new Voter("v0", new Ring(disk()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
         voter.hear(allOf("v2", 40), "v0");
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/ring/DelayedSegments.java
@@ -0,0 +1,36 @@
+package spokestall.ring;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import spokestall.time.Clock;
+
+/** A disk in memory on which a commit is down after a while of a virtual clock, unless the power goes before. */
+public final class DelayedSegments extends MemorySegments {
+    private final Clock clock;
+    private final IntSupplier delayMs;
+    private long life;
+
+    /** Example: {@code new DelayedSegments(8, 1 << 16, clock, () -> 1 + random.nextInt(3))} */
+    public DelayedSegments(final int count, final int sizeBytes, final Clock clock, final IntSupplier delayMs) {
+        super(count, sizeBytes);
+        this.clock = clock;
+        this.delayMs = delayMs;
+    }
+
+    @Override
+    public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+        final long mine = life;
+        clock.after(delayMs.getAsInt(), () -> {
+            if (life == mine) {
+                write(pieces);
+                done.accept(true);
+            }
+        });
+    }
+
+    /** What is not down yet is lost, and nobody is told. Example: {@code disk.losePower();} */
+    public void losePower() {
+        life++;
+    }
+}
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/ring/MemorySegments.java
@@ -0,0 +1,50 @@
+package spokestall.ring;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/** A disk in memory on which a commit is down at once. */
+public class MemorySegments implements Segments {
+    private final byte[][] files;
+
+    /** Example: {@code new MemorySegments(8, 1 << 14)} */
+    public MemorySegments(final int count, final int sizeBytes) {
+        files = new byte[count][sizeBytes];
+    }
+
+    @Override
+    public final int count() {
+        return files.length;
+    }
+
+    @Override
+    public final int sizeBytes() {
+        return files[0].length;
+    }
+
+    @Override
+    public final byte[] read(final int segment) {
+        return files[segment].clone();
+    }
+
+    @Override
+    public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+        write(pieces);
+        done.accept(true);
+    }
+
+    /** Puts whole pieces down. */
+    protected final void write(final List<Piece> pieces) {
+        pieces.forEach(piece -> write(piece, piece.bytes().length));
+    }
+
+    /** Puts the beginning of a piece down, as a loss of power may leave it. */
+    protected final void write(final Piece piece, final int bytes) {
+        System.arraycopy(piece.bytes(), 0, files[piece.segment()], piece.at(), bytes);
+    }
+
+    /** Changes some bits of a byte, as a disk that decays. Example: {@code disk.flip(0, 17, 0x20);} */
+    public final void flip(final int segment, final int at, final int bits) {
+        files[segment][at] ^= (byte) bits;
+    }
+}
--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -14,28 +14,12 @@
 
 class RingTest {
     /** A disk that holds commits back until told, and may lose or tear what is not synced. */
-    private static final class Disk implements Segments {
-        private final byte[][] files;
+    private static final class Disk extends MemorySegments {
         private final List<Piece> flying = new ArrayList<>();
         private Consumer<Boolean> waiting;
 
         Disk(final int count, final int size) {
-            files = new byte[count][size];
-        }
-
-        @Override
-        public int count() {
-            return files.length;
-        }
-
-        @Override
-        public int sizeBytes() {
-            return files[0].length;
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return files[segment].clone();
+            super(count, size);
         }
 
         @Override
@@ -46,9 +30,7 @@
         }
 
         void sync() {
-            for (final Piece p : flying) {
-                System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length);
-            }
+            write(flying);
             flying.clear();
             final Consumer<Boolean> done = waiting;
             waiting = null;
@@ -67,7 +49,7 @@
 
         void losePower(final Random random) {
             for (final Piece p : flying) {
-                System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), random.nextInt(p.bytes().length + 1));
+                write(p, random.nextInt(p.bytes().length + 1));
             }
             flying.clear();
             waiting = null;
@@ -137,7 +119,7 @@
             final int last = 59;
             // Somewhere in what was written, but not in the last record: that one looks like a torn tail.
             final int at = random.nextInt(50 * 40);
-            disk.files[0][at] ^= 0x20;
+            disk.flip(0, at, 0x20);
             final Ring again = new Ring(disk);
             if (again.blank()) {
                 blank++;
