--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -386,6 +386,7 @@
                 proposer,
                 follower,
                 clock,
+                () -> fleet.settled() ? fleet.nowMs() : 0,
                 settings.part("policyBoundMs", 0.8),
                 policyBytesMost(),
                 feeds::tell);
@@ -834,6 +835,7 @@
 
     private void policyMoved() {
         watcher.accept(book.policy());
+        clock.after(0, acceptance::moved);
         if (serves) {
             givenBack();
         }
--- a/spokestall/src/main/java/spokestall/policy/Book.java
+++ b/spokestall/src/main/java/spokestall/policy/Book.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -13,14 +13,13 @@
     /** The one reader of JSON. */
     public static final ObjectMapper JSON = new ObjectMapper();
 
-    private static final int IDS_KEPT = 512;
     private static final long CHANGES_BYTES_MOST = 2 << 20;
     /** So many changes cost a follower more than the whole. */
     private static final int CHANGES_AT_ONCE = 32;
 
     private final int changesKept;
     private final TreeMap<Long, Change> changes = new TreeMap<>();
-    private final Map<String, Long> changeIds = new LinkedHashMap<>();
+    private final AcceptedOrders orders = new AcceptedOrders();
     private long changesBytes;
     private Snapshot snapshot;
     private long bytesMost;
@@ -49,9 +48,10 @@
         return bytesMost;
     }
 
-    /** The version a change id was accepted as, or null. Example: {@code book.versionOf("chg-1")} */
+    /** The version an order was accepted as, or null: those of ten minutes at least, and never fewer than 512, but never more
+     * than 2048. Example: {@code book.versionOf("chg-1")} */
     public Long versionOf(final String changeId) {
-        return changeIds.get(changeId);
+        return orders.versionOf(changeId);
     }
 
     /** The tree after a change, not yet applied. Example: {@code book.preview(change)} */
@@ -70,7 +70,10 @@
         policy = form.read(version, preview(change), policy);
         bytesMost = (change.kind() == Change.Kind.PUT ? 0 : bytesMost) + change.json().length;
         keep(version, change);
-        remember(change.changeId(), version);
+        if (!change.before().isEmpty()) {
+            orders.replace(change.before());
+        }
+        orders.accept(change.changeId(), version, change.acceptedMs());
     }
 
     /** The newest one is kept however large it is: it is told to all. */
@@ -82,11 +85,9 @@
         }
     }
 
-    private void remember(final String changeId, final long version) {
-        changeIds.put(changeId, version);
-        if (changeIds.size() > IDS_KEPT) {
-            changeIds.remove(changeIds.keySet().iterator().next());
-        }
+    /** The orders that were accepted lately, the oldest first. Example: {@code new Snapshot(17, json, book.orders())} */
+    public List<AcceptedOrder> orders() {
+        return orders.all();
     }
 
     /** Starts from a snapshot if it is newer. Example: {@code book.load(snapshot);} */
@@ -102,8 +103,7 @@
         }
         changes.clear();
         changesBytes = 0;
-        changeIds.clear();
-        snapshot.changeIds().forEach(this::remember);
+        orders.replace(snapshot.orders());
         return true;
     }
 
@@ -113,8 +113,7 @@
             return snapshot;
         }
         try {
-            snapshot = new Snapshot(
-                    policy.version(), JSON.writeValueAsBytes(policy.tree()), new LinkedHashMap<>(changeIds));
+            snapshot = new Snapshot(policy.version(), JSON.writeValueAsBytes(policy.tree()), orders.all());
             return snapshot;
         } catch (final JsonProcessingException e) {
             throw new IllegalStateException(e);
