--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -143,6 +143,7 @@
     final Feeds feeds = new Feeds(this);
     private final long windowMs;
     private int sharersMost = 1;
+    private long sharersSeen = -1;
     private Set<String> heldBefore = Set.of();
     private Kept keptList;
     private Kept keptUsage;
@@ -266,6 +267,7 @@
         this.ring = core ? new Ring(rim.segments()) : null;
         this.keeping = core
                 ? new Keeping(
+                        () -> fleet.settled() && checked(),
                         fleet,
                         settings.ms("claimKeepMs"),
                         settings.part("claimKeepMs", 0.2),
@@ -472,6 +474,10 @@
         return settings;
     }
 
+    private boolean checked() {
+        return formation.checked();
+    }
+
     /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
     private int policyBytesMost() {
         return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") * 3 / 8);
@@ -625,6 +631,11 @@
         return voter;
     }
 
+    /** Whether this core's voter may give votes now. Example: {@code assertThat(node.votes()).isTrue();} */
+    public boolean votes() {
+        return voter.state() == Voter.State.VOTING && keeping.ready();
+    }
+
     /** How full a core's ring is, 1 when nothing more fits. Example: {@code node.ringFill() < 0.7} */
     public double ringFill() {
         return ring.fill();
@@ -1054,6 +1065,10 @@
         if (settings.ms("edges") > 0) {
             return (int) settings.ms("edges");
         }
+        if (view.changes() == sharersSeen) {
+            return sharersMost;
+        }
+        sharersSeen = view.changes();
         int serving = serves ? 1 : 0;
         for (final Member m : view.members()) {
             serving += m.serves() ? 1 : 0;
--- a/spokestall/src/main/java/spokestall/rim/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/rim/HttpClient.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -36,6 +37,9 @@
  */
 public final class HttpClient {
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
+    /** However long the other end says. */
+    private static final long REST_MOST_MS = 60_000;
+
     private static final int HEADERS_MAX = 16 << 10;
     private static final int MISDIRECTED = 421;
     private static final Set<String> BODILESS = Set.of("GET", "HEAD", "DELETE", "OPTIONS");
@@ -50,11 +54,17 @@
     private final XnioWorker worker;
     private final ByteBufferPool pool;
     private final long restMs;
+    private final LongSupplier nowMs;
     private final IdleConnections idle = new IdleConnections();
 
-    /** A wire rests for restMs at the most, and for less than its other end says.
+    /** A wire rests for less than its other end says, and for restMs where that says nothing.
      * Example: {@code new HttpClient(worker, new DefaultByteBufferPool(true, 16384), 1000)} */
     public HttpClient(final XnioWorker worker, final ByteBufferPool pool, final long restMs) {
+        this(worker, pool, restMs, () -> System.nanoTime() / 1_000_000);
+    }
+
+    HttpClient(final XnioWorker worker, final ByteBufferPool pool, final long restMs, final LongSupplier nowMs) {
+        this.nowMs = nowMs;
         this.restMs = restMs;
         this.worker = worker;
         this.pool = pool;
@@ -73,10 +83,6 @@
         new Exchange(call, judge).begin();
     }
 
-    private static long nowMs() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     /** One exchange. */
     private final class Exchange implements ClientCallback<ClientExchange> {
         private final HttpCall call;
@@ -97,7 +103,7 @@
         }
 
         void begin() {
-            final ClientConnection kept = call.freshWire() ? null : idle.take(peer, call.repeatable(), nowMs());
+            final ClientConnection kept = call.freshWire() ? null : idle.take(peer, call.repeatable(), nowMs.getAsLong());
             final XnioIoThread io = kept != null ? kept.getIoThread() : worker.getIoThread();
             timer = io.executeAfter(() -> trouble("timeout"), Math.max(1, call.waitMs()), TimeUnit.MILLISECONDS);
             if (kept != null) {
@@ -184,8 +190,8 @@
             if (!request.getRequestHeaders().contains(Headers.HOST)) {
                 request.getRequestHeaders().put(Headers.HOST, call.address());
             }
-            if (nowMs() >= untilMs) {
-                idle.keep(peer, made, restMs, nowMs());
+            if (nowMs.getAsLong() >= untilMs) {
+                idle.keep(peer, made, restMs, nowMs.getAsLong());
                 end(new HttpResult.NotSent("barred"));
                 return;
             }
@@ -304,7 +310,7 @@
                 final long rest = restMs(headers.getFirst(Headers.KEEP_ALIVE));
                 final ClientConnection used = wire;
                 // What came along behind the answer is seen first, and closes it.
-                used.getIoThread().execute(() -> idle.keep(peer, used, rest, nowMs()));
+                used.getIoThread().execute(() -> idle.keep(peer, used, rest, nowMs.getAsLong()));
             } else {
                 IoUtils.safeClose(wire);
             }
@@ -321,7 +327,7 @@
         /** Well below what the other end says, whose time runs from earlier and may be told in whole seconds. */
         private long restMs(final String keepAlive) {
             final Matcher told = KEEP_ALIVE.matcher(keepAlive == null ? "" : keepAlive);
-            return told.find() ? Math.min(restMs, Long.parseLong(told.group(1)) * 700) : restMs;
+            return told.find() ? Math.min(REST_MOST_MS, Long.parseLong(told.group(1)) * 700) : restMs;
         }
 
         private void trouble(final String why) {
