--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -32,12 +32,12 @@
 import spokestall.duty.UsageBook;
 import spokestall.duty.UsageCounter;
 import spokestall.duty.UsageNote;
+import spokestall.edge.Directory;
 import spokestall.edge.Edge;
 import spokestall.edge.Elector;
 import spokestall.edge.Habits;
 import spokestall.edge.Parts;
 import spokestall.edge.Upstreams;
-import spokestall.edge.Where;
 import spokestall.feed.FeedNote;
 import spokestall.feed.Follower;
 import spokestall.feed.Versions;
@@ -141,6 +141,8 @@
     final Audit audit;
     final Calls calls = new Calls();
     final Feeds feeds = new Feeds(this);
+    private final Directory directory = new Directory();
+    private final long startedMs;
     private final long windowMs;
     private int sharersMost = 1;
     private long sharersSeen = -1;
@@ -175,6 +177,7 @@
         this.address = settings.text("address");
         this.clock = rim.clock();
         this.random = rim.random();
+        this.startedMs = clock.nowMs();
         this.life = clock.wallMs() << 10 | random.nextInt(1 << 10);
         this.fleet = new FleetClock(clock, settings.part("farMs", 2));
         this.post = (to, note) -> {
@@ -553,16 +556,18 @@
                 "event=start node=%s role=%s address=%s district=%s region=%s life=%s",
                 name, core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
         hurry(clock.nowMs() + settings.part("leaveBoundMs", 1.5), 0);
-        every(settings.part("leaveBoundMs", 0.125), view::tick);
-        every(settings.ms("proofMs"), follower::tick);
+        every(settings.part("leaveBoundMs", 0.125), () -> {
+            view.tick();
+            publishEdges();
+        });
+        every(settings.ms("proofMs"), () -> {
+            follower.tick();
+            publishEdges();
+        });
         if (core) {
             every(settings.part("leaveBoundMs", 0.0625), formation::tick);
             every(settings.part("leaveBoundMs", 0.125), prober::tick);
-            every(settings.part("leaseMs", 0.1), () -> {
-                if (fleet.settled()) {
-                    keeper.tick();
-                }
-            });
+            every(settings.part("leaseMs", 0.1), this::keepLease);
             every(settings.part("reportDueMs", 0.01), reporter::tick);
             every(settings.part("keyBoundMs", 0.2), this::tidy);
             every(settings.ms("countPushMs"), keptUsage::tick);
@@ -597,6 +602,7 @@
             return;
         }
         view.greet(voters() == null ? List.of() : coreAddresses());
+        publishEdges();
         if (voters() != null && !follower.fresh() || turn < HURRIED || turn % (2 * HURRIED) == 0) {
             // Before there are voters nothing can be proved; a founding takes seconds.
             follower.tick();
@@ -672,6 +678,7 @@
         LOG.atInfo().log("event=leaving node=%s", name);
         view.leave();
         follower.tick();
+        publishEdges();
         final Departure.Pace departing = new Departure.Pace(
                 settings.part("stopWaitMs", 0.2),
                 settings.part("stopWaitMs", 0.75),
@@ -737,6 +744,17 @@
         }
     }
 
+    /**
+     * A node that leaves acquires no lease; one that it holds it keeps until its last request is answered. Neither does one that
+     * doesn't vote: without the registers it can't tell which windows it may report.
+     */
+    private void keepLease() {
+        final boolean mayAcquire = voter.state() == Voter.State.VOTING && !leaving();
+        if (fleet.settled() && (keeper.state() == LeaseKeeper.State.HOLDING || mayAcquire)) {
+            keeper.tick();
+        }
+    }
+
     private Long presentLife(final String name) {
         final Feeds.Present p = feeds.edges().get(name);
         return p == null ? null : p.member().life();
@@ -918,7 +936,7 @@
 
     private Remains remains() {
         final List<BallotNote.Entry> registers = new ArrayList<>();
-        final boolean hasState = core && voter.hasState();
+        final boolean hasState = core && voter.keepsState();
         if (hasState) {
             voter.registers().forEach((key, r) -> registers.add(new BallotNote.Entry(key, r)));
         }
@@ -1077,10 +1095,9 @@
         return sharersMost;
     }
 
-    /** Edges for a caller of a place: those of its district, of its region where that has but one, else any.
-     * Example: {@code node.edgesNear("r1", "d1")} */
-    public List<Member> edgesNear(final String region, final String district) {
-        return Where.near(edgesForClients(), region, district);
+    /** The edges that callers are told of, for any thread. Example: {@code Where.near(node.directory().edges(), "r1", "d1")} */
+    public Directory directory() {
+        return directory;
     }
 
     /** Whether this node takes asks now. Example: {@code if (!node.ready()) answer(503);} */
@@ -1098,18 +1115,49 @@
         return acceptance;
     }
 
+    /**
+     * The edges believed to serve: those whose own word is fresh. Where none is, as after a loss of power or while no core
+     * answers, those last named, then those that are known at all: a caller that is told of none can only wait.
+     */
     Collection<Member> edgesForClients() {
-        if (core) {
-            return feeds.freshEdges();
-        }
         final Map<String, Member> found = new TreeMap<>();
-        follower.edges(settings.heardMs()).forEach(e -> found.put(e.name(), e));
-        if (view.self().leaving()) {
+        heardEdges().forEach(e -> found.put(e.name(), e));
+        if (ready()) {
+            found.put(name, view.self());
+        }
+        if (found.isEmpty()) {
+            follower.edges(settings.part("leaveBoundMs", 2)).forEach(e -> found.put(e.name(), e));
+        }
+        if (found.isEmpty()) {
+            view.members().stream().filter(Member::serves).forEach(e -> found.put(e.name(), e));
+        }
+        if (leaving()) {
             found.remove(name);
         }
         return found.values();
     }
 
+    /** A core that has just started, or that nobody asks since it has no seat, goes by the word of another core. */
+    private Collection<Member> heardEdges() {
+        final long spanMs = settings.heardMs();
+        if (!core) {
+            return follower.edges(spanMs);
+        }
+        final Collection<Member> asking = feeds.freshEdges();
+        final boolean justStarted = clock.nowMs() - startedMs < spanMs;
+        if (!asking.isEmpty() && !justStarted) {
+            return asking;
+        }
+        final List<Member> both = new ArrayList<>(follower.edges(spanMs));
+        both.addAll(asking);
+        return both;
+    }
+
+    /** Callers are told of what was heard up to now. */
+    private void publishEdges() {
+        directory.publish(edgesForClients());
+    }
+
     /** Nodes configured with other counts of nodes than this one: shared bounds are divided by them. */
     List<String> differing() {
         final Member self = view.self();
--- a/spokestall/src/test/java/spokestall/ring/DelayedSegments.java
+++ b/spokestall/src/test/java/spokestall/ring/DelayedSegments.java
@@ -9,6 +9,7 @@
 public final class DelayedSegments extends MemorySegments {
     private final Clock clock;
     private final IntSupplier delayMs;
+    private long slowMs;
     private long life;
 
     /** Example: {@code new DelayedSegments(8, 1 << 16, clock, () -> 1 + random.nextInt(3))} */
@@ -21,7 +22,7 @@
     @Override
     public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
         final long mine = life;
-        clock.after(delayMs.getAsInt(), () -> {
+        clock.after(slowMs + delayMs.getAsInt(), () -> {
             if (life == mine) {
                 write(pieces);
                 done.accept(true);
@@ -29,6 +30,11 @@
         });
     }
 
+    /** Each commit takes so much longer from now on. Example: {@code disk.slowBy(300);} */
+    public void slowBy(final long byMs) {
+        slowMs = byMs;
+    }
+
     /** What is not down yet is lost, and nobody is told. Example: {@code disk.losePower();} */
     public void losePower() {
         life++;
