--- a/spokestall/src/test/java/spokestall/time/FleetClockTest.java
+++ b/spokestall/src/test/java/spokestall/time/FleetClockTest.java
@@ -36,13 +36,12 @@
     /** Replies that waited for a machine that stood still are off by half of that time. */
     @Test
     void readingsThatWereLongOnTheirWayMoveNothing() {
-        final Hand hand = new Hand();
-        hand.wallMs = 50_000;
-        final FleetClock fleet = new FleetClock(hand, 100);
+        final ManualClock clock = new ManualClock(0, 50_000);
+        final FleetClock fleet = new FleetClock(clock, 100);
         for (final String peer : List.of("a", "b", "c")) {
             fleet.heard(peer, 50_000, true, 0);
         }
-        hand.nowMs = 6500;
+        clock.advance(6500);
         for (final String peer : List.of("a", "b", "c")) {
             fleet.heard(peer, 50_010, true, 0);
             fleet.heard(peer, 50_010, false, 0);
@@ -53,10 +52,7 @@
     /** Where each reading takes long, one that is off is better than none. */
     @Test
     void aFirstReadingCountsHoweverLongItTook() {
-        final Hand hand = new Hand();
-        hand.nowMs = 400;
-        hand.wallMs = 10_000;
-        final FleetClock fleet = new FleetClock(hand, 100);
+        final FleetClock fleet = new FleetClock(new ManualClock(400, 10_000), 100);
         fleet.heard("a", 50_000, true, 0);
         fleet.heard("b", 50_000, true, 0);
         assertThat(fleet.settled()).isTrue();
