Node: wiring, start, dispatch and stop alone; one part for each subsystem

After: Node, and NodeContext (what the parts share), Paces (time spans from the settings), Membership, CoreStorage, UsageDuty, Discovery, Serving, Handoff, Neighbours, KnownEdges; each hears its own messages.

--- a/spokestall/src/main/java/spokestall/Departure.java
+++ b/spokestall/src/main/java/spokestall/Departure.java
@@ -24,6 +24,20 @@
         boolean open();
     }
 
+    /** A node that answers no clients. */
+    static final class Idle implements Requests {
+        @Override
+        public void deny() {}
+
+        @Override
+        public void giveUp() {}
+
+        @Override
+        public boolean open() {
+            return false;
+        }
+    }
+
     private final Connections connections;
     private final Requests requests;
     private final Clock clock;
--- a/spokestall/src/main/java/spokestall/Desk.java
+++ b/spokestall/src/main/java/spokestall/Desk.java
@@ -38,7 +38,7 @@
         node.calls.on("status", (p, done) -> done.accept(Reply.of(Result.OK, status())));
         node.calls.on("upstreams", (p, done) -> done.accept(Reply.of(Result.OK, upstreams())));
         node.calls.on("usage.get", this::usageGet);
-        if (node.core) {
+        if (node.context.core) {
             node.calls.on("policy.put", (p, done) -> take(p, write(Change.Kind.PUT, p.get("policy")), done));
             node.calls.on("policy.patch", (p, done) -> take(p, write(Change.Kind.PATCH, p.get("patch")), done));
             node.calls.on(
@@ -68,7 +68,7 @@
 
     /** The policy, proved newest after the call came. */
     private void policyGet(final Consumer<Reply> done) {
-        node.acceptance.newest(node.settings.ms("policyBoundMs"), policy -> {
+        node.acceptance.newest(node.context.settings().ms("policyBoundMs"), policy -> {
             if (policy == null) {
                 done.accept(Reply.of(Result.NOT_READY, null));
                 return;
@@ -125,7 +125,7 @@
             where(p, tenant, done);
             return;
         }
-        node.acceptance.newest(node.settings.ms("freshMs"), policy -> {
+        node.acceptance.newest(node.context.settings().ms("freshMs"), policy -> {
             if (policy == null) {
                 done.accept(Reply.of(Result.NOT_FRESH, null));
             } else if (policy.tenantOf(key) == null) {
@@ -139,7 +139,7 @@
     private void where(final JsonNode p, final Tenant tenant, final Consumer<Reply> done) {
         final List<Member> found = Where.elect(
                 p.get("client").asText(),
-                node.edgesForClients(),
+                node.knownEdges.forClients(),
                 tenant.homeRegions(),
                 node.book.policy().holds(),
                 2);
@@ -153,31 +153,32 @@
                 .put("name", m.name())
                 .put("address", m.httpAddress())
                 .put("region", m.region()));
-        out.put("forMs", node.settings.part("leaveBoundMs", 0.4));
-        out.put("ticket", new Ticket(node.voters().generation(), node.fleet.nowMs()).text());
+        out.put("forMs", node.context.settings().part("leaveBoundMs", 0.4));
+        out.put("ticket", new Ticket(node.voters().generation(), node.context.fleet.nowMs()).text());
         done.accept(Reply.of(Result.OK, out));
     }
 
     private void usageGet(final JsonNode p, final Consumer<Reply> done) {
-        node.proposer.read(Sealed.key(p.get("window").asLong()), node.settings.ms("policyBoundMs"), outcome -> {
-            if (outcome instanceof Outcome.Done d && d.value() != null) {
-                final Sealed sealed = Codec.record(d.value(), Sealed.class);
-                final ObjectNode out = Book.JSON
-                        .createObjectNode()
-                        .put("window", sealed.window())
-                        .put("completed", sealed.completed())
-                        .put("token", sealed.token());
-                final ObjectNode counts = out.putObject("counts");
-                sealed.counts().forEach(counts::put);
-                done.accept(Reply.of(Result.OK, out));
-            } else {
-                done.accept(Reply.of(
-                        outcome instanceof Outcome.Done || outcome instanceof Outcome.Gone
-                                ? Result.NOT_FOUND
-                                : Result.NOT_READY,
-                        null));
-            }
-        });
+        node.proposer.read(
+                Sealed.key(p.get("window").asLong()), node.context.settings().ms("policyBoundMs"), outcome -> {
+                    if (outcome instanceof Outcome.Done d && d.value() != null) {
+                        final Sealed sealed = Codec.record(d.value(), Sealed.class);
+                        final ObjectNode out = Book.JSON
+                                .createObjectNode()
+                                .put("window", sealed.window())
+                                .put("completed", sealed.completed())
+                                .put("token", sealed.token());
+                        final ObjectNode counts = out.putObject("counts");
+                        sealed.counts().forEach(counts::put);
+                        done.accept(Reply.of(Result.OK, out));
+                    } else {
+                        done.accept(Reply.of(
+                                outcome instanceof Outcome.Done || outcome instanceof Outcome.Gone
+                                        ? Result.NOT_FOUND
+                                        : Result.NOT_READY,
+                                null));
+                    }
+                });
     }
 
     /** Marks an answer as this node's own view: by which version, how old its proof is, and whether that still counts. */
@@ -192,8 +193,8 @@
         final ObjectNode out = Book.JSON.createObjectNode();
         local(out);
         final ArrayNode list = out.putArray("upstreams");
-        for (final Listed l : node.listing.listed()) {
-            final Report word = node.listing.word(l.instance(), node.fleet.nowMs());
+        for (final Listed l : node.discovery.listing.listed()) {
+            final Report word = node.discovery.listing.word(l.instance(), node.context.fleet.nowMs());
             list.addObject()
                     .put("instance", l.instance())
                     .put("service", l.service())
@@ -208,7 +209,9 @@
 
     private ObjectNode status() {
         final ObjectNode out = Book.JSON.createObjectNode();
-        out.put("node", node.name).put("role", node.core ? "core" : "edge").put("fleetMs", node.fleet.nowMs());
+        out.put("node", node.context.name)
+                .put("role", node.context.core ? "core" : "edge")
+                .put("fleetMs", node.context.fleet.nowMs());
         local(out);
         final ObjectNode nodes = out.putObject("nodes");
         for (final Member m : node.view.members()) {
@@ -218,9 +221,9 @@
                     .put("http", m.httpAddress())
                     .put("district", m.district())
                     .put("leaving", m.leaving())
-                    .put("heardMs", node.fleet.nowMs() - m.heardMs());
+                    .put("heardMs", node.context.fleet.nowMs() - m.heardMs());
         }
-        node.differing().forEach(out.putArray("differing")::add);
+        node.neighbours.differing().forEach(out.putArray("differing")::add);
         if (node.voters() != null) {
             final ObjectNode table = out.putObject("voters")
                     .put("generation", node.voters().generation())
@@ -229,7 +232,9 @@
                 final Follower.Word back = node.follower.last().get(s.name());
                 final boolean heard = back != null
                         && node.follower.heardMs(s.name())
-                                < Math.max(node.settings.ms("leaveBoundMs"), node.settings.heardMs());
+                                < Math.max(
+                                        node.context.settings().ms("leaveBoundMs"),
+                                        node.context.settings().heardMs());
                 table.putObject(s.name())
                         .put("state", !heard ? "unheard" : back.voting() ? "voting" : "blank")
                         .put("applied", heard ? back.applied() : 0);
@@ -247,7 +252,7 @@
                                     .path(district)
                                     .path("reason")
                                     .asText());
-            if (node.core) {
+            if (node.context.core) {
                 int open = 0;
                 for (final Feeds.Present p : node.feeds.edges().values()) {
                     open += p.member().district().equals(district) ? p.open() : 0;
@@ -255,20 +260,20 @@
                 hold.put("open", open).put("empty", open == 0);
             }
         }
-        if (node.core) {
-            out.put("voter", node.voter.state().name())
-                    .put("ring", node.ring.state().name())
-                    .put("ringFill", node.ring.fill())
-                    .put("registers", node.voter.registers().size());
+        if (node.context.core) {
+            out.put("voter", node.storage.voter.state().name())
+                    .put("ring", node.storage.ring.state().name())
+                    .put("ringFill", node.storage.ring.fill())
+                    .put("registers", node.storage.voter.registers().size());
             final ObjectNode duty =
-                    out.putObject("duty").put("state", node.keeper.state().name());
-            if (node.keeper.seen() != null) {
-                duty.put("holder", node.keeper.seen().holder())
-                        .put("token", node.keeper.seen().token());
+                    out.putObject("duty").put("state", node.duty.keeper.state().name());
+            if (node.duty.keeper.seen() != null) {
+                duty.put("holder", node.duty.keeper.seen().holder())
+                        .put("token", node.duty.keeper.seen().token());
             }
             final ObjectNode kept = out.putObject("hints");
-            node.hints.sizes().forEach(kept::put);
-            duty.put("lastSealed", node.reporter.lastSealed()).put("missed", node.reporter.missed());
+            node.handoff.hints.sizes().forEach(kept::put);
+            duty.put("lastSealed", node.duty.reporter.lastSealed()).put("missed", node.duty.reporter.missed());
             final ObjectNode present = out.putObject("edges");
             node.feeds
                     .edges()
@@ -276,11 +281,11 @@
                             .put("fresh", p.fresh())
                             .put("open", p.open())
                             .put("leaving", p.member().leaving())
-                            .put("heardMs", node.clock.nowMs() - p.heardMs()));
+                            .put("heardMs", node.context.clock.nowMs() - p.heardMs()));
         } else {
-            out.put("open", node.edge.open()).put("heldBytes", node.edge.heldBytes());
+            out.put("open", node.edge().open()).put("heldBytes", node.edge().heldBytes());
             final ObjectNode told = out.putObject("told");
-            node.edge.told().forEach((result, n) -> told.put(result.number() + " " + result.name(), n));
+            node.edge().told().forEach((result, n) -> told.put(result.number() + " " + result.name(), n));
         }
         return out;
     }
--- a/spokestall/src/main/java/spokestall/Feeds.java
+++ b/spokestall/src/main/java/spokestall/Feeds.java
@@ -41,9 +41,15 @@
         return edges;
     }
 
+    /** The life of an edge as it last asked, or null. */
+    Long presentLife(final String edge) {
+        final Present present = edges.get(edge);
+        return present == null ? null : present.member().life();
+    }
+
     /** Lets go of edges not heard for so long. */
     void tidy(final long spanMs) {
-        edges.values().removeIf(p -> node.clock.nowMs() - p.heardMs() > spanMs);
+        edges.values().removeIf(p -> node.context.clock.nowMs() - p.heardMs() > spanMs);
         names.values().retainAll(edges.keySet());
     }
 
@@ -56,15 +62,15 @@
         final Change change = after == null ? null : after.get(version);
         final FeedNote.FeedNews news = new FeedNote.FeedNews(
                 version, change == null || change.json().length > NEWS_BYTES_MAX ? null : Codec.bytes(change));
-        all.forEach(to -> node.post.send(to, news));
+        all.forEach(to -> node.context.post.send(to, news));
     }
 
     /** Answers one who follows: what is newest here, and the news from its places on. */
     void answer(final FeedNote.FeedAsk ask) {
         if (ask.self().serves()) {
-            heard(new Present(ask.self(), ask.fresh(), ask.open(), node.clock.nowMs()));
+            heard(new Present(ask.self(), ask.fresh(), ask.open(), node.context.clock.nowMs()));
         }
-        final boolean voting = node.voter.state() == Voter.State.VOTING;
+        final boolean voting = node.storage.voter.state() == Voter.State.VOTING;
         final long applied = node.book.policy().version();
         final List<FeedNote.Numbered> changes = new ArrayList<>();
         Snapshot snapshot = null;
@@ -77,19 +83,19 @@
                 after.forEach((version, change) -> changes.add(new FeedNote.Numbered(version, change)));
             }
         }
-        final long from = ask.listingLife() == node.listing.life() ? ask.listingPlace() : 0;
+        final long from = ask.listingLife() == node.discovery.listing.life() ? ask.listingPlace() : 0;
         final boolean news = ask.news() && ready;
-        final Voters table = node.voter.voters();
-        final boolean terse = node.settings.ms("noteVersion") >= TERSE;
+        final Voters table = node.storage.voter.voters();
+        final boolean terse = node.context.settings().ms("noteVersion") >= TERSE;
         final boolean had = terse && table != null && table.same(ask.generation(), ask.epoch());
         final Collection<Member> fresh = freshEdges();
         final long mark = terse ? Marks.of(fresh) : 0;
         final boolean brief = terse && (ask.edgesMark() == mark || !ask.news());
-        node.post.send(
+        node.context.post.send(
                 ask.from(),
                 new FeedNote.FeedBack(
-                        node.name,
-                        node.voter.diskId(),
+                        node.context.name,
+                        node.storage.voter.diskId(),
                         ask.askId(),
                         had ? null : table,
                         voting,
@@ -98,10 +104,10 @@
                         changes,
                         snapshot,
                         brief ? List.of() : List.copyOf(fresh),
-                        news ? node.listing.life() : 0,
-                        node.listing.place(),
-                        news ? node.listing.listedAfter(from) : List.of(),
-                        news ? node.listing.reportsAfter(from) : List.of(),
+                        news ? node.discovery.listing.life() : 0,
+                        node.discovery.listing.place(),
+                        news ? node.discovery.listing.listedAfter(from) : List.of(),
+                        news ? node.discovery.listing.reportsAfter(from) : List.of(),
                         table == null ? 0 : table.generation(),
                         table == null ? 0 : table.epoch(),
                         brief,
@@ -110,17 +116,17 @@
 
     /** Answers one who wants a proof alone; one whose table is older gets this one's. */
     void answer(final FeedNote.ProofAsk ask) {
-        final Voters table = node.voter.voters();
+        final Voters table = node.storage.voter.voters();
         final long newest = newest();
-        final boolean voting = node.voter.state() == Voter.State.VOTING;
+        final boolean voting = node.storage.voter.state() == Voter.State.VOTING;
         final long applied = ready() ? node.book.policy().version() : 0;
         final boolean stranger = ask.serves() && !present(ask);
         if (table != null && table.newerThan(new Voters(ask.generation(), ask.epoch(), List.of()))) {
-            node.post.send(
+            node.context.post.send(
                     ask.from(),
                     new FeedNote.FeedBack(
-                            node.name,
-                            node.voter.diskId(),
+                            node.context.name,
+                            node.storage.voter.diskId(),
                             ask.askId(),
                             table,
                             voting,
@@ -139,14 +145,14 @@
                             0));
             return;
         }
-        node.post.send(
+        node.context.post.send(
                 ask.from(),
                 new FeedNote.ProofBack(
-                        node.name,
+                        node.context.name,
                         ask.askId(),
                         table == null ? 0 : table.generation(),
                         table == null ? 0 : table.epoch(),
-                        Marks.of(node.voter.diskId()),
+                        Marks.of(node.storage.voter.diskId()),
                         voting,
                         stranger,
                         newest,
@@ -154,14 +160,15 @@
     }
 
     private boolean ready() {
-        return node.voter.state() == Voter.State.VOTING
-                && node.voter.voters().firstNumber() <= node.book.policy().version();
+        return node.storage.voter.state() == Voter.State.VOTING
+                && node.storage.voter.voters().firstNumber()
+                        <= node.book.policy().version();
     }
 
     private long newest() {
         final long applied = node.book.policy().version();
-        return node.voter.state() == Voter.State.VOTING
-                ? Math.max(applied, Versions.newest(node.voter.registers()))
+        return node.storage.voter.state() == Voter.State.VOTING
+                ? Math.max(applied, Versions.newest(node.storage.voter.registers()))
                 : applied;
     }
 
@@ -177,7 +184,11 @@
         if (found == null) {
             return false;
         }
-        heard(new Present(found.at(node.fleet.nowMs(), ask.leaving()), ask.fresh(), ask.open(), node.clock.nowMs()));
+        heard(new Present(
+                found.at(node.context.fleet.nowMs(), ask.leaving()),
+                ask.fresh(),
+                ask.open(),
+                node.context.clock.nowMs()));
         return true;
     }
 
@@ -194,7 +205,10 @@
     Collection<Member> freshEdges() {
         final List<Member> found = new ArrayList<>();
         for (final Present p : edges.values()) {
-            if (p.fresh() && !p.member().leaving() && node.clock.nowMs() - p.heardMs() <= node.settings.heardMs()) {
+            if (p.fresh()
+                    && !p.member().leaving()
+                    && node.context.clock.nowMs() - p.heardMs()
+                            <= node.context.settings().heardMs()) {
                 found.add(p.member());
             }
         }
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/NodeContext.java
@@ -0,0 +1,87 @@
+package spokestall;
+
+import java.util.Random;
+import spokestall.settings.Settings;
+import spokestall.time.Clock;
+import spokestall.time.FleetClock;
+import spokestall.view.Member;
+import spokestall.wire.Note;
+import spokestall.wire.Post;
+
+/** What every part of one node is made with: who the node is, its settings, and how it gets time, chance and messages out. */
+final class NodeContext {
+    final String name;
+    final String address;
+    final boolean core;
+    final boolean serves;
+    final long life;
+    final Clock clock;
+    final Random random;
+    final FleetClock fleet;
+    final Post post;
+    private Settings settings;
+
+    /** A message to this node itself goes to the receiver, as an event of its own. */
+    NodeContext(
+            final Settings settings,
+            final boolean core,
+            final Node.Rim rim,
+            final java.util.function.Consumer<Note> receiver) {
+        this.settings = settings;
+        this.core = core;
+        this.name = settings.text("name");
+        this.address = settings.text("address");
+        this.serves = !core || settings.ms("alsoEdge") == 1;
+        this.clock = rim.clock();
+        this.random = rim.random();
+        this.life = clock.wallMs() << 10 | random.nextInt(1 << 10);
+        this.fleet = new FleetClock(clock, settings.part("farMs", 2));
+        this.post = (to, message) -> {
+            if (to.equals(address)) {
+                clock.after(0, () -> receiver.accept(message));
+            } else {
+                rim.post().send(to, message);
+            }
+        };
+    }
+
+    /** The settings in force; a running node may take some newer ones. */
+    Settings settings() {
+        return settings;
+    }
+
+    void renew(final Settings newer) {
+        settings = newer;
+    }
+
+    Paces paces() {
+        return new Paces(settings, core);
+    }
+
+    /** This node's life as a proposer: no two lives share it. */
+    String proposerId() {
+        return name + "#" + Long.toHexString(life);
+    }
+
+    /** An identity for a disk that has none yet. */
+    String freshDiskId() {
+        return name + "/" + Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+    }
+
+    /** This node as others speak of it. */
+    Member self() {
+        return new Member(
+                name,
+                address,
+                settings.text("http"),
+                core,
+                settings.text("district"),
+                settings.region(),
+                life,
+                0,
+                false,
+                (int) settings.ms("cores"),
+                (int) settings.ms("edges"),
+                core && serves);
+    }
+}
