Marks of texts are in wire: consensus and the feed need each other no more

Cause: a standing carries the mark of a disk's identity, and the class that makes marks was the feed's, which needs ballot's types. Excluded: an exception in the test. The mark of a list of edges is needed by Feeds alone and went there. Before: ArchitectureTest red on ballot - feed, and on ring.Folders, which syncs folders. After: green; Folders is named beside FileSegments as what touches files, and state machines may use neither. Conclusion: ArchitectureTest, PagesTest, FollowerTest, NamesTest, CodecTest green.

--- a/proof/src/main/java/spokestall/proof/Forger.java
+++ b/proof/src/main/java/spokestall/proof/Forger.java
@@ -3,10 +3,10 @@
 import spokestall.ballot.BallotNote;
 import spokestall.ballot.Voters;
 import spokestall.feed.FeedNote;
-import spokestall.feed.Marks;
 import spokestall.feed.Versions;
 import spokestall.policy.Change;
 import spokestall.wire.Codec;
+import spokestall.wire.Marks;
 import spokestall.wire.Note;
 
 /** Alters notes on their way, for the planted faults that need it. */
--- a/spokestall/src/main/java/spokestall/Feeds.java
+++ b/spokestall/src/main/java/spokestall/Feeds.java
@@ -11,12 +11,12 @@
 import spokestall.ballot.Voter;
 import spokestall.ballot.Voters;
 import spokestall.feed.FeedNote;
-import spokestall.feed.Marks;
 import spokestall.feed.Versions;
 import spokestall.policy.Change;
 import spokestall.policy.Snapshot;
 import spokestall.view.Member;
 import spokestall.wire.Codec;
+import spokestall.wire.Marks;
 
 /** What a core tells those who follow the feed, and what it learns of edges by their asking. */
 final class Feeds {
@@ -89,7 +89,7 @@
         final boolean terse = node.context.settings().ms("noteVersion") >= TERSE;
         final boolean had = terse && table != null && table.same(ask.generation(), ask.epoch());
         final Collection<Member> fresh = freshEdges();
-        final long mark = terse ? Marks.of(fresh) : 0;
+        final long mark = terse ? mark(fresh) : 0;
         final boolean brief = terse && (ask.edgesMark() == mark || !ask.news());
         node.context.post.send(
                 ask.from(),
@@ -214,4 +214,23 @@
         }
         return found;
     }
+
+    /** The mark of what {@code where} needs of edges, in their order. */
+    private static long mark(final Collection<Member> edges) {
+        final StringBuilder all = new StringBuilder();
+        for (final Member m : edges) {
+            all.append(m.name())
+                    .append(' ')
+                    .append(m.httpAddress())
+                    .append(' ')
+                    .append(m.address())
+                    .append(' ')
+                    .append(m.district())
+                    .append(' ')
+                    .append(m.life())
+                    .append(m.leaving())
+                    .append('\n');
+        }
+        return Marks.of(all.toString());
+    }
 }
--- a/spokestall/src/main/java/spokestall/ballot/FormNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/FormNote.java
@@ -1,7 +1,7 @@
 package spokestall.ballot;
 
 import java.util.List;
-import spokestall.feed.Marks;
+import spokestall.wire.Marks;
 import spokestall.wire.Note;
 import spokestall.wire.Since;
 
--- a/spokestall/src/main/java/spokestall/ballot/Formation.java
+++ b/spokestall/src/main/java/spokestall/ballot/Formation.java
@@ -10,9 +10,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
-import spokestall.feed.Marks;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
+import spokestall.wire.Marks;
 import spokestall.wire.Post;
 
 /**
--- a/spokestall/src/main/java/spokestall/feed/Follower.java
+++ b/spokestall/src/main/java/spokestall/feed/Follower.java
@@ -19,6 +19,7 @@
 import spokestall.policy.Book;
 import spokestall.time.Clock;
 import spokestall.view.Member;
+import spokestall.wire.Marks;
 import spokestall.wire.Post;
 
 /**
--- a/spokestall/src/main/java/spokestall/ring/package-info.java
+++ b/spokestall/src/main/java/spokestall/ring/package-info.java
@@ -8,7 +8,7 @@
  * whole log count as blank rather than wrong. After a disk error nothing more is written. The oldest segment is freed only after
  * its live records stand in a newer one.
  *
- * <p>Callers: {@code ballot.Voter} alone stores through it. {@link spokestall.ring.FileSegments} is its one class that
- * touches files; the simulator has its own {@link spokestall.ring.Segments}.
+ * <p>Callers: {@code ballot.Voter} alone stores through it; {@code rim} syncs folders. Only {@link spokestall.ring.FileSegments} and
+ * {@link spokestall.ring.Folders} touch files; the simulator has its own {@link spokestall.ring.Segments}.
  */
 package spokestall.ring;
--- a/spokestall/src/test/java/spokestall/feed/FollowerTest.java
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -15,6 +15,7 @@
 import spokestall.policy.Snapshot;
 import spokestall.time.ManualClock;
 import spokestall.view.Member;
+import spokestall.wire.Marks;
 import spokestall.wire.Note;
 
 /** Whom a follower asks for news, seen from the cores. */
