--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import spokestall.feed.Versions;
-import spokestall.ring.QuickSegments;
+import spokestall.ring.MemorySegments;
 import spokestall.ring.Ring;
+import spokestall.ring.Segments;
 
 class VoterTest {
     private static final Guard OPEN = new Guard() {
@@ -62,6 +64,10 @@
         }
     }
 
+    private static Segments disk() {
+        return new MemorySegments(8, 1 << 14);
+    }
+
     private static Voters table(final int seats) {
         final List<Seat> all = new ArrayList<>();
         for (int i = 0; i < seats; i++) {
@@ -71,7 +77,7 @@
     }
 
     private static Voter joiner() {
-        return new Voter("v0", new Ring(new QuickSegments()), (to, note) -> {}, OPEN, "disk-0");
+        return new Voter("v0", new Ring(disk()), (to, note) -> {}, OPEN, "disk-0");
     }
 
     @Test
@@ -99,7 +105,7 @@
 
     @Test
     void aJoinerTakesTheHighestFloorOfThoseThatItReadFromAndKeepsItThroughARestart() {
-        final QuickSegments disk = new QuickSegments();
+        final Segments disk = disk();
         final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
@@ -115,8 +121,7 @@
     @Test
     void aJoinerDoesNotVoteBeforeWhatTheOthersLetGoIsOnItsOwnDisk() {
         final AtomicLong snapshotDown = new AtomicLong(39);
-        final Voter voter =
-                new Voter("v0", new Ring(new QuickSegments()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
+        final Voter voter = new Voter("v0", new Ring(disk()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
         voter.hear(allOf("v2", 40), "v0");
@@ -157,29 +162,17 @@
     }
 
     /** A disk whose writes are down when the test says so. */
-    private static final class Held implements Segments {
-        private final Quick quick = new Quick();
+    private static final class Held extends MemorySegments {
         private final List<Runnable> held = new ArrayList<>();
         private boolean holds;
 
-        @Override
-        public int count() {
-            return quick.count();
-        }
-
-        @Override
-        public int sizeBytes() {
-            return quick.sizeBytes();
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return quick.read(segment);
+        Held() {
+            super(8, 1 << 14);
         }
 
         @Override
         public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-            held.add(() -> quick.commit(pieces, done));
+            held.add(() -> super.commit(pieces, done));
             if (!holds) {
                 letGo();
             }
--- a/spokestall/src/test/java/spokestall/time/FleetClockTest.java
+++ b/spokestall/src/test/java/spokestall/time/FleetClockTest.java
@@ -7,31 +7,9 @@
 import org.junit.jupiter.api.Test;
 
 class FleetClockTest {
-    private static final class Hand implements Clock {
-        private long nowMs;
-        private long wallMs;
-
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return wallMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new IllegalStateException("not used");
-        }
-    }
-
     @Test
     void settlesWhenOnlyOnePeerIsSettledYet() {
-        final Hand hand = new Hand();
-        hand.wallMs = 50_000;
-        final FleetClock fleet = new FleetClock(hand, 100);
+        final FleetClock fleet = new FleetClock(new ManualClock(0, 50_000), 100);
         fleet.heard("s", 70_000, true, 0);
         fleet.heard("b", 70_010, false, 0);
         fleet.heard("c", 69_990, false, 0);
@@ -43,12 +21,11 @@
     void oneJumpedClockMovesNothing() {
         final Random random = new Random(7);
         for (int run = 0; run < 200; run++) {
-            final Hand hand = new Hand();
             final long trueMs = 1_000_000_000L;
             final int jumped = random.nextInt(6);
             final long jumpMs = (random.nextBoolean() ? 1 : -1) * (3_600_000L + random.nextInt(100_000_000));
-            hand.wallMs = trueMs + (jumped == 0 ? jumpMs : random.nextInt(20));
-            final FleetClock fleet = new FleetClock(hand, 100);
+            final long calendarMs = trueMs + (jumped == 0 ? jumpMs : random.nextInt(20));
+            final FleetClock fleet = new FleetClock(new ManualClock(0, calendarMs), 100);
             for (int peer = 1; peer < 6; peer++) {
                 fleet.heard("p" + peer, trueMs + (jumped == peer ? jumpMs : random.nextInt(20)), false, 0);
             }
@@ -59,13 +36,12 @@
     /** Replies that waited for a machine that stood still are off by half of that time. */
     @Test
     void readingsThatWereLongOnTheirWayMoveNothing() {
-        final Hand hand = new Hand();
-        hand.wallMs = 50_000;
-        final FleetClock fleet = new FleetClock(hand, 100);
+        final ManualClock clock = new ManualClock(0, 50_000);
+        final FleetClock fleet = new FleetClock(clock, 100);
         for (final String peer : List.of("a", "b", "c")) {
             fleet.heard(peer, 50_000, true, 0);
         }
-        hand.nowMs = 6500;
+        clock.advance(6500);
         for (final String peer : List.of("a", "b", "c")) {
             fleet.heard(peer, 50_010, true, 0);
             fleet.heard(peer, 50_010, false, 0);
@@ -76,10 +52,7 @@
     /** Where each reading takes long, one that is off is better than none. */
     @Test
     void aFirstReadingCountsHoweverLongItTook() {
-        final Hand hand = new Hand();
-        hand.nowMs = 400;
-        hand.wallMs = 10_000;
-        final FleetClock fleet = new FleetClock(hand, 100);
+        final FleetClock fleet = new FleetClock(new ManualClock(400, 10_000), 100);
         fleet.heard("a", 50_000, true, 0);
         fleet.heard("b", 50_000, true, 0);
         assertThat(fleet.settled()).isTrue();
