Test: who asks for what is newest hears nothing of a proof that came after its time

A node that stood still hears the replies of before its standstill ahead of its own timers. Seen to fail when Follower.prove tells every waiting ask yes.

--- a/spokestall/src/test/java/spokestall/feed/FollowerTest.java
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -27,6 +27,7 @@
     private static final long BASE = TABLE.firstNumber();
     private final List<Sent> sent = new ArrayList<>();
     private long nowMs = 1_000_000;
+    private boolean timersSleep;
     private final Clock clock = new Clock() {
         @Override
         public long nowMs() {
@@ -40,7 +41,9 @@
 
         @Override
         public void after(final long waitMs, final Runnable event) {
-            throw new AssertionError();
+            if (!timersSleep) {
+                throw new AssertionError();
+            }
         }
     };
     private final Book book = new Book(8);
@@ -130,6 +133,25 @@
                 0));
     }
 
+    /** A node that stood still hears the replies of before its standstill first, and its timers only then. */
+    @Test
+    void whoAsksForWhatIsNewestHearsNothingOfAProofThatCameAfterItsTime() {
+        timersSleep = true;
+        final List<Boolean> told = new ArrayList<>();
+        sent.clear();
+        follower.current(500, told::add);
+        final long inTime = askId(sent);
+        nowMs += 200;
+        List.of("b", "c", "d").forEach(core -> proof(core, inTime, BASE + 1));
+        assertThat(told).containsExactly(true);
+        sent.clear();
+        follower.current(500, told::add);
+        final long late = askId(sent);
+        nowMs += 20_000;
+        List.of("b", "c", "d").forEach(core -> proof(core, late, BASE + 1));
+        assertThat(told).containsExactly(true, false);
+    }
+
     @Test
     void whenAllAreAheadOneIsAskedForNewsOnce() {
         final List<Sent> first = beat();
