--- a/spokestall/src/test/java/spokestall/feed/FollowerTest.java
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -115,6 +115,25 @@
                 0));
     }
 
+    /** A node that stood still hears the replies of before its standstill first, and its timers only then. */
+    @Test
+    void whoAsksForWhatIsNewestHearsNothingOfAProofThatCameAfterItsTime() {
+        clock.ignoreTimers();
+        final List<Boolean> told = new ArrayList<>();
+        sent.clear();
+        follower.current(500, told::add);
+        final long inTime = askId(sent);
+        clock.advance(200);
+        List.of("b", "c", "d").forEach(core -> proof(core, inTime, BASE + 1));
+        assertThat(told).containsExactly(true);
+        sent.clear();
+        follower.current(500, told::add);
+        final long late = askId(sent);
+        clock.advance(20_000);
+        List.of("b", "c", "d").forEach(core -> proof(core, late, BASE + 1));
+        assertThat(told).containsExactly(true, false);
+    }
+
     @Test
     void whenAllAreAheadOneIsAskedForNewsOnce() {
         final List<Sent> first = beat();
