--- a/spokestall/src/main/java/spokestall/Paces.java
+++ b/spokestall/src/main/java/spokestall/Paces.java
@@ -37,7 +37,7 @@
 
     /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
     int policyBytesMost() {
-        return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") * 3 / 8);
+        return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") / 2);
     }
 
     /** The span whose counts are reported together. */
