--- a/spokestall/src/main/java/spokestall/Membership.java
+++ b/spokestall/src/main/java/spokestall/Membership.java
@@ -9,6 +9,7 @@
 import spokestall.ballot.FormNote;
 import spokestall.ballot.Formation;
 import spokestall.ballot.Founder;
+import spokestall.ballot.Handover;
 import spokestall.ballot.Proposer;
 import spokestall.ballot.Remains;
 import spokestall.ballot.Voter;
@@ -29,6 +30,7 @@
     private final Council council;
     private final Founder founder;
     private final Formation formation;
+    private final Handover handover;
 
     /** The storage is null on an edge; tokenSeen is the highest fencing token that was stored here. */
     Membership(
@@ -54,6 +56,7 @@
                 storage == null ? Runnable::run : storage::mark);
         this.founder = storage != null && first ? founder() : null;
         this.formation = storage == null ? null : formation(neighbours, losses);
+        this.handover = storage == null ? null : handover();
     }
 
     /** Whether this life was told that it is the fleet's first, and its disk doesn't say otherwise. */
@@ -95,6 +98,16 @@
                 losses);
     }
 
+    private Handover handover() {
+        return new Handover(
+                context.name,
+                context.address,
+                voter,
+                context.post,
+                context.clock,
+                context.paces().handover());
+    }
+
     /** Goes by the table that this core's disk has. */
     void open() {
         if (voter.voters() != null) {
@@ -123,6 +136,10 @@
     void hear(final BallotNote message) {
         if (message instanceof BallotNote.Table table) {
             adopt(table.voters());
+        } else if (message instanceof BallotNote.HoldBack back) {
+            if (handover != null) {
+                handover.hear(back);
+            }
         } else if (message instanceof BallotNote.Promise || message instanceof BallotNote.Accepted) {
             proposer.hear(message);
         } else if (voter != null) {
@@ -130,6 +147,11 @@
         }
     }
 
+    /** Sees that a majority without this core holds what it accepted; done is run when it does, or the wait is over. */
+    void handOver(final Runnable done) {
+        handover.begin(done);
+    }
+
     void hear(final CouncilNote message) {
         council.hear(message);
         if (founder != null) {
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -381,7 +381,7 @@
             serving.stop();
         }
         if (context.core) {
-            duty.stop(() -> stop(done));
+            duty.stop(() -> membership.handOver(() -> stop(done)));
         } else {
             stop(done);
         }
--- a/spokestall/src/main/java/spokestall/Paces.java
+++ b/spokestall/src/main/java/spokestall/Paces.java
@@ -3,6 +3,7 @@
 import java.util.function.IntSupplier;
 import spokestall.ballot.Formation;
 import spokestall.ballot.Founder;
+import spokestall.ballot.Handover;
 import spokestall.ballot.Proposer;
 import spokestall.ballot.Voters;
 import spokestall.duty.LeaseKeeper;
@@ -85,6 +86,10 @@
                 settings.part("leaveBoundMs", 8));
     }
 
+    Handover.Pace handover() {
+        return new Handover.Pace(2 * settings.ms("farMs"), 6 * settings.ms("farMs"));
+    }
+
     Prober.Pace prober() {
         return new Prober.Pace(
                 settings.part("leaveBoundMs", 0.25),
--- a/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -43,6 +43,7 @@
         Proposer proposer;
         private DelayedSegments disk = disk();
         private Council council;
+        private Handover handover;
         private Founder founder;
         private long startedMs;
 
@@ -130,6 +131,7 @@
                             () -> true,
                             SeatsBench.this::mostLost)
                     : null;
+            handover = core ? new Handover(name, name, voter, this::send, own, new Handover.Pace(220, 900)) : null;
             if (core && voter.voters() != null) {
                 proposer.adopt(voter.voters());
             }
@@ -197,6 +199,11 @@
             disk = disk();
         }
 
+        /** Leaves in order, and never comes back. */
+        void leaveForGood() {
+            handover.begin(this::goForGood);
+        }
+
         /** The machine never comes back. */
         void goForGood() {
             stop();
@@ -234,6 +241,8 @@
                 } else {
                     proposer.adopt(t.voters());
                 }
+            } else if (note instanceof BallotNote.HoldBack back) {
+                handover.hear(back);
             } else if (note instanceof BallotNote b) {
                 proposer.hear(b);
                 if (core) {
--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -52,7 +52,7 @@
         void losePowerBut(final int lost) {
             flying.stream()
                     .skip(lost)
-                    .forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
+                    .forEach(p -> write(p, p.bytes().length));
             flying.clear();
             waiting = null;
         }
