--- a/spokestall/src/test/java/spokestall/ring/RingTest.java
+++ b/spokestall/src/test/java/spokestall/ring/RingTest.java
@@ -50,9 +50,7 @@
 
         /** The power goes, and the first pieces of the commit under way are lost, the others not. */
         void losePowerBut(final int lost) {
-            flying.stream()
-                    .skip(lost)
-                    .forEach(p -> write(p, p.bytes().length));
+            flying.stream().skip(lost).forEach(p -> write(p, p.bytes().length));
             flying.clear();
             waiting = null;
         }
