--- a/spokestall/src/main/java/spokestall/KnownEdges.java
+++ b/spokestall/src/main/java/spokestall/KnownEdges.java
@@ -37,21 +37,19 @@
     }
 
     /**
-     * The edges believed to serve: those whose own word is fresh. Where none is, as after a loss of power or while no core
-     * answers, those last named, then those that are known at all: a caller that is told of none can only wait.
+     * The edges believed to serve: those whose own word is fresh, this one among them, or those last named while no core answers.
+     * One that is known but said nothing of itself is not named: a caller would be refused there, and leave what it has.
      */
     Collection<Member> forClients() {
         final Map<String, Member> found = new TreeMap<>();
         heard().forEach(e -> found.put(e.name(), e));
-        if (ready.getAsBoolean()) {
+        if (ready.getAsBoolean() && (!found.isEmpty() || !justStarted())) {
+            // Alone it is named only once the others have had time to be heard, or all callers would come to it.
             found.put(context.name, view.self());
         }
         if (found.isEmpty()) {
             follower.edges(context.settings().part("leaveBoundMs", 2)).forEach(e -> found.put(e.name(), e));
         }
-        if (found.isEmpty()) {
-            view.members().stream().filter(Member::serves).forEach(e -> found.put(e.name(), e));
-        }
         if (view.self().leaving()) {
             found.remove(context.name);
         }
@@ -65,8 +63,7 @@
             return follower.edges(spanMs);
         }
         final Collection<Member> asking = feeds.freshEdges();
-        final boolean justStarted = context.clock.nowMs() - startedMs < spanMs;
-        if (!asking.isEmpty() && !justStarted) {
+        if (!asking.isEmpty() && !justStarted()) {
             return asking;
         }
         final List<Member> both = new ArrayList<>(follower.edges(spanMs));
@@ -74,6 +71,11 @@
         return both;
     }
 
+    /** Whether others may not have been heard yet. */
+    private boolean justStarted() {
+        return context.clock.nowMs() - startedMs < context.settings().heardMs();
+    }
+
     /** Callers are told of what was heard up to now. */
     void publish() {
         directory.publish(forClients());
