--- a/proof/src/main/java/spokestall/proof/Growth.java
+++ b/proof/src/main/java/spokestall/proof/Growth.java
@@ -29,7 +29,7 @@
             book.apply(
                     1,
                     new Change(
-                            "all", Change.Kind.PUT, policy(bindings).toString().getBytes(StandardCharsets.UTF_8)));
+                            "all", Change.Kind.PUT, policy(bindings).toString().getBytes(StandardCharsets.UTF_8), 0));
             final long[] us = new long[TURNS];
             int bytes = 0;
             for (int i = 0; i < TURNS; i++) {
@@ -97,6 +97,6 @@
                 .putObject("new" + i)
                 .put("path", "/new/" + i)
                 .put("service", Deployment.PADMA.big);
-        return new Change("new" + i, Change.Kind.PATCH, patch.toString().getBytes(StandardCharsets.UTF_8));
+        return new Change("new" + i, Change.Kind.PATCH, patch.toString().getBytes(StandardCharsets.UTF_8), 0);
     }
 }
--- a/spokestall/src/main/java/spokestall/ballot/FormNote.java
+++ b/spokestall/src/main/java/spokestall/ballot/FormNote.java
@@ -1,14 +1,14 @@
 package spokestall.ballot;
 
 import java.util.List;
-import spokestall.feed.Marks;
+import spokestall.wire.Marks;
 import spokestall.wire.Note;
 import spokestall.wire.Since;
 
 /** What cores say to each other about who can vote, and the ballot for a new generation. */
 public sealed interface FormNote extends Note {
-    /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. Silent and
-     * gone seats have a bit for each place in the table: not heard for long, and for so long that they may be given up. It says
+    /** A core's own word on its state, told to every core it knows; with its table only where the other may lack it. It has
+     * a bit for each place in the table: seats it has not heard for long, and for so long that they may be given up. It says
      * how far its disk is written, and how far it has heard that the other's is, so that a disk that was put back to an
      * older state is told from the one that it was. */
     record Standing(
@@ -22,6 +22,7 @@
             @Since(3) long generation,
             @Since(3) long epoch,
             @Since(3) boolean founding,
+            @Since(4) boolean catchingUp,
             @Since(4) long silentSeats,
             @Since(4) long goneSeats,
             @Since(4) long written,
@@ -47,6 +48,7 @@
                     generation,
                     epoch,
                     founding,
+                    catchingUp,
                     silentSeats,
                     goneSeats,
                     own,
--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -98,9 +98,19 @@
 
     /** Whether this voter has its state, be it voting at this moment or not. Example: {@code voter.hasState()} */
     public boolean hasState() {
+        return state != State.RESIGNED && keepsState();
+    }
+
+    /** Whether it has its seat and reads what it lacks from the others. Example: {@code voter.catchesUp()} */
+    public boolean catchesUp() {
+        return state() == State.CATCHING_UP && seated();
+    }
+
+    /** Whether its state is still on its disk, also after it resigned: a later round of a founding needs it as much as the
+     * first. Example: {@code new Remains(..., voter.keepsState(), registers)} */
+    public boolean keepsState() {
         final byte[] caught = ring.table().get(CAUGHT);
-        return ring.canWrite()
-                && state != State.RESIGNED
+        return ring.state() != Ring.State.BROKEN
                 && seated()
                 && caught != null
                 && new String(caught, StandardCharsets.UTF_8).equals(caughtMark());
@@ -182,16 +192,17 @@
         final long mark = ++tableEpochDown;
         // Until the table is down no vote is given, so a power loss can't bring the old table back under a new vote.
         final boolean stays = was == State.VOTING && !newGeneration && seated();
-        // Whoever resigned from a generation has done so for all its epochs.
-        final boolean resigned = was == State.RESIGNED && !newGeneration;
-        change(State.CATCHING_UP, "table");
+        // Whoever resigned from a generation has done so for all its epochs, also while a table is on its way to the
+        // disk.
+        if (was != State.RESIGNED || newGeneration) {
+            change(State.CATCHING_UP, "table");
+        }
         ring.put(VOTERS, Codec.bytes(table), ok -> {
-            if (!ok || mark != tableEpochDown) {
+            if (!ok || mark != tableEpochDown || state == State.RESIGNED) {
                 return;
             }
-            if (resigned) {
-                change(State.RESIGNED, "table-down");
-            } else if (stays) {
+            if (stays || keepsState()) {
+                // The second: it had caught up as the table came, and has all that a seat that votes has.
                 change(State.VOTING, "table-down");
             } else if (!seated()) {
                 change(State.BLANK, "not-seated");
--- a/spokestall/src/test/java/spokestall/ballot/FloorTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/FloorTest.java
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import spokestall.feed.Versions;
-import spokestall.ring.QuickSegments;
+import spokestall.ring.MemorySegments;
 import spokestall.ring.Ring;
 import spokestall.time.Clock;
 import spokestall.wire.Note;
@@ -26,7 +26,7 @@
     /** A voter with its disk; versions up to the floor are gone for it. */
     private final class Machine implements Guard {
         private final String name;
-        private QuickSegments disk = new QuickSegments();
+        private MemorySegments disk = new MemorySegments(8, 1 << 14);
         private Voter voter;
 
         Machine(final String name) {
@@ -141,7 +141,7 @@
 
     private void replace(final int i) {
         final Machine machine = machines.get("v" + i);
-        machine.disk = new QuickSegments();
+        machine.disk = new MemorySegments(8, 1 << 14);
         machine.start("disk-" + i + "-new");
         table = table.swap(new Seat(machine.name, machine.name, machine.voter.diskId()));
         machines.values().forEach(m -> m.voter.adopt(table));
--- a/spokestall/src/test/java/spokestall/feed/FollowerTest.java
+++ b/spokestall/src/test/java/spokestall/feed/FollowerTest.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import spokestall.ballot.Proposer;
@@ -14,8 +13,9 @@
 import spokestall.listing.Listing;
 import spokestall.policy.Book;
 import spokestall.policy.Snapshot;
-import spokestall.time.Clock;
+import spokestall.time.ManualClock;
 import spokestall.view.Member;
+import spokestall.wire.Marks;
 import spokestall.wire.Note;
 
 /** Whom a follower asks for news, seen from the cores. */
@@ -27,23 +27,7 @@
             new Voters(1, 1, List.of(seat("a"), seat("b"), seat("c"), seat("d"), seat("e")));
     private static final long BASE = TABLE.firstNumber();
     private final List<Sent> sent = new ArrayList<>();
-    private long nowMs = 1_000_000;
-    private final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new AssertionError();
-        }
-    };
+    private final ManualClock clock = new ManualClock(1_000_000);
     private final Book book = new Book(8);
     private final Member self = new Member("edge", "x", "x", false, "d1", "r1", 7, 0, false, 5, 1, false);
     private final Follower follower;
@@ -79,7 +63,7 @@
     }
 
     private static Snapshot snapshot(final long version) {
-        return new Snapshot(version, "{}".getBytes(StandardCharsets.UTF_8), Map.of());
+        return new Snapshot(version, "{}".getBytes(StandardCharsets.UTF_8), List.of());
     }
 
     /** Beats and gives what was sent. */
@@ -131,12 +115,31 @@
                 0));
     }
 
+    /** A node that stood still hears the replies of before its standstill first, and its timers only then. */
+    @Test
+    void whoAsksForWhatIsNewestHearsNothingOfAProofThatCameAfterItsTime() {
+        clock.ignoreTimers();
+        final List<Boolean> told = new ArrayList<>();
+        sent.clear();
+        follower.current(500, told::add);
+        final long inTime = askId(sent);
+        clock.advance(200);
+        List.of("b", "c", "d").forEach(core -> proof(core, inTime, BASE + 1));
+        assertThat(told).containsExactly(true);
+        sent.clear();
+        follower.current(500, told::add);
+        final long late = askId(sent);
+        clock.advance(20_000);
+        List.of("b", "c", "d").forEach(core -> proof(core, late, BASE + 1));
+        assertThat(told).containsExactly(true, false);
+    }
+
     @Test
     void whenAllAreAheadOneIsAskedForNewsOnce() {
         final List<Sent> first = beat();
         assertThat(askedForNews(first)).containsExactly("a");
         sent.clear();
-        nowMs += 20;
+        clock.advance(20);
         for (final String core : List.of("b", "c", "d", "e")) {
             proof(core, askId(first), BASE + 2);
         }
@@ -153,7 +156,7 @@
     void whenWhoWasAskedIsBehindItselfOneThatIsAheadIsAskedAtOnce() {
         final List<Sent> first = beat();
         sent.clear();
-        nowMs += 20;
+        clock.advance(20);
         for (final String core : List.of("e", "d", "c", "b")) {
             proof(core, askId(first), BASE + 2);
         }
@@ -164,10 +167,10 @@
     @Test
     void whenWhoWasAskedIsSilentABeatLaterAnotherIsAsked() {
         beat();
-        nowMs += BEAT_MS;
+        clock.advance(BEAT_MS);
         final List<Sent> second = beat();
         sent.clear();
-        nowMs += 20;
+        clock.advance(20);
         for (final String core : List.of("b", "c", "d", "e")) {
             proof(core, askId(second), BASE + 2);
         }
