--- a/spokestall/src/main/java/spokestall/Paces.java
+++ b/spokestall/src/main/java/spokestall/Paces.java
@@ -36,7 +36,7 @@
         return settings.ms(count) == 0 ? UNTOLD : (int) settings.ms(count);
     }
 
-    /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
+    /** A policy, and a founding with it and all else that is left, must fit into one record of the cores' rings. */
     int policyBytesMost() {
         return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") / 2);
     }
