--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import spokestall.feed.Versions;
 import spokestall.ring.QuickSegments;
 import spokestall.ring.Ring;
+import spokestall.ring.Segments;
 
 class VoterTest {
     private static final Guard OPEN = new Guard() {
@@ -158,7 +160,7 @@
 
     /** A disk whose writes are down when the test says so. */
     private static final class Held implements Segments {
-        private final Quick quick = new Quick();
+        private final Segments quick = new QuickSegments();
         private final List<Runnable> held = new ArrayList<>();
         private boolean holds;
 
