--- a/spokestall/src/test/java/spokestall/view/ViewTest.java
+++ b/spokestall/src/test/java/spokestall/view/ViewTest.java
@@ -5,28 +5,12 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import spokestall.time.Clock;
 import spokestall.time.FleetClock;
+import spokestall.time.ManualClock;
 
 class ViewTest {
     private static final long GONE_MS = 1000;
-    private long nowMs = 1_000_000;
-    private final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            throw new IllegalStateException("nothing is to come later");
-        }
-    };
+    private final ManualClock clock = new ManualClock(1_000_000);
     private final View view = new View(
             member("self", 0),
             List.of("10.0.0.9:1"),
@@ -42,7 +26,14 @@
 
     private void hear(final String from, final Member... sample) {
         view.hear(new ViewNote.Shuffle(
-                from + ":1", member(from, nowMs), nowMs, true, nowMs, nowMs, true, List.of(sample)));
+                from + ":1",
+                member(from, clock.nowMs()),
+                clock.nowMs(),
+                true,
+                clock.nowMs(),
+                clock.nowMs(),
+                true,
+                List.of(sample)));
     }
 
     private List<String> known() {
@@ -52,25 +43,25 @@
     @Test
     void eachMemberIsForgottenOnceItWasUnheardForTheSpan() {
         hear("a");
-        nowMs += 400;
+        clock.advance(400);
         hear("b");
         assertThat(known()).containsExactly("a", "b");
-        nowMs += 600;
+        clock.advance(600);
         assertThat(known()).as("a was heard the span ago, not longer").containsExactly("a", "b");
-        nowMs += 1;
+        clock.advance(1);
         assertThat(known()).containsExactly("b");
-        nowMs += 400;
+        clock.advance(400);
         assertThat(known()).isEmpty();
     }
 
     @Test
     void whatIsToldOfAnotherCountsFromWhenItWasHeard() {
-        hear("a", member("c", nowMs - 900));
+        hear("a", member("c", clock.nowMs() - 900));
         assertThat(known()).containsExactly("a", "c");
-        nowMs += 101;
+        clock.advance(101);
         assertThat(known()).containsExactly("a");
         hear("a");
-        nowMs += 900;
+        clock.advance(900);
         assertThat(known()).as("heard again").containsExactly("a");
     }
 }
