--- a/proof/src/main/java/spokestall/proof/History.java
+++ b/proof/src/main/java/spokestall/proof/History.java
@@ -32,7 +32,14 @@
     record Back(Return from, long tookMs, long bytes, long startUs) {}
 
     /** What there was at so many changes: the most of any core, and how cores came back. */
-    record Row(int changes, double ringFill, int registers, long registerBytes, long bookBytes, List<Back> backs) {}
+    record Row(
+            int changes,
+            double ringFill,
+            int registers,
+            long registerBytes,
+            long bookBytes,
+            long heapBytes,
+            List<Back> backs) {}
 
     private static final long TRY_MS = 1000;
     private static final long PAUSE_MS = 100;
@@ -198,10 +205,21 @@
                                 .sum());
             }
         }
-        rows.add(new Row(changes, fill, registers, registerBytes, bookBytes, mine));
+        rows.add(new Row(changes, fill, registers, registerBytes, bookBytes, heapBytes(), mine));
         next(mine, new ArrayDeque<>(List.of(Return.values())));
     }
 
+    /** A node's part of the memory in use, its disk left out. */
+    private long heapBytes() {
+        System.gc();
+        final long used =
+                Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+        final long disks = world.cores().stream()
+                .mapToLong(c -> (long) c.disk.count() * c.disk.sizeBytes())
+                .sum();
+        return (used - disks) / world.nodes.size();
+    }
+
     private void next(final List<Back> mine, final ArrayDeque<Return> left) {
         if (!left.isEmpty()) {
             trouble(left.poll(), () -> {
@@ -299,18 +317,19 @@
         final long fromNs = System.nanoTime();
         final boolean whole = history.play();
         System.out.println(
-                "| changes | ring fill | registers | their KiB | changes kept KiB | back | ms | KiB sent to it"
+                "| changes | ring fill | registers | their KiB | changes kept KiB | heap KiB | back | ms | KiB sent to it"
                         + " | made in us |");
-        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (final Row row : history.rows) {
             for (final Back back : row.backs) {
                 System.out.printf(
-                        "| %d | %.3f | %d | %d | %d | %s | %d | %d | %d |%n",
+                        "| %d | %.3f | %d | %d | %d | %d | %s | %d | %d | %d |%n",
                         row.changes,
                         row.ringFill,
                         row.registers,
                         row.registerBytes >> 10,
                         row.bookBytes >> 10,
+                        row.heapBytes >> 10,
                         back.from,
                         back.tookMs,
                         back.bytes >> 10,
