--- a/spokestall/src/test/java/spokestall/DepartureTest.java
+++ b/spokestall/src/test/java/spokestall/DepartureTest.java
@@ -4,46 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import org.junit.jupiter.api.Test;
-import spokestall.time.Clock;
+import spokestall.time.EventClock;
 
 class DepartureTest {
-    private record Event(long atMs, int number, Runnable run) {}
-
-    /** A clock that is moved by its events. */
-    private static final class EventClock implements Clock {
-        private final PriorityQueue<Event> events =
-                new PriorityQueue<>((a, b) -> a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : a.number - b.number);
-        private long nowMs = 1_000_000;
-        private int number;
-
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            events.add(new Event(nowMs + waitMs, number++, event));
-        }
-
-        void play() {
-            while (!events.isEmpty()) {
-                final Event event = events.poll();
-                nowMs = event.atMs;
-                event.run.run();
-            }
-        }
-    }
-
     private static final long BEGUN_MS = 1_000_000;
-    private final EventClock clock = new EventClock();
+    private final EventClock clock = new EventClock(BEGUN_MS);
     private final List<String> steps = new ArrayList<>();
     private int connections;
     private int asks;
@@ -92,7 +58,7 @@
         };
         final Departure.Pace pace = new Departure.Pace(200, 700, 900, 1000, 20, 50);
         new Departure(to, requests, clock, pace, () -> say("done")).begin();
-        clock.play();
+        clock.runAll();
     }
 
     @Test
--- a/spokestall/src/test/java/spokestall/ballot/BallotBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/BallotBench.java
@@ -4,18 +4,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
 import spokestall.ring.DelayedSegments;
 import spokestall.ring.Ring;
-import spokestall.time.Clock;
+import spokestall.time.EventClock;
 import spokestall.wire.Note;
 
 /** Six voters and some proposers in virtual time, with notes late, lost and doubled, and voters that lose power. */
 public final class BallotBench {
-    private record Event(long atMs, long number, Runnable what) {}
-
     /** Takes every value and never lets a key go. */
     private static final class Open implements Guard {
         @Override
@@ -40,33 +37,14 @@
     }
 
     /** The bench's clock. */
-    public final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            events.add(new Event(nowMs + Math.max(0, waitMs), made++, event));
-        }
-    };
+    public final EventClock clock = new EventClock(0);
     /** The bench's chance. */
     public final Random random;
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            (a, b) -> a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : Long.compare(a.number, b.number));
     private final Map<String, Consumer<Note>> ears = new HashMap<>();
     private final List<DelayedSegments> disks = new ArrayList<>();
     private final Voters table;
     private final double loss;
-    private long nowMs;
-    private long made;
 
     /** Example: {@code new BallotBench(seed, 0.1)} */
     public BallotBench(final long seed, final double loss) {
@@ -121,11 +99,6 @@
 
     /** Goes on until then. */
     public void run(final long untilMs) {
-        while (!events.isEmpty() && events.peek().atMs <= untilMs) {
-            final Event e = events.poll();
-            nowMs = e.atMs;
-            e.what.run();
-        }
-        nowMs = untilMs;
+        clock.runUntil(untilMs, () -> {});
     }
 }
--- a/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
+++ b/spokestall/src/test/java/spokestall/ballot/SeatsBench.java
@@ -9,21 +9,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import spokestall.ring.DelayedSegments;
 import spokestall.ring.Ring;
 import spokestall.time.Clock;
+import spokestall.time.EventClock;
 import spokestall.wire.Codec;
 import spokestall.wire.Note;
 
 /** A fleet of unknown size in virtual time: cores and edges that come late, restart, and lose disks, with notes late, lost
  * and doubled. After every event it is looked at whether two tables contradict each other. */
 final class SeatsBench {
-    private record Event(long atMs, long number, Runnable what) {}
-
     private DelayedSegments disk() {
         return new DelayedSegments(8, 1 << 15, clock, () -> 1 + random.nextInt(8));
     }
@@ -57,18 +55,18 @@
         void start() {
             lives++;
             up = true;
-            startedMs = nowMs;
+            startedMs = clock.nowMs();
             final int mine = lives;
             final boolean told = bootstrap && (lives == 1 || alwaysFirst);
             final Clock own = new Clock() {
                 @Override
                 public long nowMs() {
-                    return nowMs;
+                    return clock.nowMs();
                 }
 
                 @Override
                 public long wallMs() {
-                    return nowMs;
+                    return clock.wallMs();
                 }
 
                 @Override
@@ -182,7 +180,7 @@
                 if (m != this
                         && m.lives > 0
                         && (m.core || edgesToo)
-                        && nowMs - Math.max(startedMs, m.startedMs) > (name + other).hashCode() % 1500) {
+                        && clock.nowMs() - Math.max(startedMs, m.startedMs) > (name + other).hashCode() % 1500) {
                     known.add(other);
                 }
             });
@@ -286,22 +284,7 @@
         }
     }
 
-    final Clock clock = new Clock() {
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-
-        @Override
-        public void after(final long waitMs, final Runnable event) {
-            events.add(new Event(nowMs + Math.max(0, waitMs), made++, event));
-        }
-    };
+    final EventClock clock = new EventClock(0);
     final Random random;
     final Map<String, Machine> machines = new TreeMap<>();
     final List<String> seeds = new ArrayList<>();
@@ -326,10 +309,6 @@
     long tables;
     private final Map<Long, Long> baseOf = new HashMap<>();
     private final Map<String, List<Seat>> seatsOf = new HashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            (a, b) -> a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : Long.compare(a.number, b.number));
-    private long nowMs;
-    private long made;
     private long generations = 1;
     private Voters newest;
 
@@ -401,7 +380,7 @@
             newest = table.newerThan(newest) ? table : newest;
             final List<Seat> had = seatsOf.putIfAbsent(table.generation() + "/" + table.epoch(), table.seats());
             assertThat(had == null || had.equals(table.seats()))
-                    .as("one table for %s, at %s: %s, %s", m.name, nowMs, had, table)
+                    .as("one table for %s, at %s: %s, %s", m.name, clock.nowMs(), had, table)
                     .isTrue();
             assertThat(table.seats().stream().map(Seat::name).distinct().count())
                     .isEqualTo(table.seats().size());
@@ -474,7 +453,7 @@
     }
 
     String shown() {
-        final StringBuilder out = new StringBuilder("at " + nowMs + " seeds " + seeds);
+        final StringBuilder out = new StringBuilder("at " + clock.nowMs() + " seeds " + seeds);
         machines.forEach((name, m) -> out.append("\n")
                 .append(name)
                 .append(m.up ? " up" : " down")
@@ -487,16 +466,10 @@
     }
 
     void run(final long untilMs) {
-        while (!events.isEmpty() && events.peek().atMs <= untilMs) {
-            final Event e = events.poll();
-            nowMs = e.atMs;
-            e.what.run();
-            machines.values().forEach(this::look);
-        }
-        nowMs = untilMs;
+        clock.runUntil(untilMs, () -> machines.values().forEach(this::look));
     }
 
     long nowMs() {
-        return nowMs;
+        return clock.nowMs();
     }
 }
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/time/EventClock.java
@@ -0,0 +1,56 @@
+package spokestall.time;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** A virtual clock that runs its timers in the order of their times, those of one time in the order they were started. */
+public final class EventClock implements Clock {
+    private record Event(long atMs, long number, Runnable what) {}
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
+    private long nowMs;
+    private long started;
+
+    /** Example: {@code new EventClock(0)} */
+    public EventClock(final long startMs) {
+        this.nowMs = startMs;
+    }
+
+    @Override
+    public long nowMs() {
+        return nowMs;
+    }
+
+    @Override
+    public long wallMs() {
+        return nowMs;
+    }
+
+    @Override
+    public void after(final long waitMs, final Runnable event) {
+        events.add(new Event(nowMs + Math.max(0, waitMs), started++, event));
+    }
+
+    /** Runs what is due until then, and stands there. Example: {@code clock.runUntil(5000, () -> check());} */
+    public void runUntil(final long untilMs, final Runnable afterEach) {
+        while (!events.isEmpty() && events.peek().atMs <= untilMs) {
+            next();
+            afterEach.run();
+        }
+        nowMs = untilMs;
+    }
+
+    /** Runs until no timer is left. Example: {@code clock.runAll();} */
+    public void runAll() {
+        while (!events.isEmpty()) {
+            next();
+        }
+    }
+
+    private void next() {
+        final Event event = events.poll();
+        nowMs = event.atMs;
+        event.what.run();
+    }
+}
