--- a/proof/src/main/java/spokestall/proof/Main.java
+++ b/proof/src/main/java/spokestall/proof/Main.java
@@ -40,6 +40,7 @@
         private Path folder = Path.of("target", "fleet");
 
         @Option(name = "--help", help = true, usage = "this page")
+        @SuppressWarnings("UnusedVariable") // args4j looks for the option, not at the field.
         private boolean help;
     }
 
@@ -67,6 +68,7 @@
         private String story;
 
         @Option(name = "--help", help = true, usage = "this page")
+        @SuppressWarnings("UnusedVariable") // args4j looks for the option, not at the field.
         private boolean help;
     }
 
@@ -82,10 +84,12 @@
             case "faults" -> faults(rest);
             case "sim" -> sim(rest);
             case "growth" -> Growth.run();
+            case "history" -> history(rest);
             case "traffic" -> traffic(rest);
             case "scale" -> scale(rest);
             default -> {
-                System.err.println("proof fleet|faults|sim|scale [--help], proof growth, proof traffic [key=value]...");
+                System.err.println(
+                        "proof fleet|faults|sim|scale [--help], proof growth, proof history [CHANGES]..., proof traffic [key=value]...");
                 yield 2;
             }
         };
@@ -239,6 +243,13 @@
         }
     }
 
+    /** At how many changes it is measured; the seed is 1. */
+    private static int history(final String[] args) {
+        Logger.getLogger("").setLevel(Level.OFF);
+        final List<Integer> marks = Arrays.stream(args).map(Integer::parseInt).toList();
+        return History.run(1, marks.isEmpty() ? List.of(10, 100, 1000) : marks);
+    }
+
     /** Settings as key=value; the seed is 1. */
     private static int traffic(final String[] args) {
         Logger.getLogger("").setLevel(Level.OFF);
--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -51,6 +51,7 @@
 import spokestall.policy.Acceptance;
 import spokestall.policy.Book;
 import spokestall.policy.OwnForm;
+import spokestall.policy.Policy;
 import spokestall.policy.PolicyForm;
 import spokestall.policy.Rules;
 import spokestall.policy.Snapshot;
@@ -58,6 +59,7 @@
 import spokestall.ring.Segments;
 import spokestall.rpc.Calls;
 import spokestall.rpc.Reply;
+import spokestall.settings.Renewal;
 import spokestall.settings.Settings;
 import spokestall.time.Clock;
 import spokestall.time.FleetClock;
@@ -89,9 +91,8 @@
     private static final String LEASE = "duty/usage_report";
     private static final Register NO_LEASE = new Register(Ballot.NONE, Ballot.NONE, null);
     private static final int POLICY_KEPT = 1024;
-    private static final int POLICY_KEPT_LEAST = 16;
-    /** A ring so full keeps fewer of the changes that followers may start from; large ones would fill it. */
-    private static final double CROWDED = 0.3;
+    /** The share of the ring that registers of versions that are in the snapshot may take. */
+    private static final double POLICY_KEPT_SHARE = 0.1;
 
     private static final int HURRIED = 4;
     private static final int WINDOWS_KEPT = 16;
@@ -104,7 +105,7 @@
         Notes.number();
     }
 
-    final Settings settings;
+    Settings settings;
     final String name;
     private final String address;
     final boolean core;
@@ -148,9 +149,10 @@
     private List<UsageNote.Count> countsBefore = List.of();
     private boolean policyDirty;
     private boolean keepingPolicy;
-    private long policyFloor;
+    private long snapshotDown;
     private long tokenSeen;
     private boolean stopped;
+    private Consumer<Policy> watcher = policy -> {};
 
     /** Example: {@code new Node(settings, true, rim).start();} */
     public Node(final Settings settings, final boolean core, final Rim rim) {
@@ -226,12 +228,7 @@
                 proposer,
                 post,
                 clock,
-                new Follower.Pace(
-                        settings.ms("freshMs"),
-                        32,
-                        3 * settings.ms("proofMs"),
-                        core ? 8 : 64,
-                        settings.ms("noteVersion") < 3),
+                followerPace(),
                 this::coreAddresses,
                 this::adopt,
                 this::policyMoved,
@@ -247,14 +244,7 @@
                         clock,
                         fleet,
                         random,
-                        new Elector.Pace(
-                                this::sharers,
-                                settings.number("warmRatio"),
-                                settings.number("warmSlack"),
-                                settings.part("leaveBoundMs", 0.25),
-                                settings.part("leaveBoundMs", 2),
-                                settings.number("districtCost"),
-                                settings.number("regionCost")));
+                        electorPace());
         this.counter = !serves
                 ? null
                 : new UsageCounter(
@@ -281,7 +271,8 @@
                         settings.part("claimKeepMs", 0.2),
                         windowMs,
                         this::voters,
-                        () -> policyFloor,
+                        () -> voter().floor(),
+                        () -> snapshotDown,
                         ring::fill)
                 : null;
         this.voter = core ? new Voter(name, ring, post, keeping, freshId()) : null;
@@ -317,14 +308,17 @@
                                 settings.part("leaveBoundMs", 0.75),
                                 8 * farMs,
                                 settings.part("leaveBoundMs", 0.25),
-                                settings.ms("noteVersion") < 3),
+                                settings.ms("noteVersion") < 3,
+                                settings.part("leaveBoundMs", 0.5),
+                                settings.part("leaveBoundMs", 8)),
                         new Merge(fleet),
                         this::remains,
                         this::coreAndEdgeAddresses,
                         this::otherCoreAddresses,
                         founder,
                         this::freshId,
-                        fleet::settled)
+                        fleet::settled,
+                        new Losses(settings, view))
                 : null;
         this.prober = core
                 ? new Prober(
@@ -393,7 +387,7 @@
                 follower,
                 clock,
                 settings.part("policyBoundMs", 0.8),
-                (int) settings.ms("policyMaxBytes"),
+                policyBytesMost(),
                 feeds::tell);
         this.audit = rim.audit();
         this.auditor = core ? new Auditor(audit, book, fleet::nowMs) : null;
@@ -420,25 +414,66 @@
                         random,
                         this::sharers,
                         this::homeCores),
-                new Edge.Pace(
-                        (int) settings.ms("askOpenMax"),
-                        settings.ms("heldMaxBytes"),
-                        settings.ms("claimKeepMs"),
-                        20 * settings.ms("farMs"),
-                        4 * settings.ms("farMs"),
-                        settings.ms("retryAfterMs"),
-                        3,
-                        settings.number("retryShare") * 0.9,
-                        settings.number("retryAllowance"),
-                        settings.ms("askSpanMaxMs"),
-                        settings.part("claimKeepMs", 0.01),
-                        new Habits(
-                                settings.ms("keyed") == 1,
-                                settings.ms("claims") == 1,
-                                settings.ms("homeEdges") == 1,
-                                settings.ms("holdsEdges") == 1,
-                                settings.ms("unsentFree") == 1,
-                                settings.ms("any500") == 1)));
+                edgePace());
+    }
+
+    private Follower.Pace followerPace() {
+        return new Follower.Pace(
+                settings.ms("freshMs"), 32, 3 * settings.ms("proofMs"), core ? 8 : 64, settings.ms("noteVersion") < 3);
+    }
+
+    private Elector.Pace electorPace() {
+        return new Elector.Pace(
+                this::sharers,
+                settings.number("warmRatio"),
+                settings.number("warmSlack"),
+                settings.part("leaveBoundMs", 0.25),
+                settings.part("leaveBoundMs", 2),
+                settings.number("districtCost"),
+                settings.number("regionCost"));
+    }
+
+    private Edge.Pace edgePace() {
+        return new Edge.Pace(
+                (int) settings.ms("askOpenMax"),
+                settings.ms("heldMaxBytes"),
+                settings.ms("claimKeepMs"),
+                20 * settings.ms("farMs"),
+                4 * settings.ms("farMs"),
+                settings.ms("retryAfterMs"),
+                3,
+                settings.number("retryShare") * 0.9,
+                settings.number("retryAllowance"),
+                settings.ms("askSpanMaxMs"),
+                settings.part("claimKeepMs", 0.01),
+                new Habits(
+                        settings.ms("keyed") == 1,
+                        settings.ms("claims") == 1,
+                        settings.ms("homeEdges") == 1,
+                        settings.ms("holdsEdges") == 1,
+                        settings.ms("unsentFree") == 1,
+                        settings.ms("any500") == 1));
+    }
+
+    /** Takes what a running node can change of newer settings, and tells which settings it goes on with. A founding
+     * that is under way keeps the seeds it began with. Example: {@code front.renew(node.renew(newer));} */
+    public Settings renew(final Settings newer) {
+        final Renewal renewal = Renewal.of(settings, newer, core);
+        settings = renewal.settings();
+        view.seeds(settings.seeds());
+        follower.pace(followerPace());
+        if (serves) {
+            elector.pace(electorPace());
+            edge.pace(edgePace());
+        }
+        LOG.atInfo().log(
+                "event=settings_renewed node=%s taken=%s waiting=%s", name, renewal.taken(), renewal.waiting());
+        return settings;
+    }
+
+    /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
+    private int policyBytesMost() {
+        return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") * 3 / 8);
     }
 
     private int told(final String count) {
@@ -462,7 +497,8 @@
         if (had != null) {
             final Snapshot snapshot = Codec.record(had, Snapshot.class);
             book.load(snapshot);
-            policyFloor = snapshot.version() - POLICY_KEPT;
+            snapshotDown = snapshot.version();
+            raiseFloor();
         }
         if (voter.voters() != null) {
             proposer.adopt(voter.voters());
@@ -588,6 +624,11 @@
         return voter;
     }
 
+    /** How full a core's ring is, 1 when nothing more fits. Example: {@code node.ringFill() < 0.7} */
+    public double ringFill() {
+        return ring.fill();
+    }
+
     /** The duty's keeper, or null on an edge. Example: {@code node.keeper().execution()} */
     public LeaseKeeper keeper() {
         return keeper;
@@ -613,26 +654,47 @@
         calls.run(method, params, done);
     }
 
-    /** Leaves: where answers first, then what is in flight, then the duties; done is run when all is given up.
-     * Example: {@code node.leave(() -> System.exit(0));} */
-    public void leave(final Runnable done) {
-        leave(() -> {}, done);
-    }
-
-    /** The same; closing is run when no more wires are to be taken. Example: {@code node.leave(front::stop, exit);} */
-    public void leave(final Runnable closing, final Runnable done) {
+    /** Leaves: where answers first, then what is in flight and the connections, then the duties; done is run when all
+     * is given up. Example: {@code node.leave(front.connections(), () -> System.exit(0));} */
+    public void leave(final Connections connections, final Runnable done) {
         LOG.atInfo().log("event=leaving node=%s", name);
         view.leave();
         follower.tick();
-        if (edge != null) {
-            clock.after(settings.part("stopWaitMs", 0.3), () -> {
+        final Departure.Pace departing = new Departure.Pace(
+                settings.part("stopWaitMs", 0.2),
+                settings.part("stopWaitMs", 0.75),
+                settings.part("stopWaitMs", 0.9),
+                settings.ms("stopWaitMs"),
+                20,
+                50);
+        new Departure(connections, new Underway(), clock, departing, () -> {
+                    if (serves) {
+                        counter.stop();
+                    }
+                    giveUp(done);
+                })
+                .begin();
+    }
+
+    /** What is under way at this node's edge, if it has one. */
+    private final class Underway implements Departure.Requests {
+        @Override
+        public void deny() {
+            if (edge != null) {
                 edge.leave();
-                closing.run();
-                drained(clock.nowMs() + settings.ms("stopWaitMs"), () -> giveUp(done));
-            });
-        } else {
-            closing.run();
-            giveUp(done);
+            }
+        }
+
+        @Override
+        public void giveUp() {
+            if (edge != null) {
+                edge.giveUp();
+            }
+        }
+
+        @Override
+        public boolean open() {
+            return openAsks() > 0;
         }
     }
 
@@ -645,15 +707,6 @@
         }
     }
 
-    private void drained(final long untilMs, final Runnable done) {
-        if (edge.open() == 0 || clock.nowMs() >= untilMs) {
-            counter.stop();
-            clock.after(50, done);
-        } else {
-            clock.after(20, () -> drained(untilMs, done));
-        }
-    }
-
     private void stop(final Runnable done) {
         stopped = true;
         LOG.atInfo().log("event=stop node=%s", name);
@@ -773,7 +826,14 @@
         }
     }
 
+    /** Has someone told of the policy in force, now and each time it moves. Example: {@code node.watch(p -> ...);} */
+    public void watch(final Consumer<Policy> newer) {
+        watcher = newer;
+        watcher.accept(book.policy());
+    }
+
     private void policyMoved() {
+        watcher.accept(book.policy());
         if (serves) {
             givenBack();
         }
@@ -796,13 +856,23 @@
         voter.keepOwn(POLICY, Codec.bytes(book.snapshot()), ok -> {
             keepingPolicy = false;
             if (ok) {
-                policyFloor =
-                        Math.max(policyFloor, version - (ring.fill() > CROWDED ? POLICY_KEPT_LEAST : POLICY_KEPT));
+                snapshotDown = version;
+                raiseFloor();
                 keepPolicy();
             }
         });
     }
 
+    private void raiseFloor() {
+        final long bytesMost = (long) (ring.capacityBytes() * POLICY_KEPT_SHARE);
+        voter.raiseFloor(Versions.floor(voter.registers(), snapshotDown, POLICY_KEPT, bytesMost), this::letVersionsGo);
+    }
+
+    /** Below the floor a register is not needed: what it decided is in the snapshot on this disk. */
+    private void letVersionsGo() {
+        Versions.upTo(voter.registers(), voter.floor()).forEach(voter::drop);
+    }
+
     /** Upstreams of a district that is given back may have turned cold while nothing was sent there. */
     private void givenBack() {
         final Set<String> now = book.policy().holds();
--- a/spokestall/src/main/java/spokestall/view/View.java
+++ b/spokestall/src/main/java/spokestall/view/View.java
@@ -25,7 +25,7 @@
     public record Pace(int size, int sample, long goneMs, long eagerMs) {}
 
     private final Member self;
-    private final List<String> seeds;
+    private List<String> seeds;
     private final Post post;
     private final Clock clock;
     private final FleetClock fleet;
@@ -38,6 +38,8 @@
     private boolean leaving;
     private int beat;
     private long changedMs;
+    /** No member is unheard for too long before then. */
+    private long nextGoneMs;
 
     /** Example: {@code new View(self, settings.seeds(), post, clock, fleet, random, pace)} */
     public View(
@@ -63,6 +65,11 @@
         return self.at(fleet.nowMs(), leaving);
     }
 
+    /** Asks these seeds from now on. Example: {@code view.seeds(settings.seeds());} */
+    public void seeds(final List<String> newer) {
+        seeds = List.copyOf(newer);
+    }
+
     /** Tells the neighbours from now on that this node is going. Example: {@code view.leave();} */
     public void leave() {
         leaving = true;
@@ -71,15 +78,24 @@
     /** The members known now, this node not among them. Example: {@code view.members().size()} */
     public Collection<Member> members() {
         final long nowMs = clock.nowMs();
-        if (known.values().removeIf(m -> nowMs - learnedMs.getOrDefault(m.name(), 0L) > pace.goneMs())) {
+        if (nowMs <= nextGoneMs) {
+            return known.values();
+        }
+        if (known.values().removeIf(m -> nowMs > goneMs(m.name()))) {
             changedMs = nowMs;
             learnedMs.keySet().retainAll(known.keySet());
             newMs.keySet().retainAll(known.keySet());
             offeredMs.keySet().retainAll(known.keySet());
         }
+        nextGoneMs = nowMs + pace.goneMs();
+        known.keySet().forEach(name -> nextGoneMs = Math.min(nextGoneMs, goneMs(name)));
         return known.values();
     }
 
+    private long goneMs(final String name) {
+        return learnedMs.getOrDefault(name, 0L) + pace.goneMs();
+    }
+
     /** A member by its name, or null. Example: {@code view.member("d2-edge")} */
     public Member member(final String name) {
         return name.equals(self.name()) ? self() : known.get(name);
@@ -172,6 +188,7 @@
         }
         known.put(m.name(), m);
         learnedMs.put(m.name(), clock.nowMs() - ageMs);
+        nextGoneMs = Math.min(nextGoneMs, goneMs(m.name()));
         if (known.size() > pace.size()) {
             known.values().stream()
                     .min(Comparator.comparingLong(k -> learnedMs.get(k.name())))
