--- a/spokestall/src/main/java/spokestall/Node.java
+++ b/spokestall/src/main/java/spokestall/Node.java
@@ -32,12 +32,12 @@
 import spokestall.duty.UsageBook;
 import spokestall.duty.UsageCounter;
 import spokestall.duty.UsageNote;
+import spokestall.edge.Directory;
 import spokestall.edge.Edge;
 import spokestall.edge.Elector;
 import spokestall.edge.Habits;
 import spokestall.edge.Parts;
 import spokestall.edge.Upstreams;
-import spokestall.edge.Where;
 import spokestall.feed.FeedNote;
 import spokestall.feed.Follower;
 import spokestall.feed.Versions;
@@ -141,8 +141,11 @@
     final Audit audit;
     final Calls calls = new Calls();
     final Feeds feeds = new Feeds(this);
+    private final Directory directory = new Directory();
+    private final long startedMs;
     private final long windowMs;
     private int sharersMost = 1;
+    private long sharersSeen = -1;
     private Set<String> heldBefore = Set.of();
     private Kept keptList;
     private Kept keptUsage;
@@ -174,6 +177,7 @@
         this.address = settings.text("address");
         this.clock = rim.clock();
         this.random = rim.random();
+        this.startedMs = clock.nowMs();
         this.life = clock.wallMs() << 10 | random.nextInt(1 << 10);
         this.fleet = new FleetClock(clock, settings.part("farMs", 2));
         this.post = (to, note) -> {
@@ -266,6 +270,7 @@
         this.ring = core ? new Ring(rim.segments()) : null;
         this.keeping = core
                 ? new Keeping(
+                        () -> fleet.settled() && checked(),
                         fleet,
                         settings.ms("claimKeepMs"),
                         settings.part("claimKeepMs", 0.2),
@@ -386,6 +391,7 @@
                 proposer,
                 follower,
                 clock,
+                () -> fleet.settled() ? fleet.nowMs() : 0,
                 settings.part("policyBoundMs", 0.8),
                 policyBytesMost(),
                 feeds::tell);
@@ -471,6 +477,10 @@
         return settings;
     }
 
+    private boolean checked() {
+        return formation.checked();
+    }
+
     /** A policy and the ids of its changes must fit into one record of the cores' rings, on an edge's word too. */
     private int policyBytesMost() {
         return (int) Math.min(settings.ms("policyMaxBytes"), settings.ms("ringSegmentBytes") * 3 / 8);
@@ -546,16 +556,18 @@
                 "event=start node=%s role=%s address=%s district=%s region=%s life=%s",
                 name, core ? "core" : "edge", address, settings.text("district"), settings.region(), life);
         hurry(clock.nowMs() + settings.part("leaveBoundMs", 1.5), 0);
-        every(settings.part("leaveBoundMs", 0.125), view::tick);
-        every(settings.ms("proofMs"), follower::tick);
+        every(settings.part("leaveBoundMs", 0.125), () -> {
+            view.tick();
+            publishEdges();
+        });
+        every(settings.ms("proofMs"), () -> {
+            follower.tick();
+            publishEdges();
+        });
         if (core) {
             every(settings.part("leaveBoundMs", 0.0625), formation::tick);
             every(settings.part("leaveBoundMs", 0.125), prober::tick);
-            every(settings.part("leaseMs", 0.1), () -> {
-                if (fleet.settled()) {
-                    keeper.tick();
-                }
-            });
+            every(settings.part("leaseMs", 0.1), this::keepLease);
             every(settings.part("reportDueMs", 0.01), reporter::tick);
             every(settings.part("keyBoundMs", 0.2), this::tidy);
             every(settings.ms("countPushMs"), keptUsage::tick);
@@ -590,6 +602,7 @@
             return;
         }
         view.greet(voters() == null ? List.of() : coreAddresses());
+        publishEdges();
         if (voters() != null && !follower.fresh() || turn < HURRIED || turn % (2 * HURRIED) == 0) {
             // Before there are voters nothing can be proved; a founding takes seconds.
             follower.tick();
@@ -624,6 +637,11 @@
         return voter;
     }
 
+    /** Whether this core's voter may give votes now. Example: {@code assertThat(node.votes()).isTrue();} */
+    public boolean votes() {
+        return voter.state() == Voter.State.VOTING && keeping.ready();
+    }
+
     /** How full a core's ring is, 1 when nothing more fits. Example: {@code node.ringFill() < 0.7} */
     public double ringFill() {
         return ring.fill();
@@ -660,6 +678,7 @@
         LOG.atInfo().log("event=leaving node=%s", name);
         view.leave();
         follower.tick();
+        publishEdges();
         final Departure.Pace departing = new Departure.Pace(
                 settings.part("stopWaitMs", 0.2),
                 settings.part("stopWaitMs", 0.75),
@@ -725,6 +744,17 @@
         }
     }
 
+    /**
+     * A node that leaves acquires no lease; one that it holds it keeps until its last request is answered. Neither does one that
+     * doesn't vote: without the registers it can't tell which windows it may report.
+     */
+    private void keepLease() {
+        final boolean mayAcquire = voter.state() == Voter.State.VOTING && !leaving();
+        if (fleet.settled() && (keeper.state() == LeaseKeeper.State.HOLDING || mayAcquire)) {
+            keeper.tick();
+        }
+    }
+
     private Long presentLife(final String name) {
         final Feeds.Present p = feeds.edges().get(name);
         return p == null ? null : p.member().life();
@@ -834,6 +864,7 @@
 
     private void policyMoved() {
         watcher.accept(book.policy());
+        clock.after(0, acceptance::moved);
         if (serves) {
             givenBack();
         }
@@ -905,7 +936,7 @@
 
     private Remains remains() {
         final List<BallotNote.Entry> registers = new ArrayList<>();
-        final boolean hasState = core && voter.hasState();
+        final boolean hasState = core && voter.keepsState();
         if (hasState) {
             voter.registers().forEach((key, r) -> registers.add(new BallotNote.Entry(key, r)));
         }
@@ -1052,6 +1083,10 @@
         if (settings.ms("edges") > 0) {
             return (int) settings.ms("edges");
         }
+        if (view.changes() == sharersSeen) {
+            return sharersMost;
+        }
+        sharersSeen = view.changes();
         int serving = serves ? 1 : 0;
         for (final Member m : view.members()) {
             serving += m.serves() ? 1 : 0;
@@ -1060,10 +1095,9 @@
         return sharersMost;
     }
 
-    /** Edges for a caller of a place: those of its district, of its region where that has but one, else any.
-     * Example: {@code node.edgesNear("r1", "d1")} */
-    public List<Member> edgesNear(final String region, final String district) {
-        return Where.near(edgesForClients(), region, district);
+    /** The edges that callers are told of, for any thread. Example: {@code Where.near(node.directory().edges(), "r1", "d1")} */
+    public Directory directory() {
+        return directory;
     }
 
     /** Whether this node takes asks now. Example: {@code if (!node.ready()) answer(503);} */
@@ -1081,18 +1115,49 @@
         return acceptance;
     }
 
+    /**
+     * The edges believed to serve: those whose own word is fresh. Where none is, as after a loss of power or while no core
+     * answers, those last named, then those that are known at all: a caller that is told of none can only wait.
+     */
     Collection<Member> edgesForClients() {
-        if (core) {
-            return feeds.freshEdges();
-        }
         final Map<String, Member> found = new TreeMap<>();
-        follower.edges(settings.heardMs()).forEach(e -> found.put(e.name(), e));
-        if (view.self().leaving()) {
+        heardEdges().forEach(e -> found.put(e.name(), e));
+        if (ready()) {
+            found.put(name, view.self());
+        }
+        if (found.isEmpty()) {
+            follower.edges(settings.part("leaveBoundMs", 2)).forEach(e -> found.put(e.name(), e));
+        }
+        if (found.isEmpty()) {
+            view.members().stream().filter(Member::serves).forEach(e -> found.put(e.name(), e));
+        }
+        if (leaving()) {
             found.remove(name);
         }
         return found.values();
     }
 
+    /** A core that has just started, or that nobody asks since it has no seat, goes by the word of another core. */
+    private Collection<Member> heardEdges() {
+        final long spanMs = settings.heardMs();
+        if (!core) {
+            return follower.edges(spanMs);
+        }
+        final Collection<Member> asking = feeds.freshEdges();
+        final boolean justStarted = clock.nowMs() - startedMs < spanMs;
+        if (!asking.isEmpty() && !justStarted) {
+            return asking;
+        }
+        final List<Member> both = new ArrayList<>(follower.edges(spanMs));
+        both.addAll(asking);
+        return both;
+    }
+
+    /** Callers are told of what was heard up to now. */
+    private void publishEdges() {
+        directory.publish(edgesForClients());
+    }
+
     /** Nodes configured with other counts of nodes than this one: shared bounds are divided by them. */
     List<String> differing() {
         final Member self = view.self();
--- a/spokestall/src/main/java/spokestall/ballot/Formation.java
+++ b/spokestall/src/main/java/spokestall/ballot/Formation.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
+import spokestall.feed.Marks;
 import spokestall.time.Clock;
 import spokestall.wire.Codec;
 import spokestall.wire.Post;
@@ -51,10 +52,14 @@
     /** What an acceptor keeps on disk about a new generation's ballot. */
     record Kept(long base, Ballot promised, Ballot accepted, Founding founding) {}
 
-    private record Heard(FormNote.Standing standing, long heardMs) {}
+    /** What a core said last, and how far its disk was written at the most. */
+    private record Heard(FormNote.Standing standing, long heardMs, long written) {}
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String FORM = "~form";
+    /** So many rounds a founding waits for a core that is heard and has state but does not promise. */
+    private static final int ROUNDS_WAITED = 4;
+
     private final String name;
     private final String address;
     private final String by;
@@ -76,6 +81,9 @@
     private final Map<String, Remains> remains = new TreeMap<>();
     private final Map<String, FormNote.FormPromise> promises = new TreeMap<>();
     private final Set<String> accepted = new HashSet<>();
+    /** Rounds of a founding that this core began and that came to nothing. */
+    private int roundsWaited;
+
     private Kept kept;
     private Phase phase = Phase.IDLE;
     private Ballot ballot = Ballot.NONE;
@@ -153,8 +161,12 @@
                 0,
                 0,
                 founder != null && voter.voters() == null,
+                voter.catchesUp(),
                 unheard(pace.silentMs()),
-                unheard(pace.goneMs()));
+                unheard(pace.goneMs()),
+                0,
+                0,
+                0);
     }
 
     private long unheard(final long boundMs) {
@@ -162,6 +174,40 @@
         return table == null ? 0 : silence.silentSeats(table, name, boundMs, clock.nowMs());
     }
 
+    private void say(final String to, final FormNote.Standing what) {
+        FormNote.Standing with = what.written(voter.written(), 0, 0);
+        for (final Heard h : heard.values()) {
+            if (h.standing.address().equals(to)) {
+                with = what.written(voter.written(), Marks.of(h.standing.diskId()), h.written);
+            }
+        }
+        post.send(to, with);
+    }
+
+    /** Whether so many others have spoken in this life that one of any majority has: had this disk been written further
+     * than it is, one of them would have said so before the first vote. */
+    public boolean checked() {
+        final Voters table = voter.voters();
+        if (table == null) {
+            return false;
+        }
+        int told = 0;
+        for (final Seat seat : table.seats()) {
+            told += !seat.name().equals(name) && heard.containsKey(seat.name()) ? 1 : 0;
+        }
+        return told >= table.majority() - 1;
+    }
+
+    /** What this core once promised may not be on a disk that was put back to an older state: it starts over. */
+    private void older(final FormNote.Standing s) {
+        LOG.atSevere().log(
+                "event=disk_older node=%s written=%s heard=%s from=%s",
+                name, voter.written(), s.yourWritten(), s.name());
+        kept = null;
+        voter.restart(freshId.get());
+        voter.keepOwn(FORM, null, ok -> {});
+    }
+
     /** The cores heard of late, by name, with what they said. Example: {@code formation.fresh().size()} */
     public Map<String, FormNote.Standing> fresh() {
         final Map<String, FormNote.Standing> fresh = new TreeMap<>();
@@ -234,10 +280,14 @@
                         mine.generation(),
                         mine.epoch(),
                         mine.founding(),
+                        mine.catchingUp(),
                         mine.silentSeats(),
-                        mine.goneSeats());
+                        mine.goneSeats(),
+                        0,
+                        0,
+                        0);
         for (final String other : edgesToo ? others.get() : cores.get()) {
-            post.send(other, have.contains(other) ? lean : mine);
+            say(other, have.contains(other) ? lean : mine);
         }
     }
 
@@ -299,19 +349,24 @@
         }
         int canWrite = 0;
         int withState = 0;
+        int catchingUp = 0;
         for (final FormNote.Standing s : fresh.values()) {
             if (s.newerThan(voter.voters())) {
                 return false;
             }
             if (elects(s.name())) {
+                final boolean same = s.generation() > 0 && s.generation() == generation();
                 canWrite += s.canWrite() ? 1 : 0;
-                withState += s.hasState() && s.generation() > 0 && s.generation() == generation() ? 1 : 0;
+                withState += s.hasState() && same ? 1 : 0;
+                catchingUp += s.catchingUp() && !s.hasState() && same ? 1 : 0;
             }
         }
         if (voter.voters() == null) {
             return canWrite == pace.cores();
         }
-        return canWrite >= majority() && canWrite - withState > size() - majority();
+        // Whoever has a seat and still catches up will have its state, as long as enough are there to read from.
+        final int soon = withState >= voter.voters().meeting() ? withState + catchingUp : withState;
+        return canWrite >= majority() && canWrite - soon > size() - majority();
     }
 
     private void consider(final Map<String, FormNote.Standing> fresh) {
@@ -337,14 +392,28 @@
             prepare(fresh);
         } else if (phase == Phase.PREPARE
                 && promises.size() >= majority()
+                && !awaitsState(fresh)
                 && (promises.size() >= fresh.size() || spentMs >= pace.settleMs())) {
             propose();
         } else if (phase != Phase.GATHER && spentMs >= 2 * pace.roundMs()) {
             wantedSinceMs = -1;
+            roundsWaited++;
             change(Phase.IDLE, "round-over");
         }
     }
 
+    /** Whether a core that told of its state and is still heard has not promised yet: it is slow, and until it has promised
+     * it may confirm what no other has. */
+    private boolean awaitsState(final Map<String, FormNote.Standing> fresh) {
+        return roundsWaited < ROUNDS_WAITED
+                && remains.values().stream()
+                        .anyMatch(r -> r.hasState()
+                                && r.generation() == base
+                                && elects(r.name())
+                                && fresh.containsKey(r.name())
+                                && !promises.containsKey(r.name()));
+    }
+
     private void prepare(final Map<String, FormNote.Standing> fresh) {
         count = Math.max(count, kept == null ? 0 : kept.promised.count()) + 1;
         ballot = new Ballot(count, by);
@@ -408,12 +477,17 @@
             return;
         }
         silence.heard(s.name(), clock.nowMs());
-        final Heard had = heard.put(s.name(), new Heard(s, clock.nowMs()));
+        if (s.heardFurther(voter.diskId(), voter.written()) && voter.canWrite()) {
+            older(s);
+        }
+        final Heard had = heard.get(s.name());
+        final boolean sameDisk = had != null && had.standing.diskId().equals(s.diskId());
+        heard.put(s.name(), new Heard(s, clock.nowMs(), sameDisk ? Math.max(had.written, s.written()) : s.written()));
         if (s.newerThan(voter.voters())) {
             if (s.table() != null) {
                 adopt(s.table());
             } else {
-                post.send(s.address(), standing());
+                say(s.address(), standing());
             }
         } else if (s.lacks(voter.voters())) {
             post.send(
@@ -424,7 +498,7 @@
         }
         if (had == null || clock.nowMs() - had.heardMs > pace.freshMs()) {
             // Whoever has just come should not have to wait for the next beat.
-            post.send(s.address(), standing());
+            say(s.address(), standing());
         }
     }
 
@@ -556,7 +630,8 @@
             return;
         }
         founded = founding;
-        if (founding.table().seat(name) == null) {
+        final Seat seat = founding.table().seat(name);
+        if (seat == null || !seat.diskId().equals(voter.diskId())) {
             adopt(founding.table());
             return;
         }
@@ -566,6 +641,7 @@
         voter.found(founding.table(), founding.entries());
         proposer.adopt(founding.table());
         wantedSinceMs = -1;
+        roundsWaited = 0;
         change(Phase.IDLE, "founded");
     }
 
--- a/spokestall/src/test/java/spokestall/rim/HttpPortTest.java
+++ b/spokestall/src/test/java/spokestall/rim/HttpPortTest.java
@@ -169,6 +169,20 @@
         }
     }
 
+    @Test
+    void aHeadThatHasComeInPartAtTheEndIsAnsweredAsNotRun() throws Exception {
+        listen(new ClientLimits(HEAD_BYTES, LONG_MS, LONG_MS));
+        try (Socket inPart = connect();
+                Socket other = connect()) {
+            send(inPart, GET);
+            send(other, GET + "\r\n");
+            answer(other);
+            port.endResting();
+            assertThat(answer(inPart)).startsWith("HTTP/1.1 408 ").contains("Connection: close");
+            assertThat(closed(inPart)).isTrue();
+        }
+    }
+
     @Test
     void whatComesAfterTheEndOfARestIsNotRead() throws Exception {
         listen(new ClientLimits(HEAD_BYTES, LONG_MS, LONG_MS));
@@ -177,8 +191,15 @@
             answer(socket);
             port.endResting();
             assertThat(closed(socket)).isTrue();
-            send(socket, GET.replace("/x", "/held") + "\r\n");
-            assertThat(held.poll(100, TimeUnit.MILLISECONDS)).isNull();
+            send(socket, GET.replace("/x", "/held?late") + "\r\n");
+            try (Socket other = connect()) {
+                send(other, GET.replace("/x", "/held?marker") + "\r\n");
+                final HttpServerExchange first = held.poll(10, TimeUnit.SECONDS);
+                assertThat(first.getQueryString()).isEqualTo("marker");
+                first.getResponseSender().send("well");
+                assertThat(answer(other)).startsWith("HTTP/1.1 200 ");
+            }
+            assertThat(held).isEmpty();
         }
     }
 }
