--- a/spokestall/src/main/java/spokestall/ballot/Voter.java
+++ b/spokestall/src/main/java/spokestall/ballot/Voter.java
@@ -192,16 +192,17 @@
         final long mark = ++tableEpochDown;
         // Until the table is down no vote is given, so a power loss can't bring the old table back under a new vote.
         final boolean stays = was == State.VOTING && !newGeneration && seated();
-        // Whoever resigned from a generation has done so for all its epochs.
-        final boolean resigned = was == State.RESIGNED && !newGeneration;
-        change(State.CATCHING_UP, "table");
+        // Whoever resigned from a generation has done so for all its epochs, also while a table is on its way to the
+        // disk.
+        if (was != State.RESIGNED || newGeneration) {
+            change(State.CATCHING_UP, "table");
+        }
         ring.put(VOTERS, Codec.bytes(table), ok -> {
-            if (!ok || mark != tableEpochDown) {
+            if (!ok || mark != tableEpochDown || state == State.RESIGNED) {
                 return;
             }
-            if (resigned) {
-                change(State.RESIGNED, "table-down");
-            } else if (stays) {
+            if (stays || keepsState()) {
+                // The second: it had caught up as the table came, and has all that a seat that votes has.
                 change(State.VOTING, "table-down");
             } else if (!seated()) {
                 change(State.BLANK, "not-seated");
@@ -351,6 +352,8 @@
             accept(accept);
         } else if (note instanceof BallotNote.Chosen chosen) {
             chosen(chosen);
+        } else if (note instanceof BallotNote.HoldAsk ask) {
+            hold(ask);
         } else if (note instanceof BallotNote.CatchAsk ask) {
             page(ask);
         } else if (note instanceof BallotNote.CatchBack back) {
@@ -473,6 +476,22 @@
         });
     }
 
+    /** Names what it lacks on its disk of what another voter holds. */
+    private void hold(final BallotNote.HoldAsk ask) {
+        if (ready(ask.generation(), ask.epoch(), ask.from()) != BallotNote.Reply.YES) {
+            return;
+        }
+        final List<String> lacking = new ArrayList<>();
+        for (final BallotNote.Held held : ask.held()) {
+            final Register had = registers.getOrDefault(held.key(), Register.EMPTY);
+            final Register synced = before.getOrDefault(held.key(), had);
+            if (synced.accepted().compareTo(held.accepted()) < 0 && !guard.gone(held.key())) {
+                lacking.add(held.key());
+            }
+        }
+        post.send(ask.from(), new BallotNote.HoldBack(name, ask.generation(), ask.epoch(), lacking));
+    }
+
     private void page(final BallotNote.CatchAsk ask) {
         if (ready(ask.generation(), ask.epoch(), ask.from()) != BallotNote.Reply.YES) {
             return;
--- a/spokestall/src/test/java/spokestall/ballot/VoterTest.java
+++ b/spokestall/src/test/java/spokestall/ballot/VoterTest.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import spokestall.feed.Versions;
+import spokestall.ring.MemorySegments;
 import spokestall.ring.Ring;
 import spokestall.ring.Segments;
 
@@ -63,30 +64,8 @@
         }
     }
 
-    /** A disk that is down at once. */
-    private static final class Quick implements Segments {
-        private final byte[][] files = new byte[8][1 << 14];
-
-        @Override
-        public int count() {
-            return files.length;
-        }
-
-        @Override
-        public int sizeBytes() {
-            return files[0].length;
-        }
-
-        @Override
-        public byte[] read(final int segment) {
-            return files[segment].clone();
-        }
-
-        @Override
-        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
-            pieces.forEach(p -> System.arraycopy(p.bytes(), 0, files[p.segment()], p.at(), p.bytes().length));
-            done.accept(true);
-        }
+    private static Segments disk() {
+        return new MemorySegments(8, 1 << 14);
     }
 
     private static Voters table(final int seats) {
@@ -98,7 +77,7 @@
     }
 
     private static Voter joiner() {
-        return new Voter("v0", new Ring(new Quick()), (to, note) -> {}, OPEN, "disk-0");
+        return new Voter("v0", new Ring(disk()), (to, note) -> {}, OPEN, "disk-0");
     }
 
     @Test
@@ -126,7 +105,7 @@
 
     @Test
     void aJoinerTakesTheHighestFloorOfThoseThatItReadFromAndKeepsItThroughARestart() {
-        final Quick disk = new Quick();
+        final Segments disk = disk();
         final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
@@ -142,8 +121,7 @@
     @Test
     void aJoinerDoesNotVoteBeforeWhatTheOthersLetGoIsOnItsOwnDisk() {
         final AtomicLong snapshotDown = new AtomicLong(39);
-        final Voter voter =
-                new Voter("v0", new Ring(new Quick()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
+        final Voter voter = new Voter("v0", new Ring(disk()), (to, note) -> {}, new Holding(snapshotDown), "disk-0");
         voter.adopt(table(5));
         voter.hear(allOf("v1", 7), "v0");
         voter.hear(allOf("v2", 40), "v0");
@@ -182,4 +160,74 @@
         voter.adopt(new Voters(9, 1, table(3).seats()));
         assertThat(voter.state()).isEqualTo(Voter.State.CATCHING_UP);
     }
+
+    /** A disk whose writes are down when the test says so. */
+    private static final class Held extends MemorySegments {
+        private final List<Runnable> held = new ArrayList<>();
+        private boolean holds;
+
+        Held() {
+            super(8, 1 << 14);
+        }
+
+        @Override
+        public void commit(final List<Piece> pieces, final Consumer<Boolean> done) {
+            held.add(() -> super.commit(pieces, done));
+            if (!holds) {
+                letGo();
+            }
+        }
+
+        void letGo() {
+            while (!held.isEmpty()) {
+                held.remove(0).run();
+            }
+        }
+    }
+
+    @Test
+    void whoResignsWhileATableIsOnItsWayToTheDiskStaysResigned() {
+        final Held disk = new Held();
+        final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
+        voter.found(table(3), List.of());
+        disk.holds = true;
+        voter.adopt(table(3).add(new Seat("new", "new", "x")));
+        voter.resign(3);
+        disk.letGo();
+        assertThat(voter.state()).isEqualTo(Voter.State.RESIGNED);
+    }
+
+    @Test
+    void whoResignedCatchesUpInNoLaterEpoch() {
+        final Held disk = new Held();
+        final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
+        voter.found(table(3), List.of());
+        voter.resign(3);
+        disk.holds = true;
+        voter.adopt(table(3).add(new Seat("new", "new", "x")));
+        for (int i = 1; i < 3; i++) {
+            voter.hear(new BallotNote.CatchBack("v" + i, 3, 5, "", List.of(), true, 0), "v0");
+        }
+        disk.letGo();
+        assertThat(voter.state()).isEqualTo(Voter.State.RESIGNED);
+        assertThat(voter.keepsState()).isTrue();
+        assertThat(voter.hasState()).isFalse();
+    }
+
+    /** Two joiners that each had caught up as the other's table came would wait for each other's votes for ever. */
+    @Test
+    void whoHasCaughtUpAsATableComesVotesOnceItIsDown() {
+        final Held disk = new Held();
+        final Voter voter = new Voter("v0", new Ring(disk), (to, note) -> {}, OPEN, "disk-0");
+        voter.adopt(table(3));
+        assertThat(voter.state()).isEqualTo(Voter.State.CATCHING_UP);
+        disk.holds = true;
+        for (int i = 1; i < 3; i++) {
+            voter.hear(new BallotNote.CatchBack("v" + i, 3, 4, "", List.of(), true, 0), "v0");
+        }
+        voter.adopt(table(3).add(new Seat("new", "new", "x")));
+        assertThat(voter.state()).as("before the table is down").isEqualTo(Voter.State.CATCHING_UP);
+        disk.letGo();
+        assertThat(voter.state()).isEqualTo(Voter.State.VOTING);
+    }
 }
