LeaseKeeper: renewal and release compare and set by one function

Both read the lease, compared the owner and set the next one, alike. Behaviour is the same. LeaseKeeperTest, ReporterTest and ArchitectureTest are green; formatter and linter are clean in spokestall.

--- a/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
+++ b/spokestall/src/main/java/spokestall/duty/LeaseKeeper.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Random;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import spokestall.ballot.Edit;
 import spokestall.ballot.Outcome;
 import spokestall.ballot.Proposer;
@@ -321,6 +322,13 @@
         }
     }
 
+    /** Compares and sets: the lease is changed only while it is this execution's and not released. */
+    private static Edit ifOwned(final byte[] value, final Execution mine, final UnaryOperator<Lease> next) {
+        final Lease now = value == null ? null : Codec.record(value, Lease.class);
+        final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
+        return own ? new Edit.Set(Codec.bytes(next.apply(now))) : Edit.LEAVE;
+    }
+
     private void renew(final Execution mine) {
         renewing = true;
         final long askedMs = clock.nowMs();
@@ -328,14 +336,10 @@
         proposer.change(
                 Lease.key(duty),
                 pace.storeWaitMs(),
-                value -> {
-                    final Lease now = value == null ? null : Codec.record(value, Lease.class);
-                    final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
-                    return own
-                            ? new Edit.Set(Codec.bytes(new Lease(
-                                    now.owner(), name, now.renewal() + 1, now.token(), pace.leaseMs(), false)))
-                            : Edit.LEAVE;
-                },
+                value -> ifOwned(
+                        value,
+                        mine,
+                        now -> new Lease(now.owner(), name, now.renewal() + 1, now.token(), pace.leaseMs(), false)),
                 outcome -> {
                     renewing = false;
                     renewed(mine, remainingMs(mine, outcome, askedMs), askedMs);
@@ -378,14 +382,10 @@
         proposer.change(
                 Lease.key(duty),
                 pace.storeWaitMs(),
-                value -> {
-                    final Lease now = value == null ? null : Codec.record(value, Lease.class);
-                    final boolean own = now != null && now.owner().equals(mine.owner()) && !now.released();
-                    return own
-                            ? new Edit.Set(Codec.bytes(new Lease(
-                                    now.owner(), now.holder(), now.renewal(), now.token(), now.spanMs(), true)))
-                            : Edit.LEAVE;
-                },
+                value -> ifOwned(
+                        value,
+                        mine,
+                        now -> new Lease(now.owner(), now.holder(), now.renewal(), now.token(), now.spanMs(), true)),
                 outcome -> ended(outcome instanceof Outcome.Done ? "released" : "unclear"));
     }
 
