KNOWN-RED.txt: a line for any test is passed over and printed

Only SimulationTest read the list. A JUnit extension of the new module test-support, registered for the tests of all modules, aborts a listed test method that fails, and prints its line; one that passes fails until its line is gone. A line must name a cause and an issue, and there may be three at most (KnownFailuresTest). SimulationTest reads the same parsed list. GoldenFile, which stood twice, moves there too.

--- a/spokestall/src/test/java/spokestall/api/RepliesFormatTest.java
+++ b/spokestall/src/test/java/spokestall/api/RepliesFormatTest.java
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import spokestall.GoldenFile;
 import spokestall.consensus.Acceptor;
 import spokestall.discovery.HealthStatus;
 import spokestall.lease.LeaseManager;
 import spokestall.proxy.ExecutionStatus;
 import spokestall.proxy.RequestTicket;
 import spokestall.storage.SegmentedLog;
+import spokestall.testsupport.GoldenFile;
 
 /** The calls of operators as they are sent and answered: their names and parameters, and the words of the replies. */
 class RepliesFormatTest {
--- a/spokestall/src/test/java/spokestall/configuration/ConfigurationFormatTest.java
+++ b/spokestall/src/test/java/spokestall/configuration/ConfigurationFormatTest.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import spokestall.GoldenFile;
 import spokestall.api.CallRegistry;
+import spokestall.testsupport.GoldenFile;
 
 /** The configuration as operators write it: each of its fields, what it means, and how troubles in it are told. */
 class ConfigurationFormatTest {
--- a/spokestall/src/test/java/spokestall/io/protocol/HeadsFormatTest.java
+++ b/spokestall/src/test/java/spokestall/io/protocol/HeadsFormatTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import spokestall.GoldenFile;
 import spokestall.api.ResultCode;
 import spokestall.discovery.ListedEndpoint;
 import spokestall.discovery.ProbeResult;
@@ -21,6 +20,7 @@
 import spokestall.proxy.ExecutionStatus;
 import spokestall.proxy.RequestHead;
 import spokestall.proxy.Response;
+import spokestall.testsupport.GoldenFile;
 import spokestall.usage.SealedWindow;
 
 /** The heads of spokestall's own interface: with clients, with upstreams and with a platform. */
--- a/spokestall/src/test/java/spokestall/settings/SettingsFormatTest.java
+++ b/spokestall/src/test/java/spokestall/settings/SettingsFormatTest.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import spokestall.GoldenFile;
+import spokestall.testsupport.GoldenFile;
 
 /** The settings file as operators write it: its keys, their defaults and what each is read as. */
 class SettingsFormatTest {
--- a/spokestall/src/test/java/spokestall/GoldenFile.java
+++ b/test-support/src/main/java/spokestall/testsupport/GoldenFile.java
@@ -1,4 +1,4 @@
-package spokestall;
+package spokestall.testsupport;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -7,13 +7,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** Reads the literal texts of external formats that tests compare with what the program reads and writes. */
+/**
+ * Reads the literal texts of external formats that tests compare with what the program reads and writes: files of the folder
+ * {@code golden} among the resources of the tests that run.
+ */
 public final class GoldenFile {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private GoldenFile() {}
 
-    /** The whole text of a file in the folder golden. */
+    /** Returns the whole text of a file. */
     public static String text(final String name) {
         try (InputStream in = GoldenFile.class.getResourceAsStream("/golden/" + name)) {
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
@@ -22,17 +25,17 @@
         }
     }
 
-    /** Its lines. */
+    /** Returns a file's lines. */
     public static List<String> lines(final String name) {
         return text(name).lines().toList();
     }
 
-    /** Its text as JSON. */
+    /** Returns a file's text as JSON. */
     public static JsonNode json(final String name) {
         return parsed(text(name));
     }
 
-    /** Any text as JSON. */
+    /** Returns any text as JSON. */
     public static JsonNode parsed(final String text) {
         try {
             return JSON.readTree(text);
--- /dev/null
+++ b/test-support/src/test/java/spokestall/testsupport/KnownFailuresTest.java
@@ -0,0 +1,75 @@
+package spokestall.testsupport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.InvocationInterceptor.Invocation;
+import org.opentest4j.AssertionFailedError;
+import org.opentest4j.TestAbortedException;
+
+class KnownFailuresTest {
+    private static final String LINE = "SomeTest fails: the disk is lost: both copies; issue 24";
+    private static final KnownFailures.Entry ENTRY =
+            new KnownFailures.Entry("SomeTest", "fails", "the disk is lost: both copies", 24);
+
+    private static Invocation<Void> failing(final Throwable failure) {
+        return () -> {
+            throw failure;
+        };
+    }
+
+    @Test
+    void aLineNamesClassSubjectCauseAndIssue() {
+        final KnownFailures known =
+                KnownFailures.parse(List.of(LINE, "", "SimulationTest KEY CUTS PADMA 5: x; issue 7"));
+        assertThat(known.of("SomeTest", "fails")).contains(ENTRY);
+        assertThat(known.of("SomeTest", "other")).isEmpty();
+        assertThat(known.of("SimulationTest"))
+                .extracting(KnownFailures.Entry::subject)
+                .containsExactly("KEY CUTS PADMA 5");
+    }
+
+    @Test
+    void aLineWithoutCauseOrIssueIsRefused() {
+        for (final String line : List.of("SomeTest fails", "SomeTest fails: cause", "SomeTest: cause; issue 24")) {
+            assertThatThrownBy(() -> KnownFailures.parse(List.of(line)))
+                    .isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageContaining(line);
+        }
+    }
+
+    @Test
+    void aFourthLineIsRefused() {
+        assertThat(KnownFailures.parse(Collections.nCopies(KnownFailures.MAX_ENTRIES, LINE))
+                        .of("SomeTest"))
+                .hasSize(KnownFailures.MAX_ENTRIES);
+        assertThatThrownBy(() -> KnownFailures.parse(Collections.nCopies(KnownFailures.MAX_ENTRIES + 1, LINE)))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+
+    @Test
+    void aListedFailureIsPassedOver() {
+        assertThatThrownBy(() -> KnownFailureExtension.run(failing(new AssertionError("lost")), Optional.of(ENTRY)))
+                .isInstanceOf(TestAbortedException.class)
+                .hasMessageContaining("SomeTest fails")
+                .hasMessageContaining("issue 24");
+    }
+
+    @Test
+    void anUnlistedFailureFails() {
+        final AssertionError failure = new AssertionError("lost");
+        assertThatThrownBy(() -> KnownFailureExtension.run(failing(failure), Optional.empty()))
+                .isSameAs(failure);
+    }
+
+    @Test
+    void aListedTestThatPassesFails() {
+        assertThatThrownBy(() -> KnownFailureExtension.run(() -> null, Optional.of(ENTRY)))
+                .isInstanceOf(AssertionFailedError.class)
+                .hasMessageContaining("take its line out");
+    }
+}
