--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
@@ -1,7 +1,6 @@
 package spokestall.configuration.change;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.function.Consumer;
 import spokestall.configuration.ConfigurationChange;
 
 /**
@@ -32,24 +31,39 @@
         }
     }
 
+    /** Receives the one result of an attempt. */
+    @FunctionalInterface
+    interface Callback {
+        /** Receives the result; the attempt is completed. */
+        void onResult(ChangeAttempt attempt, ChangeResult result);
+    }
+
+    /** What {@link #confirmedAfterMs} returns before the first confirmation. */
+    private static final long NOT_CONFIRMED = -1;
+
     /** One proposal of an attempt; the attempt makes another one after a different change committed as this version. */
     record Proposal(ChangeAttempt attempt, long version, ConfigurationChange change) {}
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final String changeId;
     private final ChangeDraft draft;
+    private final long receivedMs;
     private final long deadlineMs;
-    private final Consumer<ChangeResult> callback;
+    private final Callback callback;
     private State state = State.RECEIVED;
+    private long confirmedAfterMs = NOT_CONFIRMED;
+    private int proposals;
 
-    /** Creates an attempt whose deadline is on this node's monotonic clock. */
+    /** Creates an attempt whose times are on this node's monotonic clock. */
     ChangeAttempt(
             final String changeId,
             final ChangeDraft draft,
+            final long receivedMs,
             final long deadlineMs,
-            final Consumer<ChangeResult> callback) {
+            final Callback callback) {
         this.changeId = changeId;
         this.draft = draft;
+        this.receivedMs = receivedMs;
         this.deadlineMs = deadlineMs;
         this.callback = callback;
     }
@@ -66,6 +80,28 @@
         return deadlineMs - nowMs;
     }
 
+    /** Returns how long ago the request arrived, in milliseconds. */
+    long waitedMs(final long nowMs) {
+        return nowMs - receivedMs;
+    }
+
+    /** Returns how long after its arrival the first confirmation came, in milliseconds; -1 if none did. */
+    long confirmedAfterMs() {
+        return confirmedAfterMs;
+    }
+
+    /** Returns how many proposals were made. */
+    int proposals() {
+        return proposals;
+    }
+
+    /** The configuration applied here was confirmed to be the newest. */
+    void onConfirmed(final long nowMs) {
+        if (confirmedAfterMs == NOT_CONFIRMED) {
+            confirmedAfterMs = waitedMs(nowMs);
+        }
+    }
+
     State state() {
         return state;
     }
@@ -78,13 +114,14 @@
     /** Begins a proposal. */
     Proposal propose(final long version, final ConfigurationChange change) {
         transitionTo(State.PROPOSING);
+        proposals++;
         return new Proposal(this, version, change);
     }
 
     /** Delivers the result. */
     void complete(final ChangeResult result) {
         transitionTo(State.COMPLETED);
-        callback.accept(result);
+        callback.onResult(this, result);
     }
 
     private void transitionTo(final State next) {
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
@@ -99,15 +99,26 @@
      */
     public void submit(
             final String changeId, final ChangeDraft draft, final long timeoutMillis, final Consumer<Reply> callback) {
+        final long receivedMs = clock.nowMs();
         confirm(
-                new ChangeAttempt(
-                        changeId,
-                        draft,
-                        clock.nowMs() + timeoutMillis,
-                        result -> callback.accept(result.toReply(changeId, appliedVersion()))),
+                new ChangeAttempt(changeId, draft, receivedMs, receivedMs + timeoutMillis, (attempt, result) -> {
+                    log(attempt, result);
+                    callback.accept(result.toReply(changeId, appliedVersion()));
+                }),
                 timeoutMillis);
     }
 
+    private void log(final ChangeAttempt attempt, final ChangeResult result) {
+        LOG.atInfo().log(
+                "event=change_answered node=%s changeId=%s result=%s waitedMs=%s confirmedAfterMs=%s proposals=%s",
+                host.name(),
+                attempt.changeId(),
+                result,
+                attempt.waitedMs(clock.nowMs()),
+                attempt.confirmedAfterMs(),
+                attempt.proposals());
+    }
+
     /**
      * Submits a change that came without an id, so that its repetition can't be distinguished from a new request. While a request
      * waited at a node that was paused or partitioned, it may have been repeated elsewhere and undone since; so only a node
@@ -165,6 +176,7 @@
             attempt.complete(new ChangeResult.NotReady());
             return;
         }
+        attempt.onConfirmed(clock.nowMs());
         final Long committed = configurationStore.versionOf(attempt.changeId());
         if (committed != null) {
             attempt.complete(new ChangeResult.Committed(committed));
--- a/spokestall/src/main/java/spokestall/node/GracefulShutdown.java
+++ b/spokestall/src/main/java/spokestall/node/GracefulShutdown.java
@@ -28,8 +28,8 @@
         /** Rejects all requests from now on; those in flight continue. */
         void rejectNew();
 
-        /** Answers all that is in flight, as failed. */
-        void abort();
+        /** Answers all that is in flight, as failed, and returns how many requests that were. */
+        int abort();
 
         /** Returns whether any request is in flight. */
         boolean inFlight();
@@ -41,7 +41,9 @@
         public void rejectNew() {}
 
         @Override
-        public void abort() {}
+        public int abort() {
+            return 0;
+        }
 
         @Override
         public boolean inFlight() {
@@ -105,17 +107,23 @@
         }
         final boolean quiet = connections.open() == 0 && !requests.inFlight();
         if (!accepting && quiet) {
-            transitionTo(Phase.ENDED);
+            end(elapsedMs, 0);
             done.run();
         } else if (elapsedMs >= timing.maxMs()) {
-            transitionTo(Phase.ENDED);
-            requests.abort();
+            end(elapsedMs, requests.abort());
             clock.after(timing.writeMs(), done);
         } else {
             clock.after(timing.checkMs(), this::onTick);
         }
     }
 
+    private void end(final long elapsedMs, final int abortedRequests) {
+        LOG.atInfo().log(
+                "event=shutdown_drained elapsedMs=%s abortedRequests=%s openConnections=%s",
+                elapsedMs, abortedRequests, connections.open());
+        transitionTo(Phase.ENDED);
+    }
+
     /** Phases follow in their order; any of them may be the last before the end. */
     private void transitionTo(final Phase next) {
         assert next == Phase.ENDED && phase != Phase.ENDED || next.ordinal() == phase.ordinal() + 1
--- a/spokestall/src/main/java/spokestall/node/ProxyComponent.java
+++ b/spokestall/src/main/java/spokestall/node/ProxyComponent.java
@@ -151,8 +151,10 @@
     }
 
     @Override
-    public void abort() {
+    public int abort() {
+        final int aborted = openRequests();
         admissionController.giveUp();
+        return aborted;
     }
 
     @Override
--- a/spokestall/src/test/java/spokestall/configuration/change/ChangeAttemptTest.java
+++ b/spokestall/src/test/java/spokestall/configuration/change/ChangeAttemptTest.java
@@ -18,8 +18,23 @@
             "chg-1",
             tree -> new ChangeDraft.Drafted.Write(
                     ConfigurationChange.Kind.PATCH, JsonNodeFactory.instance.objectNode()),
+            100,
             500,
-            results::add);
+            (ended, result) -> results.add(result));
+
+    @Test
+    void knowsHowLongItWaitedForItsFirstConfirmationAndHowOftenItProposed() {
+        assertThat(attempt.confirmedAfterMs()).isEqualTo(-1);
+        attempt.confirm();
+        attempt.onConfirmed(140);
+        attempt.propose(7, CHANGE);
+        attempt.confirm();
+        attempt.onConfirmed(220);
+        attempt.propose(8, CHANGE);
+        assertThat(attempt.confirmedAfterMs()).isEqualTo(40);
+        assertThat(attempt.proposals()).isEqualTo(2);
+        assertThat(attempt.waitedMs(230)).isEqualTo(130);
+    }
 
     @Test
     void isConfirmedThenProposedThenCompleted() {
--- a/spokestall/src/test/java/spokestall/node/GracefulShutdownTest.java
+++ b/spokestall/src/test/java/spokestall/node/GracefulShutdownTest.java
@@ -47,8 +47,9 @@
             }
 
             @Override
-            public void abort() {
+            public int abort() {
                 record("abort");
+                return requestsInFlight;
             }
 
             @Override
--- a/testbed/src/main/java/spokestall/testbed/simulation/SimulatedWorld.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/SimulatedWorld.java
@@ -175,6 +175,13 @@
         return node;
     }
 
+    /** Adds an edge beyond the deployment's own. */
+    public SimulatedNode addEdge(final String name, final int place) {
+        final SimulatedNode node = new SimulatedNode(this, name, false, place, settings);
+        add(node);
+        return node;
+    }
+
     private void add(final SimulatedNode node) {
         nodes.put(node.name, node);
         byAddress.put(node.address, node);
