--- a/spokestall/src/test/java/spokestall/node/GracefulShutdownTest.java
+++ b/spokestall/src/test/java/spokestall/node/GracefulShutdownTest.java
@@ -99,4 +99,13 @@
         shutDown();
         assertThat(steps).containsExactly("closeAfterResponses@0", "stopAccepting@200", "done@520");
     }
+
+    /** A large response on a narrow link takes a while to be written; its request is no longer in flight. */
+    @Test
+    void aResponseThatIsBeingWrittenWhenTheRestIsAbortedIsCompleted() {
+        connections = 1;
+        clock.after(1200, () -> connections = 0);
+        shutDown();
+        assertThat(steps).containsSubsequence("closeIdle@900", "abort@1000", "done@1200");
+    }
 }
