A change outlives its call, a slow node redirects to a voter, and a phase's wait grows

Cause: every step of a change was given up with the call, after 0.95 s. On a small machine (0.15 of a core) the newest version was confirmed after 0.3 to 0.6 s and the prepare phase was cut by the call's end, or by a fixed wait of 0.44 s; the promises that it left outranked the next node's proposal, which lost a round trip and a backoff to a competitor that had given up, or duelled with one that the caller had left. So five nodes in a row, a core among them, failed the same change (5.6 s). Class: work whose progress is thrown away at a time-out and hinders its own retry. Excluded: the event loop's queue (event_loop_late once in 14 s), nodes that complete a version (no dependence on the number of nodes in the simulator). An evacuation has no identity and still ends with its call.

--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
@@ -53,6 +53,7 @@
     private State state = State.RECEIVED;
     private long confirmedAfterMs = NOT_CONFIRMED;
     private int proposals;
+    private boolean mayBeCommitted;
 
     /** Creates an attempt whose times are on this node's monotonic clock. */
     ChangeAttempt(
@@ -118,6 +119,16 @@
         return new Proposal(this, version, change);
     }
 
+    /** A proposal ended without a known outcome: its value may have been committed, or may yet be. */
+    void onUndecidedProposal() {
+        mayBeCommitted = true;
+    }
+
+    /** Returns the result of an attempt whose time is over. */
+    ChangeResult timedOut() {
+        return mayBeCommitted ? new ChangeResult.Undecided() : new ChangeResult.NotReady();
+    }
+
     /** Delivers the result. */
     void complete(final ChangeResult result) {
         transitionTo(State.COMPLETED);
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
@@ -36,6 +36,45 @@
     /** The bounds of a change. */
     public record Limits(long proposalTimeoutMs, int configurationBytesMax) {}
 
+    /**
+     * How long a change is pursued, and when its caller is answered meanwhile; in milliseconds after its arrival.
+     *
+     * <p>A change that takes longer than its caller waits is pursued all the same: its caller asks again, here or elsewhere, and
+     * finds it committed. If each node gave it up with the call, a slow node would only hinder the next one, whose proposal
+     * is outranked by what the first left behind.
+     *
+     * @param redirectMillis when the caller is sent to a voter, if this node isn't one
+     * @param answerMillis when the caller is answered at the latest
+     * @param pursueMillis until when the change is proposed
+     */
+    public record Patience(long redirectMillis, long answerMillis, long pursueMillis) {
+        /** Returns the patience of a change that is given up with its call. */
+        public static Patience of(final long timeoutMillis) {
+            return new Patience(timeoutMillis, timeoutMillis, timeoutMillis);
+        }
+
+        private boolean isAnsweredEarly() {
+            return redirectMillis < pursueMillis || answerMillis < pursueMillis;
+        }
+    }
+
+    /** Gives the caller one reply, the first. */
+    private static final class CallerReply {
+        private final Consumer<Reply> callback;
+        private boolean given;
+
+        CallerReply(final Consumer<Reply> callback) {
+            this.callback = callback;
+        }
+
+        void give(final Reply reply) {
+            if (!given) {
+                given = true;
+                callback.accept(reply);
+            }
+        }
+    }
+
     /**
      * What the coordinator proposes with.
      *
@@ -56,6 +95,9 @@
     }
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** While more changes than this are in progress, a change is given up with its call. */
+    private static final int PURSUED_MAX = 64;
+
     private final Host host;
     private final ConfigurationStore configurationStore;
     private final Proposer proposer;
@@ -66,6 +108,8 @@
     /** The proposals whose end still matters, in the order in which they began. */
     private final List<ChangeAttempt.Proposal> proposals = new ArrayList<>();
 
+    private int pursued;
+
     /** Creates a coordinator without attempts. */
     public ChangeCoordinator(
             final Host host,
@@ -88,24 +132,40 @@
         submit(
                 changeId,
                 tree -> appliedVersion() == baseVersion ? draft.draftOn(tree) : new ChangeDraft.Drafted.StaleBase(),
-                limits.proposalTimeoutMs(),
+                Patience.of(limits.proposalTimeoutMs()),
                 callback);
     }
 
-    /**
-     * Submits a change under the id that the operator gave it; submitted again, it is acknowledged again.
-     *
-     * @param timeoutMillis how long it may take until it is proposed for the last time
-     */
+    /** Submits a change under the id that the operator gave it; submitted again, it is acknowledged again. */
     public void submit(
-            final String changeId, final ChangeDraft draft, final long timeoutMillis, final Consumer<Reply> callback) {
+            final String changeId, final ChangeDraft draft, final Patience patience, final Consumer<Reply> callback) {
         final long receivedMs = clock.nowMs();
+        final boolean overloaded = pursued >= PURSUED_MAX;
+        final long pursueMillis = overloaded ? patience.answerMillis() : patience.pursueMillis();
+        final CallerReply reply = new CallerReply(callback);
+        if (patience.isAnsweredEarly()) {
+            answerEarly(changeId, patience, reply);
+        }
+        pursued++;
         confirm(
-                new ChangeAttempt(changeId, draft, receivedMs, receivedMs + timeoutMillis, (attempt, result) -> {
+                new ChangeAttempt(changeId, draft, receivedMs, receivedMs + pursueMillis, (attempt, result) -> {
+                    pursued--;
                     log(attempt, result);
-                    callback.accept(result.toReply(changeId, appliedVersion()));
+                    reply.give(result.toReply(changeId, appliedVersion()));
                 }),
-                timeoutMillis);
+                pursueMillis);
+    }
+
+    private void answerEarly(final String changeId, final Patience patience, final CallerReply reply) {
+        clock.after(
+                patience.redirectMillis(),
+                () -> feedClient
+                        .nearestVoter()
+                        .ifPresent(voter ->
+                                reply.give(new ChangeResult.Pending(voter).toReply(changeId, appliedVersion()))));
+        clock.after(
+                patience.answerMillis(),
+                () -> reply.give(new ChangeResult.Pending("").toReply(changeId, appliedVersion())));
     }
 
     private void log(final ChangeAttempt attempt, final ChangeResult result) {
@@ -127,9 +187,9 @@
      * @param changeId a new id that no other request has
      */
     public void submitWithoutId(
-            final String changeId, final ChangeDraft draft, final long timeoutMillis, final Consumer<Reply> callback) {
+            final String changeId, final ChangeDraft draft, final Patience patience, final Consumer<Reply> callback) {
         if (feedClient.isFresh()) {
-            submit(changeId, draft, timeoutMillis, callback);
+            submit(changeId, draft, patience, callback);
         } else {
             callback.accept(new ChangeResult.NotReady().toReply(changeId, appliedVersion()));
         }
@@ -173,7 +233,7 @@
 
     private void onConfirmation(final ChangeAttempt attempt, final boolean confirmed) {
         if (!confirmed || !isOfPresentGeneration()) {
-            attempt.complete(new ChangeResult.NotReady());
+            attempt.complete(attempt.timedOut());
             return;
         }
         attempt.onConfirmed(clock.nowMs());
@@ -210,7 +270,7 @@
     private void onSuperseded(final ChangeAttempt attempt) {
         final long remainingMs = attempt.remainingMs(clock.nowMs());
         if (remainingMs <= 0) {
-            attempt.complete(new ChangeResult.NotReady());
+            attempt.complete(attempt.timedOut());
             return;
         }
         if (isOfPresentGeneration()
@@ -283,14 +343,28 @@
         if (chosen != null && isSameChange(chosen, proposal)) {
             attempt.complete(new ChangeResult.Committed(proposal.version()));
         } else if (outcome instanceof ProposalOutcome.Indeterminate) {
-            attempt.complete(new ChangeResult.Undecided());
+            attempt.onUndecidedProposal();
+            confirmAgain(attempt);
+        } else if (outcome instanceof ProposalOutcome.NotCommitted failed
+                && failed.reason() == ProposalOutcome.Reason.NO_MAJORITY_IN_TIME) {
+            confirmAgain(attempt);
         } else if (outcome instanceof ProposalOutcome.NotCommitted) {
-            attempt.complete(new ChangeResult.NotReady());
+            attempt.complete(attempt.timedOut());
         } else {
             onSuperseded(attempt);
         }
     }
 
+    /** Goes on with a change whose proposal ran out of its time before the change did. */
+    private void confirmAgain(final ChangeAttempt attempt) {
+        final long remainingMs = attempt.remainingMs(clock.nowMs());
+        if (remainingMs > 0) {
+            confirm(attempt, remainingMs);
+        } else {
+            attempt.complete(attempt.timedOut());
+        }
+    }
+
     private void onChosen(final ChangeAttempt.Proposal proposal, final byte[] chosen) {
         feedClient.applyChosen(proposal.version(), chosen);
         host.onCommitted(proposal.version());
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeResult.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeResult.java
@@ -10,6 +10,9 @@
 
 /** How a request to change the configuration ended. */
 sealed interface ChangeResult {
+    /** The reply's field with the address of a voter at which the same change is better requested again. */
+    String VOTER_FIELD = "voter";
+
     /** The change is committed as this version, or this version is as requested. */
     record Committed(long version) implements ChangeResult {}
 
@@ -28,6 +31,13 @@
     /** The change may have been committed, or may yet be. */
     record Undecided() implements ChangeResult {}
 
+    /**
+     * The change is still being made here; the caller may ask again, and at once at this voter, if one is named.
+     *
+     * @param voter the address of a core that votes, or empty
+     */
+    record Pending(String voter) implements ChangeResult {}
+
     /**
      * Returns the reply to the operator. Its field names are part of the API.
      *
@@ -47,6 +57,9 @@
                     .forEach(error ->
                             list.addObject().put("pointer", error.pointer()).put("reason", error.reason()));
         }
+        if (this instanceof Pending pending && !pending.voter().isEmpty()) {
+            fields.put(VOTER_FIELD, pending.voter());
+        }
         return Reply.of(code(), fields);
     }
 
@@ -59,7 +72,7 @@
             return ResultCode.INVALID;
         } else if (this instanceof NotReady) {
             return ResultCode.NOT_READY;
-        } else if (this instanceof Undecided) {
+        } else if (this instanceof Undecided || this instanceof Pending) {
             return ResultCode.UNDECIDED;
         }
         return ResultCode.OK;
--- a/spokestall/src/main/java/spokestall/configuration/feed/FeedClient.java
+++ b/spokestall/src/main/java/spokestall/configuration/feed/FeedClient.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import spokestall.configuration.ConfigurationChange;
 import spokestall.configuration.ConfigurationStore;
@@ -121,6 +122,20 @@
         return respondedMs == null ? Long.MAX_VALUE : clock.nowMs() - respondedMs;
     }
 
+    /** Returns the address of the nearest core that reported of late that it votes; empty if this node is a voter itself. */
+    public Optional<String> nearestVoter() {
+        final VoterSet voterSet = proposer.voterSet();
+        if (voterSet == null
+                || voterSet.voters().stream().anyMatch(voter -> voter.address().equals(address))) {
+            return Optional.empty();
+        }
+        return voterSet.voters().stream()
+                .filter(voter -> sinceResponseMs(voter.name()) <= timings.updateTimeoutMs()
+                        && coreReports.get(voter.name()).voting())
+                .map(Voter::address)
+                .min(Comparator.comparingInt(node::distanceTo));
+    }
+
     /** Returns the edges that a core reported within this time. */
     public List<NodeInfo> edgesReportedWithin(final long maxAgeMs) {
         return reportedEdges.reportedWithin(maxAgeMs);
--- a/spokestall/src/main/java/spokestall/consensus/Proposal.java
+++ b/spokestall/src/main/java/spokestall/consensus/Proposal.java
@@ -35,6 +35,9 @@
         COMPLETED
     }
 
+    /** The wait for a phase doubles with each that timed out, up to two to the power of this: the network or this node may be slow. */
+    private static final int MAX_TIMEOUT_DOUBLINGS = 2;
+
     /** The backoff doubles with each attempt up to two to the power of this. */
     private static final int MAX_BACKOFF_DOUBLINGS = 3;
 
@@ -53,6 +56,7 @@
     private Phase phase = Phase.NEW;
     private long attemptId;
     private int attempts;
+    private int timeouts;
     /** The voter set of this attempt. */
     private VoterSet voterSet;
     /** The number of this attempt. */
@@ -161,7 +165,8 @@
         final long scheduledAttemptId = attemptId;
         final Phase scheduledPhase = phase;
         final long leftMillis = Math.max(1, deadlineMs - proposer.clock.nowMs());
-        proposer.clock.after(Math.min(proposer.timing.attemptTimeoutMillis(), leftMillis), () -> {
+        final long timeoutMillis = proposer.timing.attemptTimeoutMillis() << Math.min(timeouts, MAX_TIMEOUT_DOUBLINGS);
+        proposer.clock.after(Math.min(timeoutMillis, leftMillis), () -> {
             if (attemptId == scheduledAttemptId && phase == scheduledPhase) {
                 onTimeout();
             }
@@ -169,6 +174,7 @@
     }
 
     private void onTimeout() {
+        timeouts++;
         backOff(Phase.PREPARE);
     }
 
--- a/spokestall/src/main/java/spokestall/consensus/Proposer.java
+++ b/spokestall/src/main/java/spokestall/consensus/Proposer.java
@@ -19,7 +19,7 @@
     /**
      * How long a proposal waits, and how often it starts over.
      *
-     * @param attemptTimeoutMillis how long one phase waits for a majority
+     * @param attemptTimeoutMillis how long one phase waits for a majority; twice and four times as long after phases timed out
      * @param backoffMillis unit of the jittered wait before the next attempt, which grows to eight times this
      * @param attemptLimit after so many the proposal ends, whatever its deadline
      */
--- a/testbed/src/test/java/spokestall/testbed/fleet/OperatorFleet.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/OperatorFleet.java
@@ -12,6 +12,7 @@
 import java.util.logging.Logger;
 import spokestall.api.Reply;
 import spokestall.api.ResultCode;
+import spokestall.configuration.change.ChangeCoordinator;
 import spokestall.configuration.change.ChangeDraft;
 import spokestall.consensus.Acceptor;
 import spokestall.testbed.Deployment;
@@ -118,7 +119,17 @@
             final ChangeDraft draft,
             final long waitMs,
             final Consumer<Reply> done) {
-        to.run(to.incarnation(), () -> to.node().changeCoordinator().submit(changeId, draft, waitMs, done));
+        agree(to, changeId, draft, ChangeCoordinator.Patience.of(waitMs), done);
+    }
+
+    /** Gives an order without a base of its own, which is pursued for longer than its caller waits. */
+    public void agree(
+            final SimulatedNode to,
+            final String changeId,
+            final ChangeDraft draft,
+            final ChangeCoordinator.Patience patience,
+            final Consumer<Reply> done) {
+        to.run(to.incarnation(), () -> to.node().changeCoordinator().submit(changeId, draft, patience, done));
     }
 
     /** Gives an order made against a base, at any node. */
--- a/testbed/src/test/java/spokestall/testbed/simulation/SlowNodeChangesTest.java
+++ b/testbed/src/test/java/spokestall/testbed/simulation/SlowNodeChangesTest.java
@@ -12,6 +12,7 @@
 import spokestall.api.Reply;
 import spokestall.api.ResultCode;
 import spokestall.configuration.ConfigurationChange;
+import spokestall.configuration.change.ChangeCoordinator;
 import spokestall.configuration.change.ChangeDraft;
 import spokestall.testbed.Deployment;
 import spokestall.testbed.fault.InjectedFault;
@@ -25,7 +26,7 @@
     private static final int EDGES = 40;
     private static final int SEEDS = 2;
     private static final int CHANGES = 6;
-    private static final long CALL_MS = 950;
+    private static final ChangeCoordinator.Patience PATIENCE = new ChangeCoordinator.Patience(600, 950, 4000);
     /** The caller's patience, less the time that call and reply take on their way. */
     private static final long SILENCE_MS = 900;
 
@@ -59,7 +60,7 @@
             final int call = ++calls;
             final ObjectNode patch = (ObjectNode) fleet.bind(0, id, id).get("patch");
             final ChangeDraft draft = tree -> new ChangeDraft.Drafted.Write(ConfigurationChange.Kind.PATCH, patch);
-            fleet.agree(to, id, draft, CALL_MS, reply -> onReply(call, reply));
+            fleet.agree(to, id, draft, PATIENCE, reply -> onReply(call, reply));
             fleet.world.sim.after(SILENCE_MS, () -> tryElsewhere(call));
         }
 
--- a/testbed/src/test/java/spokestall/testbed/simulation/WaitingChangeTest.java
+++ b/testbed/src/test/java/spokestall/testbed/simulation/WaitingChangeTest.java
@@ -10,6 +10,7 @@
 import spokestall.api.Reply;
 import spokestall.api.ResultCode;
 import spokestall.configuration.ConfigurationChange;
+import spokestall.configuration.change.ChangeCoordinator;
 import spokestall.configuration.change.ChangeDraft;
 import spokestall.testbed.Deployment;
 import spokestall.testbed.fleet.OperatorFleet;
@@ -44,7 +45,11 @@
             final boolean begin,
             final java.util.function.Consumer<Reply> done) {
         final String id = "hold-" + fleet.nowMs() + at.name;
-        at.run(at.incarnation(), () -> at.node().changeCoordinator().submitWithoutId(id, hold(begin), WAIT_MS, done));
+        at.run(
+                at.incarnation(),
+                () -> at.node()
+                        .changeCoordinator()
+                        .submitWithoutId(id, hold(begin), ChangeCoordinator.Patience.of(WAIT_MS), done));
     }
 
     private static List<SimulatedNode> heldAt(final OperatorFleet fleet) {
