--- a/spokestall/src/main/java/spokestall/cli/Main.java
+++ b/spokestall/src/main/java/spokestall/cli/Main.java
@@ -10,6 +10,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import spokestall.io.LogLineFormatter;
+import spokestall.io.ShutdownLogging;
 import spokestall.io.process.HangupSignal;
 import spokestall.io.process.NodeProcess;
 import spokestall.io.protocol.ProtocolAdapter;
@@ -42,6 +43,7 @@
      * d1-core.json}
      */
     public static void main(final String[] args) throws Exception {
+        ShutdownLogging.install();
         HangupSignal.install();
         LogLineFormatter.install();
         final String command = args.length == 0 ? "--help" : args[0];
--- a/testbed/src/main/java/spokestall/testbed/Main.java
+++ b/testbed/src/main/java/spokestall/testbed/Main.java
@@ -13,6 +13,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import spokestall.io.LogLineFormatter;
+import spokestall.io.ShutdownLogging;
 import spokestall.testbed.fault.InjectedFault;
 import spokestall.testbed.fault.ProcessFault;
 import spokestall.testbed.fault.RollingUpgrade;
@@ -89,6 +90,7 @@
 
     /** Example: {@code java -cp ... spokestall.testbed.Main fleet --deployment padma} */
     public static void main(final String[] args) throws Exception {
+        ShutdownLogging.install();
         LogLineFormatter.install();
         final String what = args.length == 0 ? "" : args[0];
         final String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
--- a/testbed/src/main/java/spokestall/testbed/fleet/FaultHookNode.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/FaultHookNode.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import spokestall.io.LogLineFormatter;
+import spokestall.io.ShutdownLogging;
 import spokestall.io.process.NodeProcess;
 import spokestall.io.protocol.ProtocolAdapter;
 import spokestall.settings.Settings;
@@ -30,6 +31,7 @@
 
     /** Example: {@code java ... spokestall.testbed.fleet.FaultHookNode core d1-core.json /tmp/hooks} */
     public static void main(final String[] args) throws Exception {
+        ShutdownLogging.install();
         LogLineFormatter.install();
         final boolean core = args[0].equals("core");
         final Settings settings =
--- a/testbed/src/test/java/spokestall/testbed/fleet/SignalsTest.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/SignalsTest.java
@@ -160,6 +160,17 @@
         startAgain(member);
     }
 
+    @Test
+    void aStopIsLoggedToItsEnd() throws Exception {
+        final Fleet.Member member = fleet.members().get("d3-edge");
+        signal(member, "TERM");
+        assertThat(member.process.waitFor(10, TimeUnit.SECONDS)).as("it ended").isTrue();
+        for (final String event : List.of("shutdown_started", "shutdown_drained", "stopped")) {
+            assertThat(logged(member, "event=" + event)).as(event).isTrue();
+        }
+        startAgain(member);
+    }
+
     @Test
     void aRequestThatIsUnderWayAtTheEndOfAStopIsAnswered() throws Exception {
         final Fleet.Member member = fleet.members().get("d1-edge");
