--- a/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +24,8 @@
 
 /** What a client sends and gets, byte by byte, through a real core and a real edge to an upstream made of bytes. */
 class FleetClientsTest {
+    private static final int LINES = 60;
+    private static final long LINE_MS = 25;
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String KEY = "key-one-0001";
     private static final int PLACES = 16;
@@ -603,4 +607,30 @@
         }
         nothingCame();
     }
+
+    /** The upstream writes its head line by line, so that it notices that nobody reads any more. */
+    @Test
+    void anIdempotentRequestWhoseClientLeftIsEndedAtItsUpstream() throws Exception {
+        final CountDownLatch ended = new CountDownLatch(1);
+        final CountDownLatch never = new CountDownLatch(1);
+        upstream.manner = (came, out) -> {
+            try {
+                out.write("HTTP/1.1 200 OK\r\n");
+                for (int line = 0; line < LINES; line++) {
+                    never.await(LINE_MS, TimeUnit.MILLISECONDS);
+                    out.write("X-Line: " + line + "\r\n");
+                }
+            } catch (final IOException closed) {
+                ended.countDown();
+            }
+        };
+        upstream.came.clear();
+        try (RawClient client = new RawClient(edge)) {
+            client.send(RawClient.head("GET", "/transfers/x", KEY, RawClient.freshId()) + "\r\n");
+            assertThat(upstream.next(5000)).isNotNull();
+        }
+        assertThat(ended.await(500, TimeUnit.MILLISECONDS))
+                .as("half a second after its client left")
+                .isTrue();
+    }
 }
