--- a/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
@@ -613,7 +613,7 @@
     void anIdempotentRequestWhoseClientLeftIsEndedAtItsUpstream() throws Exception {
         final CountDownLatch ended = new CountDownLatch(1);
         final CountDownLatch never = new CountDownLatch(1);
-        upstream.manner = (came, out) -> {
+        up.manner = (came, out) -> {
             try {
                 out.write("HTTP/1.1 200 OK\r\n");
                 for (int line = 0; line < LINES; line++) {
@@ -624,10 +624,9 @@
                 ended.countDown();
             }
         };
-        upstream.came.clear();
         try (RawClient client = new RawClient(edge)) {
             client.send(RawClient.head("GET", "/transfers/x", KEY, RawClient.freshId()) + "\r\n");
-            assertThat(upstream.next(5000)).isNotNull();
+            came();
         }
         assertThat(ended.await(500, TimeUnit.MILLISECONDS))
                 .as("half a second after its client left")
