--- a/spokestall/src/test/java/spokestall/configuration/change/ChangeResultTest.java
+++ b/spokestall/src/test/java/spokestall/configuration/change/ChangeResultTest.java
@@ -38,4 +38,23 @@
                 "{\"current\":17,\"changeId\":\"chg-1\","
                         + "\"troubles\":[{\"pointer\":\"/holds/d9\",\"reason\":\"unknown district\"}]}");
     }
+
+    @Test
+    void aChangeInProgressNamesTheVoterThatItsCallerIsRedirectedTo() {
+        assertReply(
+                new ChangeResult.Pending("10.1.0.13:7560"),
+                ResultCode.UNDECIDED,
+                "{\"current\":17,\"changeId\":\"chg-1\",\"voter\":\"10.1.0.13:7560\"}");
+        assertReply(new ChangeResult.Pending(""), ResultCode.UNDECIDED, "{\"current\":17,\"changeId\":\"chg-1\"}");
+    }
+
+    @Test
+    void onlyAReplyThatNamesAVoterRedirects() {
+        assertThat(ChangeCoordinator.redirectOf(new ChangeResult.Pending("10.1.0.13:7560").toReply("chg-1", 17)))
+                .contains("10.1.0.13:7560");
+        assertThat(ChangeCoordinator.redirectOf(new ChangeResult.Pending("").toReply("chg-1", 17)))
+                .isEmpty();
+        assertThat(ChangeCoordinator.redirectOf(Reply.of(ResultCode.BAD_PARAMS, null)))
+                .isEmpty();
+    }
 }
