--- a/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
+++ b/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
@@ -1,5 +1,6 @@
 package spokestall.discovery;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -33,6 +34,10 @@
     /** The part of the interval, as a divisor, that a core waits at first for what others know. */
     private static final int FIRST_WAIT_DIVISOR = 4;
 
+    /** A read that took longer than this is logged although nothing changed. */
+    private static final long LOGGED_READ_MS = 500;
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final String self;
     private final EndpointRegistry registry;
     private final DiscoveryClient client;
@@ -102,12 +107,18 @@
         lastAttemptMs = requestedMs;
         client.listEndpoints(schedule.timeoutMillis(), list -> {
             reading = false;
-            list.ifPresent(listed -> onList(listed, requestedMs));
+            if (list.isPresent()) {
+                onList(list.get(), requestedMs);
+            } else {
+                LOG.atInfo().log(
+                        "event=endpoint_list_failed node=%s tookMs=%s", self, fleetClock.nowMs() - requestedMs);
+            }
         });
     }
 
     private void onList(final List<ListedEndpoint> list, final long requestedMs) {
         final List<Endpoint> changes = changes(list, requestedMs);
+        logRead(list.size(), changes, requestedMs);
         registry.merge(changes, List.of());
         registry.recordListRead(requestedMs);
         final DiscoveryMessage.Push push = new DiscoveryMessage.Push(changes, List.of(), requestedMs);
@@ -115,6 +126,27 @@
         receivers.forEach(node -> sender.send(node.address(), push));
     }
 
+    private void logRead(final int listed, final List<Endpoint> changes, final long requestedMs) {
+        final long tookMs = fleetClock.nowMs() - requestedMs;
+        if (!changes.isEmpty() || tookMs > LOGGED_READ_MS) {
+            LOG.atInfo().log(
+                    "event=endpoint_list_read node=%s tookMs=%s listed=%s changed=%s",
+                    self, tookMs, listed, changes.size());
+        }
+        for (final Endpoint endpoint : changes) {
+            if (endpoint.present() && endpoint.warmUpUntilMs() > requestedMs) {
+                LOG.atInfo().log(
+                        "event=endpoint_warming_up node=%s instance=%s address=%s untilMs=%s remainingMs=%s tookMs=%s",
+                        self,
+                        endpoint.instance(),
+                        endpoint.address(),
+                        endpoint.warmUpUntilMs(),
+                        endpoint.warmUpUntilMs() - requestedMs,
+                        tookMs);
+            }
+        }
+    }
+
     /** Entries for what differs from the registry: changed or absent ones by instance, then those that are new. */
     private List<Endpoint> changes(final List<ListedEndpoint> list, final long requestedMs) {
         // A HashMap, by whose order of ids new entries are sent.
--- a/spokestall/src/main/java/spokestall/proxy/SlowStart.java
+++ b/spokestall/src/main/java/spokestall/proxy/SlowStart.java
@@ -4,6 +4,7 @@
 final class SlowStart {
     private double tokens;
     private long filledMs;
+    private long spent;
 
     SlowStart(final long nowMs) {
         this.filledMs = nowMs;
@@ -17,6 +18,12 @@
             return false;
         }
         tokens -= 1;
+        spent++;
         return true;
     }
+
+    /** How many attempts were allowed so far. */
+    long spent() {
+        return spent;
+    }
 }
--- a/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
+++ b/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
@@ -1,5 +1,6 @@
 package spokestall.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -19,6 +20,7 @@
     /** How many attempts may be saved up. */
     private static final double BURST = 1;
 
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final Clock clock;
     private final FleetClock fleetClock;
     private LoadBalancerParameters.SlowStartLimits limits;
@@ -49,15 +51,33 @@
         final Long untilMs = restartedUntilMs.get(upstream.instance());
         final boolean restarted = untilMs != null && clock.nowMs() < untilMs;
         if (ageMs >= service.slowStartMs() && !restarted) {
-            rates.remove(upstream.instance());
-            restartedUntilMs.remove(upstream.instance());
+            onWarmedUp(upstream.instance());
             return true;
         }
         final double ratePerS = limits.rampRatio() * service.slowStartPerSecond() * ramp(service, ageMs, restarted)
                 + limits.slackPerS();
         final double ownRatePerS = ratePerS / limits.sharingEdges().getAsInt();
-        return rates.computeIfAbsent(upstream.instance(), i -> new SlowStart(clock.nowMs()))
-                .spend(clock.nowMs(), ownRatePerS, BURST);
+        SlowStart rate = rates.get(upstream.instance());
+        if (rate == null) {
+            rate = new SlowStart(clock.nowMs());
+            rates.put(upstream.instance(), rate);
+            LOG.atInfo().log(
+                    "event=slow_start_began instance=%s remainingMs=%s restarted=%s ratePerS=%.2f sharingEdges=%s",
+                    upstream.instance(),
+                    service.slowStartMs() - ageMs,
+                    restarted,
+                    ratePerS,
+                    limits.sharingEdges().getAsInt());
+        }
+        return rate.spend(clock.nowMs(), ownRatePerS, BURST);
+    }
+
+    private void onWarmedUp(final String instance) {
+        final SlowStart rate = rates.remove(instance);
+        restartedUntilMs.remove(instance);
+        if (rate != null) {
+            LOG.atInfo().log("event=slow_start_ended instance=%s attempts=%s", instance, rate.spent());
+        }
     }
 
     /** How much of the warm-up has passed, by its end if that is known, else by its beginning. */
