An upstream flooded at the end of its warm-up, reproduced: two failing tests, known red

Cause: the end of a warm-up is reckoned from when the list was requested, so it is early by the answer's way (45 ms here), and all edges then send without limit at once.

--- a/spokestall/src/test/java/spokestall/discovery/EndpointListReaderTest.java
+++ b/spokestall/src/test/java/spokestall/discovery/EndpointListReaderTest.java
@@ -25,6 +25,10 @@
     private final Map<String, Integer> received = new TreeMap<>();
     private final List<ListedEndpoint> list = new ArrayList<>();
     private final List<NodeInfo> members = new ArrayList<>();
+    /** Answers of the platform that are still on their way, if any are held up. */
+    private final List<Runnable> answersUnderWay = new ArrayList<>();
+
+    private boolean answersHeldUp;
 
     EndpointListReaderTest() {
         fleet.onPeerReading("p", clock.nowMs(), true, clock.nowMs());
@@ -74,7 +78,11 @@
             @Override
             public void listEndpoints(final long timeoutMillis, final Consumer<Optional<List<ListedEndpoint>>> done) {
                 reads.merge(name, 1, Integer::sum);
-                done.accept(Optional.of(List.copyOf(list)));
+                if (answersHeldUp) {
+                    answersUnderWay.add(() -> done.accept(Optional.of(List.copyOf(list))));
+                } else {
+                    done.accept(Optional.of(List.copyOf(list)));
+                }
             }
 
             @Override
@@ -155,4 +163,22 @@
         assertThat(fresh.readyUpstreams("s", fleet.nowMs()).get(0).readySinceMs())
                 .isEqualTo(sinceMs);
     }
+
+    @Test
+    void aWarmUpIsNotTakenToEndBeforeItDoesHoweverLongTheAnswerTook() {
+        answersHeldUp = true;
+        run(500);
+        assertThat(answersUnderWay).isNotEmpty();
+        clock.advance(900);
+        // The platform reckons what is left when it answers, just before the answer arrives.
+        list.add(listed("i1", false, 3000));
+        final long endsMs = fleet.nowMs() + 3000;
+        answersUnderWay.forEach(Runnable::run);
+        assertThat(registries
+                        .get("edge")
+                        .readyUpstreams("s", fleet.nowMs())
+                        .get(0)
+                        .warmUpUntilMs())
+                .isGreaterThanOrEqualTo(endsMs);
+    }
 }
--- a/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
@@ -69,6 +69,9 @@
     private final Map<String, Up> byInstance = new LinkedHashMap<>();
     private final Map<String, Integer> turns = new TreeMap<>();
     private List<ListedEndpoint> list = new ArrayList<>();
+    /** Whether the platform reckons the rest of a warm-up when it answers, half way between call and answer. */
+    private boolean reckonsWarmUpOnAnswer;
+
     private int made;
     private long lastGapMs = -20_000;
 
@@ -116,20 +119,36 @@
         byInstance.values().forEach(u -> {
             if (u.listed) {
                 now.add(new ListedEndpoint(
-                        u.instance,
-                        u.service,
-                        u.address,
-                        u.zone,
-                        u.region,
-                        u.leaving,
-                        Math.max(0, u.readyAtMs + SimulatedWorld.WARMUP_MS - world.sim.nowMs()),
-                        0));
+                        u.instance, u.service, u.address, u.zone, u.region, u.leaving, warmUpLeftMs(u), 0));
             }
         });
         list = now;
         world.sim.after(500 + random.nextInt(1000), this::refresh);
     }
 
+    /** Has the platform reckon the rest of a warm-up when it answers; the list's entries lag as before. */
+    void reckonWarmUpOnAnswer() {
+        reckonsWarmUpOnAnswer = true;
+    }
+
+    private List<ListedEndpoint> withPresentWarmUp(final List<ListedEndpoint> lagging) {
+        return lagging.stream()
+                .map(entry -> new ListedEndpoint(
+                        entry.instance(),
+                        entry.service(),
+                        entry.address(),
+                        entry.zone(),
+                        entry.region(),
+                        entry.leaving(),
+                        warmUpLeftMs(byInstance.get(entry.instance())),
+                        entry.slots()))
+                .toList();
+    }
+
+    private long warmUpLeftMs(final Up up) {
+        return Math.max(0, up.readyAtMs + SimulatedWorld.WARMUP_MS - world.sim.nowMs());
+    }
+
     /** What one life of a node reaches the outside by. */
     NodeEnvironment of(final SimulatedNode node, final long incarnation) {
         return new NodeEnvironment(node, incarnation);
@@ -151,6 +170,14 @@
 
         @Override
         public void listEndpoints(final long timeoutMillis, final Consumer<Optional<List<ListedEndpoint>>> done) {
+            if (reckonsWarmUpOnAnswer) {
+                final long wayMs = world.deployment.apartMs;
+                world.sim.after(wayMs, () -> {
+                    final List<ListedEndpoint> answer = withPresentWarmUp(list);
+                    back(wayMs, () -> done.accept(Optional.of(answer)));
+                });
+                return;
+            }
             final List<ListedEndpoint> now = list;
             back(10 + random.nextInt(40), () -> done.accept(Optional.of(now)));
         }
--- /dev/null
+++ b/testbed/src/test/java/spokestall/testbed/simulation/WarmUpEndTest.java
@@ -0,0 +1,84 @@
+package spokestall.testbed.simulation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import spokestall.testbed.Deployment;
+import spokestall.testbed.fault.InjectedFault;
+import spokestall.testbed.fleet.OperatorFleet;
+
+/**
+ * Most upstreams of a service are gone and the few that replace them warm up, while more is asked than they may take. The limit on
+ * what they are sent must hold until the last moment of their warm-up, though the platform is some way off and its list says how
+ * much of a warm-up is left when it answers.
+ */
+class WarmUpEndTest {
+    private static final int SEEDS = 3;
+    private static final int REPLACED = 2;
+    private static final int DEMAND = 3;
+    private static final long SECOND_MS = 1000;
+    private static final double OVERAGE = 1.5;
+    private static final double SLACK_PER_S = 5;
+    /** The part of the platform's bounds that nodes keep to. */
+    private static final double KEPT_WITHIN = 0.8;
+
+    private static final Map<String, String> SETTINGS = Map.of(
+            "cores", "0",
+            "edges", "0",
+            "alsoEdge", "1",
+            "bootstrap", "1",
+            "probes", "0",
+            "warmRatio", Double.toString(OVERAGE * KEPT_WITHIN),
+            "warmSlack", Double.toString(SLACK_PER_S * KEPT_WITHIN));
+
+    @Test
+    void anUpstreamIsSentNoMoreThanItsBoundInAnySecondOfItsWarmUp() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            final OperatorFleet fleet = new OperatorFleet(seed, Deployment.PADMA, InjectedFault.NONE, SETTINGS).begun();
+            final SimulatedWorld world = fleet.world;
+            world.outside.reckonWarmUpOnAnswer();
+            world.clients.start();
+            fleet.run(5000);
+            world.clients.rate(DEMAND * world.deployment.rate);
+            final List<SimulatedEnvironment.Up> replacements = replaceMost(world);
+            fleet.run(SimulatedWorld.WARMUP_MS + 2000);
+            for (final SimulatedEnvironment.Up up : replacements) {
+                final int most = mostInASecond(world, up);
+                System.out.println("warm-up of " + up.instance + " with seed " + seed + ": " + most + " in one second");
+                assertThat(most)
+                        .as("requests within one second at %s, seed %s", up.instance, seed)
+                        .isPositive()
+                        .isLessThanOrEqualTo((int) (OVERAGE * SimulatedWorld.WARM_PER_S + SLACK_PER_S));
+            }
+        }
+    }
+
+    private static List<SimulatedEnvironment.Up> replaceMost(final SimulatedWorld world) {
+        final List<SimulatedEnvironment.Up> gone = world.outside.running().stream()
+                .filter(up -> up.service.equals(world.deployment.big))
+                .toList();
+        gone.forEach(up -> {
+            world.outside.stop(up);
+            up.listed = false;
+        });
+        return gone.stream().limit(REPLACED).map(world.outside::replace).toList();
+    }
+
+    private static int mostInASecond(final SimulatedWorld world, final SimulatedEnvironment.Up up) {
+        final List<Long> arrivalsMs = world.begun.stream()
+                .filter(begun -> begun.instance().equals(up.instance) && begun.ageMs() < SimulatedWorld.WARMUP_MS)
+                .map(SimulatedWorld.Begun::atMs)
+                .toList();
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < arrivalsMs.size(); last++) {
+            while (arrivalsMs.get(last) - arrivalsMs.get(first) >= SECOND_MS) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most;
+    }
+}
