The end of a warm-up is counted from the answer, and clocks are allowed to differ

Cause: a time read from afar was reckoned from the request, the wrong bound where an early end floods an upstream. The list's entries and probes' answers now keep the latest time that the reading allows; a reading that can only be later is a new warm-up, however short; edges hold their limit for as long again as fleet times may differ (farMs). Same class mended beside it: HealthChecker's readySince, and the 1 s tolerance that kept an end that was early.

--- a/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
+++ b/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
@@ -27,8 +27,6 @@
 
     /** By which part of the interval each next core waits longer. */
     private static final double DELAY_RATIO_PER_RANK = 0.7;
-    /** Ends of a warm-up that are nearer to each other than this are taken for the same. */
-    private static final long WARM_UP_TOLERANCE_MS = 1000;
     /** The part of the interval, as a divisor, by which a read may be early: ticks don't fall on its end exactly. */
     private static final int SLACK_DIVISOR = 32;
     /** The part of the interval, as a divisor, that a core waits at first for what others know. */
@@ -117,7 +115,7 @@
     }
 
     private void onList(final List<ListedEndpoint> list, final long requestedMs) {
-        final List<Endpoint> changes = changes(list, requestedMs);
+        final List<Endpoint> changes = changes(list, requestedMs, fleetClock.nowMs());
         logRead(list.size(), changes, requestedMs);
         registry.merge(changes, List.of());
         registry.recordListRead(requestedMs);
@@ -148,16 +146,16 @@
     }
 
     /** Entries for what differs from the registry: changed or absent ones by instance, then those that are new. */
-    private List<Endpoint> changes(final List<ListedEndpoint> list, final long requestedMs) {
+    private List<Endpoint> changes(final List<ListedEndpoint> list, final long requestedMs, final long answeredMs) {
         // A HashMap, by whose order of ids new entries are sent.
         final Map<String, Endpoint> listed = new HashMap<>();
-        list.forEach(endpoint -> listed.put(endpoint.instance(), endpoint.toEndpoint(requestedMs)));
+        list.forEach(endpoint -> listed.put(endpoint.instance(), endpoint.toEndpoint(requestedMs, answeredMs)));
         final List<Endpoint> changes = new ArrayList<>();
         for (final Endpoint known : registry.endpoints()) {
             final Endpoint now = listed.remove(known.instance());
             if (now == null && known.present()) {
                 changes.add(known.absentAt(requestedMs));
-            } else if (now != null && !unchanged(known, now)) {
+            } else if (now != null && !unchanged(known, now, answeredMs)) {
                 changes.add(now);
             }
         }
@@ -165,17 +163,20 @@
         return changes;
     }
 
-    private static boolean unchanged(final Endpoint known, final Endpoint now) {
+    private static boolean unchanged(final Endpoint known, final Endpoint now, final long answeredMs) {
         return known.present()
                 && known.leaving() == now.leaving()
                 && known.address().equals(now.address())
                 && known.service().equals(now.service())
-                && sameWarmUp(known, now);
+                && sameWarmUp(known, now, answeredMs);
     }
 
     /** Whether both warm up until about the same time, or neither warms up any more. */
-    private static boolean sameWarmUp(final Endpoint known, final Endpoint now) {
-        return Math.abs(known.warmUpUntilMs() - now.warmUpUntilMs()) < WARM_UP_TOLERANCE_MS
-                || Math.max(known.warmUpUntilMs(), now.warmUpUntilMs()) <= now.timestampMs() + WARM_UP_TOLERANCE_MS;
+    private static boolean sameWarmUp(final Endpoint known, final Endpoint now, final long answeredMs) {
+        if (Math.max(known.warmUpUntilMs(), now.warmUpUntilMs()) <= answeredMs) {
+            return true;
+        }
+        final long onTheWayMs = answeredMs - now.timestampMs();
+        return WarmUpTimes.same(known.warmUpUntilMs(), now.warmUpUntilMs() - onTheWayMs, now.warmUpUntilMs());
     }
 }
--- a/spokestall/src/main/java/spokestall/discovery/HealthChecker.java
+++ b/spokestall/src/main/java/spokestall/discovery/HealthChecker.java
@@ -27,9 +27,6 @@
      */
     public record ProbeParameters(long timeoutMillis, int failureThreshold, int coresPerEndpoint, long repeatMs) {}
 
-    /** Beginnings of a warm-up that are nearer to each other than this are taken for the same. */
-    private static final long WARM_UP_TOLERANCE_MS = 1000;
-
     private static final int TICKS_PER_CLEANUP = 10;
     /** Spreads the instances over the cores: 2^32 over the golden ratio. */
     private static final int HASH_MULTIPLIER = 0x9e3779b1;
@@ -139,19 +136,23 @@
             observe(
                     endpoint,
                     result.leaving() ? HealthStatus.LEAVING : HealthStatus.READY,
-                    requestedMs - result.readyForMs(),
+                    fleetClock.nowMs() - result.readyForMs(),
                     requestedMs);
         }
     }
 
-    /** Merges an observation unless it is the last one again, too soon. */
+    /**
+     * Merges an observation unless it is the last one again, too soon. The time since which the instance is ready counts from the
+     * answer, and so is the latest that it can be.
+     */
     private void observe(
             final Endpoint endpoint, final HealthStatus status, final long readySinceMs, final long requestedMs) {
         final HealthObservation last =
                 registry.observation(endpoint.instance(), self.name()).orElse(null);
         final boolean unchanged = last != null
                 && last.status() == status
-                && Math.abs(last.readySinceMs() - readySinceMs) < WARM_UP_TOLERANCE_MS;
+                && WarmUpTimes.same(
+                        last.readySinceMs(), readySinceMs - (fleetClock.nowMs() - requestedMs), readySinceMs);
         if (unchanged && requestedMs - last.timestampMs() < parameters.repeatMs()) {
             return;
         }
--- a/spokestall/src/main/java/spokestall/discovery/ListedEndpoint.java
+++ b/spokestall/src/main/java/spokestall/discovery/ListedEndpoint.java
@@ -21,8 +21,14 @@
         boolean leaving,
         long warmUpRemainingMs,
         int slots) {
-    /** Returns the registry's entry for it, from a list that was requested then (on the fleet's clock). */
-    Endpoint toEndpoint(final long requestedMs) {
+    /**
+     * Returns the registry's entry for it. The rest of the warm-up is counted from the answer: the platform may have reckoned it
+     * as late as that.
+     *
+     * @param requestedMs when the list was requested, on the fleet's clock
+     * @param answeredMs when the answer was there
+     */
+    Endpoint toEndpoint(final long requestedMs, final long answeredMs) {
         return new Endpoint(
                 instance,
                 service,
@@ -32,8 +38,15 @@
                 true,
                 leaving,
                 requestedMs,
-                warmUpRemainingMs < 0 ? 0 : requestedMs + warmUpRemainingMs,
+                warmUpUntilMs(requestedMs, answeredMs),
                 requestedMs,
                 slots);
     }
+
+    private long warmUpUntilMs(final long requestedMs, final long answeredMs) {
+        if (warmUpRemainingMs < 0) {
+            return 0;
+        }
+        return warmUpRemainingMs == 0 ? requestedMs : answeredMs + warmUpRemainingMs;
+    }
 }
--- a/spokestall/src/main/java/spokestall/node/Timings.java
+++ b/spokestall/src/main/java/spokestall/node/Timings.java
@@ -194,7 +194,10 @@
     LoadBalancerParameters loadBalancer(final IntSupplier sharingEdges) {
         return new LoadBalancerParameters(
                 new LoadBalancerParameters.SlowStartLimits(
-                        sharingEdges, settings.number("warmRatio"), settings.number("warmSlack")),
+                        sharingEdges,
+                        settings.number("warmRatio"),
+                        settings.number("warmSlack"),
+                        settings.integer("farMs")),
                 new LoadBalancerParameters.EjectionTimes(
                         settings.fractionOf("leaveBoundMs", 0.25), settings.fractionOf("leaveBoundMs", 2)),
                 new LoadBalancerParameters.DistanceCosts(
--- a/spokestall/src/main/java/spokestall/proxy/LoadBalancerParameters.java
+++ b/spokestall/src/main/java/spokestall/proxy/LoadBalancerParameters.java
@@ -10,8 +10,9 @@
      * @param sharingEdges among how many edges the rate is divided, at least 1
      * @param rampRatio the part of the service's ramp that is used
      * @param slackPerS what is allowed besides, in attempts a second
+     * @param clockErrorMs by how much the fleet's clock may differ between two nodes: a warm-up is taken to last that much longer
      */
-    public record SlowStartLimits(IntSupplier sharingEdges, double rampRatio, double slackPerS) {}
+    public record SlowStartLimits(IntSupplier sharingEdges, double rampRatio, double slackPerS, long clockErrorMs) {}
 
     /**
      * For how long an upstream is ejected.
--- a/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
+++ b/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
@@ -50,7 +50,7 @@
         final long ageMs = warmUpAgeMs(service, upstream);
         final Long untilMs = restartedUntilMs.get(upstream.instance());
         final boolean restarted = untilMs != null && clock.nowMs() < untilMs;
-        if (ageMs >= service.slowStartMs() && !restarted) {
+        if (ageMs >= service.slowStartMs() + limits.clockErrorMs() && !restarted) {
             onWarmedUp(upstream.instance());
             return true;
         }
@@ -95,7 +95,7 @@
         if (limits.slackPerS() > 0) {
             return 1;
         }
-        return restarted ? RESTARTED_RAMP : (double) ageMs / service.slowStartMs();
+        return restarted ? RESTARTED_RAMP : Math.min(1, (double) ageMs / service.slowStartMs());
     }
 
     /** Removes what is known of all instances but these. */
--- a/spokestall/src/test/java/spokestall/discovery/EndpointListReaderTest.java
+++ b/spokestall/src/test/java/spokestall/discovery/EndpointListReaderTest.java
@@ -149,7 +149,7 @@
         run(2000);
         final long sinceMs =
                 registries.get("edge").readyUpstreams("s", fleet.nowMs()).get(0).readySinceMs();
-        final Endpoint again = listed("i1", false, -1).toEndpoint(fleet.nowMs());
+        final Endpoint again = listed("i1", false, -1).toEndpoint(fleet.nowMs(), fleet.nowMs());
         registries.get("edge").merge(List.of(again), List.of());
         assertThat(registries
                         .get("edge")
@@ -181,4 +181,32 @@
                         .warmUpUntilMs())
                 .isGreaterThanOrEqualTo(endsMs);
     }
+
+    private long warmUpUntilAtEdgeMs() {
+        return registries.get("edge").readyUpstreams("s", fleet.nowMs()).get(0).warmUpUntilMs();
+    }
+
+    @Test
+    void anUpstreamThatWarmsUpAnewIsKnownToEvenForItsLastMoments() {
+        list.add(listed("i1", false, 0));
+        run(3000);
+        list.set(0, listed("i1", false, 900));
+        run(LIST_MS);
+        assertThat(warmUpUntilAtEdgeMs()).isGreaterThan(fleet.nowMs());
+    }
+
+    @Test
+    void aWarmUpThatASlowAnswerMadeMuchTooLongIsSetRightByAQuickOne() {
+        answersHeldUp = true;
+        run(500);
+        list.add(listed("i1", false, 6000));
+        final long endsMs = fleet.nowMs() + 6000;
+        clock.advance(1500);
+        answersUnderWay.forEach(Runnable::run);
+        assertThat(warmUpUntilAtEdgeMs()).isGreaterThan(endsMs + 1000);
+        answersHeldUp = false;
+        list.set(0, listed("i1", false, endsMs - fleet.nowMs()));
+        readers.get("a").onTick();
+        assertThat(warmUpUntilAtEdgeMs()).isEqualTo(endsMs);
+    }
 }
--- a/spokestall/src/test/java/spokestall/discovery/HealthCheckerTest.java
+++ b/spokestall/src/test/java/spokestall/discovery/HealthCheckerTest.java
@@ -31,6 +31,7 @@
     private final Map<String, Integer> probes = new TreeMap<>();
     private Optional<ProbeResult> answer = Optional.of(new ProbeResult("i1", "s", false, 700));
     private boolean answering = true;
+    private final List<Runnable> answersUnderWay = new ArrayList<>();
 
     private static NodeInfo member(final String name, final boolean core, final String region) {
         return new NodeInfo(name, name, name, core, "d", region, 1, 0, false, 3, 1, false);
@@ -78,6 +79,8 @@
                 probes.merge(name, 1, Integer::sum);
                 if (answering) {
                     done.accept(answer);
+                } else {
+                    answersUnderWay.add(() -> done.accept(answer));
                 }
             }
         };
@@ -172,4 +175,34 @@
         assertThat(sent).containsOnlyKeys("a>b", "a>c", "b>a", "b>c");
         assertThat(received).as("repeated once in two ticks").containsExactly(0, 1, 1, 2);
     }
+
+    @Test
+    void anInstanceIsNotTakenToBeReadyForLongerThanItIsHoweverLongTheAnswerTook() {
+        answering = false;
+        tick(1);
+        clock.advance(90);
+        // The instance says how long it has been ready when it answers, just before the answer arrives.
+        final long readySinceMs = fleetClock.nowMs() - 700;
+        answersUnderWay.forEach(Runnable::run);
+        tick(1);
+        assertThat(registries
+                        .get("e")
+                        .readyUpstreams("s", fleetClock.nowMs())
+                        .get(0)
+                        .readySinceMs())
+                .isGreaterThanOrEqualTo(readySinceMs);
+    }
+
+    @Test
+    void anInstanceThatIsReadyAnewWarmsUpAnewHoweverSoonThatIs() {
+        tick(1);
+        answer = Optional.of(new ProbeResult("i1", "s", false, 300));
+        tick(1);
+        assertThat(registries
+                        .get("e")
+                        .readyUpstreams("s", fleetClock.nowMs())
+                        .get(0)
+                        .readySinceMs())
+                .isEqualTo(fleetClock.nowMs() - 300);
+    }
 }
--- a/spokestall/src/test/java/spokestall/proxy/LoadBalancerTest.java
+++ b/spokestall/src/test/java/spokestall/proxy/LoadBalancerTest.java
@@ -27,7 +27,7 @@
                 new FleetClock(clock, 250),
                 new Random(seed),
                 new LoadBalancerParameters(
-                        new LoadBalancerParameters.SlowStartLimits(() -> edges, 1.2, 4),
+                        new LoadBalancerParameters.SlowStartLimits(() -> edges, 1.2, 4, 0),
                         new LoadBalancerParameters.EjectionTimes(750, 6000),
                         new LoadBalancerParameters.DistanceCosts(0.15, 1)));
     }
--- a/spokestall/src/test/java/spokestall/proxy/SlowStartLimiterTest.java
+++ b/spokestall/src/test/java/spokestall/proxy/SlowStartLimiterTest.java
@@ -16,7 +16,9 @@
 
     private SlowStartLimiter limiter(final double slackPerS) {
         return new SlowStartLimiter(
-                clock, new FleetClock(clock, 250), new LoadBalancerParameters.SlowStartLimits(() -> 2, 1, slackPerS));
+                clock,
+                new FleetClock(clock, 250),
+                new LoadBalancerParameters.SlowStartLimits(() -> 2, 1, slackPerS, 0));
     }
 
     private static Upstream upstream(final long readySinceMs, final long warmUpUntilMs) {
@@ -67,4 +69,17 @@
         assertThat(acquired(limiter, upstream, 5000)).as("5 s at 2 a second").isBetween(9, 10);
         assertThat(acquired(limiter, upstream, 1000)).as("without a limit").isEqualTo(100);
     }
+
+    @Test
+    void theLimitHoldsForLongerThanTheWarmUpByWhatClocksMayDiffer() {
+        final SlowStartLimiter limiterWithClockError = new SlowStartLimiter(
+                clock, new FleetClock(clock, 250), new LoadBalancerParameters.SlowStartLimits(() -> 2, 1, 0, 110));
+        final Upstream upstream = upstream(0, clock.nowMs() + 1000);
+        assertThat(acquired(limiterWithClockError, upstream, 1110))
+                .as("at most 4 a second")
+                .isBetween(3, 5);
+        assertThat(acquired(limiterWithClockError, upstream, 100))
+                .as("without a limit")
+                .isEqualTo(10);
+    }
 }
