A warming upstream's bound holds in any second, however many edges share it

Cause: each edge got a part of the rate and could save up one attempt; with more edges than the bound all could spend it at once (22 of 22 edges within a second, 12 allowed), and with 12 they came in step. Now the bound is a whole number of permits a second, divided by rank (rendezvous hashing, the upstream's region first); windows are longer by a round trip, first attempts are spread. An edge out of sight keeps its place.

--- a/spokestall/src/main/java/spokestall/discovery/HealthChecker.java
+++ b/spokestall/src/main/java/spokestall/discovery/HealthChecker.java
@@ -28,8 +28,6 @@
     public record ProbeParameters(long timeoutMillis, int failureThreshold, int coresPerEndpoint, long repeatMs) {}
 
     private static final int TICKS_PER_CLEANUP = 10;
-    /** Spreads the instances over the cores: 2^32 over the golden ratio. */
-    private static final int HASH_MULTIPLIER = 0x9e3779b1;
 
     private final NodeInfo self;
     private final EndpointRegistry registry;
@@ -105,9 +103,7 @@
     }
 
     private static long rank(final NodeInfo core, final Endpoint endpoint) {
-        final long otherRegion = core.region().equals(endpoint.region()) ? 0 : 1;
-        return (otherRegion << Integer.SIZE)
-                + Integer.toUnsignedLong((core.name() + endpoint.instance()).hashCode() * HASH_MULTIPLIER);
+        return RendezvousRank.of(core, endpoint.instance(), endpoint.region());
     }
 
     private void probe(final Endpoint endpoint) {
--- a/spokestall/src/main/java/spokestall/node/PeerDirectory.java
+++ b/spokestall/src/main/java/spokestall/node/PeerDirectory.java
@@ -11,6 +11,7 @@
 import spokestall.discovery.DiscoveryPeers;
 import spokestall.gossip.NodeInfo;
 import spokestall.gossip.PartialView;
+import spokestall.proxy.EdgeShares;
 
 /**
  * The other nodes as this one knows them: by its gossip view, which may be incomplete, and by the voter set once there is one.
@@ -24,15 +25,15 @@
     private final NodeContext context;
     private final PartialView view;
     private final Supplier<VoterSet> voterSet;
-    private int maxEdgesSeen = 1;
-    /** The version of the view that {@link #maxEdgesSeen} was last counted from. */
-    private long countedVersion = -1;
+    private final SharingEdges sharingEdges;
 
     /** Creates the directory; voterSet returns the current voters, null before there are any. */
     PeerDirectory(final NodeContext context, final PartialView view, final Supplier<VoterSet> voterSet) {
         this.context = context;
         this.view = view;
         this.voterSet = voterSet;
+        this.sharingEdges = new SharingEdges(
+                view, context.serves, () -> (int) context.settings().integer("edges"));
     }
 
     /** Returns how far the node at an address is: 0 is this node's zone, 1 its region, 2 any other place or unknown. */
@@ -110,24 +111,9 @@
         return voter == null ? core : voter.address();
     }
 
-    /**
-     * Returns among how many edges limits of the whole fleet are divided, at least 1: as many as are configured, else the most
-     * that this node has known at a time, so that an edge that is out of sight for a while doesn't raise the others' share.
-     */
-    int sharingEdges() {
-        if (context.settings().integer("edges") > 0) {
-            return (int) context.settings().integer("edges");
-        }
-        if (view.version() == countedVersion) {
-            return maxEdgesSeen;
-        }
-        countedVersion = view.version();
-        int edges = context.serves ? 1 : 0;
-        for (final NodeInfo member : view.members()) {
-            edges += member.servesClients() ? 1 : 0;
-        }
-        maxEdgesSeen = Math.max(maxEdgesSeen, edges);
-        return maxEdgesSeen;
+    /** Returns the edges among which limits of the whole fleet are divided. */
+    EdgeShares edgeShares() {
+        return sharingEdges;
     }
 
     /** Returns the names of members configured with other counts of cores or edges than this node: limits are divided by them. */
--- a/spokestall/src/main/java/spokestall/node/ProxyComponent.java
+++ b/spokestall/src/main/java/spokestall/node/ProxyComponent.java
@@ -73,7 +73,7 @@
                 context.clock,
                 context.fleet,
                 context.random,
-                context.timings().loadBalancer(peerDirectory::sharingEdges));
+                context.timings().loadBalancer(peerDirectory.edgeShares()));
     }
 
     private AdmissionController admissionController(final Sources sources) {
@@ -91,14 +91,14 @@
                         context.clock,
                         context.fleet,
                         context.random,
-                        peerDirectory::sharingEdges,
+                        peerDirectory.edgeShares()::edges,
                         peerDirectory::coreAddressesIn),
                 context.timings().proxy());
     }
 
     /** Applies the node's newer settings. */
     void applySettings() {
-        loadBalancer.updateParameters(context.timings().loadBalancer(peerDirectory::sharingEdges));
+        loadBalancer.updateParameters(context.timings().loadBalancer(peerDirectory.edgeShares()));
         admissionController.limits(context.timings().proxy());
     }
 
--- /dev/null
+++ b/spokestall/src/main/java/spokestall/node/SharingEdges.java
@@ -0,0 +1,79 @@
+package spokestall.node;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.IntSupplier;
+import spokestall.discovery.RendezvousRank;
+import spokestall.gossip.NodeInfo;
+import spokestall.gossip.PartialView;
+import spokestall.proxy.EdgeShares;
+
+/**
+ * The edges among which limits of the whole fleet are divided: as many as are configured, else the most that this node has known at
+ * a time. An edge that is out of sight for a while, cut off or restarting, keeps its place, so that the others' parts don't grow.
+ *
+ * <p>Not thread-safe; all calls on the node's event loop.
+ */
+final class SharingEdges implements EdgeShares {
+    private final PartialView view;
+    private final boolean selfServes;
+    private final IntSupplier configuredEdges;
+    /** The other edges by name, those seen last at the end. */
+    private final Map<String, NodeInfo> others = new LinkedHashMap<>();
+
+    private int mostOthersSeen;
+    /** The version of the view that was last looked at. */
+    private long seenVersion = -1;
+
+    /**
+     * Creates it with no other edge seen.
+     *
+     * @param view the other nodes
+     * @param selfServes whether this node serves clients
+     * @param configuredEdges how many edges the settings name, zero if they don't
+     */
+    SharingEdges(final PartialView view, final boolean selfServes, final IntSupplier configuredEdges) {
+        this.view = view;
+        this.selfServes = selfServes;
+        this.configuredEdges = configuredEdges;
+    }
+
+    @Override
+    public int edges() {
+        if (configuredEdges.getAsInt() > 0) {
+            return configuredEdges.getAsInt();
+        }
+        refresh();
+        return Math.max(1, others.size() + (selfServes ? 1 : 0));
+    }
+
+    @Override
+    public int rank(final String instance, final String region) {
+        refresh();
+        final long ownRank = RendezvousRank.of(view.self(), instance, region);
+        int before = 0;
+        for (final NodeInfo edge : others.values()) {
+            before += RendezvousRank.of(edge, instance, region) < ownRank ? 1 : 0;
+        }
+        return before;
+    }
+
+    private void refresh() {
+        if (view.version() == seenVersion) {
+            return;
+        }
+        seenVersion = view.version();
+        int seen = 0;
+        for (final NodeInfo member : view.members()) {
+            if (member.servesClients()) {
+                seen++;
+                others.remove(member.name());
+                others.put(member.name(), member);
+            }
+        }
+        mostOthersSeen = Math.max(mostOthersSeen, seen);
+        while (others.size() > mostOthersSeen) {
+            others.remove(others.keySet().iterator().next());
+        }
+    }
+}
--- a/spokestall/src/main/java/spokestall/node/Timings.java
+++ b/spokestall/src/main/java/spokestall/node/Timings.java
@@ -1,6 +1,5 @@
 package spokestall.node;
 
-import java.util.function.IntSupplier;
 import spokestall.configuration.feed.FeedClient;
 import spokestall.consensus.Proposer;
 import spokestall.consensus.VoterSet;
@@ -12,6 +11,7 @@
 import spokestall.membership.GracefulHandover;
 import spokestall.membership.MembershipSettings;
 import spokestall.membership.MembershipTimeouts;
+import spokestall.proxy.EdgeShares;
 import spokestall.proxy.LoadBalancerParameters;
 import spokestall.proxy.ProxyLimits;
 import spokestall.proxy.RequestConventions;
@@ -191,13 +191,10 @@
     }
 
     /** Returns the parameters of the load balancer; shared bounds are divided by the number of edges. */
-    LoadBalancerParameters loadBalancer(final IntSupplier sharingEdges) {
+    LoadBalancerParameters loadBalancer(final EdgeShares shares) {
         return new LoadBalancerParameters(
                 new LoadBalancerParameters.SlowStartLimits(
-                        sharingEdges,
-                        settings.number("warmRatio"),
-                        settings.number("warmSlack"),
-                        settings.integer("farMs")),
+                        shares, settings.number("warmRatio"), settings.number("warmSlack"), settings.integer("farMs")),
                 new LoadBalancerParameters.EjectionTimes(
                         settings.fractionOf("leaveBoundMs", 0.25), settings.fractionOf("leaveBoundMs", 2)),
                 new LoadBalancerParameters.DistanceCosts(
--- a/spokestall/src/main/java/spokestall/proxy/LoadBalancer.java
+++ b/spokestall/src/main/java/spokestall/proxy/LoadBalancer.java
@@ -71,7 +71,7 @@
         this.random = random;
         this.distanceCosts = parameters.distance();
         this.ejector = new OutlierEjector(parameters.ejection());
-        this.slowStart = new SlowStartLimiter(clock, fleetClock, parameters.slowStart());
+        this.slowStart = new SlowStartLimiter(clock, fleetClock, random, parameters.slowStart());
     }
 
     /** Applies other parameters from now on. */
--- a/spokestall/src/main/java/spokestall/proxy/LoadBalancerParameters.java
+++ b/spokestall/src/main/java/spokestall/proxy/LoadBalancerParameters.java
@@ -1,18 +1,16 @@
 package spokestall.proxy;
 
-import java.util.function.IntSupplier;
-
 /** How a {@link LoadBalancer} picks; renewed as a whole with the settings. */
 public record LoadBalancerParameters(SlowStartLimits slowStart, EjectionTimes ejection, DistanceCosts distance) {
     /**
      * How fast all edges together send to an upstream that is warming up.
      *
-     * @param sharingEdges among how many edges the rate is divided, at least 1
+     * @param shares how the rate is divided among the edges
      * @param rampRatio the part of the service's ramp that is used
      * @param slackPerS what is allowed besides, in attempts a second
      * @param clockErrorMs by how much the fleet's clock may differ between two nodes: a warm-up is taken to last that much longer
      */
-    public record SlowStartLimits(IntSupplier sharingEdges, double rampRatio, double slackPerS, long clockErrorMs) {}
+    public record SlowStartLimits(EdgeShares shares, double rampRatio, double slackPerS, long clockErrorMs) {}
 
     /**
      * For how long an upstream is ejected.
--- a/spokestall/src/main/java/spokestall/proxy/SlowStart.java
+++ b/spokestall/src/main/java/spokestall/proxy/SlowStart.java
@@ -1,29 +1,42 @@
 package spokestall.proxy;
 
-/** The rate at which this edge may send to one upstream that is warming up: its part of the upstream's ramp, a few in advance at most. */
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** What this edge sent of late to one upstream that is warming up. Not thread-safe. */
 final class SlowStart {
-    private double tokens;
-    private long filledMs;
-    private long spent;
+    private final long notBeforeMs;
+    private final Deque<Long> recentMs = new ArrayDeque<>();
+    private long attempts;
 
-    SlowStart(final long nowMs) {
-        this.filledMs = nowMs;
+    /**
+     * Creates it with nothing sent.
+     *
+     * @param notBeforeMs nothing may be sent before then
+     */
+    SlowStart(final long notBeforeMs) {
+        this.notBeforeMs = notBeforeMs;
     }
 
-    /** {@code perS} is this edge's part of the ramp at this age, in requests a second. */
-    boolean spend(final long nowMs, final double perS, final double burst) {
-        tokens = Math.min(burst, tokens + perS * Math.max(0, nowMs - filledMs) / 1000.0);
-        filledMs = nowMs;
-        if (tokens < 1) {
+    /**
+     * Returns whether an attempt may be sent now, and counts it if so: in no span of {@code windowMs} more than {@code permits} are.
+     *
+     * @param nowMs the monotonic time, never less than in an earlier call
+     */
+    boolean tryAcquire(final long nowMs, final int permits, final long windowMs) {
+        while (!recentMs.isEmpty() && nowMs - recentMs.peekFirst() >= windowMs) {
+            recentMs.pollFirst();
+        }
+        if (nowMs < notBeforeMs || recentMs.size() >= permits) {
             return false;
         }
-        tokens -= 1;
-        spent++;
+        recentMs.addLast(nowMs);
+        attempts++;
         return true;
     }
 
     /** How many attempts were allowed so far. */
-    long spent() {
-        return spent;
+    long attempts() {
+        return attempts;
     }
 }
--- a/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
+++ b/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import spokestall.configuration.ServiceLimits;
 import spokestall.discovery.Upstream;
@@ -10,28 +11,45 @@
 import spokestall.time.FleetClock;
 
 /**
- * Limits how fast this edge sends to upstreams that are warming up: to its part of a rate that grows with their age.
+ * Limits how much this edge sends to upstreams that are warming up, so that all edges together keep to the upstream's bound in any
+ * second. The bound is a whole number of permits a window, and each edge gets a whole number of them ({@link EdgeShares#part}); an
+ * edge without a permit sends nothing there. Parts of a permit would add up on average only: edges that have each saved up one
+ * would all spend it in the same moment.
  *
  * <p>Not thread-safe; all calls on the node's event loop.
  */
 final class SlowStartLimiter {
     /** The part of the ramp that an upstream gets while its age says nothing of how far it has warmed up. */
     private static final double RESTARTED_RAMP = 0.5;
-    /** How many attempts may be saved up. */
-    private static final double BURST = 1;
+
+    private static final long SECOND_MS = 1000;
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
     private final Clock clock;
     private final FleetClock fleetClock;
+    private final Random random;
     private LoadBalancerParameters.SlowStartLimits limits;
-    private final Map<String, SlowStart> rates = new HashMap<>();
+    private final Map<String, SlowStart> slowStarts = new HashMap<>();
     /** Until when instances count as warming up whatever their age, on the monotonic clock. */
     private final Map<String, Long> restartedUntilMs = new HashMap<>();
 
+    /**
+     * Creates a limiter that knows of no upstream.
+     *
+     * @param clock measures windows
+     * @param fleetClock the clock that a warm-up is given by
+     * @param random spreads the edges' first attempts
+     * @param limits what all edges together may send
+     */
     SlowStartLimiter(
-            final Clock clock, final FleetClock fleetClock, final LoadBalancerParameters.SlowStartLimits limits) {
+            final Clock clock,
+            final FleetClock fleetClock,
+            final Random random,
+            final LoadBalancerParameters.SlowStartLimits limits) {
         this.clock = clock;
         this.fleetClock = fleetClock;
+        this.random = random;
         this.limits = limits;
     }
 
@@ -56,27 +74,47 @@
         }
         final double ratePerS = limits.rampRatio() * service.slowStartPerSecond() * ramp(service, ageMs, restarted)
                 + limits.slackPerS();
-        final double ownRatePerS = ratePerS / limits.sharingEdges().getAsInt();
-        SlowStart rate = rates.get(upstream.instance());
-        if (rate == null) {
-            rate = new SlowStart(clock.nowMs());
-            rates.put(upstream.instance(), rate);
-            LOG.atInfo().log(
-                    "event=slow_start_began instance=%s remainingMs=%s restarted=%s ratePerS=%.2f sharingEdges=%s",
-                    upstream.instance(),
-                    service.slowStartMs() - ageMs,
-                    restarted,
-                    ratePerS,
-                    limits.sharingEdges().getAsInt());
+        final int permits = limits.shares().part(permits(ratePerS), upstream.instance(), upstream.region());
+        final long windowMs = windowMs(ratePerS);
+        return permits > 0 && slowStart(upstream, ratePerS, windowMs).tryAcquire(clock.nowMs(), permits, windowMs);
+    }
+
+    /** How many attempts all edges together may send in a window. */
+    private static int permits(final double ratePerS) {
+        return ratePerS <= 0 ? 0 : (int) Math.max(1, ratePerS);
+    }
+
+    /**
+     * A second, or longer for a rate below one a second; and longer by how much the time from decision to arrival may vary, for
+     * which the difference of clocks, a round trip, is taken too.
+     */
+    private long windowMs(final double ratePerS) {
+        return (long) Math.ceil(SECOND_MS / Math.min(1, ratePerS)) + limits.clockErrorMs();
+    }
+
+    private SlowStart slowStart(final Upstream upstream, final double ratePerS, final long windowMs) {
+        final SlowStart known = slowStarts.get(upstream.instance());
+        if (known != null) {
+            return known;
         }
-        return rate.spend(clock.nowMs(), ownRatePerS, BURST);
+        // All edges hear of a new upstream at the same time: their first attempts are spread over a window.
+        final SlowStart begun = new SlowStart(clock.nowMs() + random.nextLong(SECOND_MS));
+        slowStarts.put(upstream.instance(), begun);
+        LOG.atInfo().log(
+                "event=slow_start_began instance=%s ratePerS=%.2f windowMs=%s edges=%s rank=%s",
+                upstream.instance(),
+                ratePerS,
+                windowMs,
+                limits.shares().edges(),
+                limits.shares().rank(upstream.instance(), upstream.region()));
+        return begun;
     }
 
     private void onWarmedUp(final String instance) {
-        final SlowStart rate = rates.remove(instance);
+        final SlowStart ended = slowStarts.remove(instance);
         restartedUntilMs.remove(instance);
-        if (rate != null) {
-            LOG.atInfo().log("event=slow_start_ended instance=%s attempts=%s", instance, rate.spent());
+        if (ended != null) {
+            LOG.atInfo().log("event=slow_start_ended instance=%s attempts=%s", instance, ended.attempts());
         }
     }
 
@@ -100,7 +138,7 @@
 
     /** Removes what is known of all instances but these. */
     void retain(final Set<String> instances) {
-        rates.keySet().retainAll(instances);
+        slowStarts.keySet().retainAll(instances);
         restartedUntilMs.keySet().retainAll(instances);
     }
 }
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/node/SharingEdgesTest.java
@@ -0,0 +1,103 @@
+package spokestall.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import spokestall.gossip.GossipMessage;
+import spokestall.gossip.NodeInfo;
+import spokestall.gossip.PartialView;
+import spokestall.gossip.ViewParameters;
+import spokestall.time.FleetClock;
+import spokestall.time.ManualClock;
+
+class SharingEdgesTest {
+    private static final int EDGES = 12;
+    private static final long MEMBER_TIMEOUT_MS = 1000;
+    private final ManualClock clock = new ManualClock(1_000_000);
+
+    private NodeInfo edge(final int i) {
+        return new NodeInfo(
+                "edge-" + i, i + ":1", i + ":80", false, "d" + i % 6, "r" + i % 3, 1, clock.nowMs(), false, 0, 0, true);
+    }
+
+    private PartialView viewOf(final int self) {
+        return new PartialView(
+                edge(self),
+                List.of("10.0.0.9:1"),
+                (to, message) -> {},
+                clock,
+                new FleetClock(clock, 250),
+                new Random(1),
+                new ViewParameters(100, 6, MEMBER_TIMEOUT_MS, 500));
+    }
+
+    private void see(final PartialView view, final int from, final int until) {
+        for (int i = from; i < until; i++) {
+            view.onMessage(new GossipMessage.Shuffle(
+                    i + ":1", edge(i), clock.nowMs(), true, clock.nowMs(), clock.nowMs(), true, List.of()));
+        }
+    }
+
+    private List<SharingEdges> allThatSeeAll() {
+        final List<SharingEdges> all = new ArrayList<>();
+        for (int self = 0; self < EDGES; self++) {
+            final PartialView view = viewOf(self);
+            see(view, 0, EDGES);
+            all.add(new SharingEdges(view, true, () -> 0));
+        }
+        return all;
+    }
+
+    @Test
+    void partsOfAllEdgesAddUpToTheTotalForEachUpstream() {
+        final List<SharingEdges> all = allThatSeeAll();
+        for (int total = 0; total <= 3 * EDGES; total++) {
+            for (int upstream = 0; upstream < 20; upstream++) {
+                int sum = 0;
+                for (final SharingEdges edge : all) {
+                    sum += edge.part(total, "i-" + upstream, "r1");
+                }
+                assertThat(sum).isEqualTo(total);
+            }
+        }
+    }
+
+    @Test
+    void edgesOfTheUpstreamsRegionComeFirst() {
+        final List<SharingEdges> all = allThatSeeAll();
+        final TreeSet<Integer> ranks = new TreeSet<>();
+        for (int i = 0; i < EDGES; i++) {
+            final int rank = all.get(i).rank("i-1", "r2");
+            ranks.add(rank);
+            assertThat(rank < EDGES / 3).as("edge " + i).isEqualTo(i % 3 == 2);
+        }
+        assertThat(ranks).as("each once").hasSize(EDGES);
+    }
+
+    @Test
+    void anEdgeOutOfSightKeepsItsPartUntilAnotherTakesItsPlace() {
+        final PartialView view = viewOf(0);
+        final SharingEdges edges = new SharingEdges(view, true, () -> 0);
+        see(view, 1, EDGES);
+        assertThat(edges.edges()).isEqualTo(EDGES);
+        final int rank = edges.rank("i-1", "r0");
+        clock.advance(MEMBER_TIMEOUT_MS + 1);
+        assertThat(view.members()).isEmpty();
+        see(view, 1, 2);
+        assertThat(edges.edges()).isEqualTo(EDGES);
+        assertThat(edges.rank("i-1", "r0")).isEqualTo(rank);
+        see(view, 2, EDGES + 1);
+        clock.advance(MEMBER_TIMEOUT_MS + 1);
+        see(view, 2, EDGES + 1);
+        assertThat(edges.edges()).as("edge 12 is in edge 1's place").isEqualTo(EDGES);
+    }
+
+    @Test
+    void aConfiguredCountIsUsedAsItIs() {
+        assertThat(new SharingEdges(viewOf(0), true, () -> 7).edges()).isEqualTo(7);
+    }
+}
