An attempt whose client has left is broken off, if it may be repeated

A client that closed its connection was noticed when its answer was written: reads rest while a request is under way. Now a request that lasts is looked at every 200 ms for the end of input, by reading ahead up to 512 bytes, which the next request begins with; its attempts' connections are closed and say nothing of their upstreams. What must run once goes on.

--- a/spokestall/src/main/java/spokestall/io/http/ClientConnection.java
+++ b/spokestall/src/main/java/spokestall/io/http/ClientConnection.java
@@ -36,6 +36,11 @@
     /** For the closing of the sending half to reach the client before what it sends meets a reset. */
     private static final long LINGER_MS = 1000;
 
+    /** How often a request that is under way is looked at for whether its client is still there. */
+    private static final long WATCH_MS = 200;
+
+    private static final int READ_AHEAD_BYTES = 512;
+
     private static final String TIMED_OUT =
             "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     private final StreamConnection connection;
@@ -48,6 +53,14 @@
     private boolean ended;
     private XnioExecutor.Key timer;
     private long timerMs;
+    /** What was read ahead while a request was under way: the beginning of the next one. */
+    private final ByteBuffer readAhead = ByteBuffer.allocate(READ_AHEAD_BYTES).limit(0);
+    /** Run when the client closes its sending half while a request is under way; null while that is of no interest. */
+    private Runnable onEndOfInput;
+
+    private HttpServerExchange watched;
+    private long watchedSinceMs;
+    private boolean watching;
 
     ClientConnection(final StreamConnection connection, final Terms terms, final int headMaxBytes) {
         super(connection.getSourceChannel().getConduit());
@@ -70,7 +83,7 @@
 
     @Override
     public int read(final ByteBuffer into) throws IOException {
-        final int bytes = super.read(into);
+        final int bytes = readAhead.hasRemaining() ? takeReadAhead(into) : super.read(into);
         if (bytes >= 0) {
             came(bytes);
         }
@@ -89,6 +102,76 @@
         }
     }
 
+    private int takeReadAhead(final ByteBuffer into) {
+        final int bytes = Math.min(readAhead.remaining(), into.remaining());
+        into.put(into.position(), readAhead, readAhead.position(), bytes);
+        into.position(into.position() + bytes);
+        readAhead.position(readAhead.position() + bytes);
+        return bytes;
+    }
+
+    /** What was read ahead wakes nobody up by itself. */
+    @Override
+    public void resumeReads() {
+        if (readAhead.hasRemaining()) {
+            wakeupReads();
+        } else {
+            super.resumeReads();
+        }
+    }
+
+    /**
+     * Runs a task, once, if the client closes its sending half before the exchange's response is written. Nothing else reads the
+     * connection meanwhile. Called on the connection's I/O thread, and runs the task there.
+     */
+    synchronized void onEndOfInput(final HttpServerExchange exchange, final Runnable task) {
+        watched = exchange;
+        onEndOfInput = task;
+        watchedSinceMs = terms.nowMs();
+        if (!watching) {
+            watchLater();
+        }
+    }
+
+    private void watchLater() {
+        watching = true;
+        after(WATCH_MS, this::watch);
+    }
+
+    private void watch() {
+        final Runnable task;
+        synchronized (this) {
+            watching = false;
+            if (onEndOfInput == null || ended) {
+                return;
+            }
+            if (terms.nowMs() - watchedSinceMs < WATCH_MS || !watched.isRequestComplete() || !inputEnded()) {
+                watchLater();
+                return;
+            }
+            task = onEndOfInput;
+            onEndOfInput = null;
+            watched = null;
+        }
+        task.run();
+    }
+
+    /** Reads ahead, if nothing is there yet. A connection that failed is closed by whoever writes to it. */
+    private boolean inputEnded() {
+        if (readAhead.hasRemaining()) {
+            return false;
+        }
+        int bytes = 0;
+        readAhead.clear();
+        try {
+            bytes = super.read(readAhead);
+        } catch (final IOException e) {
+            bytes = -1;
+        }
+        readAhead.flip();
+        return bytes < 0;
+    }
+
     /** Its bounds count from now on. */
     synchronized void opened() {
         arm();
@@ -104,6 +187,7 @@
     /** A request's answer is written. */
     synchronized void completed(final boolean last) {
         busy = false;
+        onEndOfInput = null;
         ended |= last;
         headSinceMs = NONE;
         restSinceMs = terms.nowMs();
--- a/spokestall/src/main/java/spokestall/io/http/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpClient.java
@@ -76,9 +76,17 @@
         });
     }
 
+    /** Breaks an exchange off. */
+    public interface Cancellation {
+        /** Closes the exchange's connection and ends it as lost, or as not sent; no effect on one that has ended. Any thread. */
+        void cancel();
+    }
+
     /** Has the exchange, and uses its connection again only if the judge says so. */
-    public void judged(final HttpCall call, final Judge judge) {
-        new Exchange(call, judge).begin();
+    public Cancellation judged(final HttpCall call, final Judge judge) {
+        final Exchange exchange = new Exchange(call, judge);
+        exchange.begin();
+        return exchange::cancel;
     }
 
     /** One exchange. */
@@ -88,6 +96,7 @@
         private final IdleConnectionPool.Peer peer;
         private final AtomicBoolean over = new AtomicBoolean();
         private final ByteArrayOutputStream read = new ByteArrayOutputStream();
+        private volatile XnioIoThread io;
         private volatile boolean sent;
         private volatile boolean reused;
         private volatile ClientConnection connection;
@@ -103,7 +112,7 @@
         void begin() {
             final ClientConnection kept =
                     call.freshConnection() ? null : idle.take(peer, call.repeatable(), nowMs.getAsLong());
-            final XnioIoThread io = kept != null ? kept.getIoThread() : worker.getIoThread();
+            io = kept != null ? kept.getIoThread() : worker.getIoThread();
             timer = io.executeAfter(() -> error("timeout"), Math.max(1, call.waitMs()), TimeUnit.MILLISECONDS);
             if (kept != null) {
                 reused = true;
@@ -318,6 +327,10 @@
             return told.find() ? Math.min(REST_MOST_MS, Long.parseLong(told.group(1)) * 700) : restMs;
         }
 
+        private void cancel() {
+            io.execute(() -> error("cancelled"));
+        }
+
         private void error(final String why) {
             if (over.get()) {
                 return;
--- a/spokestall/src/main/java/spokestall/io/http/HttpListener.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpListener.java
@@ -127,6 +127,14 @@
         }
     }
 
+    /**
+     * Runs a task, once, if the client of an exchange closes its sending half before the response is written. Called on the
+     * exchange's I/O thread, and runs the task there.
+     */
+    public static void onEndOfInput(final HttpServerExchange exchange, final Runnable task) {
+        ClientConnection.of(exchange).onEndOfInput(exchange, task);
+    }
+
     private void forget(final ClientConnection client) {
         clients.remove(client);
         client.closed();
--- a/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
+++ b/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
@@ -16,6 +16,7 @@
 import spokestall.io.http.HttpClient;
 import spokestall.io.http.HttpResult;
 import spokestall.proxy.Attempt;
+import spokestall.proxy.AttemptHandle;
 import spokestall.proxy.AttemptResult;
 import spokestall.proxy.UpstreamClient;
 import spokestall.usage.ReportCallback;
@@ -52,9 +53,9 @@
     }
 
     @Override
-    public void attempt(
+    public AttemptHandle attempt(
             final Attempt attempt, final LongSupplier until, final Runnable sent, final Consumer<AttemptResult> done) {
-        client.judged(
+        final HttpClient.Cancellation exchange = client.judged(
                 new HttpCall(
                         attempt.address(),
                         attempt.instance(),
@@ -75,6 +76,7 @@
                     stage.execute(() -> done.accept(judged));
                     return !(judged instanceof AttemptResult.Lost);
                 });
+        return exchange::cancel;
     }
 
     private AttemptResult judge(final Attempt attempt, final HttpResult result) {
--- a/spokestall/src/main/java/spokestall/io/protocol/RequestHandler.java
+++ b/spokestall/src/main/java/spokestall/io/protocol/RequestHandler.java
@@ -21,6 +21,7 @@
 import spokestall.api.ResultCode;
 import spokestall.io.EventLoop;
 import spokestall.io.http.HeaderFields;
+import spokestall.io.http.HttpListener;
 import spokestall.node.Node;
 import spokestall.proxy.AdmissionController;
 import spokestall.proxy.AdmissionResult;
@@ -174,16 +175,12 @@
         if (carried == null) {
             final AtomicReference<AdmittedRequest> made = new AtomicReference<>();
             exchange.getConnection().putAttachment(ASK, made);
-            exchange.getConnection().addCloseListener(c -> {
-                final AdmittedRequest left = made.getAndSet(null);
-                if (left != null) {
-                    stage.execute(left::onClientDisconnected);
-                }
-            });
+            exchange.getConnection().addCloseListener(c -> disconnected(made));
             carried = made;
         }
         final AtomicReference<AdmittedRequest> here = carried;
         here.set(request);
+        HttpListener.onEndOfInput(exchange, () -> disconnected(here));
         exchange.addExchangeCompleteListener((e, next) -> {
             if (here.compareAndSet(request, null)) {
                 stage.execute(request::onResponseWritten);
@@ -192,6 +189,13 @@
         });
     }
 
+    private void disconnected(final AtomicReference<AdmittedRequest> carried) {
+        final AdmittedRequest left = carried.getAndSet(null);
+        if (left != null) {
+            stage.execute(left::onClientDisconnected);
+        }
+    }
+
     /** Who sends the body only when told to is told so now, when the ask is let in. */
     private void body(final HttpServerExchange exchange, final AdmittedRequest request) {
         carry(exchange, request);
--- a/spokestall/src/main/java/spokestall/proxy/AdaptiveLimit.java
+++ b/spokestall/src/main/java/spokestall/proxy/AdaptiveLimit.java
@@ -31,6 +31,12 @@
         open++;
     }
 
+    /** Records that an attempt was broken off, which says nothing of the upstream. */
+    void cancelled() {
+        assert open > 0 : "ended more than begun";
+        open--;
+    }
+
     /** Records that an attempt ended: whether it was answered, how long that took, and how long it should take at most. */
     void ended(final boolean answered, final long spentMs, final long slowMs, final long nowMs) {
         assert open > 0 : "ended more than begun";
--- a/spokestall/src/main/java/spokestall/proxy/AttemptOutcome.java
+++ b/spokestall/src/main/java/spokestall/proxy/AttemptOutcome.java
@@ -9,5 +9,7 @@
     /** No connection could be had; nothing was sent. */
     UNREACHABLE,
     /** It was sent, and no answer came. */
-    LOST
+    LOST,
+    /** It was broken off here, which says nothing of its upstream. */
+    CANCELLED
 }
--- a/spokestall/src/main/java/spokestall/proxy/LoadBalancer.java
+++ b/spokestall/src/main/java/spokestall/proxy/LoadBalancer.java
@@ -208,6 +208,10 @@
             final AttemptOutcome outcome,
             final long durationMs,
             final long targetMs) {
+        if (outcome == AttemptOutcome.CANCELLED) {
+            concurrencyLimits.get(instance).cancelled();
+            return;
+        }
         final boolean responded = outcome == AttemptOutcome.ANSWERED || outcome == AttemptOutcome.REJECTED;
         concurrencyLimits.get(instance).ended(responded, durationMs, targetMs, clock.nowMs());
         if (outcome == AttemptOutcome.ANSWERED) {
--- a/spokestall/src/main/java/spokestall/proxy/RequestExecution.java
+++ b/spokestall/src/main/java/spokestall/proxy/RequestExecution.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -49,6 +50,7 @@
     private final ClaimManager claimManager;
 
     private final Set<String> attemptedInstances = new HashSet<>();
+    private final Set<AttemptHandle> openAttempts = new HashSet<>();
     private Stage stage = Stage.READING_BODY;
     private byte[] body;
     private IdempotencyClaim claim;
@@ -57,6 +59,7 @@
     private Response failedResponse;
 
     private boolean clientDisconnected;
+    private boolean attemptsCancelled;
     private boolean responseWritten;
 
     /** {@code heldBytes} were taken at admission; {@code responded} gets the final response, once. */
@@ -140,9 +143,20 @@
     public void onClientDisconnected() {
         clientDisconnected = true;
         onBodyFailed(ResultCode.MALFORMED);
+        cancelAttempts();
         onResponseWritten();
     }
 
+    /** Nobody waits for the response any more: what may be repeated is ended; what must run once runs to its end. */
+    private void cancelAttempts() {
+        if (stage != Stage.ATTEMPTING || grant.route().runOnce()) {
+            return;
+        }
+        attemptsCancelled = true;
+        endWith(ResultCode.DEADLINE);
+        List.copyOf(openAttempts).forEach(AttemptHandle::cancel);
+    }
+
     @Override
     public void onResponseWritten() {
         responseWritten = true;
@@ -268,12 +282,12 @@
         final LongSupplier sendableUntilMs = () -> refusal() != null
                 ? Long.MIN_VALUE
                 : Math.min(grant.deadlineMs(), context.follower().lease().expiresMs());
-        context.upstreams()
-                .attempt(
-                        attempt,
-                        sendableUntilMs,
-                        this::onAttemptSent,
-                        result -> onAttemptEnded(upstream, result, begunMs));
+        final AttemptHandle[] handle = new AttemptHandle[1];
+        handle[0] = context.upstreams().attempt(attempt, sendableUntilMs, this::onAttemptSent, result -> {
+            openAttempts.remove(handle[0]);
+            onAttemptEnded(upstream, result, begunMs);
+        });
+        openAttempts.add(handle[0]);
     }
 
     private void onNoUpstream(final ResultCode refusal) {
@@ -350,10 +364,13 @@
         }
     }
 
-    private static AttemptOutcome outcomeFor(final AttemptResult result) {
+    private AttemptOutcome outcomeFor(final AttemptResult result) {
         if (result instanceof AttemptResult.Answered) {
             return AttemptOutcome.ANSWERED;
         }
+        if (attemptsCancelled) {
+            return AttemptOutcome.CANCELLED;
+        }
         if (result instanceof AttemptResult.NotSent unsent) {
             return unsent.why().equals(STOPPED_HERE) ? AttemptOutcome.ANSWERED : AttemptOutcome.UNREACHABLE;
         }
--- a/spokestall/src/main/java/spokestall/proxy/UpstreamClient.java
+++ b/spokestall/src/main/java/spokestall/proxy/UpstreamClient.java
@@ -12,6 +12,7 @@
      *     leave; checked once more in the moment they do. A time in the past means not at all.
      * @param sent run on the event loop when the first bytes have left, before {@code done}
      * @param done receives how the attempt ended, once, on the event loop
+     * @return breaks the attempt off
      */
-    void attempt(Attempt attempt, LongSupplier until, Runnable sent, Consumer<AttemptResult> done);
+    AttemptHandle attempt(Attempt attempt, LongSupplier until, Runnable sent, Consumer<AttemptResult> done);
 }
--- a/testbed/src/main/java/spokestall/testbed/scale/ScaleNode.java
+++ b/testbed/src/main/java/spokestall/testbed/scale/ScaleNode.java
@@ -20,6 +20,7 @@
 import spokestall.node.Node;
 import spokestall.node.NodeEnvironment;
 import spokestall.proxy.Attempt;
+import spokestall.proxy.AttemptHandle;
 import spokestall.proxy.AttemptResult;
 import spokestall.proxy.UpstreamClient;
 import spokestall.settings.Settings;
@@ -306,12 +307,13 @@
         }
 
         @Override
-        public void attempt(
+        public AttemptHandle attempt(
                 final Attempt attempt,
                 final LongSupplier until,
                 final Runnable sent,
                 final Consumer<AttemptResult> done) {
             later(mine, 1, ScaleTraffic.OUTSIDE, () -> done.accept(new AttemptResult.NotSent("hollow")));
+            return () -> {};
         }
     }
 }
--- a/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
@@ -16,6 +16,7 @@
 import spokestall.message.Header;
 import spokestall.message.ResponseContent;
 import spokestall.proxy.Attempt;
+import spokestall.proxy.AttemptHandle;
 import spokestall.proxy.AttemptResult;
 import spokestall.proxy.UpstreamClient;
 import spokestall.testbed.Deployment;
@@ -230,7 +231,7 @@
         }
 
         @Override
-        public void attempt(
+        public AttemptHandle attempt(
                 final Attempt attempt,
                 final LongSupplier until,
                 final Runnable counted,
@@ -254,8 +255,12 @@
                     done.accept(r);
                 }
             };
+            final AttemptHandle handle = () -> back(
+                    0,
+                    () -> once.accept(
+                            sent[0] ? new AttemptResult.Lost("cancelled") : new AttemptResult.NotSent("cancelled")));
             if (way < 0) {
-                return;
+                return handle;
             }
             back(2 * way, () -> {
                 if (over[0]) {
@@ -273,6 +278,7 @@
                     }
                 });
             });
+            return handle;
         }
 
         /** Asks, changes threads, looks once more, and lets the bytes go; a freeze may come between. */
