--- a/testbed/src/main/java/spokestall/testbed/Main.java
+++ b/testbed/src/main/java/spokestall/testbed/Main.java
@@ -25,6 +25,8 @@
 import spokestall.testbed.simulation.ScenarioSweep;
 import spokestall.testbed.simulation.SimulatedWorld;
 import spokestall.testbed.simulation.SimulationRun;
+import spokestall.testbed.soak.SoakFlags;
+import spokestall.testbed.soak.SoakRun;
 import spokestall.testbed.verdict.FleetJudge;
 import spokestall.testbed.verdict.Rule;
 
@@ -98,6 +100,7 @@
             case "fleet" -> fleet(rest);
             case "faults" -> faults(rest);
             case "upgrade" -> upgrade(rest);
+            case "soak" -> soak(rest);
             case "sim" -> sim(rest);
             case "growth" -> ConfigurationGrowth.run();
             case "history" -> history(rest);
@@ -105,7 +108,7 @@
             case "scale" -> scale(rest);
             default -> {
                 System.err.println(
-                        "testbed fleet|faults|upgrade|sim|scale [--help], testbed growth, testbed history [CHANGES]..., testbed traffic [key=value]...");
+                        "testbed fleet|faults|upgrade|soak|sim|scale [--help], testbed growth, testbed history [CHANGES]..., testbed traffic [key=value]...");
                 yield 2;
             }
         };
@@ -215,6 +218,12 @@
     }
 
     /** An older build replaced by this one, node by node. */
+    private static int soak(final String[] args) throws Exception {
+        final SoakFlags flags = new SoakFlags();
+        final Integer ended = read(flags, args, () -> {});
+        return ended != null ? ended : SoakRun.run(flags);
+    }
+
     private static int upgrade(final String[] args) throws Exception {
         final RollingUpgrade.Flags flags = new RollingUpgrade.Flags();
         final Integer done = read(flags, args, () -> {});
--- a/testbed/src/main/java/spokestall/testbed/fleet/Fleet.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/Fleet.java
@@ -13,6 +13,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -66,6 +67,7 @@
         }
     }
 
+    private static final int PORTS_PER_NODE = 4;
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Deployment deployment;
     private final Path folder;
@@ -102,12 +104,26 @@
             final Maker maker,
             final Map<String, String> more)
             throws IOException {
+        this(deployment, folder, zones, 1, delayMs, places, maker, more);
+    }
+
+    /** With several edges in each zone. */
+    public Fleet(
+            final Deployment deployment,
+            final Path folder,
+            final int zones,
+            final int edgesPerZone,
+            final long delayMs,
+            final List<Deployment.Place> places,
+            final Maker maker,
+            final Map<String, String> more)
+            throws IOException {
         this.deployment = deployment;
         this.folder = folder;
         this.links = new LinkConditions(delayMs);
         Files.createDirectories(folder);
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 2));
-        final List<Integer> ports = freePorts(1 + places.size() + 8 * zones);
+        final List<Integer> ports = freePorts(1 + places.size() + PORTS_PER_NODE * zones * (1 + edgesPerZone));
         int next = 0;
         platform = new PlatformStandIn(ports.get(next++), worker, ledger, () -> upstreams, 1000);
         for (final Deployment.Place place : places) {
@@ -119,11 +135,12 @@
         }
         final List<String> seeds = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            seeds.add("127.0.0.1:" + ports.get(next + 8 * (i % zones)));
+            seeds.add("127.0.0.1:" + ports.get(next + PORTS_PER_NODE * (1 + edgesPerZone) * (i % zones)));
         }
         for (int i = 0; i < zones; i++) {
-            for (final boolean core : new boolean[] {true, false}) {
-                final String name = Deployment.zone(i) + (core ? "-core" : "-edge");
+            for (int node = 0; node <= edgesPerZone; node++) {
+                final boolean core = node == 0;
+                final String name = Deployment.zone(i) + (core ? "-core" : node == 1 ? "-edge" : "-edge-" + node);
                 final ObjectNode s = JSON.createObjectNode();
                 final int outside = ports.get(next++);
                 final int inside = ports.get(next++);
@@ -133,7 +150,7 @@
                 s.put("districts", Deployment.zones()).put("seeds", String.join(",", seeds));
                 s.put("platform", "127.0.0.1:" + ports.get(0))
                         .put("cores", zones)
-                        .put("edges", zones);
+                        .put("edges", zones * edgesPerZone);
                 more.forEach(s::put);
                 final Path data = folder.resolve(name);
                 if (core) {
@@ -245,6 +262,19 @@
         links.node(m.name, m.process.pid());
     }
 
+    /** Changes one setting of a member in its file, all at once for whoever reads it. */
+    public synchronized void change(final Member member, final String key, final String value) throws IOException {
+        final ObjectNode settings = (ObjectNode) JSON.readTree(member.settings.toFile());
+        final Path next = member.settings.resolveSibling(member.name + ".next");
+        Files.writeString(next, settings.put(key, value).toPrettyString());
+        Files.move(next, member.settings, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** What a member has logged, in all of its lives. */
+    public String log(final Member member) throws IOException {
+        return Files.readString(folder.resolve(member.name + ".log"));
+    }
+
     /** A setting of all nodes, from their next start on. */
     public void set(final String key, final int value) throws IOException {
         for (final Member m : members.values()) {
--- a/testbed/src/test/java/spokestall/testbed/fleet/RawClient.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/RawClient.java
@@ -9,16 +9,18 @@
 import java.util.List;
 import java.util.Locale;
 
-/** A client made of bytes, on one wire. */
-final class RawClient implements AutoCloseable {
+/** A client that writes and reads bytes on one connection. Not thread-safe. */
+public final class RawClient implements AutoCloseable {
     /** One answer as it came. */
-    record Got(int status, List<String> headers, String body) {
-        String header(final String name) {
+    public record Got(int status, List<String> headers, String body) {
+        /** The first header of a name, or null. */
+        public String header(final String name) {
             final List<String> all = all(name);
             return all.isEmpty() ? null : all.get(0);
         }
 
-        List<String> all(final String name) {
+        /** All headers of a name. */
+        public List<String> all(final String name) {
             final String start = name.toLowerCase(Locale.ROOT) + ":";
             return headers.stream()
                     .filter(h -> h.toLowerCase(Locale.ROOT).startsWith(start))
@@ -26,7 +28,8 @@
                     .toList();
         }
 
-        String code() {
+        /** The numbered result code, or null. */
+        public String code() {
             return header("Spokestall-Code");
         }
     }
@@ -35,7 +38,13 @@
     private final Socket socket;
     private final InputStream in;
 
-    RawClient(final String to) throws IOException {
+    /**
+     * Connects.
+     *
+     * @param to host and port
+     * @throws IOException if nobody listens there
+     */
+    public RawClient(final String to) throws IOException {
         final int colon = to.indexOf(':');
         socket = new Socket(to.substring(0, colon), Integer.parseInt(to.substring(colon + 1)));
         socket.setTcpNoDelay(true);
@@ -43,22 +52,24 @@
         in = new BufferedInputStream(socket.getInputStream());
     }
 
-    static synchronized String freshId() {
+    /** A request id that no other request of this process has. */
+    public static synchronized String freshId() {
         return "raw-" + ++requests;
     }
 
     /** The head of an ask, without its empty line. */
-    static String head(final String method, final String target, final String key, final String id) {
+    public static String head(final String method, final String target, final String key, final String id) {
         return method + " " + target + " HTTP/1.1\r\nHost: edge\r\nSpokestall-Key: " + key + "\r\nSpokestall-Ask-Id: "
                 + id + "\r\nSpokestall-Deadline-Ms: 4000\r\n";
     }
 
-    void send(final String latin) throws IOException {
+    /** Writes characters as bytes. */
+    public void send(final String latin) throws IOException {
         socket.getOutputStream().write(latin.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** The next answer; null when the wire ended instead. */
-    Got got(final boolean ofHead) throws IOException {
+    public Got got(final boolean ofHead) throws IOException {
         final String line = line();
         if (line == null) {
             return null;
@@ -76,7 +87,8 @@
         return new Got(got.status, headers, new String(body, StandardCharsets.ISO_8859_1));
     }
 
-    Got got() throws IOException {
+    /** The next answer to a request that wasn't HEAD; null when the connection ended instead. */
+    public Got got() throws IOException {
         return got(false);
     }
 
--- /dev/null
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakActions.java
@@ -0,0 +1,174 @@
+package spokestall.testbed.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import spokestall.testbed.Deployment;
+import spokestall.testbed.fleet.Fleet;
+
+/**
+ * What a soak run does to its fleet. Thread-safe: several series are played at the same time. Of the cores, a majority is left
+ * running; of the edges, one.
+ */
+final class SoakActions {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long STOP_WAIT_S = 20;
+    private static final long CHANGE_WAIT_MS = 15_000;
+    private static final long CHANGE_PAUSE_MS = 50;
+    private static final int ACCEPTED = 1000;
+    private static final String STARTED = "event=start ";
+
+    private final Fleet fleet;
+    private final Deployment deployment;
+    private final ProcessHistory history;
+    private final SoakVerdict verdict;
+    private final List<Fleet.Member> members;
+    /** Members that are being stopped, killed or started. */
+    private final Set<Fleet.Member> busy = ConcurrentHashMap.newKeySet();
+
+    private final Semaphore coresDown;
+    private final Semaphore edgesDown;
+    private final AtomicInteger changes = new AtomicInteger();
+
+    SoakActions(
+            final Fleet fleet, final Deployment deployment, final ProcessHistory history, final SoakVerdict verdict) {
+        this.fleet = fleet;
+        this.deployment = deployment;
+        this.history = history;
+        this.verdict = verdict;
+        this.members = List.copyOf(fleet.members().values());
+        final int cores = (int) members.stream().filter(m -> m.core).count();
+        this.coresDown = new Semaphore((cores - 1) / 2);
+        this.edgesDown = new Semaphore(members.size() - cores - 1);
+    }
+
+    void pause(final long ms) {
+        LockSupport.parkNanos(ms * 1_000_000);
+    }
+
+    private Fleet.Member any(final Random random) {
+        return members.get(random.nextInt(members.size()));
+    }
+
+    /** Changes a member's settings and tells its process so, unless that hasn't started yet. */
+    void hangUp(final Random random) throws IOException, InterruptedException {
+        final Fleet.Member member = any(random);
+        fleet.change(member, "whereS", random.nextBoolean() ? "2" : "3");
+        signalOnceStarted(member, "HUP");
+    }
+
+    /** A signal that comes before the program handles it would end the process, so it must have logged its start. */
+    private void signalOnceStarted(final Fleet.Member member, final String name)
+            throws IOException, InterruptedException {
+        final Process process = member.process;
+        if (process.isAlive() && startsLogged(member) >= verdict.startsOf(member)) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        }
+    }
+
+    private int startsLogged(final Fleet.Member member) throws IOException {
+        return fleet.log(member).split(STARTED, -1).length - 1;
+    }
+
+    /** Tells a member to stop, so often, waits for its end and starts it again. */
+    void restart(final Random random, final int times) throws IOException, InterruptedException {
+        final Fleet.Member member = any(random);
+        whileDown(member, () -> {
+            final Process process = member.process;
+            history.stopped(process.pid());
+            for (int i = 0; i < times; i++) {
+                process.destroy();
+                pause(random.nextInt(200));
+                if (i + 1 < times && process.isAlive()) {
+                    signalOnceStarted(member, "HUP");
+                }
+            }
+            verdict.onStopEnded(member, process, process.waitFor(STOP_WAIT_S, TimeUnit.SECONDS));
+            process.destroyForcibly().waitFor();
+        });
+    }
+
+    /** Kills a member and starts it again a while later. */
+    void kill(final Random random, final long downMs) throws IOException, InterruptedException {
+        final Fleet.Member member = any(random);
+        whileDown(member, () -> {
+            history.killed(member.process.pid());
+            member.process.destroyForcibly().waitFor();
+            pause(downMs);
+        });
+    }
+
+    private interface Action {
+        void run() throws IOException, InterruptedException;
+    }
+
+    /** Does something that ends a member, starts it again and waits until it serves; nothing if too many are down. */
+    private void whileDown(final Fleet.Member member, final Action action) throws IOException, InterruptedException {
+        final Semaphore down = member.core ? coresDown : edgesDown;
+        if (!busy.add(member)) {
+            return;
+        }
+        try {
+            if (!down.tryAcquire()) {
+                return;
+            }
+            try {
+                verdict.checkAlive(member);
+                action.run();
+                fleet.start(member);
+                verdict.onStarted(member);
+                fleet.freshAgain(member);
+            } finally {
+                down.release();
+            }
+        } finally {
+            busy.remove(member);
+        }
+    }
+
+    /** Adds a route, at one node after the other until it is known to be accepted. */
+    void change(final Random random) {
+        final String name = "soak" + changes.incrementAndGet();
+        final long untilMs = System.currentTimeMillis() + CHANGE_WAIT_MS;
+        while (System.currentTimeMillis() < untilMs) {
+            final Fleet.Member member = any(random);
+            final JsonNode current = fleet.call(member.operators, "policy.get", JSON.createObjectNode());
+            final long base = current.path("result").path("version").asLong(-1);
+            if (base >= 0
+                    && fleet.call(member.operators, "policy.patch", patch(base, name))
+                                    .path("code")
+                                    .asInt()
+                            == ACCEPTED) {
+                verdict.onAcknowledged(name);
+                return;
+            }
+            pause(CHANGE_PAUSE_MS);
+        }
+        verdict.onUnacknowledged(name);
+    }
+
+    private ObjectNode patch(final long base, final String name) {
+        final ObjectNode params = JSON.createObjectNode().put("base", base).put("changeId", name);
+        params.putObject("patch")
+                .putObject("cells")
+                .putObject(Deployment.cell(3))
+                .putObject("tenants")
+                .putObject(Deployment.tenant(3))
+                .putObject("bindings")
+                .putObject(name)
+                .put("path", "/more/" + name)
+                .put("service", deployment.big);
+        return params;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakClient.java
@@ -0,0 +1,129 @@
+package spokestall.testbed.soak;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import spokestall.testbed.Deployment;
+import spokestall.testbed.fleet.Fleet;
+import spokestall.testbed.fleet.RawClient;
+
+/**
+ * A client that sends one request after the other on one connection for as long as the other side keeps it open, whatever happens to
+ * the process there, and then connects anew. Runs on a thread of its own.
+ */
+final class SoakClient implements Runnable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int PAUSE_MAX_MS = 150;
+    private static final long CONNECT_PAUSE_MS = 50;
+    private static final String NOT_RUN = "not-run";
+
+    private final Fleet fleet;
+    private final List<Fleet.Member> edges;
+    private final List<Deployment.Kind> kinds;
+    private final Random random;
+    private final BooleanSupplier goesOn;
+    private final Consumer<SoakExchange> ended;
+
+    SoakClient(
+            final Fleet fleet,
+            final List<Deployment.Kind> kinds,
+            final long seed,
+            final BooleanSupplier goesOn,
+            final Consumer<SoakExchange> ended) {
+        this.fleet = fleet;
+        this.edges = fleet.members().values().stream().filter(m -> !m.core).toList();
+        this.kinds = kinds;
+        this.random = new Random(seed);
+        this.goesOn = goesOn;
+        this.ended = ended;
+    }
+
+    @Override
+    public void run() {
+        while (goesOn.getAsBoolean()) {
+            final Fleet.Member edge = edges.get(random.nextInt(edges.size()));
+            final Process process = edge.process;
+            final Deployment.Kind kind = kinds.get(random.nextInt(kinds.size()));
+            final String ticket = ticket(edge, kind);
+            try (RawClient connection = new RawClient(edge.http)) {
+                use(connection, process.pid(), kind, ticket);
+            } catch (final IOException refused) {
+                pause(CONNECT_PAUSE_MS);
+            }
+        }
+    }
+
+    private String ticket(final Fleet.Member edge, final Deployment.Kind kind) {
+        return fleet.call(
+                        edge.http,
+                        "where",
+                        JSON.createObjectNode().put("client", "soak").put("key", kind.key()))
+                .path("result")
+                .path("ticket")
+                .asText();
+    }
+
+    private void use(final RawClient connection, final long pid, final Deployment.Kind kind, final String ticket)
+            throws IOException {
+        boolean open = true;
+        while (open && goesOn.getAsBoolean()) {
+            open = exchange(connection, pid, kind, ticket);
+            pause(random.nextInt(PAUSE_MAX_MS));
+        }
+    }
+
+    /** Sends one request and reads its answer; returns whether the connection may be used again. */
+    private boolean exchange(
+            final RawClient connection, final long pid, final Deployment.Kind kind, final String ticket)
+            throws IOException {
+        final String own = "soak-" + RawClient.freshId();
+        final String requestId = kind.runOnce() ? ticket + "." + own : own;
+        final String body = kind.runOnce() ? "pay " + own : "";
+        final long beganMs = System.currentTimeMillis();
+        try {
+            connection.send(RawClient.head(kind.runOnce() ? "POST" : "GET", kind.path(), kind.key(), requestId)
+                    + (kind.runOnce() ? "Content-Length: " + body.length() + "\r\n" : "")
+                    + "\r\n"
+                    + body);
+        } catch (final IOException closed) {
+            record(requestId, kind, pid, SoakExchange.End.CLOSED, beganMs);
+            return false;
+        }
+        final long sentMs = System.currentTimeMillis();
+        try {
+            final RawClient.Got got = connection.got();
+            record(requestId, kind, pid, got == null ? SoakExchange.End.CLOSED : end(got, requestId), sentMs);
+            return got != null && !"close".equalsIgnoreCase(got.header("Connection"));
+        } catch (final SocketTimeoutException silent) {
+            record(requestId, kind, pid, SoakExchange.End.SILENT, sentMs);
+        } catch (final IOException closed) {
+            record(requestId, kind, pid, SoakExchange.End.CLOSED, sentMs);
+        }
+        return false;
+    }
+
+    private static SoakExchange.End end(final RawClient.Got got, final String requestId) {
+        if (got.status() == 200) {
+            return got.body().contains("\"" + requestId + "\"") ? SoakExchange.End.RAN : SoakExchange.End.WRONG;
+        }
+        return NOT_RUN.equals(got.header("Spokestall-Outcome")) ? SoakExchange.End.NOT_RUN : SoakExchange.End.UNDECIDED;
+    }
+
+    private void record(
+            final String requestId,
+            final Deployment.Kind kind,
+            final long pid,
+            final SoakExchange.End end,
+            final long sentMs) {
+        ended.accept(new SoakExchange(requestId, kind.runOnce(), pid, end, sentMs, System.currentTimeMillis()));
+    }
+
+    private static void pause(final long ms) {
+        LockSupport.parkNanos(ms * 1_000_000);
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
@@ -0,0 +1,175 @@
+package spokestall.testbed.soak;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import spokestall.testbed.Deployment;
+import spokestall.testbed.fleet.Fleet;
+import spokestall.testbed.standin.UpstreamStandIn;
+
+/** Plays one soak run: a fleet starts, clients send, series come on several lanes at once, the fleet recovers and is judged. */
+public final class SoakRun {
+    /** One upstream in so many takes a quarter of a second, so that requests are under way whenever something happens. */
+    private static final int UPSTREAMS_PER_SLOW_ONE = 3;
+
+    private static final long RECOVERED_MS = 3000;
+    /** Requests of the last span that may be rejected: connections from before are used up in it. */
+    private static final double UNSERVED_RATIO_MAX = 0.02;
+
+    private final SoakFlags flags;
+    private final long seed;
+    private final ProcessHistory history = new ProcessHistory();
+    private final SoakVerdict verdict = new SoakVerdict(history);
+    private final AtomicBoolean clientsGoOn = new AtomicBoolean(true);
+
+    private SoakRun(final SoakFlags flags, final long seed) {
+        this.flags = flags;
+        this.seed = seed;
+    }
+
+    /** Plays all seeds; returns zero if no rule was broken. */
+    public static int run(final SoakFlags flags) throws IOException, InterruptedException {
+        int broken = 0;
+        for (long seed = flags.seed; seed < flags.seed + flags.seeds; seed++) {
+            broken += new SoakRun(flags, seed).play().isEmpty() ? 0 : 1;
+        }
+        System.out.println("soak seeds=" + flags.seeds + " broken=" + broken);
+        return broken == 0 ? 0 : 1;
+    }
+
+    /** Plays one seed; returns the rules that were broken, a line each. */
+    public static List<String> play(final SoakFlags flags) throws IOException, InterruptedException {
+        return new SoakRun(flags, flags.seed).play();
+    }
+
+    private List<String> play() throws IOException, InterruptedException {
+        final Path folder = flags.folder.resolve("soak-" + seed + "-" + System.currentTimeMillis());
+        final ExecutorService threads = Executors.newCachedThreadPool();
+        try (Fleet fleet = new Fleet(
+                flags.deployment,
+                folder,
+                flags.zones,
+                flags.edgesPerZone,
+                0,
+                flags.deployment.upstreams(),
+                null,
+                Map.of())) {
+            fleet.start();
+            slowSomeUpstreams(fleet);
+            fleet.ready(fleet.putConfiguration());
+            final List<Future<?>> clients = startClients(fleet, threads);
+            playLanes(fleet, threads);
+            recover(fleet);
+            clientsGoOn.set(false);
+            for (final Future<?> client : clients) {
+                await(client);
+            }
+            verdict.judge(
+                    fleet, fleet.call(fleet.anyCore().operators, "policy.get", new ObjectMapper().createObjectNode()));
+            if (!fleet.stopAll()) {
+                verdict.violated(SoakVerdict.SoakRule.STOP, "not all processes stopped cleanly at the end");
+            }
+        } finally {
+            clientsGoOn.set(false);
+            threads.shutdownNow();
+        }
+        return report(folder);
+    }
+
+    private List<String> report(final Path folder) {
+        final List<String> lines = verdict.violations().stream()
+                .map(violation -> violation.rule() + " " + violation.what())
+                .toList();
+        System.out.println("soak seed=" + seed + " nodes=" + flags.zones * (1 + flags.edgesPerZone) + " "
+                + verdict.summary() + " broken=" + lines.size() + " folder=" + folder);
+        lines.forEach(line -> System.out.println("broken " + line));
+        return lines;
+    }
+
+    private static void slowSomeUpstreams(final Fleet fleet) {
+        final List<UpstreamStandIn> upstreams = fleet.standIns();
+        for (int i = 0; i < upstreams.size(); i += UPSTREAMS_PER_SLOW_ONE) {
+            upstreams.get(i).behave(UpstreamStandIn.Manner.SLOW);
+        }
+    }
+
+    /** Requests of tenants that are at home everywhere, so that every edge serves them. */
+    private List<Deployment.Kind> kinds() {
+        final Set<String> everywhere = new HashSet<>();
+        for (int tenant = 0; tenant < Deployment.TENANTS; tenant++) {
+            if (Deployment.home(tenant).size() == Deployment.home(0).size()) {
+                everywhere.add(Deployment.tenant(tenant));
+            }
+        }
+        return flags.deployment.kinds().stream()
+                .filter(kind -> everywhere.contains(kind.tenant()))
+                .toList();
+    }
+
+    private List<Future<?>> startClients(final Fleet fleet, final ExecutorService threads) {
+        final List<Future<?>> clients = new ArrayList<>();
+        for (int i = 0; i < flags.clients; i++) {
+            clients.add(threads.submit(
+                    new SoakClient(fleet, kinds(), seed * flags.clients + i, clientsGoOn::get, verdict::onExchange)));
+        }
+        return clients;
+    }
+
+    private void playLanes(final Fleet fleet, final ExecutorService threads) throws InterruptedException {
+        final SoakActions actions = new SoakActions(fleet, flags.deployment, history, verdict);
+        final long untilMs = System.currentTimeMillis() + TimeUnit.SECONDS.toMillis(flags.seconds);
+        final List<Future<?>> lanes = new ArrayList<>();
+        for (int lane = 0; lane < flags.lanes; lane++) {
+            final Random random = new Random(seed * flags.lanes + lane);
+            lanes.add(threads.submit(() -> playLane(actions, random, untilMs)));
+        }
+        for (final Future<?> lane : lanes) {
+            await(lane);
+        }
+    }
+
+    private static Void playLane(final SoakActions actions, final Random random, final long untilMs)
+            throws IOException, InterruptedException {
+        final SoakSeries[] all = SoakSeries.values();
+        while (System.currentTimeMillis() < untilMs) {
+            all[random.nextInt(all.length)].play(actions, random);
+        }
+        return null;
+    }
+
+    private void await(final Future<?> task) throws InterruptedException {
+        try {
+            task.get();
+        } catch (final java.util.concurrent.ExecutionException e) {
+            verdict.violated(SoakVerdict.SoakRule.RECOVERY, "gave up: " + e.getCause());
+        }
+    }
+
+    /** Waits until every node is fresh, and sees requests run for a while. */
+    private void recover(final Fleet fleet) {
+        try {
+            fleet.members().values().forEach(fleet::freshAgain);
+        } catch (final IllegalStateException e) {
+            verdict.violated(SoakVerdict.SoakRule.RECOVERY, e.getMessage());
+            return;
+        }
+        final long fromMs = System.currentTimeMillis();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RECOVERED_MS));
+        final List<SoakExchange> unserved = verdict.unservedAfter(fromMs);
+        if (unserved.size() > UNSERVED_RATIO_MAX * verdict.exchangesAfter(fromMs)) {
+            verdict.violated(SoakVerdict.SoakRule.RECOVERY, unserved.size() + " unserved, first " + unserved.get(0));
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakVerdict.java
@@ -0,0 +1,179 @@
+package spokestall.testbed.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import spokestall.testbed.fleet.Fleet;
+import spokestall.testbed.verdict.Ledger;
+
+/** Collects what a soak run sees and says which rules it broke. Thread-safe. */
+final class SoakVerdict {
+    /** What must hold, whatever comes in whichever order. */
+    enum SoakRule {
+        /** An answer is whole and belongs to its request. */
+        ANSWER,
+        /** A run-once request runs once at most. */
+        ONCE,
+        /** A request that is answered as not run never runs. */
+        NOT_RUN,
+        /** A process that isn't killed answers what it has passed on, also while it stops. */
+        LOST,
+        /** A process that isn't killed doesn't keep a request and then close without an answer. */
+        MUTE,
+        /** Each request ends. */
+        SILENT,
+        /** Each process that is told to stop ends in time, with an exit code that says so. */
+        STOP,
+        /** No process ends by itself. */
+        EXIT,
+        /** Nothing is logged as a fault of the program. */
+        FAULT,
+        /** A change that was acknowledged stays. */
+        CHANGE,
+        /** A change is acknowledged within 15 s at some node. */
+        UNACKNOWLEDGED,
+        /** After the last series every node is fresh and every request runs. */
+        RECOVERY
+    }
+
+    /** One broken rule. */
+    record Violation(SoakRule rule, String what) {}
+
+    /** How long a request may be kept that is then not answered: it crossed the closing of its connection. */
+    private static final long CROSSING_MS = 500;
+
+    private static final int EXITED = 0;
+    private static final int EXITED_BY_TERM = 143;
+
+    private final ProcessHistory history;
+    private final List<SoakExchange> exchanges = new ArrayList<>();
+    private final List<Violation> violations = new ArrayList<>();
+    private final List<String> acknowledged = new ArrayList<>();
+    private final Map<String, Integer> starts = new HashMap<>();
+
+    SoakVerdict(final ProcessHistory history) {
+        this.history = history;
+    }
+
+    synchronized void onExchange(final SoakExchange exchange) {
+        exchanges.add(exchange);
+    }
+
+    synchronized void onStarted(final Fleet.Member member) {
+        starts.merge(member.name, 1, Integer::sum);
+    }
+
+    /** How often a member was started after the first time, and that one. */
+    synchronized int startsOf(final Fleet.Member member) {
+        return 1 + starts.getOrDefault(member.name, 0);
+    }
+
+    synchronized void onAcknowledged(final String change) {
+        acknowledged.add(change);
+    }
+
+    synchronized void onUnacknowledged(final String change) {
+        violated(SoakRule.UNACKNOWLEDGED, change);
+    }
+
+    synchronized void onStopEnded(final Fleet.Member member, final Process process, final boolean inTime) {
+        if (!inTime) {
+            violated(SoakRule.STOP, member.name + " still runs");
+        } else if (process.exitValue() != EXITED && process.exitValue() != EXITED_BY_TERM) {
+            violated(SoakRule.STOP, member.name + " ended with " + process.exitValue());
+        }
+    }
+
+    /** A member that nobody ended must run. */
+    synchronized void checkAlive(final Fleet.Member member) {
+        if (!member.process.isAlive() && !history.wasEnded(member.process.pid())) {
+            violated(SoakRule.EXIT, member.name + " ended by itself with " + member.process.exitValue());
+        }
+    }
+
+    synchronized void violated(final SoakRule rule, final String what) {
+        violations.add(new Violation(rule, what));
+    }
+
+    /** Judges what clients and upstreams saw. */
+    synchronized void judge(final Fleet fleet, final JsonNode configuration) throws IOException {
+        final Map<String, Integer> timesRun = new HashMap<>();
+        for (final Ledger.Began began : fleet.ledger().began()) {
+            timesRun.merge(began.requestId(), 1, Integer::sum);
+        }
+        exchanges.forEach(exchange -> judge(exchange, timesRun.getOrDefault(exchange.requestId(), 0)));
+        final String text = configuration.toString();
+        for (final String change : acknowledged) {
+            if (!text.contains("\"" + change + "\"")) {
+                violated(SoakRule.CHANGE, change + " is gone");
+            }
+        }
+        for (final Fleet.Member member : fleet.members().values()) {
+            checkAlive(member);
+            if (fleet.log(member).contains("event=fault ")) {
+                violated(SoakRule.FAULT, member.name + " logged a fault");
+            }
+        }
+    }
+
+    private void judge(final SoakExchange exchange, final int timesRun) {
+        if (exchange.runOnce() && timesRun > 1) {
+            violated(SoakRule.ONCE, exchange + " ran " + timesRun + " times");
+        }
+        switch (exchange.end()) {
+            case WRONG -> violated(SoakRule.ANSWER, exchange.toString());
+            case SILENT -> violated(SoakRule.SILENT, exchange.toString());
+            case NOT_RUN -> {
+                if (timesRun > 0) {
+                    violated(SoakRule.NOT_RUN, exchange.toString());
+                }
+            }
+            case CLOSED -> judgeClosed(exchange, timesRun);
+            default -> {}
+        }
+    }
+
+    private void judgeClosed(final SoakExchange exchange, final int timesRun) {
+        if (history.wasKilled(exchange.pid())) {
+            return;
+        }
+        if (timesRun > 0) {
+            violated(SoakRule.LOST, exchange.toString());
+        } else if (exchange.endedMs() - exchange.sentMs() > CROSSING_MS) {
+            violated(SoakRule.MUTE, exchange.toString());
+        }
+    }
+
+    /** Returns the broken rules so far. */
+    synchronized List<Violation> violations() {
+        return List.copyOf(violations);
+    }
+
+    /** Returns the number of requests that ended after a time. */
+    synchronized long exchangesAfter(final long fromMs) {
+        return exchanges.stream()
+                .filter(exchange -> exchange.sentMs() >= fromMs)
+                .count();
+    }
+
+    /** Returns the requests that were sent after a time and did not run. */
+    synchronized List<SoakExchange> unservedAfter(final long fromMs) {
+        return exchanges.stream()
+                .filter(exchange -> exchange.sentMs() >= fromMs && exchange.end() != SoakExchange.End.RAN)
+                .toList();
+    }
+
+    /** Returns how many requests ended in which way, and how many changes were acknowledged, on one line. */
+    synchronized String summary() {
+        final Map<SoakExchange.End, Integer> ends = new EnumMap<>(SoakExchange.End.class);
+        exchanges.forEach(exchange -> ends.merge(exchange.end(), 1, Integer::sum));
+        final int restarts =
+                starts.values().stream().mapToInt(Integer::intValue).sum();
+        return "requests=" + exchanges.size() + " ends=" + ends + " restarts=" + restarts + " changes="
+                + acknowledged.size();
+    }
+}
