--- a/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
@@ -26,6 +26,10 @@
 class FleetClientsTest {
     private static final int LINES = 60;
     private static final long LINE_MS = 25;
+    private static final long LASTS_MS = 900;
+    /** More than an edge reads ahead at once. */
+    private static final int READ_AHEAD_BYTES = 600;
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String KEY = "key-one-0001";
     private static final int PLACES = 16;
@@ -632,4 +636,31 @@
                 .as("half a second after its client left")
                 .isTrue();
     }
+
+    /** While the first is under way the connection is read ahead, to notice that its client leaves. */
+    @Test
+    void aRequestThatIsSentBehindOneThatLastsIsAnsweredToo() throws Exception {
+        final CountDownLatch never = new CountDownLatch(1);
+        up.manner = (came, out) -> {
+            if (came.line().contains("/transfers/lasts")) {
+                never.await(LASTS_MS, TimeUnit.MILLISECONDS);
+            }
+            out.write("HTTP/1.1 200 OK\r\n" + RawUpstream.names(came) + "Content-Length: 2\r\n\r\nok");
+        };
+        try (RawClient client = new RawClient(edge)) {
+            client.send(RawClient.head("GET", "/transfers/lasts", KEY, RawClient.freshId()) + "\r\n");
+            assertThat(came().line()).isEqualTo("GET /transfers/lasts HTTP/1.1");
+            final String second = RawClient.head("GET", "/transfers/behind", KEY, RawClient.freshId()) + "X-Fill: "
+                    + "x".repeat(READ_AHEAD_BYTES) + "\r\n\r\n";
+            client.send(second.substring(0, READ_AHEAD_BYTES));
+            assertThat(client.got().status()).isEqualTo(200);
+            client.send(second.substring(READ_AHEAD_BYTES));
+            assertThat(client.got().status()).isEqualTo(200);
+            final RawUpstream.Came behind = came();
+            assertThat(behind.line()).isEqualTo("GET /transfers/behind HTTP/1.1");
+            assertThat(behind.header("X-Fill")).hasSize(READ_AHEAD_BYTES);
+            client.send(second);
+            assertThat(client.got().status()).as("the connection goes on").isEqualTo(200);
+        }
+    }
 }
