--- a/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
@@ -76,8 +76,10 @@
             for (final Future<?> client : clients) {
                 await(client);
             }
-            verdict.judge(
-                    fleet, fleet.call(fleet.anyCore().operators, "policy.get", new ObjectMapper().createObjectNode()));
+            verdict.judgeExchanges(fleet.ledger().began());
+            verdict.judgeConfiguration(
+                    fleet.call(fleet.anyCore().operators, "policy.get", new ObjectMapper().createObjectNode()));
+            verdict.judgeMembers(fleet);
             if (!fleet.stopAll()) {
                 verdict.violated(SoakVerdict.SoakRule.STOP, "not all processes stopped cleanly at the end");
             }
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakVerdict.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakVerdict.java
@@ -99,19 +99,27 @@
         violations.add(new Violation(rule, what));
     }
 
-    /** Judges what clients and upstreams saw. */
-    synchronized void judge(final Fleet fleet, final JsonNode configuration) throws IOException {
+    /** Judges how requests ended, by what upstreams began. */
+    synchronized void judgeExchanges(final List<Ledger.Began> allBegan) {
         final Map<String, Integer> timesRun = new HashMap<>();
-        for (final Ledger.Began began : fleet.ledger().began()) {
+        for (final Ledger.Began began : allBegan) {
             timesRun.merge(began.requestId(), 1, Integer::sum);
         }
         exchanges.forEach(exchange -> judge(exchange, timesRun.getOrDefault(exchange.requestId(), 0)));
+    }
+
+    /** Judges the configuration as it is at the end. */
+    synchronized void judgeConfiguration(final JsonNode configuration) {
         final String text = configuration.toString();
         for (final String change : acknowledged) {
             if (!text.contains("\"" + change + "\"")) {
                 violated(SoakRule.CHANGE, change + " is gone");
             }
         }
+    }
+
+    /** Judges the processes as they are before the last stop, and what they have logged. */
+    synchronized void judgeMembers(final Fleet fleet) throws IOException {
         for (final Fleet.Member member : fleet.members().values()) {
             checkAlive(member);
             if (fleet.log(member).contains("event=fault ")) {
--- /dev/null
+++ b/testbed/src/test/java/spokestall/testbed/soak/SoakVerdictTest.java
@@ -0,0 +1,105 @@
+package spokestall.testbed.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import spokestall.testbed.verdict.Ledger;
+
+/** Each rule that is judged from what clients and upstreams saw is broken by what breaks it, and by nothing else. */
+class SoakVerdictTest {
+    private static final long PID = 17;
+    private static final long SENT_MS = 1000;
+    private final ProcessHistory history = new ProcessHistory();
+    private final SoakVerdict verdict = new SoakVerdict(history);
+    private final List<Ledger.Began> began = new ArrayList<>();
+
+    private void ended(final boolean runOnce, final SoakExchange.End end, final long tookMs, final int timesRun) {
+        verdict.onExchange(new SoakExchange("id", runOnce, PID, end, SENT_MS, SENT_MS + tookMs));
+        for (int i = 0; i < timesRun; i++) {
+            began.add(new Ledger.Began("i", "s", "d", "r", "t", "id", SENT_MS));
+        }
+    }
+
+    private List<SoakVerdict.SoakRule> broken() {
+        verdict.judgeExchanges(began);
+        return verdict.violations().stream()
+                .map(SoakVerdict.Violation::rule)
+                .distinct()
+                .toList();
+    }
+
+    @Test
+    void answersThatKeepTheirPromiseBreakNothing() {
+        ended(true, SoakExchange.End.RAN, 20, 1);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void aRunOnceRequestThatRanTwiceBreaksOnce() {
+        ended(true, SoakExchange.End.RAN, 20, 2);
+        assertThat(broken()).containsExactly(SoakVerdict.SoakRule.ONCE);
+    }
+
+    @Test
+    void aRequestThatMayBeRepeatedMayRunTwice() {
+        ended(false, SoakExchange.End.RAN, 20, 2);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void aRequestThatRanThoughItWasSaidNotToBreaksNotRun() {
+        ended(false, SoakExchange.End.NOT_RUN, 20, 1);
+        assertThat(broken()).containsExactly(SoakVerdict.SoakRule.NOT_RUN);
+    }
+
+    @Test
+    void anAnswerToAnotherRequestBreaksAnswer() {
+        ended(false, SoakExchange.End.WRONG, 20, 1);
+        assertThat(broken()).containsExactly(SoakVerdict.SoakRule.ANSWER);
+    }
+
+    @Test
+    void aConnectionThatEndsAfterTheRequestWasPassedOnBreaksLost() {
+        history.stopped(PID);
+        ended(false, SoakExchange.End.CLOSED, 20, 1);
+        assertThat(broken()).containsExactly(SoakVerdict.SoakRule.LOST);
+    }
+
+    @Test
+    void aProcessThatIsKilledMayLeaveRequestsUnanswered() {
+        history.killed(PID);
+        ended(false, SoakExchange.End.CLOSED, 20, 1);
+        ended(false, SoakExchange.End.CLOSED, 2000, 0);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void aRequestThatCrossesTheCloseIsNotCounted() {
+        ended(false, SoakExchange.End.CLOSED, 100, 0);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void aRequestThatIsKeptAndThenDroppedBreaksMute() {
+        ended(false, SoakExchange.End.CLOSED, 2000, 0);
+        assertThat(broken()).containsExactly(SoakVerdict.SoakRule.MUTE);
+    }
+
+    @Test
+    void aRequestThatNeverEndsBreaksSilent() {
+        ended(false, SoakExchange.End.SILENT, 20_000, 0);
+        assertThat(broken()).containsExactly(SoakVerdict.SoakRule.SILENT);
+    }
+
+    @Test
+    void anAcknowledgedChangeThatIsGoneBreaksChange() {
+        verdict.onAcknowledged("soak1");
+        verdict.onAcknowledged("soak2");
+        verdict.judgeConfiguration(JsonNodeFactory.instance.objectNode().put("soak1", 1));
+        assertThat(verdict.violations())
+                .containsExactly(new SoakVerdict.Violation(SoakVerdict.SoakRule.CHANGE, "soak2 is gone"));
+    }
+}
