--- a/testbed/src/main/java/spokestall/testbed/ChangeHistory.java
+++ b/testbed/src/main/java/spokestall/testbed/ChangeHistory.java
@@ -157,16 +157,7 @@
     }
 
     private ObjectNode patch() {
-        final ObjectNode patch = ConfigurationStore.JSON.createObjectNode();
-        patch.putObject("cells")
-                .putObject(Deployment.cell(3))
-                .putObject("tenants")
-                .putObject(Deployment.tenant(3))
-                .putObject("bindings")
-                .putObject("new" + made % SMALL_ROUTES)
-                .put("path", "/new/" + made)
-                .put("service", world.deployment.big);
-        return patch;
+        return Deployment.routePatch("new" + made % SMALL_ROUTES, "/new/" + made, world.deployment.big);
     }
 
     private void again(final int call) {
--- a/testbed/src/main/java/spokestall/testbed/ConfigurationGrowth.java
+++ b/testbed/src/main/java/spokestall/testbed/ConfigurationGrowth.java
@@ -97,15 +97,7 @@
     }
 
     private static ConfigurationChange patch(final int i) {
-        final ObjectNode patch = ConfigurationStore.JSON.createObjectNode();
-        patch.putObject("cells")
-                .putObject(Deployment.cell(3))
-                .putObject("tenants")
-                .putObject(Deployment.tenant(3))
-                .putObject("bindings")
-                .putObject("new" + i)
-                .put("path", "/new/" + i)
-                .put("service", Deployment.PADMA.big);
+        final ObjectNode patch = Deployment.routePatch("new" + i, "/new/" + i, Deployment.PADMA.big);
         return new ConfigurationChange(
                 "new" + i, ConfigurationChange.Kind.PATCH, patch.toString().getBytes(StandardCharsets.UTF_8), 0);
     }
--- a/testbed/src/main/java/spokestall/testbed/Deployment.java
+++ b/testbed/src/main/java/spokestall/testbed/Deployment.java
@@ -102,6 +102,20 @@
         return tenant == 6 ? List.of("r1") : tenant == 7 ? List.of("r2", "r3") : List.of("r1", "r2", "r3");
     }
 
+    /** Returns a patch of the configuration that adds a route to a tenant that is at home everywhere. */
+    public static ObjectNode routePatch(final String name, final String path, final String service) {
+        final ObjectNode patch = JSON.createObjectNode();
+        patch.putObject("cells")
+                .putObject(cell(3))
+                .putObject("tenants")
+                .putObject(tenant(3))
+                .putObject("bindings")
+                .putObject(name)
+                .put("path", path)
+                .put("service", service);
+        return patch;
+    }
+
     public ArrayNode plan() {
         final ArrayNode list = JSON.createArrayNode();
         for (final Kind k : kinds()) {
--- a/testbed/src/main/java/spokestall/testbed/fault/ProcessFault.java
+++ b/testbed/src/main/java/spokestall/testbed/fault/ProcessFault.java
@@ -445,15 +445,7 @@
         final List<Thread> racers = new ArrayList<>();
         for (final String at : List.of("d2-core", "d5-core")) {
             final ObjectNode params = JSON.createObjectNode().put("base", base).put("changeId", "race-" + turn + at);
-            params.putObject("patch")
-                    .putObject("cells")
-                    .putObject(Deployment.cell(3))
-                    .putObject("tenants")
-                    .putObject(Deployment.tenant(3))
-                    .putObject("bindings")
-                    .putObject("race-" + turn + at)
-                    .put("path", "/race/" + turn + at)
-                    .put("service", service(fleet));
+            params.set("patch", Deployment.routePatch("race-" + turn + at, "/race/" + turn + at, service(fleet)));
             final Thread racer = new Thread(() -> {
                 final JsonNode reply = fleet.call(fleet.members().get(at).operators, "policy.patch", params);
                 synchronized (replies) {
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakActions.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakActions.java
@@ -160,15 +160,7 @@
 
     private ObjectNode patch(final long base, final String name) {
         final ObjectNode params = JSON.createObjectNode().put("base", base).put("changeId", name);
-        params.putObject("patch")
-                .putObject("cells")
-                .putObject(Deployment.cell(3))
-                .putObject("tenants")
-                .putObject(Deployment.tenant(3))
-                .putObject("bindings")
-                .putObject(name)
-                .put("path", "/more/" + name)
-                .put("service", deployment.big);
+        params.set("patch", Deployment.routePatch(name, "/more/" + name, deployment.big));
         return params;
     }
 }
--- a/testbed/src/test/java/spokestall/testbed/fleet/OperatorFleet.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/OperatorFleet.java
@@ -194,15 +194,7 @@
     /** A patch that adds one route. */
     public ObjectNode bind(final long base, final String changeId, final String path) {
         final ObjectNode params = JSON.createObjectNode().put("base", base).put("changeId", changeId);
-        params.putObject("patch")
-                .putObject("cells")
-                .putObject(Deployment.cell(3))
-                .putObject("tenants")
-                .putObject(Deployment.tenant(3))
-                .putObject("bindings")
-                .putObject(path)
-                .put("path", "/more/" + path)
-                .put("service", world.deployment.big);
+        params.set("patch", Deployment.routePatch(path, "/more/" + path, world.deployment.big));
         return params;
     }
 
