--- a/testbed/src/main/java/spokestall/testbed/soak/SoakClient.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakClient.java
@@ -91,18 +91,22 @@
                     + "\r\n"
                     + body);
         } catch (final IOException closed) {
-            record(requestId, kind, pid, SoakExchange.End.CLOSED, beganMs);
+            record(requestId, kind, pid, SoakExchange.End.CLOSED, null, beganMs);
             return false;
         }
         final long sentMs = System.currentTimeMillis();
         try {
             final RawClient.Got got = connection.got();
-            record(requestId, kind, pid, got == null ? SoakExchange.End.CLOSED : end(got, requestId), sentMs);
-            return got != null && !"close".equalsIgnoreCase(got.header("Connection"));
+            if (got == null) {
+                record(requestId, kind, pid, SoakExchange.End.CLOSED, null, sentMs);
+                return false;
+            }
+            record(requestId, kind, pid, end(got, requestId), got.code(), sentMs);
+            return !"close".equalsIgnoreCase(got.header("Connection"));
         } catch (final SocketTimeoutException silent) {
-            record(requestId, kind, pid, SoakExchange.End.SILENT, sentMs);
+            record(requestId, kind, pid, SoakExchange.End.SILENT, null, sentMs);
         } catch (final IOException closed) {
-            record(requestId, kind, pid, SoakExchange.End.CLOSED, sentMs);
+            record(requestId, kind, pid, SoakExchange.End.CLOSED, null, sentMs);
         }
         return false;
     }
@@ -119,8 +123,9 @@
             final Deployment.Kind kind,
             final long pid,
             final SoakExchange.End end,
+            final String code,
             final long sentMs) {
-        ended.accept(new SoakExchange(requestId, kind.runOnce(), pid, end, sentMs, System.currentTimeMillis()));
+        ended.accept(new SoakExchange(requestId, kind.runOnce(), pid, end, code, sentMs, System.currentTimeMillis()));
     }
 
     private static void pause(final long ms) {
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakExchange.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakExchange.java
@@ -7,10 +7,11 @@
  * @param runOnce whether it must run once at most
  * @param pid the process that took the connection
  * @param end how it ended
+ * @param code the numbered result code of its answer, null if there was none
  * @param sentMs when its last byte was written, on the wall clock
  * @param endedMs when the answer was there or the connection had ended
  */
-record SoakExchange(String requestId, boolean runOnce, long pid, End end, long sentMs, long endedMs) {
+record SoakExchange(String requestId, boolean runOnce, long pid, End end, String code, long sentMs, long endedMs) {
     /** How a request ended for its client. */
     enum End {
         /** The whole answer of the upstream that ran it. */
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
@@ -9,12 +9,14 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
 import spokestall.testbed.Deployment;
 import spokestall.testbed.fleet.Fleet;
 import spokestall.testbed.standin.UpstreamStandIn;
@@ -159,6 +161,12 @@
         }
     }
 
+    private static Map<String, Long> byCode(final List<SoakExchange> exchanges) {
+        return exchanges.stream()
+                .collect(Collectors.groupingBy(
+                        exchange -> String.valueOf(exchange.code()), TreeMap::new, Collectors.counting()));
+    }
+
     /** Waits until every node is fresh, and sees requests run for a while. */
     private void recover(final Fleet fleet) {
         try {
@@ -171,7 +179,10 @@
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RECOVERED_MS));
         final List<SoakExchange> unserved = verdict.unservedAfter(fromMs);
         if (unserved.size() > UNSERVED_RATIO_MAX * verdict.exchangesAfter(fromMs)) {
-            verdict.violated(SoakVerdict.SoakRule.RECOVERY, unserved.size() + " unserved, first " + unserved.get(0));
+            verdict.violated(
+                    SoakVerdict.SoakRule.RECOVERY,
+                    unserved.size() + " unserved of " + verdict.exchangesAfter(fromMs) + ", by code " + byCode(unserved)
+                            + ", first " + unserved.get(0));
         }
     }
 }
--- a/testbed/src/test/java/spokestall/testbed/soak/SoakVerdictTest.java
+++ b/testbed/src/test/java/spokestall/testbed/soak/SoakVerdictTest.java
@@ -17,7 +17,7 @@
     private final List<Ledger.Began> began = new ArrayList<>();
 
     private void ended(final boolean runOnce, final SoakExchange.End end, final long tookMs, final int timesRun) {
-        verdict.onExchange(new SoakExchange("id", runOnce, PID, end, SENT_MS, SENT_MS + tookMs));
+        verdict.onExchange(new SoakExchange("id", runOnce, PID, end, null, SENT_MS, SENT_MS + tookMs));
         for (int i = 0; i < timesRun; i++) {
             began.add(new Ledger.Began("i", "s", "d", "r", "t", "id", SENT_MS));
         }
