IdleConnectionTest waits until the connection is kept, not only until the answer is there

Cause: HttpClient queues the keeping of a connection after the caller's callback has returned, and the test's latch was queued within the callback, so before it; the comment said the opposite. The test's thread then raced the I/O thread for the connection. Excluded: the product (a caller that is early opens a connection more, as before).

--- a/spokestall/src/test/java/spokestall/io/http/IdleConnectionTest.java
+++ b/spokestall/src/test/java/spokestall/io/http/IdleConnectionTest.java
@@ -22,6 +22,7 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
+/** How long a connection without a request may be kept and used again, over sockets and with a clock of the test's. */
 class IdleConnectionTest {
     private static final long REST_MS = 1000;
     private final AtomicLong nowMs = new AtomicLong(1_000_000);
@@ -43,7 +44,7 @@
         worker.shutdownNow();
     }
 
-    /** Answers every request on every wire, with a field more if there is one. */
+    /** Answers every request on every connection, with a further header field if there is one. */
     private ServerSocket server(final String field) throws IOException {
         final ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
         daemon(() -> {
@@ -109,8 +110,8 @@
                 () -> {});
         client.call(call, result -> {
             assertThat(result).isInstanceOf(HttpResult.Whole.class);
-            // The wire is kept by a task that was queued before this one.
-            worker.getIoThread().execute(kept::countDown);
+            // The connection is kept by a task that is queued after this callback: the latch's comes after that one.
+            worker.getIoThread().execute(() -> worker.getIoThread().execute(kept::countDown));
         });
         assertThat(kept.await(20, TimeUnit.SECONDS)).isTrue();
     }
@@ -125,7 +126,7 @@
             nowMs.addAndGet(3_600);
             call(server, false);
             assertThat(connections)
-                    .as("what runs once takes none that rested for half of that")
+                    .as("what runs once takes none that was idle for half of that")
                     .hasValue(2);
             nowMs.addAndGet(7_100);
             call(server, true);
