--- a/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
@@ -27,6 +27,7 @@
     private static final int UPSTREAMS_PER_SLOW_ONE = 3;
 
     private static final long RECOVERED_MS = 3000;
+    private static final long NOT_REACHED = -1;
     /** Requests of the last span that may be rejected: connections from before are used up in it. */
     private static final double UNSERVED_RATIO_MAX = 0.02;
 
@@ -35,6 +36,10 @@
     private final ProcessHistory history = new ProcessHistory();
     private final SoakVerdict verdict = new SoakVerdict(history);
     private final AtomicBoolean clientsGoOn = new AtomicBoolean(true);
+    /** How long after the first process was launched the first configuration was accepted, and every edge saw all upstreams. */
+    private long acceptedMs = NOT_REACHED;
+
+    private long readyMs = NOT_REACHED;
 
     private SoakRun(final SoakFlags flags, final long seed) {
         this.flags = flags;
@@ -68,9 +73,10 @@
                 flags.deployment.upstreams(),
                 null,
                 Map.of())) {
-            fleet.start();
             slowSomeUpstreams(fleet);
-            fleet.ready(fleet.putConfiguration());
+            if (!start(fleet)) {
+                return report(folder);
+            }
             final List<Future<?>> clients = startClients(fleet, threads);
             playLanes(fleet, threads);
             recover(fleet);
@@ -92,12 +98,33 @@
         return report(folder);
     }
 
+    /** Starts the fleet and waits until it serves; returns whether it does in time. */
+    private boolean start(final Fleet fleet) throws IOException {
+        final long fromNanos = System.nanoTime();
+        try {
+            fleet.start();
+            final long version = fleet.putConfiguration();
+            acceptedMs = elapsedMs(fromNanos);
+            fleet.ready(version);
+            readyMs = elapsedMs(fromNanos);
+            return true;
+        } catch (final IllegalStateException late) {
+            verdict.violated(SoakVerdict.SoakRule.START, late.getMessage());
+            return false;
+        }
+    }
+
+    private static long elapsedMs(final long fromNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - fromNanos);
+    }
+
     private List<String> report(final Path folder) {
         final List<String> lines = verdict.violations().stream()
                 .map(violation -> violation.rule() + " " + violation.what())
                 .toList();
         System.out.println("soak seed=" + seed + " nodes=" + flags.zones * (1 + flags.edgesPerZone) + " "
-                + verdict.summary() + " broken=" + lines.size() + " folder=" + folder);
+                + verdict.summary() + " acceptedMs=" + acceptedMs + " readyMs=" + readyMs + " broken=" + lines.size()
+                + " folder=" + folder);
         lines.forEach(line -> System.out.println("broken " + line));
         return lines;
     }
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakVerdict.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakVerdict.java
@@ -14,6 +14,8 @@
 final class SoakVerdict {
     /** What must hold, whatever comes in whichever order. */
     enum SoakRule {
+        /** The fleet takes its first configuration, and every edge sees all upstreams, within 30 s each. */
+        START,
         /** An answer is whole and belongs to its request. */
         ANSWER,
         /** A run-once request runs once at most. */
