--- a/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
@@ -46,7 +46,11 @@
         /** How long one ask keeps it busy, one at a time; 0 is without limit. */
         long eachMs;
 
+        /** Whether it rejects every second attempt and runs nothing of it. */
+        boolean rejectsHalf;
+
         private long busyUntilMs;
+        private int turns;
 
         Up(
                 final String instance,
@@ -62,6 +66,10 @@
             this.region = region;
             this.readyAtMs = readyAtMs;
         }
+
+        private boolean rejectsNext() {
+            return rejectsHalf && ++turns % 2 == 0;
+        }
     }
 
     private final SimulatedWorld world;
@@ -329,6 +337,8 @@
                     back(way, () -> once.accept(new AttemptResult.Lost("reset")));
                 } else if (!up.instance.equals(attempt.instance())) {
                     back(way, () -> once.accept(new AttemptResult.NotRun("not the instance that was meant")));
+                } else if (up.rejectsNext()) {
+                    back(way, () -> once.accept(new AttemptResult.NotRun("rejected")));
                 } else {
                     work(attempt, up, once);
                 }
--- /dev/null
+++ b/testbed/src/test/java/spokestall/testbed/simulation/RejectedAttemptUsageTest.java
@@ -0,0 +1,128 @@
+package spokestall.testbed.simulation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import spokestall.testbed.Deployment;
+import spokestall.testbed.fault.InjectedFault;
+import spokestall.testbed.fleet.OperatorFleet;
+import spokestall.testbed.standin.UpstreamStandIn;
+import spokestall.testbed.verdict.Ledger;
+
+/**
+ * What a window's report says of each tenant, against the upstreams' own count of what they began, while attempts end in other ways than
+ * by an answer.
+ */
+class RejectedAttemptUsageTest {
+    private static final int SEEDS = 2;
+    private static final long PHASE_MS = 4 * SimulatedWorld.WINDOW_MS;
+    private static final long REPORTED_MS = 3 * SimulatedWorld.WINDOW_MS;
+    /** The part of a tenant's count that a report may be off by, and how many more at the window's edges. */
+    private static final double OFF_MAX = 0.05;
+
+    private static final int EDGE_MAX = 3;
+
+    private static final Map<String, String> SETTINGS = Map.of(
+            "cores", "0",
+            "edges", "0",
+            "alsoEdge", "1",
+            "bootstrap", "1",
+            "probes", "0");
+
+    @Test
+    void attemptsThatUpstreamsRejectAreNotReported() {
+        checkUsage(world -> upstreamsOfTheLargeService(world).forEach(up -> up.rejectsHalf = true));
+    }
+
+    @Test
+    void attemptsForAnInstanceWhoseAddressAnotherTookAreNotReported() {
+        checkUsage(RejectedAttemptUsageTest::replaceAtTheirAddresses);
+    }
+
+    @Test
+    void attemptsWhoseAnswersAreLostAreReported() {
+        checkUsage(world -> behave(world, UpstreamStandIn.Manner.FLAKY));
+    }
+
+    @Test
+    void attemptsThatSpanWindowsBelongToTheOneInWhichTheyBegan() {
+        checkUsage(world -> behave(world, UpstreamStandIn.Manner.SLOW));
+    }
+
+    private interface Trouble {
+        void begin(SimulatedWorld world);
+    }
+
+    private static void checkUsage(final Trouble trouble) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            final OperatorFleet fleet = new OperatorFleet(seed, Deployment.PADMA, InjectedFault.NONE, SETTINGS).begun();
+            fleet.world.clients.start();
+            fleet.run(PHASE_MS);
+            trouble.begin(fleet.world);
+            fleet.run(PHASE_MS);
+            behave(fleet.world, UpstreamStandIn.Manner.WELL);
+            fleet.run(REPORTED_MS);
+            assertThat(off(fleet.world))
+                    .as("windows that are off, seed %s", seed)
+                    .isEmpty();
+        }
+    }
+
+    private static void behave(final SimulatedWorld world, final UpstreamStandIn.Manner manner) {
+        upstreamsOfTheLargeService(world).forEach(up -> up.manner = manner);
+    }
+
+    private static List<SimulatedEnvironment.Up> upstreamsOfTheLargeService(final SimulatedWorld world) {
+        return world.outside.running().stream()
+                .filter(up -> up.service.equals(world.deployment.big))
+                .toList();
+    }
+
+    private static void replaceAtTheirAddresses(final SimulatedWorld world) {
+        final List<SimulatedEnvironment.Up> all = upstreamsOfTheLargeService(world);
+        all.subList(0, all.size() / 2).forEach(up -> {
+            world.outside.stop(up);
+            world.outside.add(up.service, up.address, up.zone, up.region, world.sim.nowMs());
+        });
+    }
+
+    /** The tenants' counts that are off, a line each. */
+    private static List<String> off(final SimulatedWorld world) {
+        final Map<Long, Map<String, Long>> begun = new TreeMap<>();
+        world.begun.forEach(each -> begun.computeIfAbsent(window(each.atMs()), w -> new HashMap<>())
+                .merge(world.asked.get(each.requestId()).kind.tenant(), 1L, Long::sum));
+        final Map<Long, Map<String, Long>> reported = new TreeMap<>();
+        for (final Ledger.Reported report : world.reported) {
+            reported.putIfAbsent(report.window(), report.counts());
+        }
+        assertThat(reported.keySet()).as("reported windows").hasSizeGreaterThan(5);
+        final List<String> found = new ArrayList<>();
+        reported.forEach((window, counts) -> found.addAll(off(window, begun.getOrDefault(window, Map.of()), counts)));
+        return found;
+    }
+
+    private static List<String> off(
+            final long window, final Map<String, Long> begun, final Map<String, Long> reported) {
+        final List<String> found = new ArrayList<>();
+        final TreeSet<String> tenants = new TreeSet<>(begun.keySet());
+        tenants.addAll(reported.keySet());
+        for (final String tenant : tenants) {
+            final long real = begun.getOrDefault(tenant, 0L);
+            final long said = reported.getOrDefault(tenant, 0L);
+            if (Math.abs(real - said) > EDGE_MAX + OFF_MAX * real) {
+                found.add("window " + window + " " + tenant + ": began " + real + ", reported " + said);
+            }
+        }
+        return found;
+    }
+
+    private static long window(final long atMs) {
+        return (SimulatedWorld.EPOCH_MS + atMs) / SimulatedWorld.WINDOW_MS;
+    }
+}
