Fleets of processes: ends of relayed connections are looked up only for cuts; soak without relays

It needs to know that only while a link is cut, and now asks only then; a soak, which cuts nothing, runs without relays (FleetLayout.Links.DIRECT). Excluded: the nodes. Fleet's long constructor is taken apart on the way.

--- a/testbed/src/main/java/spokestall/testbed/fleet/Fleet.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/Fleet.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,7 +46,9 @@
         public final String operators;
         final Path settings;
         public final Path data;
+        /** Null if others reach it directly. */
         final LinkRelay relay;
+
         public final Path hooks;
         public Process process;
         /** How often its process was launched. */
@@ -72,6 +75,7 @@
     }
 
     private static final int PORTS_PER_NODE = 4;
+    private static final int SEEDS = 3;
     private static final long STARTED_WAIT_MS = 90_000;
     private static final String STARTED = "event=start ";
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -87,6 +91,7 @@
     private final List<UpstreamInstance> upstreams = new CopyOnWriteArrayList<>();
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final PlatformStandIn platform;
+    private final String platformAddress;
     private final HttpClient http =
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
 
@@ -110,76 +115,103 @@
             final Maker maker,
             final Map<String, String> more)
             throws IOException {
-        this(deployment, folder, zones, 1, delayMs, places, maker, more);
+        this(deployment, folder, FleetLayout.relayed(zones, delayMs), places, maker, more);
     }
 
-    /** With several edges in each zone. */
+    /** With a layout, upstreams and settings of its own. */
     public Fleet(
             final Deployment deployment,
             final Path folder,
-            final int zones,
-            final int edgesPerZone,
-            final long delayMs,
+            final FleetLayout layout,
             final List<Deployment.Place> places,
             final Maker maker,
             final Map<String, String> more)
             throws IOException {
         this.deployment = deployment;
         this.folder = folder;
-        this.links = new LinkConditions(delayMs);
+        this.links = new LinkConditions(layout.delayMs());
         Files.createDirectories(folder);
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 2));
-        final List<Integer> ports = freePorts(1 + places.size() + PORTS_PER_NODE * zones * (1 + edgesPerZone));
-        int next = 0;
-        platform = new PlatformStandIn(ports.get(next++), worker, ledger, () -> upstreams, 1000);
+        final Iterator<Integer> ports =
+                freePorts(1 + places.size() + PORTS_PER_NODE * layout.nodes()).iterator();
+        final int platformPort = ports.next();
+        platformAddress = local(platformPort);
+        platform = new PlatformStandIn(platformPort, worker, ledger, () -> upstreams, 1000);
         for (final Deployment.Place place : places) {
-            final int port = ports.get(next++);
+            final int port = ports.next();
             upstreams.add(
                     maker != null
                             ? maker.make(place, port)
                             : new UpstreamStandIn(place, port, worker, ledger, 5, 60_000));
         }
+        final List<MemberPorts> memberPorts = new ArrayList<>();
+        for (int i = 0; i < layout.nodes(); i++) {
+            memberPorts.add(new MemberPorts(ports.next(), ports.next(), ports.next(), ports.next()));
+        }
         final List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < 3; i++) {
-            seeds.add("127.0.0.1:" + ports.get(next + PORTS_PER_NODE * (1 + edgesPerZone) * (i % zones)));
+        for (int i = 0; i < SEEDS; i++) {
+            seeds.add(local(memberPorts.get((1 + layout.edgesPerZone()) * (i % layout.zones())).outside));
         }
-        for (int i = 0; i < zones; i++) {
-            for (int node = 0; node <= edgesPerZone; node++) {
-                final boolean core = node == 0;
-                final String name = Deployment.zone(i) + (core ? "-core" : node == 1 ? "-edge" : "-edge-" + node);
-                final ObjectNode s = JSON.createObjectNode();
-                final int outside = ports.get(next++);
-                final int inside = ports.get(next++);
-                s.put("name", name).put("address", "127.0.0.1:" + outside).put("listen", "127.0.0.1:" + inside);
-                s.put("http", "127.0.0.1:" + ports.get(next++)).put("district", Deployment.zone(i));
-                s.put("operators", "127.0.0.1:" + ports.get(next++));
-                s.put("districts", Deployment.zones()).put("seeds", String.join(",", seeds));
-                s.put("platform", "127.0.0.1:" + ports.get(0))
-                        .put("cores", zones)
-                        .put("edges", zones * edgesPerZone);
-                more.forEach(s::put);
-                final Path data = folder.resolve(name);
-                if (core) {
-                    s.put("data", data.toString());
-                }
-                final Path file = folder.resolve(name + ".json");
-                Files.writeString(file, s.toPrettyString());
-                members.put(
-                        name,
-                        new Member(
-                                name,
-                                core,
-                                s.get("http").asText(),
-                                s.get("operators").asText(),
-                                file,
-                                data,
-                                folder.resolve(name + ".hooks"),
-                                new LinkRelay(outside, inside, name, links)));
-                Files.createDirectories(folder.resolve(name + ".hooks"));
+        final Iterator<MemberPorts> nextPorts = memberPorts.iterator();
+        for (int zone = 0; zone < layout.zones(); zone++) {
+            for (int node = 0; node <= layout.edgesPerZone(); node++) {
+                addMember(layout, zone, node, nextPorts.next(), seeds, more);
             }
         }
     }
 
+    /** The ports of one node: where others reach it, where it listens for them, for clients, and for operators. */
+    private record MemberPorts(int outside, int inside, int http, int operators) {}
+
+    private static String local(final int port) {
+        return "127.0.0.1:" + port;
+    }
+
+    /** Adds a zone's core, which is its node 0, or one of its edges. */
+    private void addMember(
+            final FleetLayout layout,
+            final int zone,
+            final int node,
+            final MemberPorts ports,
+            final List<String> seeds,
+            final Map<String, String> more)
+            throws IOException {
+        final boolean relayed = layout.links() == FleetLayout.Links.RELAYED;
+        final boolean core = node == 0;
+        final String name = Deployment.zone(zone) + (core ? "-core" : node == 1 ? "-edge" : "-edge-" + node);
+        final Path data = folder.resolve(name);
+        final ObjectNode settings = JSON.createObjectNode()
+                .put("name", name)
+                .put("address", local(ports.outside))
+                .put("listen", local(relayed ? ports.inside : ports.outside))
+                .put("http", local(ports.http))
+                .put("district", Deployment.zone(zone))
+                .put("operators", local(ports.operators))
+                .put("districts", Deployment.zones())
+                .put("seeds", String.join(",", seeds))
+                .put("platform", platformAddress)
+                .put("cores", layout.zones())
+                .put("edges", layout.edges());
+        more.forEach(settings::put);
+        if (core) {
+            settings.put("data", data.toString());
+        }
+        final Path file = folder.resolve(name + ".json");
+        Files.writeString(file, settings.toPrettyString());
+        final Path hooks = Files.createDirectories(folder.resolve(name + ".hooks"));
+        members.put(
+                name,
+                new Member(
+                        name,
+                        core,
+                        local(ports.http),
+                        local(ports.operators),
+                        file,
+                        data,
+                        hooks,
+                        relayed ? new LinkRelay(ports.outside, ports.inside, name, links) : null));
+    }
+
     private static List<Integer> freePorts(final int count) throws IOException {
         final List<ServerSocket> held = new ArrayList<>();
         final List<Integer> ports = new ArrayList<>();
@@ -493,7 +525,9 @@
                 m.process.destroyForcibly();
             }
             try {
-                m.relay.close();
+                if (m.relay != null) {
+                    m.relay.close();
+                }
             } catch (final IOException e) {
                 throw new IllegalStateException(e);
             }
--- a/testbed/src/main/java/spokestall/testbed/fleet/LinkConditions.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/LinkConditions.java
@@ -47,6 +47,11 @@
         delayMs += extraMs;
     }
 
+    /** Whether any link is cut. */
+    boolean anyCut() {
+        return !cuts.isEmpty();
+    }
+
     boolean isCut(final String from, final String to) {
         return cuts.contains(from + ">" + to);
     }
--- a/testbed/src/main/java/spokestall/testbed/fleet/LinkRelay.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/LinkRelay.java
@@ -47,27 +47,28 @@
     }
 
     private void carry(final Socket in) {
-        final String who = links.who(in.getPort());
+        final LinkEnd peer = new LinkEnd(links, in.getPort());
+        final LinkEnd node = new LinkEnd(name);
         try {
             final Socket out = new Socket(InetAddress.getLoopbackAddress(), to);
             out.setTcpNoDelay(true);
             open.add(in);
             open.add(out);
-            thread(() -> pump(in, out, who, name)).start();
-            pump(out, in, name, who);
+            thread(() -> pump(in, out, peer, node)).start();
+            pump(out, in, node, peer);
         } catch (final IOException e) {
             close(in);
         }
     }
 
-    private void pump(final Socket from, final Socket into, final String sender, final String hearer) {
+    private void pump(final Socket from, final Socket into, final LinkEnd sender, final LinkEnd hearer) {
         final byte[] buffer = new byte[65536];
         long notBeforeMs = 0;
         boolean swallowed = false;
         try (InputStream in = from.getInputStream()) {
             int n = in.read(buffer);
             while (n >= 0) {
-                if (links.isCut(sender, hearer)) {
+                if (links.anyCut() && links.isCut(sender.node(), hearer.node())) {
                     swallowed = true;
                 } else if (swallowed) {
                     // What went missing would make nonsense of what comes now.
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.locks.LockSupport;
 import spokestall.testbed.Deployment;
 import spokestall.testbed.fleet.Fleet;
+import spokestall.testbed.fleet.FleetLayout;
 import spokestall.testbed.standin.UpstreamStandIn;
 
 /** Plays one soak run: a fleet starts, clients send, series come on several lanes at once, the fleet recovers and is judged. */
@@ -70,9 +71,7 @@
         try (Fleet fleet = new Fleet(
                 flags.deployment,
                 folder,
-                flags.zones,
-                flags.edgesPerZone,
-                0,
+                new FleetLayout(flags.zones, flags.edgesPerZone, FleetLayout.Links.DIRECT, 0),
                 flags.deployment.upstreams(),
                 null,
                 Map.of())) {
--- /dev/null
+++ b/testbed/src/test/java/spokestall/testbed/fleet/LinkEndTest.java
@@ -0,0 +1,43 @@
+package spokestall.testbed.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+
+/** Whose an end of a relayed connection is, is looked up in the kernel's tables once, and not before it is asked for. */
+class LinkEndTest {
+    private static final String SELF = "d1-edge";
+    private final LinkConditions links = new LinkConditions(0);
+
+    @Test
+    void theNodeWhoseProcessHasTheConnectionIsFoundWhenItIsFirstAskedFor() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket connection = new Socket(InetAddress.getLoopbackAddress(), server.getLocalPort())) {
+            final LinkEnd end = new LinkEnd(links, connection.getLocalPort());
+            links.node(SELF, ProcessHandle.current().pid());
+            assertThat(end.node()).isEqualTo(SELF);
+            connection.close();
+            assertThat(end.node()).as("after the connection has ended").isEqualTo(SELF);
+        }
+    }
+
+    @Test
+    void theEndOfNoNodesProcessHasNoName() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket connection = new Socket(InetAddress.getLoopbackAddress(), server.getLocalPort())) {
+            assertThat(new LinkEnd(links, connection.getLocalPort()).node()).isEqualTo("?");
+        }
+    }
+
+    @Test
+    void onlyACutNeedsToKnowWhoseAnEndIs() {
+        assertThat(links.anyCut()).isFalse();
+        links.cut(SELF, "d2-edge", true);
+        assertThat(links.anyCut()).isTrue();
+        links.cut(SELF, "d2-edge", false);
+        assertThat(links.anyCut()).isFalse();
+    }
+}
