--- a/testbed/src/test/java/spokestall/testbed/simulation/WarmUpEndTest.java
+++ b/testbed/src/test/java/spokestall/testbed/simulation/WarmUpEndTest.java
@@ -19,6 +19,8 @@
     private static final int REPLACED = 2;
     private static final int DEMAND = 3;
     private static final int MANY_EDGES = 16;
+    private static final long RESTART_MS = 300;
+    private static final long RESTART_GAP_MS = 600;
     /** Fewer in the busiest second would show that the limit is kept by hardly using the upstream. */
     private static final int LEAST_USED = 7;
 
@@ -49,13 +51,38 @@
         checkWarmUps(1, new OperatorFleet(1, Deployment.PADMA, InjectedFault.NONE, SETTINGS).withEdges(MANY_EDGES));
     }
 
+    @Test
+    void theBoundHoldsWhileEdgesStartAnew() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            final OperatorFleet fleet =
+                    new OperatorFleet(seed, Deployment.PADMA, InjectedFault.NONE, SETTINGS).withEdges(MANY_EDGES);
+            checkWarmUps(seed, fleet, () -> restartEdgesInTurn(fleet.world));
+        }
+    }
+
+    private static void restartEdgesInTurn(final SimulatedWorld world) {
+        long afterMs = 0;
+        for (final SimulatedNode edge : world.edges()) {
+            world.sim.after(afterMs, () -> {
+                edge.kill();
+                world.sim.after(RESTART_MS, edge::start);
+            });
+            afterMs += RESTART_GAP_MS;
+        }
+    }
+
     private static void checkWarmUps(final int seed, final OperatorFleet fleet) {
+        checkWarmUps(seed, fleet, () -> {});
+    }
+
+    private static void checkWarmUps(final int seed, final OperatorFleet fleet, final Runnable meanwhile) {
         final SimulatedWorld world = fleet.begun().world;
         world.outside.reckonWarmUpOnAnswer();
         world.clients.start();
         fleet.run(5000);
         world.clients.rate(DEMAND * world.deployment.rate);
         final List<SimulatedEnvironment.Up> replacements = replaceMost(world);
+        meanwhile.run();
         fleet.run(SimulatedWorld.WARMUP_MS + 2000);
         for (final SimulatedEnvironment.Up up : replacements) {
             final int most = mostInASecond(world, up);
