--- a/spokestall/src/test/java/spokestall/discovery/HealthCheckerTest.java
+++ b/spokestall/src/test/java/spokestall/discovery/HealthCheckerTest.java
@@ -176,6 +176,14 @@
         assertThat(received).as("repeated once in two ticks").containsExactly(0, 1, 1, 2);
     }
 
+    private long readySinceAtEdgeMs() {
+        return registries
+                .get("e")
+                .readyUpstreams("s", fleetClock.nowMs())
+                .get(0)
+                .readySinceMs();
+    }
+
     @Test
     void anInstanceIsNotTakenToBeReadyForLongerThanItIsHoweverLongTheAnswerTook() {
         answering = false;
@@ -185,12 +193,7 @@
         final long readySinceMs = fleetClock.nowMs() - 700;
         answersUnderWay.forEach(Runnable::run);
         tick(1);
-        assertThat(registries
-                        .get("e")
-                        .readyUpstreams("s", fleetClock.nowMs())
-                        .get(0)
-                        .readySinceMs())
-                .isGreaterThanOrEqualTo(readySinceMs);
+        assertThat(readySinceAtEdgeMs()).isGreaterThanOrEqualTo(readySinceMs);
     }
 
     @Test
@@ -198,11 +201,6 @@
         tick(1);
         answer = Optional.of(new ProbeResult("i1", "s", false, 300));
         tick(1);
-        assertThat(registries
-                        .get("e")
-                        .readyUpstreams("s", fleetClock.nowMs())
-                        .get(0)
-                        .readySinceMs())
-                .isEqualTo(fleetClock.nowMs() - 300);
+        assertThat(readySinceAtEdgeMs()).isEqualTo(fleetClock.nowMs() - 300);
     }
 }
--- a/testbed/src/main/java/spokestall/testbed/Main.java
+++ b/testbed/src/main/java/spokestall/testbed/Main.java
@@ -218,13 +218,14 @@
         return bad == 0 ? 0 : 1;
     }
 
-    /** An older build replaced by this one, node by node. */
+    /** Seeded series of signals, restarts and changes that overlap. */
     private static int soak(final String[] args) throws Exception {
         final SoakFlags flags = new SoakFlags();
-        final Integer ended = read(flags, args, () -> {});
+        final Integer ended = read(flags, args, flags::nodeSettings);
         return ended != null ? ended : SoakRun.run(flags);
     }
 
+    /** An older build replaced by this one, node by node. */
     private static int upgrade(final String[] args) throws Exception {
         final RollingUpgrade.Flags flags = new RollingUpgrade.Flags();
         final Integer done = read(flags, args, () -> {});
--- a/testbed/src/main/java/spokestall/testbed/fault/ProcessFault.java
+++ b/testbed/src/main/java/spokestall/testbed/fault/ProcessFault.java
@@ -33,7 +33,7 @@
         public void bring(final Fleet fleet, final FleetJudge judge) throws Exception {
             for (int i = 0; i < 2; i++) {
                 down(fleet, List.of(fleet.holder().name), 5000);
-                pause(3000);
+                Fleet.pause(3000);
             }
         }
     },
@@ -66,9 +66,9 @@
         @Override
         public void bring(final Fleet fleet, final FleetJudge judge) throws Exception {
             for (final FleetMember m : List.of(fleet.holder(), fleet.members().get("d3-edge"))) {
-                signal(m, "-STOP");
-                pause(6000);
-                signal(m, "-CONT");
+                m.signal("STOP");
+                Fleet.pause(6000);
+                m.signal("CONT");
             }
         }
     },
@@ -129,7 +129,7 @@
         public void bring(final Fleet fleet, final FleetJudge judge) throws Exception {
             final Path stall = fleet.holder().hooks.resolve("stall");
             Files.createFile(stall);
-            pause(8000);
+            Fleet.pause(8000);
             Files.delete(stall);
         }
     },
@@ -143,7 +143,7 @@
                     "its voter has stopped",
                     20_000,
                     () -> fleet.status(core).path("voter").asText().equals("STOPPED"));
-            pause(4000);
+            Fleet.pause(4000);
             // What an operator does: another disk.
             core.process.destroyForcibly().waitFor();
             Files.delete(full);
@@ -165,7 +165,7 @@
             // Nothing leaves the holder, then nothing leaves an edge; both still hear all.
             for (final String name : List.of(fleet.holder().name, "d4-edge")) {
                 fleet.names(m -> true).forEach(o -> fleet.links().cut(name, o, true));
-                pause(5000);
+                Fleet.pause(5000);
                 fleet.names(m -> true).forEach(o -> fleet.links().cut(name, o, false));
             }
         }
@@ -199,7 +199,7 @@
         @Override
         public void bring(final Fleet fleet, final FleetJudge judge) throws Exception {
             fleet.links().lossy(0.05, 10);
-            pause(10_000);
+            Fleet.pause(10_000);
             fleet.links().lossy(0, -10);
         }
 
@@ -230,7 +230,7 @@
                     .put("changeId", "gone");
             accepted(fleet, fleet.anyCore(), "key.withdraw", key);
             final long fromMs = System.currentTimeMillis();
-            pause(8000);
+            Fleet.pause(8000);
             judge.withdrawn(Deployment.tenant(1), fromMs, System.currentTimeMillis());
             judge.judge().check(Rule.KEY, 0, "withdrawn");
             key.put("changeId", "back").put("key", Deployment.key(1));
@@ -252,9 +252,9 @@
                     "hold.set",
                     JSON.createObjectNode().put("district", "d3").put("changeId", "hold"));
             final long fromMs = System.currentTimeMillis();
-            pause(2000);
+            Fleet.pause(2000);
             down(fleet, fleet.names(m -> m.name.startsWith("d3-")), 4000);
-            pause(2000);
+            Fleet.pause(2000);
             judge.emptied("d3", fromMs, System.currentTimeMillis());
             judge.judge().check(Rule.LEAVING, 0, "held");
             accepted(
@@ -285,7 +285,7 @@
             for (int i = 0; i < fleet.standIns().size(); i += 3) {
                 fleet.standIns().get(i).behave(all[1 + i / 3 % (all.length - 1)]);
             }
-            pause(8000);
+            Fleet.pause(8000);
             fleet.standIns().forEach(u -> u.behave(UpstreamStandIn.Manner.WELL));
         }
 
@@ -302,7 +302,7 @@
                 up.leave();
                 judge.emptied(up.place().instance(), System.currentTimeMillis(), Long.MAX_VALUE);
                 judge.judge().check(Rule.LEAVING, 0, "leaving");
-                pause(4000);
+                Fleet.pause(4000);
                 up.stop();
             }
         }
@@ -325,7 +325,7 @@
                 judge.warmingUp(
                         fleet.replace(old, new Deployment.Place(other + "-new-" + i, other, was.zone(), was.region())),
                         System.currentTimeMillis());
-                pause(2500);
+                Fleet.pause(2500);
             }
         }
     },
@@ -344,7 +344,7 @@
                             System.currentTimeMillis());
                 }
             }
-            pause(10_000);
+            Fleet.pause(10_000);
         }
 
         @Override
@@ -367,17 +367,6 @@
         return 0.95;
     }
 
-    private static void pause(final long ms) {
-        final long endNs = System.nanoTime() + ms * 1_000_000;
-        while (System.nanoTime() < endNs) {
-            java.util.concurrent.locks.LockSupport.parkNanos(endNs - System.nanoTime());
-        }
-    }
-
-    private static void signal(final FleetMember m, final String what) throws Exception {
-        new ProcessBuilder("kill", what, Long.toString(m.process.pid())).start().waitFor();
-    }
-
     /** Kills them all at once, and starts them again after a while. */
     private static void down(final Fleet fleet, final List<String> names, final long downMs) throws Exception {
         for (final String name : names) {
@@ -386,7 +375,7 @@
         for (final String name : names) {
             fleet.members().get(name).process.waitFor();
         }
-        pause(downMs);
+        Fleet.pause(downMs);
         for (final String name : names) {
             fleet.start(fleet.members().get(name));
         }
@@ -395,7 +384,7 @@
     private static void split(final Fleet fleet, final List<String> ones, final long spanMs) {
         final List<String> others = fleet.names(m -> !ones.contains(m.name));
         fleet.links().part(ones, others, true);
-        pause(spanMs);
+        Fleet.pause(spanMs);
         fleet.links().part(ones, others, false);
     }
 
--- a/testbed/src/main/java/spokestall/testbed/fleet/FaultHookNode.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/FaultHookNode.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import spokestall.io.LogLineFormatter;
 import spokestall.io.ShutdownLogging;
@@ -61,19 +60,12 @@
         return () -> {
             final long untilMs = deadline.latestMs();
             if (Files.exists(hooks.resolve("gap"))) {
-                standIn(GAP_MS);
+                Fleet.pause(GAP_MS);
             }
             return untilMs;
         };
     }
 
-    private static void standIn(final long ms) {
-        final long endNs = System.nanoTime() + ms * 1_000_000;
-        while (System.nanoTime() < endNs) {
-            LockSupport.parkNanos(endNs - System.nanoTime());
-        }
-    }
-
     /** A disk that is as the files in a folder say. */
     private record Hooked(SegmentStore disk, Path hooks) implements SegmentStore {
         @Override
@@ -96,7 +88,7 @@
             // Commits pile up behind a stall, in their order, as they do in front of a disk that doesn't answer.
             FRONT.execute(() -> {
                 while (Files.exists(hooks.resolve("stall"))) {
-                    standIn(20);
+                    Fleet.pause(20);
                 }
                 disk.commit(chunks, ok -> done.accept(ok && !Files.exists(hooks.resolve("full"))));
             });
--- a/testbed/src/main/java/spokestall/testbed/fleet/Fleet.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/Fleet.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -44,6 +45,7 @@
     private static final int UNCOUNTED_MS = 500;
 
     private static final long STARTED_WAIT_MS = 90_000;
+    private static final long POLL_MS = 50;
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Deployment deployment;
     private final Path folder;
@@ -68,23 +70,10 @@
 
     public Fleet(final Deployment deployment, final Path folder, final int zones, final long delayMs)
             throws IOException {
-        this(deployment, folder, zones, delayMs, deployment.upstreams(), null, Map.of());
+        this(deployment, folder, FleetLayout.relayed(zones, delayMs), deployment.upstreams(), null, Map.of());
     }
 
-    /** With other upstreams than the deployment's, and settings of its own. */
-    public Fleet(
-            final Deployment deployment,
-            final Path folder,
-            final int zones,
-            final long delayMs,
-            final List<Deployment.Place> places,
-            final Maker maker,
-            final Map<String, String> more)
-            throws IOException {
-        this(deployment, folder, FleetLayout.relayed(zones, delayMs), places, maker, more);
-    }
-
-    /** With a layout, upstreams and settings of its own. */
+    /** With a layout, upstreams other than the deployment's, and settings of its own. */
     public Fleet(
             final Deployment deployment,
             final Path folder,
@@ -345,7 +334,7 @@
         until(
                 "every node is fresh at " + version,
                 30_000,
-                () -> members.values().stream().filter(m -> m.isAlive()).allMatch(m -> {
+                () -> members.values().stream().filter(FleetMember::isAlive).allMatch(m -> {
                     final JsonNode s = status(m);
                     return s.path("fresh").asBoolean() && s.path("version").asLong() >= version;
                 }));
@@ -354,7 +343,7 @@
                 30_000,
                 () -> members.values().stream()
                         .filter(m -> !m.core)
-                        .filter(m -> m.isAlive())
+                        .filter(FleetMember::isAlive)
                         .allMatch(m -> {
                             int ready = 0;
                             for (final JsonNode u : call(m.operators, "upstreams", JSON.createObjectNode())
@@ -372,7 +361,15 @@
             if (System.nanoTime() / 1_000_000 > endMs) {
                 throw new IllegalStateException("not within " + waitMs + " ms: " + what);
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+            pause(POLL_MS);
+        }
+    }
+
+    /** Waits for a while. */
+    public static void pause(final long ms) {
+        final long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (System.nanoTime() < endNanos) {
+            LockSupport.parkNanos(endNanos - System.nanoTime());
         }
     }
 
@@ -423,8 +420,7 @@
         for (final FleetMember m : members.values()) {
             if (m.process != null) {
                 final boolean ended = m.process.waitFor(15, TimeUnit.SECONDS);
-                // A JVM that ends by TERM gives 143 after its hooks have run.
-                clean &= ended && (m.process.exitValue() == 0 || m.process.exitValue() == 143);
+                clean &= ended && FleetMember.isCleanExit(m.process.exitValue());
                 if (!ended) {
                     m.process.destroyForcibly();
                 }
--- a/testbed/src/main/java/spokestall/testbed/fleet/FleetLayout.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/FleetLayout.java
@@ -18,11 +18,17 @@
     }
 
     /** A zone's core and one edge each, with relays. */
-    static FleetLayout relayed(final int zones, final long delayMs) {
+    public static FleetLayout relayed(final int zones, final long delayMs) {
         return new FleetLayout(zones, 1, Links.RELAYED, delayMs);
     }
 
-    int nodes() {
+    /** Nodes that reach each other directly. */
+    public static FleetLayout direct(final int zones, final int edgesPerZone) {
+        return new FleetLayout(zones, edgesPerZone, Links.DIRECT, 0);
+    }
+
+    /** Returns the number of cores and edges. */
+    public int nodes() {
         return zones * (1 + edgesPerZone);
     }
 
--- a/testbed/src/main/java/spokestall/testbed/fleet/FleetMember.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/FleetMember.java
@@ -17,6 +17,10 @@
 public final class FleetMember {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String STARTED = "event=start ";
+    private static final int EXITED = 0;
+    /** A JVM that ends by TERM gives this after its hooks have run. */
+    private static final int EXITED_BY_TERM = 143;
+
     public final String name;
     public final boolean core;
     /** Where clients reach it. */
@@ -24,7 +28,7 @@
     /** Where operators reach it. */
     public final String operators;
 
-    final Path settings;
+    private final Path settings;
     public final Path data;
     /** Files in this folder make the machine around it fail, if it is launched so. */
     public final Path hooks;
@@ -92,6 +96,18 @@
         return process != null && process.isAlive();
     }
 
+    /** Sends its process a signal, named as {@code kill} takes it, and waits until it is sent. */
+    public void signal(final String signalName) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signalName, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    /** Whether an exit value is that of a node that was told to stop and did. */
+    public static boolean isCleanExit(final int exitValue) {
+        return exitValue == EXITED || exitValue == EXITED_BY_TERM;
+    }
+
     /** What it has logged, in all of its lives. */
     public String log() throws IOException {
         return Files.readString(logFile);
--- a/testbed/src/main/java/spokestall/testbed/scale/ScaleFlags.java
+++ b/testbed/src/main/java/spokestall/testbed/scale/ScaleFlags.java
@@ -9,6 +9,7 @@
 import org.kohsuke.args4j.spi.StringArrayOptionHandler;
 import spokestall.settings.SettingsReader;
 import spokestall.settings.SettingsResult;
+import spokestall.testbed.SettingArguments;
 
 /** Flags of a run at scale; what is not given grows in proportion to the size that is aimed at. */
 public final class ScaleFlags {
@@ -127,15 +128,7 @@
 
     /** The settings that were given, by their names. */
     Map<String, String> settings() {
-        final Map<String, String> given = new LinkedHashMap<>();
-        for (final String one : set) {
-            final int at = one.indexOf('=');
-            if (at < 1) {
-                throw new IllegalArgumentException("--set: needs key=value, not " + one);
-            }
-            given.put(one.substring(0, at), one.substring(at + 1));
-        }
-        return given;
+        return SettingArguments.parse(set);
     }
 
     /** Those that the run gives each node itself can't be given, the others must be what a node would take. */
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakActions.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakActions.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
 import spokestall.testbed.Deployment;
 import spokestall.testbed.fleet.Fleet;
 import spokestall.testbed.fleet.FleetMember;
@@ -51,10 +50,6 @@
         this.edgesDown = new Semaphore(members.size() - cores - 1);
     }
 
-    void pause(final long ms) {
-        LockSupport.parkNanos(ms * 1_000_000);
-    }
-
     private FleetMember any(final Random random) {
         return members.get(random.nextInt(members.size()));
     }
@@ -63,17 +58,13 @@
     void hangUp(final Random random) throws IOException, InterruptedException {
         final FleetMember member = any(random);
         member.change("whereS", random.nextBoolean() ? "2" : "3");
-        signalOnceStarted(member, "HUP");
+        hangUpOnceStarted(member);
     }
 
     /** A signal that comes before the program handles it would end the process, so it must have logged its start. */
-    private void signalOnceStarted(final FleetMember member, final String name)
-            throws IOException, InterruptedException {
-        final Process process = member.process;
+    private static void hangUpOnceStarted(final FleetMember member) throws IOException, InterruptedException {
         if (member.hasStarted()) {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
-                    .start()
-                    .waitFor();
+            member.signal("HUP");
         }
     }
 
@@ -85,9 +76,9 @@
             history.stopped(process.pid());
             for (int i = 0; i < times; i++) {
                 process.destroy();
-                pause(random.nextInt(200));
+                Fleet.pause(random.nextInt(200));
                 if (i + 1 < times && process.isAlive()) {
-                    signalOnceStarted(member, "HUP");
+                    hangUpOnceStarted(member);
                 }
             }
             verdict.onStopEnded(member, process, process.waitFor(STOP_WAIT_S, TimeUnit.SECONDS));
@@ -101,7 +92,7 @@
         whileDown(member, () -> {
             history.killed(member.process.pid());
             member.process.destroyForcibly().waitFor();
-            pause(downMs);
+            Fleet.pause(downMs);
         });
     }
 
@@ -149,7 +140,7 @@
                 verdict.onAcknowledged(name);
                 return;
             }
-            pause(CHANGE_PAUSE_MS);
+            Fleet.pause(CHANGE_PAUSE_MS);
         }
         verdict.onUnacknowledged(name);
     }
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakClient.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakClient.java
@@ -5,7 +5,6 @@
 import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import spokestall.testbed.Deployment;
@@ -54,7 +53,7 @@
             try (RawClient connection = new RawClient(edge.http)) {
                 use(connection, process.pid(), kind, ticket);
             } catch (final IOException refused) {
-                pause(CONNECT_PAUSE_MS);
+                Fleet.pause(CONNECT_PAUSE_MS);
             }
         }
     }
@@ -74,7 +73,7 @@
         boolean open = true;
         while (open && goesOn.getAsBoolean()) {
             open = exchange(connection, pid, kind, ticket);
-            pause(random.nextInt(PAUSE_MAX_MS));
+            Fleet.pause(random.nextInt(PAUSE_MAX_MS));
         }
     }
 
@@ -128,8 +127,4 @@
             final long sentMs) {
         ended.accept(new SoakExchange(requestId, kind.runOnce(), pid, end, code, sentMs, System.currentTimeMillis()));
     }
-
-    private static void pause(final long ms) {
-        LockSupport.parkNanos(ms * 1_000_000);
-    }
 }
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakFlags.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakFlags.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import org.kohsuke.args4j.Option;
 import spokestall.testbed.Deployment;
+import spokestall.testbed.SettingArguments;
+import spokestall.testbed.fleet.FleetLayout;
 
 /** Flags of a soak run. */
 public final class SoakFlags {
@@ -50,16 +52,15 @@
     @SuppressWarnings("UnusedVariable") // args4j looks for the option, not at the field.
     private boolean help;
 
-    /** Returns the nodes' settings beside those that every fleet of processes gets. */
-    Map<String, String> nodeSettings() {
+    /** Returns how many nodes there are, and how they reach each other. */
+    FleetLayout layout() {
+        return FleetLayout.direct(zones, edgesPerZone);
+    }
+
+    /** Returns the nodes' settings beside those that every fleet of processes gets; throws if one isn't {@code key=value}. */
+    public Map<String, String> nodeSettings() {
         final Map<String, String> all = new HashMap<>(MACHINE_SETTINGS);
-        for (final String setting : settings) {
-            final String[] keyAndValue = setting.split("=", 2);
-            if (keyAndValue.length != 2) {
-                throw new IllegalArgumentException("--set takes key=value, not '" + setting + "'");
-            }
-            all.put(keyAndValue[0], keyAndValue[1]);
-        }
+        all.putAll(SettingArguments.parse(settings));
         return all;
     }
 
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakRun.java
@@ -14,10 +14,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.locks.LockSupport;
 import spokestall.testbed.Deployment;
 import spokestall.testbed.fleet.Fleet;
-import spokestall.testbed.fleet.FleetLayout;
 import spokestall.testbed.standin.UpstreamStandIn;
 
 /** Plays one soak run: a fleet starts, clients send, series come on several lanes at once, the fleet recovers and is judged. */
@@ -69,12 +67,7 @@
         final Path folder = flags.folder.resolve("soak-" + seed + "-" + System.currentTimeMillis());
         final ExecutorService threads = Executors.newCachedThreadPool();
         try (Fleet fleet = new Fleet(
-                flags.deployment,
-                folder,
-                new FleetLayout(flags.zones, flags.edgesPerZone, FleetLayout.Links.DIRECT, 0),
-                flags.deployment.upstreams(),
-                null,
-                flags.nodeSettings())) {
+                flags.deployment, folder, flags.layout(), flags.deployment.upstreams(), null, flags.nodeSettings())) {
             slowSomeUpstreams(fleet);
             if (!start(fleet)) {
                 return report(folder);
@@ -128,7 +121,7 @@
         final List<String> lines = verdict.violations().stream()
                 .map(violation -> violation.rule() + " " + violation.what())
                 .toList();
-        System.out.println("soak seed=" + seed + " nodes=" + flags.zones * (1 + flags.edgesPerZone) + " "
+        System.out.println("soak seed=" + seed + " nodes=" + flags.layout().nodes() + " "
                 + verdict.summary() + " startedMs=" + startedMs + " acceptedMs=" + acceptedMs + " readyMs=" + readyMs
                 + " broken=" + lines.size()
                 + " folder=" + folder);
@@ -157,10 +150,11 @@
     }
 
     private List<Future<?>> startClients(final Fleet fleet, final ExecutorService threads) {
+        final List<Deployment.Kind> kinds = kinds();
         final List<Future<?>> clients = new ArrayList<>();
         for (int i = 0; i < flags.clients; i++) {
             clients.add(threads.submit(
-                    new SoakClient(fleet, kinds(), seed * flags.clients + i, clientsGoOn::get, verdict::onExchange)));
+                    new SoakClient(fleet, kinds, seed * flags.clients + i, clientsGoOn::get, verdict::onExchange)));
         }
         return clients;
     }
@@ -204,7 +198,7 @@
             return;
         }
         final long fromMs = System.currentTimeMillis();
-        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RECOVERED_MS));
+        Fleet.pause(RECOVERED_MS);
         final List<SoakExchange> unserved = verdict.unservedAfter(fromMs);
         if (unserved.size() > UNSERVED_RATIO_MAX * verdict.exchangesAfter(fromMs)) {
             verdict.violated(
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakSeries.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakSeries.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Random;
+import spokestall.testbed.fleet.Fleet;
 
 /** Series of the same thing, one after the other; several are played at the same time. */
 enum SoakSeries {
@@ -12,7 +13,7 @@
             final int times = 3 + random.nextInt(6);
             for (int i = 0; i < times; i++) {
                 actions.hangUp(random);
-                actions.pause(20 + random.nextInt(300));
+                Fleet.pause(20 + random.nextInt(300));
             }
         }
     },
@@ -23,7 +24,7 @@
             final int times = 1 + random.nextInt(3);
             for (int i = 0; i < times; i++) {
                 actions.restart(random, 1);
-                actions.pause(random.nextInt(400));
+                Fleet.pause(random.nextInt(400));
             }
         }
     },
@@ -48,7 +49,7 @@
             final int times = 3 + random.nextInt(8);
             for (int i = 0; i < times; i++) {
                 actions.change(random);
-                actions.pause(random.nextInt(400));
+                Fleet.pause(random.nextInt(400));
             }
         }
     };
--- a/testbed/src/main/java/spokestall/testbed/soak/SoakVerdict.java
+++ b/testbed/src/main/java/spokestall/testbed/soak/SoakVerdict.java
@@ -51,9 +51,6 @@
     /** How long a request may be kept that is then not answered: it crossed the closing of its connection. */
     private static final long CROSSING_MS = 500;
 
-    private static final int EXITED = 0;
-    private static final int EXITED_BY_TERM = 143;
-
     private final ProcessHistory history;
     private final List<SoakExchange> exchanges = new ArrayList<>();
     private final List<Violation> violations = new ArrayList<>();
@@ -83,7 +80,7 @@
     synchronized void onStopEnded(final FleetMember member, final Process process, final boolean inTime) {
         if (!inTime) {
             violated(SoakRule.STOP, member.name + " still runs");
-        } else if (process.exitValue() != EXITED && process.exitValue() != EXITED_BY_TERM) {
+        } else if (!FleetMember.isCleanExit(process.exitValue())) {
             violated(SoakRule.STOP, member.name + " ended with " + process.exitValue());
         }
     }
--- a/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/FleetClientsTest.java
@@ -42,8 +42,7 @@
         fleet = new Fleet(
                 Deployment.PADMA,
                 folder,
-                3,
-                0,
+                FleetLayout.relayed(3, 0),
                 List.of(new Deployment.Place("transfers-0", "transfers", "d1", "r1")),
                 (place, port) -> up = new RawUpstream(place, port),
                 Map.of("askOpenMax", Integer.toString(PLACES), "askSpanMaxMs", "6000"));
--- a/testbed/src/test/java/spokestall/testbed/fleet/OperatorFleet.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/OperatorFleet.java
@@ -28,6 +28,10 @@
     public static final Map<String, String> PLATFORM_SETTINGS =
             Map.of("cores", "0", "edges", "0", "alsoEdge", "1", "proofMs", "500", "bootstrap", "1");
 
+    /** The settings of a node on the platform that checks no upstream's health. */
+    public static final Map<String, String> UNPROBED_SETTINGS =
+            Map.of("cores", "0", "edges", "0", "alsoEdge", "1", "bootstrap", "1", "probes", "0");
+
     private static final long STEP_MS = 5;
     private static final long REPLY_MS = 5000;
     public final SimulatedWorld world;
--- a/testbed/src/test/java/spokestall/testbed/fleet/SignalsTest.java
+++ b/testbed/src/test/java/spokestall/testbed/fleet/SignalsTest.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -33,8 +32,7 @@
         fleet = new Fleet(
                 Deployment.PADMA,
                 folder,
-                3,
-                0,
+                FleetLayout.relayed(3, 0),
                 List.of(new Deployment.Place("transfers-0", "transfers", "d1", "r1")),
                 (place, port) -> upstream = new RawUpstream(place, port),
                 Map.of());
@@ -67,21 +65,9 @@
         return client.got();
     }
 
-    private static void signal(final FleetMember member, final String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(member.process.pid()))
-                .start()
-                .waitFor();
-    }
-
-    private static void change(final FleetMember member, final String key, final String value) throws IOException {
-        final ObjectNode settings = (ObjectNode) JSON.readTree(member.settings.toFile());
-        Files.writeString(member.settings, settings.put(key, value).toString());
-    }
-
     private static boolean logged(final FleetMember member, final String words) {
         try {
-            return Files.readString(fleet.folder().resolve(member.name + ".log"))
-                    .contains(words);
+            return member.log().contains(words);
         } catch (final IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -97,16 +83,16 @@
             final FleetMember member = fleet.members().get(name);
             try (RawClient client = new RawClient(fleet.members().get("d1-edge").http)) {
                 assertThat(ask(client).status()).isEqualTo(200);
-                change(member, "whereS", "3");
-                signal(member, "HUP");
+                member.change("whereS", "3");
+                member.signal("HUP");
                 untilLogged(member, "event=settings_renewed node=" + name + " taken=[whereS] waiting=[]");
-                change(member, "whereS", "soon");
-                signal(member, "HUP");
+                member.change("whereS", "soon");
+                member.signal("HUP");
                 untilLogged(member, "event=settings_refused");
                 assertThat(ask(client).status()).isEqualTo(200);
                 assertThat(member.process.isAlive()).isTrue();
-                change(member, "whereS", "2.5");
-                signal(member, "HUP");
+                member.change("whereS", "2.5");
+                member.signal("HUP");
             }
         }
     }
@@ -114,7 +100,7 @@
     @Test
     void aFileThatChangesWithoutASignalIsReadToo() throws Exception {
         final FleetMember member = fleet.members().get("d2-edge");
-        change(member, "retryShare", "0.15");
+        member.change("retryShare", "0.15");
         untilLogged(member, "taken=[retryShare]");
         assertThat(member.process.isAlive()).isTrue();
     }
@@ -145,7 +131,7 @@
             for (final RawClient client : List.of(first, second, atRest)) {
                 assertThat(ask(client).status()).isEqualTo(200);
             }
-            signal(member, "TERM");
+            member.signal("TERM");
             untilRefused(member);
             for (final RawClient client : List.of(first, second)) {
                 final RawClient.Got got = ask(client);
@@ -163,7 +149,7 @@
     @Test
     void aStopIsLoggedToItsEnd() throws Exception {
         final FleetMember member = fleet.members().get("d3-edge");
-        signal(member, "TERM");
+        member.signal("TERM");
         assertThat(member.process.waitFor(10, TimeUnit.SECONDS)).as("it ended").isTrue();
         for (final String event : List.of("shutdown_started", "shutdown_drained", "stopped")) {
             assertThat(logged(member, "event=" + event)).as(event).isTrue();
@@ -180,7 +166,7 @@
             upstream.came.clear();
             client.send(RawClient.head("GET", TARGET, KEY, RawClient.freshId()) + "\r\n");
             assertThat(upstream.next(5000)).isNotNull();
-            signal(member, "TERM");
+            member.signal("TERM");
             final RawClient.Got got = client.got();
             assertThat(got).as("an answer, not a cut").isNotNull();
             assertThat(got.status()).isEqualTo(503);
--- a/testbed/src/test/java/spokestall/testbed/simulation/RejectedAttemptUsageTest.java
+++ b/testbed/src/test/java/spokestall/testbed/simulation/RejectedAttemptUsageTest.java
@@ -28,13 +28,6 @@
 
     private static final int EDGE_MAX = 3;
 
-    private static final Map<String, String> SETTINGS = Map.of(
-            "cores", "0",
-            "edges", "0",
-            "alsoEdge", "1",
-            "bootstrap", "1",
-            "probes", "0");
-
     @Test
     void attemptsThatUpstreamsRejectAreNotReported() {
         checkUsage(world -> upstreamsOfTheLargeService(world).forEach(up -> up.rejectsHalf = true));
@@ -61,7 +54,9 @@
 
     private static void checkUsage(final Trouble trouble) {
         for (int seed = 1; seed <= SEEDS; seed++) {
-            final OperatorFleet fleet = new OperatorFleet(seed, Deployment.PADMA, InjectedFault.NONE, SETTINGS).begun();
+            final OperatorFleet fleet = new OperatorFleet(
+                            seed, Deployment.PADMA, InjectedFault.NONE, OperatorFleet.UNPROBED_SETTINGS)
+                    .begun();
             fleet.world.clients.start();
             fleet.run(PHASE_MS);
             trouble.begin(fleet.world);
--- a/testbed/src/test/java/spokestall/testbed/simulation/WarmUpEndTest.java
+++ b/testbed/src/test/java/spokestall/testbed/simulation/WarmUpEndTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -30,14 +31,12 @@
     /** The part of the platform's bounds that nodes keep to. */
     private static final double KEPT_WITHIN = 0.8;
 
-    private static final Map<String, String> SETTINGS = Map.of(
-            "cores", "0",
-            "edges", "0",
-            "alsoEdge", "1",
-            "bootstrap", "1",
-            "probes", "0",
-            "warmRatio", Double.toString(OVERAGE * KEPT_WITHIN),
-            "warmSlack", Double.toString(SLACK_PER_S * KEPT_WITHIN));
+    private static final Map<String, String> SETTINGS = new HashMap<>(OperatorFleet.UNPROBED_SETTINGS);
+
+    static {
+        SETTINGS.put("warmRatio", Double.toString(OVERAGE * KEPT_WITHIN));
+        SETTINGS.put("warmSlack", Double.toString(SLACK_PER_S * KEPT_WITHIN));
+    }
 
     @Test
     void anUpstreamIsSentNoMoreThanItsBoundInAnySecondOfItsWarmUp() {
