--- a/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
+++ b/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
@@ -115,8 +115,9 @@
     }
 
     private void onList(final List<ListedEndpoint> list, final long requestedMs) {
-        final List<Endpoint> changes = changes(list, requestedMs, fleetClock.nowMs());
-        logRead(list.size(), changes, requestedMs);
+        final long answeredMs = fleetClock.nowMs();
+        final List<Endpoint> changes = changes(list, requestedMs, answeredMs);
+        logRead(list.size(), changes, requestedMs, answeredMs - requestedMs);
         registry.merge(changes, List.of());
         registry.recordListRead(requestedMs);
         final DiscoveryMessage.Push push = new DiscoveryMessage.Push(changes, List.of(), requestedMs);
@@ -124,8 +125,7 @@
         receivers.forEach(node -> sender.send(node.address(), push));
     }
 
-    private void logRead(final int listed, final List<Endpoint> changes, final long requestedMs) {
-        final long tookMs = fleetClock.nowMs() - requestedMs;
+    private void logRead(final int listed, final List<Endpoint> changes, final long requestedMs, final long tookMs) {
         if (!changes.isEmpty() || tookMs > LOGGED_READ_MS) {
             LOG.atInfo().log(
                     "event=endpoint_list_read node=%s tookMs=%s listed=%s changed=%s",
--- a/spokestall/src/main/java/spokestall/discovery/HealthChecker.java
+++ b/spokestall/src/main/java/spokestall/discovery/HealthChecker.java
@@ -95,17 +95,13 @@
     /** Rendezvous hashing: the cores with the lowest ranks probe an instance, those of its region before all others. */
     private boolean probedHere(final Endpoint endpoint, final List<NodeInfo> otherCores) {
         int coresBefore = 0;
-        final long ownRank = rank(self, endpoint);
+        final long ownRank = RendezvousRank.of(self, endpoint.instance(), endpoint.region());
         for (final NodeInfo core : otherCores) {
-            coresBefore += rank(core, endpoint) < ownRank ? 1 : 0;
+            coresBefore += RendezvousRank.of(core, endpoint.instance(), endpoint.region()) < ownRank ? 1 : 0;
         }
         return coresBefore < parameters.coresPerEndpoint();
     }
 
-    private static long rank(final NodeInfo core, final Endpoint endpoint) {
-        return RendezvousRank.of(core, endpoint.instance(), endpoint.region());
-    }
-
     private void probe(final Endpoint endpoint) {
         final long requestedMs = fleetClock.nowMs();
         client.probe(endpoint.address(), parameters.timeoutMillis(), result -> {
--- a/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
+++ b/spokestall/src/main/java/spokestall/proxy/SlowStartLimiter.java
@@ -75,8 +75,11 @@
         final double ratePerS = limits.rampRatio() * service.slowStartPerSecond() * ramp(service, ageMs, restarted)
                 + limits.slackPerS();
         final int permits = limits.shares().part(permits(ratePerS), upstream.instance(), upstream.region());
+        if (permits == 0) {
+            return false;
+        }
         final long windowMs = windowMs(ratePerS);
-        return permits > 0 && slowStart(upstream, ratePerS, windowMs).tryAcquire(clock.nowMs(), permits, windowMs);
+        return slowStart(upstream, ratePerS, windowMs).tryAcquire(clock.nowMs(), permits, windowMs);
     }
 
     /** How many attempts all edges together may send in a window. */
