A core's data directory stays owned by one process: its lock is no longer closed by a garbage collection

Cause: the channel that holds the lock was referenced by nothing, and the first collection closed it.

--- a/spokestall/src/main/java/spokestall/io/process/NodeProcess.java
+++ b/spokestall/src/main/java/spokestall/io/process/NodeProcess.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Queue;
 import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
@@ -21,6 +23,7 @@
 import spokestall.io.AuditFiles;
 import spokestall.io.DataDirectory;
 import spokestall.io.EventLoop;
+import spokestall.io.OpenResult;
 import spokestall.io.SystemClock;
 import spokestall.io.http.HttpClient;
 import spokestall.io.protocol.HttpUpstreamClient;
@@ -60,6 +63,9 @@
     /** The time beyond {@code stopWaitMs} that a shutdown may take, for a core to release its roles. */
     private static final long ROLES_RELEASE_MS = 400;
 
+    /** Keeps directories owned until the process ends: disk writes may go on while a node shuts down. */
+    private static final Queue<DataDirectory> OWNED_DIRECTORIES = new ConcurrentLinkedQueue<>();
+
     private final Settings settings;
     private final SettingsSource source;
     private final boolean core;
@@ -125,10 +131,11 @@
         final EventLoop eventLoop = new EventLoop(eventLoopExecutor(timer), EVENT_QUEUE_CAPACITY);
         final ExecutorService diskExecutor = Executors.newSingleThreadExecutor();
         if (core) {
-            final String error = DataDirectory.open(Path.of(settings.text("data")), settings.text("name"));
-            if (error != null) {
-                return startFailed("data: " + error);
+            final OpenResult opened = DataDirectory.open(Path.of(settings.text("data")), settings.text("name"));
+            if (opened instanceof OpenResult.Refused refused) {
+                return startFailed("data: " + refused.reason());
             }
+            OWNED_DIRECTORIES.add(((OpenResult.Opened) opened).directory());
         }
         final SegmentStore segmentStore;
         try {
