Leaving upstreams get no requests between the cores' return and their first read of the list

Cause: cores come back with the list that they had stored, and a majority of them confirms an edge's freshness at once; the freshness lease says that the configuration is the newest, but the edge serves by the upstreams too, and those were as old as the last core's end. Excluded by the logs: lost pushes, entries of a restarted core that replace newer ones, attempts that waited. Mend: a core that starts with stored entries reads the list at once, whoever's turn it is, and its answers count as a voter's only once it has (or after a quarter of the leave bound, since the platform may be down). A core without stored entries has none that are outdated.

--- a/spokestall/src/main/java/spokestall/configuration/feed/FeedServer.java
+++ b/spokestall/src/main/java/spokestall/configuration/feed/FeedServer.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import spokestall.configuration.ConfigurationChange;
 import spokestall.configuration.ConfigurationSnapshot;
 import spokestall.configuration.ConfigurationStore;
@@ -34,12 +35,15 @@
      * The state that the server answers from.
      *
      * @param acceptor this core's acceptor; null on a node without a disk, which must not receive requests
+     * @param endpointsCurrent whether this core knows the endpoints as they were listed after its start; before that, its
+     *     answers don't count as a voter's
      */
     public record Sources(
             ConfigurationStore configurationStore,
             EndpointRegistry endpointRegistry,
             PartialView view,
-            Acceptor acceptor) {}
+            Acceptor acceptor,
+            BooleanSupplier endpointsCurrent) {}
 
     /** The server's settings. The server reads them on each use, because they can be reloaded. */
     public interface Options {
@@ -60,6 +64,7 @@
     private final EndpointRegistry endpointRegistry;
     private final PartialView view;
     private final Acceptor acceptor;
+    private final BooleanSupplier endpointsCurrent;
     private final MessageSender sender;
     private final Options options;
     private final EdgeTracker edgeTracker;
@@ -77,6 +82,7 @@
         this.endpointRegistry = sources.endpointRegistry();
         this.view = sources.view();
         this.acceptor = sources.acceptor();
+        this.endpointsCurrent = sources.endpointsCurrent();
         this.sender = sender;
         this.options = options;
         this.edgeTracker = new EdgeTracker(sources.view(), clock, fleetClock);
@@ -145,7 +151,7 @@
                         acceptor.diskId(),
                         request.requestId(),
                         voterSetKnown ? null : voterSet,
-                        isVoting(),
+                        answersAsVoter(),
                         servedVersion(),
                         newestVersion(),
                         updates.changes,
@@ -209,7 +215,7 @@
                         voterSet == null ? 0 : voterSet.generation(),
                         voterSet == null ? 0 : voterSet.epoch(),
                         Fingerprints.of(acceptor.diskId()),
-                        isVoting(),
+                        answersAsVoter(),
                         clientUnknown,
                         newest,
                         newest - servedVersion()));
@@ -221,7 +227,7 @@
                 acceptor.diskId(),
                 requestId,
                 voterSet,
-                isVoting(),
+                answersAsVoter(),
                 servedVersion(),
                 newestVersion(),
                 List.of(),
@@ -241,6 +247,11 @@
         return acceptor.state() == Acceptor.State.VOTING;
     }
 
+    /** Returns whether a client may count this core's answer toward the majority that confirms its freshness. */
+    private boolean answersAsVoter() {
+        return isVoting() && endpointsCurrent.getAsBoolean();
+    }
+
     /** Returns whether this core votes and has applied the first version of its voter set's generation. */
     private boolean isCaughtUp() {
         return isVoting() && acceptor.voterSet().firstNumber() <= appliedVersion();
--- a/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
+++ b/spokestall/src/main/java/spokestall/discovery/EndpointListReader.java
@@ -13,7 +13,8 @@
 /**
  * Reads the platform's endpoint list on a core. Normally a single core reads it for the whole fleet. Each following core, in the
  * order of names, waits longer before it takes over. The reader sends changed entries to all known nodes; after a read without
- * changes it sends only the time of the read, to the other cores.
+ * changes it sends only the time of the read, to the other cores. A core that starts with stored entries reads the list at once,
+ * because they may have changed while no core ran.
  *
  * <p>Not thread-safe; all calls and callbacks on the node's event loop. Requires that the fleet's clock has settled.
  */
@@ -45,6 +46,7 @@
     private final FleetClock fleetClock;
     private final Schedule schedule;
     private boolean reading;
+    private boolean entriesOutdated;
     /** The initial value is before any clock time, and small enough in magnitude that subtracting it doesn't overflow. */
     private long lastAttemptMs = Long.MIN_VALUE / 2;
 
@@ -76,7 +78,17 @@
         this.schedule = schedule;
     }
 
-    /** Starts reading the list if it is this core's turn. */
+    /** Records that the registry was loaded with entries that were stored before this core's start. */
+    public void onStoredEntriesLoaded() {
+        entriesOutdated = true;
+    }
+
+    /** Returns whether the registry may still have entries as they were before this core's start. */
+    public boolean hasOutdatedEntries() {
+        return entriesOutdated;
+    }
+
+    /** Starts reading the list if it is this core's turn, or if its entries are outdated. */
     public void onTick() {
         if (registry.lastListReadMs() == 0) {
             // Waits for the entries of the other cores first, so that instances listed long ago don't count as new.
@@ -97,7 +109,7 @@
         final long waitMs = (long) (schedule.intervalMs() * (1 + DELAY_RATIO_PER_RANK * rank));
         return !reading
                 && nowMs - lastAttemptMs >= schedule.intervalMs() - slackMs
-                && nowMs - registry.lastListReadMs() >= waitMs - slackMs;
+                && (entriesOutdated || nowMs - registry.lastListReadMs() >= waitMs - slackMs);
     }
 
     private void startRead() {
@@ -107,6 +119,7 @@
         client.listEndpoints(schedule.timeoutMillis(), list -> {
             reading = false;
             if (list.isPresent()) {
+                entriesOutdated = false;
                 onList(list.get(), requestedMs);
             } else {
                 LOG.atInfo().log(
--- a/spokestall/src/main/java/spokestall/node/DiscoveryComponent.java
+++ b/spokestall/src/main/java/spokestall/node/DiscoveryComponent.java
@@ -27,6 +27,12 @@
      */
     private static final int ABSENT_ENTRY_LEAVE_BOUNDS = 30;
 
+    /**
+     * How long after its start a core may answer without having read the list, as a fraction of {@code leaveBoundMs}:
+     * the platform may be unreachable.
+     */
+    private static final double FIRST_READ_WAIT_LEAVE_BOUNDS = 0.25;
+
     private final NodeContext context;
     private final HealthSource healthSource;
     final EndpointRegistry endpointRegistry;
@@ -34,6 +40,7 @@
     private EndpointListReader listReader;
     private HealthChecker healthChecker;
     private PersistedState storedList;
+    private long openedMs;
 
     /** Creates the component with an empty registry. */
     DiscoveryComponent(final NodeContext context) {
@@ -49,6 +56,7 @@
      * first tick.
      */
     void open(final DiscoveryPeers peers, final Acceptor acceptor, final DiscoveryClient client) {
+        openedMs = context.clock.nowMs();
         listReader = new EndpointListReader(
                 context.self().name(),
                 endpointRegistry,
@@ -73,6 +81,7 @@
         final DiscoveryMessage.Push stored = storedList.read(DiscoveryMessage.Push.class);
         if (stored != null) {
             endpointRegistry.merge(stored.endpoints(), List.of());
+            listReader.onStoredEntriesLoaded();
         }
     }
 
@@ -87,6 +96,16 @@
         }
     }
 
+    /**
+     * Returns whether this core knows the endpoints as they were listed after its start, or has waited long enough for
+     * that. Until then, nodes that it confirms as fresh could send requests to endpoints that have left while no core ran.
+     */
+    boolean isListCurrent() {
+        return !listReader.hasOutdatedEntries()
+                || context.clock.nowMs() - openedMs
+                        >= context.settings().fractionOf("leaveBoundMs", FIRST_READ_WAIT_LEAVE_BOUNDS);
+    }
+
     /** Stores the endpoint list if it changed. Called on cores only. */
     void onStoreTick() {
         storedList.tick();
