An edge that has just started takes no more than its share of a warming upstream's bound

Cause: the bound is divided among the edges that a node knows by gossip; one that has just started knows few, ranks itself too high, and doesn't know what its earlier incarnation sent in the same second. Mend: the division counts the edges that a core lists too, which all edges report to; and an edge takes no share until a core has listed them (2 s at the most) and one window of the limit has passed since its start. Configured counts of edges are used as before. GossipEdgeSharesTest has the rule by itself (two new tests, written with the mend).

--- a/spokestall/src/main/java/spokestall/node/NodeComponents.java
+++ b/spokestall/src/main/java/spokestall/node/NodeComponents.java
@@ -1,5 +1,6 @@
 package spokestall.node;
 
+import java.util.List;
 import spokestall.api.CallRegistry;
 import spokestall.audit.Auditor;
 import spokestall.configuration.ConfigurationFormat;
@@ -12,6 +13,7 @@
 import spokestall.configuration.feed.FeedServer;
 import spokestall.consensus.Proposer;
 import spokestall.consensus.VoterSet;
+import spokestall.gossip.NodeInfo;
 import spokestall.gossip.PartialView;
 import spokestall.message.Message;
 import spokestall.settings.Settings;
@@ -75,7 +77,7 @@
         this.context = new NodeContext(settings, core, environment, listener::onMessage);
         this.configurationStore = new ConfigurationStore(CoreStorage.VERSIONS_KEPT, format);
         this.view = partialView();
-        this.peerDirectory = new PeerDirectory(context, view, this::voterSet);
+        this.peerDirectory = new PeerDirectory(context, view, this::voterSet, this::edgesReported);
         this.discovery = new DiscoveryComponent(context);
         this.handoff = new HandoffComponent(context, this::voterSet, this::sinceLastResponseMs);
         this.proposer = proposer();
@@ -94,6 +96,12 @@
         registerCalls();
     }
 
+    private List<NodeInfo> edgesReported() {
+        return feedClient == null
+                ? List.of()
+                : feedClient.edgesReportedWithin(context.settings().peerTimeoutMillis());
+    }
+
     private ConfigurationFormat nativeFormat(final Settings settings) {
         return new NativeConfigurationFormat(new ConfigurationValidator(
                 calls.schema().at("/$defs/policy"),
--- a/spokestall/src/main/java/spokestall/node/PeerDirectory.java
+++ b/spokestall/src/main/java/spokestall/node/PeerDirectory.java
@@ -23,6 +23,12 @@
     private static final int SAME_ZONE = 0;
     private static final int SAME_REGION = 1;
     private static final int OTHER_REGION = 2;
+    /** The longest window of a shared limit, with a margin for the time that a request is on its way. */
+    private static final long LIMIT_WINDOW_MS = 1200;
+
+    /** How long a node may wait for a core to list the edges before it shares limits with those that it knows. */
+    private static final long EDGES_LEARNED_MS = 2000;
+
     private final NodeContext context;
     private final PartialView view;
     private final Supplier<VoterSet> voterSet;
@@ -32,13 +38,22 @@
      * Creates the directory.
      *
      * @param voterSet returns the current voters, or null before there are any
+     * @param reportedEdges returns the edges that a core last listed
      */
-    PeerDirectory(final NodeContext context, final PartialView view, final Supplier<VoterSet> voterSet) {
+    PeerDirectory(
+            final NodeContext context,
+            final PartialView view,
+            final Supplier<VoterSet> voterSet,
+            final Supplier<List<NodeInfo>> reportedEdges) {
         this.context = context;
         this.view = view;
         this.voterSet = voterSet;
         this.edgeShares = new GossipEdgeShares(
-                view, context.servesClients, () -> (int) context.settings().integer("edges"));
+                view,
+                context.servesClients,
+                () -> (int) context.settings().integer("edges"),
+                reportedEdges,
+                new LearningPeriod(context.clock, LIMIT_WINDOW_MS, EDGES_LEARNED_MS));
     }
 
     /**
--- a/spokestall/src/test/java/spokestall/node/GossipEdgeSharesTest.java
+++ b/spokestall/src/test/java/spokestall/node/GossipEdgeSharesTest.java
@@ -17,6 +17,7 @@
 class GossipEdgeSharesTest {
     private static final int EDGES = 12;
     private static final long MEMBER_TIMEOUT_MS = 1000;
+    private static final long WINDOW_MS = 400;
     private final ManualClock clock = new ManualClock(1_000_000);
 
     private NodeInfo edge(final int i) {
@@ -42,12 +43,16 @@
         }
     }
 
+    private GossipEdgeShares withoutReports(final PartialView view, final int configured) {
+        return new GossipEdgeShares(view, true, () -> configured, List::of, new LearningPeriod(clock, 0, 0));
+    }
+
     private List<GossipEdgeShares> edgesThatKnowEachOther() {
         final List<GossipEdgeShares> all = new ArrayList<>();
         for (int self = 0; self < EDGES; self++) {
             final PartialView view = viewOf(self);
             receiveGossipFrom(view, 0, EDGES);
-            all.add(new GossipEdgeShares(view, true, () -> 0));
+            all.add(withoutReports(view, 0));
         }
         return all;
     }
@@ -81,7 +86,7 @@
     @Test
     void anEdgeThatLeftTheViewKeepsItsShareUntilAnotherReplacesIt() {
         final PartialView view = viewOf(0);
-        final GossipEdgeShares edges = new GossipEdgeShares(view, true, () -> 0);
+        final GossipEdgeShares edges = withoutReports(view, 0);
         receiveGossipFrom(view, 1, EDGES);
         assertThat(edges.edges()).isEqualTo(EDGES);
         final int rank = edges.rank("i-1", "r0");
@@ -98,6 +103,43 @@
 
     @Test
     void aConfiguredEdgeCountOverridesTheView() {
-        assertThat(new GossipEdgeShares(viewOf(0), true, () -> 7).edges()).isEqualTo(7);
+        assertThat(withoutReports(viewOf(0), 7).edges()).isEqualTo(7);
+    }
+
+    @Test
+    void anEdgeThatHasJustStartedTakesNoShareUntilACoreHasListedTheEdges() {
+        final PartialView view = viewOf(0);
+        receiveGossipFrom(view, 1, 3);
+        final List<NodeInfo> reported = new ArrayList<>();
+        final GossipEdgeShares edges = new GossipEdgeShares(
+                view,
+                true,
+                () -> 0,
+                () -> List.copyOf(reported),
+                new LearningPeriod(clock, WINDOW_MS, MEMBER_TIMEOUT_MS));
+        assertThat(edges.share(EDGES, "i-1", "r1"))
+                .as("before the first report")
+                .isZero();
+        for (int i = 0; i < EDGES; i++) {
+            reported.add(edge(i));
+        }
+        assertThat(edges.share(EDGES, "i-1", "r1"))
+                .as("while its earlier incarnation's share counts")
+                .isZero();
+        clock.advance(WINDOW_MS);
+        assertThat(edges.share(EDGES, "i-1", "r1")).as("after the report").isEqualTo(1);
+        assertThat(edges.edges()).isEqualTo(EDGES);
+    }
+
+    @Test
+    void anEdgeWithoutAReportSharesWithTheEdgesItKnowsOnceItHasHadTimeToLearn() {
+        final PartialView view = viewOf(0);
+        final GossipEdgeShares edges = new GossipEdgeShares(
+                view, true, () -> 0, List::of, new LearningPeriod(clock, WINDOW_MS, MEMBER_TIMEOUT_MS));
+        receiveGossipFrom(view, 1, 3);
+        assertThat(edges.share(6, "i-1", "r1")).isZero();
+        clock.advance(MEMBER_TIMEOUT_MS);
+        receiveGossipFrom(view, 1, 3);
+        assertThat(edges.share(6, "i-1", "r1")).isEqualTo(2);
     }
 }
