A lease manager that is told to stop while it acquires starts no session and releases what it acquired

Callers could see: a node that has reported its roles as released starts a report session afterwards, and its lease is left to expire, so the next window's report waits for the whole span. Cause: stop() completed at once although the acquisition was in flight, and its outcome was handled as if nothing had happened (STOPPED to HOLDING was a legal transition). Mend: the stop ends with the acquisition; if that succeeded, its lease is released without a session. LeaseManagerTest.aStopDuringAnAcquisition... failed before (one session). The session's lease was valid, so this by itself doesn't let two holders act.

--- a/spokestall/src/main/java/spokestall/lease/LeaseManager.java
+++ b/spokestall/src/main/java/spokestall/lease/LeaseManager.java
@@ -45,7 +45,7 @@
         ACQUIRING,
         /** Holds the lease in a session of this node. */
         HOLDING,
-        /** Has cancelled the session; the change that releases its lease may be in flight. */
+        /** Has cancelled the session, or is told to stop; the change that releases the lease may be in flight. */
         RELEASING,
         /** Has given up the role permanently. */
         STOPPED;
@@ -53,12 +53,11 @@
         private Set<State> next() {
             return switch (this) {
                 case WATCHING -> EnumSet.of(ACQUIRING, STOPPED);
-                case ACQUIRING -> EnumSet.of(HOLDING, WATCHING, STOPPED);
+                case ACQUIRING -> EnumSet.of(HOLDING, WATCHING, RELEASING, STOPPED);
                 case HOLDING -> EnumSet.of(RELEASING);
                 case RELEASING -> EnumSet.of(WATCHING, STOPPED);
-                // The outcome of an acquisition that was in flight at the stop still arrives, and stop may be called
-                // again.
-                case STOPPED -> EnumSet.of(HOLDING, WATCHING, STOPPED);
+                // Stop may be called again.
+                case STOPPED -> EnumSet.of(STOPPED);
             };
         }
     }
@@ -126,20 +125,25 @@
     }
 
     /**
-     * Gives up the role permanently. Cancels the session at once and releases its lease if no call is in flight.
+     * Gives up the role permanently. Cancels the session at once and releases its lease if no call is in flight. An acquisition that
+     * is in flight starts no session, and its lease is released.
      *
-     * @param done runs once the release has ended, successfully or not, or at once if there is no session
+     * @param done runs once the release has ended, successfully or not, or at once if there is nothing to release
      */
     public void stop(final Runnable done) {
         onStopped = done;
-        if (state == State.HOLDING) {
-            release("stop");
-        } else if (state != State.RELEASING) {
-            transitionTo(State.STOPPED, "stop");
-            done.run();
+        switch (state) {
+            case HOLDING -> release("stop");
+            case WATCHING, STOPPED -> onStopComplete("stop");
+            case ACQUIRING, RELEASING -> {}
         }
     }
 
+    private void onStopComplete(final String reason) {
+        transitionTo(State.STOPPED, reason);
+        onStopped.run();
+    }
+
     private void transitionTo(final State to, final String reason) {
         assert state.next().contains(to) : "lease of " + context.role() + " from " + state + " to " + to;
         LOG.atInfo().log(
@@ -239,12 +243,20 @@
                         current.fencingToken(),
                         timeouts.deadlineMs(requestedMs),
                         requestedMs + timeouts.maxSessionMs());
+                if (onStopped != null) {
+                    release("stop");
+                    return;
+                }
                 renewalRequestedMs = nowMs;
                 transitionTo(State.HOLDING, "acquired");
                 task.onSessionStarted(session);
                 return;
             }
         }
+        if (onStopped != null) {
+            onStopComplete("stop");
+            return;
+        }
         // No session starts after a rejected, late or unknown outcome. If the acquisition was stored nevertheless,
         // the next read returns it and the watch starts again from there.
         transitionTo(State.WATCHING, outcome instanceof ProposalOutcome.Committed ? "not_acquired" : "outcome_unknown");
@@ -317,11 +329,12 @@
 
     private void onReleaseEnded(final String reason) {
         watch.reset();
-        final boolean stopping = onStopped != null;
-        transitionTo(stopping ? State.STOPPED : State.WATCHING, reason);
-        session = null;
-        if (stopping) {
-            onStopped.run();
+        if (onStopped == null) {
+            transitionTo(State.WATCHING, reason);
+            session = null;
+        } else {
+            onStopComplete(reason);
+            session = null;
         }
     }
 
--- a/spokestall/src/test/java/spokestall/lease/LeaseManagerTest.java
+++ b/spokestall/src/test/java/spokestall/lease/LeaseManagerTest.java
@@ -304,6 +304,24 @@
                 .isGreaterThan(TIMEOUTS.leaseMs() - TIMEOUTS.renewIntervalMs());
     }
 
+    @Test
+    void aStopDuringAnAcquisitionStartsNoSessionAndLeavesTheLeaseReleased() {
+        final ConsensusTestContext context = new ConsensusTestContext(8, 0);
+        final Incarnation stopped = new Incarnation(context, "k1", 1, TIMEOUTS_WITH_COOLDOWN);
+        while (stopped.leaseManager.state() != LeaseManager.State.ACQUIRING) {
+            stopped.leaseManager.onTick();
+            context.run(context.clock.nowMs() + 20);
+        }
+        final int[] completions = {0};
+        stopped.leaseManager.stop(() -> completions[0]++);
+        context.run(context.clock.nowMs() + 3 * TIMEOUTS.storeTimeoutMs());
+        assertThat(stopped.sessions).as("sessions of a stopped manager").isEmpty();
+        assertThat(completions[0]).as("completions of the stop").isEqualTo(1);
+        assertThat(stopped.leaseManager.state()).isEqualTo(LeaseManager.State.STOPPED);
+        final Incarnation next = new Incarnation(context, "k2", 1, TIMEOUTS);
+        assertThat(msUntilSessionOf(context, 10_000, next)).isLessThan(STAGGER_MAX_MS + TIMEOUTS.leaseMs() / 2);
+    }
+
     /**
      * Checks holders that restart or release the lease at random times: only one acts at a time, and none acts again after its
      * successor within the span in which the order of holders is checked.
