An evacuation is pursued after its call, as other changes are, until a later one supersedes it

Cause: an evacuation's call has no identity, so it was abandoned with its call; where the steps of a change take longer than a second together, no call ever finishes, and each leaves promises that hinder the next one. What must not happen is that a begin takes hold after the finish that followed its repeat elsewhere: the newest version must be confirmed while the caller still waits, and a committed change of the same zone's evacuation after that version supersedes the attempt. DelayedChangeTest plays the hazard with the new deadlines, and with a pause before the finish that is random, so that the frozen node wakes while it would still pursue.

--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
@@ -52,6 +52,7 @@
     private final Callback callback;
     private State state = State.RECEIVED;
     private long confirmedAfterMs = NOT_CONFIRMED;
+    private long confirmedVersion;
     private int proposals;
     private boolean mayBeCommitted;
 
@@ -97,12 +98,18 @@
     }
 
     /** Records a confirmation that this node has applied the newest version; only the first one counts. */
-    void onConfirmed(final long nowMs) {
+    void onConfirmed(final long nowMs, final long version) {
         if (confirmedAfterMs == NOT_CONFIRMED) {
             confirmedAfterMs = waitedMs(nowMs);
+            confirmedVersion = version;
         }
     }
 
+    /** Returns the version that was the newest at the first confirmation. */
+    long confirmedVersion() {
+        return confirmedVersion;
+    }
+
     State state() {
         return state;
     }
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
@@ -5,6 +5,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import spokestall.api.Reply;
@@ -111,6 +112,15 @@
             final ChangeDraft draft,
             final ChangeDeadlines deadlines,
             final Consumer<Reply> callback) {
+        submit(changeId, draft, deadlines, deadlines.abandonAfterMillis(), callback);
+    }
+
+    private void submit(
+            final String changeId,
+            final ChangeDraft draft,
+            final ChangeDeadlines deadlines,
+            final long confirmWithinMillis,
+            final Consumer<Reply> callback) {
         final long receivedMs = clock.nowMs();
         final boolean overloaded = pendingChanges >= PENDING_CHANGES_MAX;
         final long timeoutMillis = overloaded ? deadlines.replyAfterMillis() : deadlines.abandonAfterMillis();
@@ -125,7 +135,7 @@
                     log(attempt, result);
                     reply.send(result);
                 }),
-                timeoutMillis);
+                Math.min(timeoutMillis, confirmWithinMillis));
     }
 
     private void scheduleEarlyReplies(final ChangeDeadlines deadlines, final CallerReply reply) {
@@ -149,7 +159,9 @@
     /**
      * Submits a change without an operator's change id, whose repetition can't be distinguished from a new request. If the request
      * was delayed at a paused or partitioned node, the operator may have repeated it elsewhere and undone it since. Therefore
-     * only a node whose freshness lease is valid accepts the request; any other answers that it is not ready.
+     * only a node whose freshness lease is valid accepts the request; any other answers that it is not ready. For the same
+     * reason, the newest version must be confirmed while the caller still waits, and the change is abandoned if a version
+     * after that one {@linkplain ChangeDraft#isSupersededBy supersedes} it.
      *
      * @param changeId a newly generated id that no other request has
      */
@@ -159,7 +171,7 @@
             final ChangeDeadlines deadlines,
             final Consumer<Reply> callback) {
         if (feedClient.isFresh()) {
-            submit(changeId, draft, deadlines, callback);
+            submit(changeId, draft, deadlines, deadlines.replyAfterMillis(), callback);
         } else {
             callback.accept(new ChangeResult.NotReady().toReply(changeId, appliedVersion()));
         }
@@ -217,7 +229,7 @@
             attempt.complete(attempt.timeoutResult());
             return;
         }
-        attempt.onConfirmed(clock.nowMs());
+        attempt.onConfirmed(clock.nowMs(), appliedVersion());
         final Long committed = configurationStore.versionOf(attempt.changeId());
         if (committed != null) {
             attempt.complete(new ChangeResult.Committed(committed));
@@ -226,6 +238,8 @@
         final ChangeDraft.Drafted drafted = draft(attempt);
         if (drafted instanceof ChangeDraft.Drafted.Unchanged) {
             attempt.complete(new ChangeResult.Committed(appliedVersion()));
+        } else if (isSuperseded(attempt)) {
+            attempt.complete(attempt.timeoutResult());
         } else if (drafted instanceof ChangeDraft.Drafted.StaleBase) {
             attempt.complete(new ChangeResult.StaleBase());
         } else if (drafted instanceof ChangeDraft.Drafted.NotFound) {
@@ -257,6 +271,7 @@
         }
         if (isOfCurrentGeneration()
                 && configurationStore.versionOf(attempt.changeId()) == null
+                && !isSuperseded(attempt)
                 && draft(attempt) instanceof ChangeDraft.Drafted.Write write) {
             final ConfigurationChange change = change(attempt, write);
             if (validate(change).isEmpty()) {
@@ -267,6 +282,15 @@
         confirm(attempt, remainingMs);
     }
 
+    /** Returns whether a change after the version that was confirmed for the attempt supersedes it, or may do so unseen. */
+    private boolean isSuperseded(final ChangeAttempt attempt) {
+        if (!attempt.draft().canBeSuperseded() || attempt.confirmedVersion() == appliedVersion()) {
+            return false;
+        }
+        final Map<Long, ConfigurationChange> since = configurationStore.changesAfter(attempt.confirmedVersion());
+        return since == null || since.values().stream().anyMatch(attempt.draft()::isSupersededBy);
+    }
+
     private ChangeDraft.Drafted draft(final ChangeAttempt attempt) {
         return attempt.draft().draftOn(configurationStore.configuration().tree());
     }
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeDraft.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeDraft.java
@@ -38,4 +38,17 @@
      * @param tree the configuration of the version, which must not be modified
      */
     Drafted draftOn(JsonNode tree);
+
+    /**
+     * Returns whether this request may be applied only while no later change {@linkplain #isSupersededBy supersedes} it: one without an
+     * operator's change id, which may have been repeated elsewhere and undone since.
+     */
+    default boolean canBeSuperseded() {
+        return false;
+    }
+
+    /** Returns whether a change that committed after this request was confirmed concerns what this request changes. */
+    default boolean isSupersededBy(final ConfigurationChange committed) {
+        return false;
+    }
 }
--- a/spokestall/src/test/java/spokestall/configuration/change/ChangeAttemptTest.java
+++ b/spokestall/src/test/java/spokestall/configuration/change/ChangeAttemptTest.java
@@ -26,12 +26,13 @@
     void recordsTimeToFirstConfirmationAndNumberOfProposals() {
         assertThat(attempt.confirmedAfterMs()).isEqualTo(-1);
         attempt.startConfirming();
-        attempt.onConfirmed(140);
+        attempt.onConfirmed(140, 6);
         attempt.propose(7, CHANGE);
         attempt.startConfirming();
-        attempt.onConfirmed(220);
+        attempt.onConfirmed(220, 7);
         attempt.propose(8, CHANGE);
         assertThat(attempt.confirmedAfterMs()).isEqualTo(40);
+        assertThat(attempt.confirmedVersion()).isEqualTo(6);
         assertThat(attempt.proposals()).isEqualTo(2);
         assertThat(attempt.waitedMs(230)).isEqualTo(130);
     }
--- a/testbed/src/test/java/spokestall/testbed/simulation/DelayedChangeTest.java
+++ b/testbed/src/test/java/spokestall/testbed/simulation/DelayedChangeTest.java
@@ -2,16 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.fasterxml.jackson.databind.node.NullNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import spokestall.api.Reply;
 import spokestall.api.ResultCode;
-import spokestall.configuration.ConfigurationChange;
 import spokestall.configuration.change.ChangeDeadlines;
-import spokestall.configuration.change.ChangeDraft;
 import spokestall.testbed.Deployment;
 import spokestall.testbed.fleet.OperatorFleet;
 
@@ -24,16 +20,8 @@
     private static final long WAIT_MS = 950;
     private static final String DISTRICT = "d2";
 
-    private static ChangeDraft hold(final boolean begin) {
-        return tree -> {
-            if (tree.path("holds").has(DISTRICT) == begin) {
-                return new ChangeDraft.Drafted.Unchanged();
-            }
-            final ObjectNode patch = OperatorFleet.JSON.createObjectNode();
-            patch.putObject("holds").set(DISTRICT, begin ? OperatorFleet.JSON.createObjectNode() : NullNode.instance);
-            return new ChangeDraft.Drafted.Write(ConfigurationChange.Kind.PATCH, patch);
-        };
-    }
+    /** The deadlines of the platform's calls: a change is pursued for longer than its caller waits. */
+    private static final ChangeDeadlines PURSUED = new ChangeDeadlines(600, WAIT_MS, 4000);
 
     private static OperatorFleet.Call completeHoldChange(
             final OperatorFleet fleet, final SimulatedNode at, final boolean begin) {
@@ -51,9 +39,7 @@
         final String id = "hold-" + fleet.nowMs() + at.name;
         at.run(
                 at.incarnation(),
-                () -> at.node()
-                        .changeCoordinator()
-                        .submitWithoutId(id, hold(begin), ChangeDeadlines.of(WAIT_MS), done));
+                () -> at.node().changeCoordinator().submitWithoutId(id, new HoldDraft(DISTRICT, begin), PURSUED, done));
     }
 
     private static List<SimulatedNode> nodesThatDrain(final OperatorFleet fleet) {
@@ -86,7 +72,7 @@
             }
             fleet.run(1000);
             assertThat(completeHoldChange(fleet, other, true).result()).isEqualTo(ResultCode.OK);
-            fleet.run(3000);
+            fleet.run(random.nextInt(3000));
             assertThat(completeHoldChange(fleet, other, false).result()).isEqualTo(ResultCode.OK);
             fleet.run(500);
             frozen.thaw();
@@ -102,7 +88,7 @@
         fleet.awaitFresh();
         final SimulatedNode frozen = fleet.nodes().get(3);
         frozen.freeze();
-        fleet.submit(frozen, "waited", hold(true), WAIT_MS, reply -> {});
+        fleet.submit(frozen, "waited", new HoldDraft(DISTRICT, true), WAIT_MS, reply -> {});
         assertThat(completeHoldChange(fleet, fleet.nodes().get(0), true).result())
                 .isEqualTo(ResultCode.OK);
         fleet.run(3000);
