A node that knows no configuration yet answers 503 with when to come back, not 401 or 404

Cause: the first version of a new fleet is empty, and a node is fresh with it, for up to the length of the freshness lease after another node has acknowledged the first configuration (4 s where keys may work for 5 s). A node that is slow or cut off in that time answers 401 or 404 to requests that every configuration allows; on machines that are full it lasts. Mend: without tenants, routes and services nothing is known, so nothing is denied: 503, not run, with Retry-After. Whether this was all of what the users saw is not shown.

--- a/spokestall/src/main/java/spokestall/configuration/Configuration.java
+++ b/spokestall/src/main/java/spokestall/configuration/Configuration.java
@@ -68,6 +68,14 @@
         }
     }
 
+    /**
+     * Returns whether no operator has configured anything yet: neither tenants nor routes nor services. The first version of a new
+     * fleet is so, as is the state of a node that has applied no version.
+     */
+    public boolean isBlank() {
+        return tenants.isEmpty() && sharedRoutesByHost.isEmpty() && services.isEmpty();
+    }
+
     /** Returns the version number; 0 before the first version. */
     public long version() {
         return version;
--- a/spokestall/src/main/java/spokestall/proxy/AdmissionController.java
+++ b/spokestall/src/main/java/spokestall/proxy/AdmissionController.java
@@ -145,6 +145,11 @@
         if (!context.feedClient().isFresh() || !context.fleetClock().settled()) {
             return ResultCode.NOT_FRESH;
         }
+        // Without a configuration every key and route is unknown, although the first one may be in force elsewhere
+        // already.
+        if (context.configurationStore().configuration().isBlank()) {
+            return ResultCode.NOT_FRESH;
+        }
         return context.usageCounter().mayStart() ? null : ResultCode.UNCOUNTED;
     }
 
