--- a/spokestall/src/test/java/spokestall/node/CoreDataStabilityTest.java
+++ b/spokestall/src/test/java/spokestall/node/CoreDataStabilityTest.java
@@ -28,6 +28,7 @@
 import spokestall.discovery.DiscoveryMessage;
 import spokestall.io.AuditFiles;
 import spokestall.io.DataDirectory;
+import spokestall.io.OpenResult;
 import spokestall.lease.Lease;
 import spokestall.membership.StoredRecords;
 import spokestall.message.MessageCodec;
@@ -75,8 +76,8 @@
 
     @Test
     void ownerFileFormatIsStable(@TempDir final Path fresh) throws Exception {
-        assertThat(DataDirectory.open(dataDirectory, "d1-core")).isNull();
-        assertThat(DataDirectory.open(fresh.resolve("data"), "d1-core")).isNull();
+        assertThat(DataDirectory.open(dataDirectory, "d1-core")).isInstanceOf(OpenResult.Opened.class);
+        assertThat(DataDirectory.open(fresh.resolve("data"), "d1-core")).isInstanceOf(OpenResult.Opened.class);
         assertThat(fresh.resolve("data").resolve("owner")).hasSameBinaryContentAs(RESOURCE.resolve("owner"));
     }
 
