--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,7 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review
 mkdir -p target/review
-javac -Xlint:-options -d target/review review/stand/*.java
+# A Java runtime without the command javac may still have the compiler as a module.
+compiler=(javac)
+command -v javac >/dev/null || compiler=(java --module jdk.compiler/com.sun.tools.javac.Main)
+"${compiler[@]}" -d target/review review/stand/*.java
--- a/review/stand/Case.java
+++ b/review/stand/Case.java
@@ -8,13 +8,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * What all cases share: a fleet in a temporary folder, the platform, upstreams, the operator, and the exit status: 1 if the rule was
- * broken, 0 if it held, 2 if the case could not run.
+ * What all cases share: a fleet in a temporary folder, the platform, upstreams, the operator, and the verdict as the exit code.
  */
 abstract class Case {
-    static final int BROKEN = 1;
-    static final int HELD = 0;
-    static final int NOT_RUN = 2;
+    // Exit codes of their own, since Java itself ends with 1 after a failure; the scripts turn them into 1, 0 and 2.
+    static final int BROKEN = 10;
+    static final int HELD = 11;
+    static final int NOT_RUN = 12;
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Map<String, Integer> runs = new ConcurrentHashMap<>();
@@ -53,12 +53,16 @@
             }
         }
         if (record != null) {
-            record.line("exit status " + status);
+            record.line(verdictName(status));
         }
-        System.out.println(status == BROKEN ? "BROKEN" : status == HELD ? "HELD" : "NOT RUN");
+        System.out.println(verdictName(status));
         Runtime.getRuntime().halt(status);
     }
 
+    private static String verdictName(final int status) {
+        return status == BROKEN ? "BROKEN" : status == HELD ? "HELD" : "NOT RUN";
+    }
+
     abstract int play() throws Exception;
 
     private static void delete(final Path folder) {
--- a/review/stand/DeepOrder.java
+++ b/review/stand/DeepOrder.java
@@ -8,8 +8,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * The operator sends one invalid configuration: a route names an unknown service and has a field with deeply nested objects. It is sent
- * again to one machine after another until there is a clear answer. The check looks at clients' requests, and at the reading back.
+ * The operator sends one invalid configuration: a route names an unknown service, and in place of the service's name stand deeply nested
+ * objects. It is sent again to one machine after another until there is a clear answer. The check looks at clients' requests, and at the
+ * reading back.
  */
 final class DeepOrder extends Case {
     private static final int DEPTH = Integer.getInteger("depth", 950);
@@ -36,12 +37,12 @@
         final ScheduledExecutorService threads = Executors.newScheduledThreadPool(300);
         threads.scheduleAtFixedRate(() -> threads.execute(this::request), 0, 1_000_000 / REQUESTS_PER_S, TimeUnit.MICROSECONDS);
         Thread.sleep(5000);
-        final String bad = Config.route("bad", "idempotent", "unknown", TIMEOUT_MS);
-        final String order = trouble
-                ? bad.substring(0, bad.length() - 1) + ",\"note\":" + "{\"a\":".repeat(DEPTH) + "1" + "}".repeat(DEPTH) + "}"
-                : bad;
+        final String order = Config.route("bad", "idempotent", "unknown", TIMEOUT_MS);
+        final String nested = "{\"a\":".repeat(DEPTH) + "1" + "}".repeat(DEPTH);
+        final String body = Config.upsertRoutes(2, trouble ? order.replace("\"unknown\"", nested) : order);
+        record.line("the invalid order has " + body.length() + " bytes");
         final int status = operator.order(
-                Config.controls(fleet), "/-/rpc?call=config.update", 1, Config.upsertRoutes(2, order), 20_000);
+                Config.controls(fleet), "/-/rpc?call=config.update", 1, body, 20_000);
         verdict("the invalid order was " + (status == 0 ? "never answered" : "answered " + status));
         Thread.sleep(15_000);
         threads.shutdownNow();
--- a/review/stand/Fleet.java
+++ b/review/stand/Fleet.java
@@ -212,7 +212,7 @@
     }
 
     void signal(final Node node, final String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(node.process.pid()))
+        new ProcessBuilder("bash", "-c", "kill -" + name + " " + node.process.pid())
                 .inheritIO()
                 .start()
                 .waitFor();
