--- a/review/stand/Fleet.java
+++ b/review/stand/Fleet.java
@@ -61,7 +61,7 @@
         this.folder = folder;
         final Random random = new Random();
         network = "127." + (1 + random.nextInt(250)) + "." + (1 + random.nextInt(250));
-        ports = freePorts(random);
+        ports = freePorts(random, network + ".1");
         final String run = Files.readAllLines(root.resolve("deploy/system.toml")).stream()
                 .filter(line -> line.startsWith("run = "))
                 .findFirst()
@@ -81,13 +81,13 @@
         seeds = nodes.stream().limit(3).map(node -> node.ip + ":" + (ports + CONTROL)).toList();
     }
 
-    private static int freePorts(final Random random) throws IOException {
+    private static int freePorts(final Random random, final String host) throws IOException {
         for (int tries = 0; tries < 1000; tries++) {
             final int first = 10_000 + random.nextInt(1000) * 20;
             boolean free = true;
             for (int port = first; free && port < first + 10; port++) {
                 try (ServerSocket socket = new ServerSocket()) {
-                    socket.bind(new InetSocketAddress("0.0.0.0", port));
+                    socket.bind(new InetSocketAddress(host, port));
                 } catch (final IOException e) {
                     free = false;
                 }
