--- a/review/stand/FrozenFinish.java
+++ b/review/stand/FrozenFinish.java
@@ -28,7 +28,6 @@
     /** The machine that each request was sent to. */
     private final Map<String, Fleet.Node> sentTo = new ConcurrentHashMap<>();
 
-    private final Map<String, Long> arrivedInZone = new ConcurrentHashMap<>();
     private Fleet.Node frozen;
 
     public static void main(final String[] arguments) {
@@ -38,14 +37,6 @@
     @Override
     int play() throws Exception {
         addUpstreams("desk", 24, 3, 60, 6);
-        for (final Upstream upstream : platform.upstreams) {
-            if (upstream.zone.equals(ZONE)) {
-                upstream.answer = request -> {
-                    arrivedInZone.put(request.field("Spokestall-Attempt-Id"), record.nowMs() - 60);
-                    return "done".getBytes();
-                };
-            }
-        }
         startWith(Config.whole(1, List.of(Config.route("lookup", "idempotent", "desk", 2500)), List.of("desk")));
         // The frozen machine has no disk, so the core stays settled; it is in another zone than the evacuated one.
         frozen = nodes().get(7);
@@ -87,7 +78,9 @@
         }
         Thread.sleep(WATCHED_MS);
         threads.shutdownNow();
-        final long late = arrivedInZone.entrySet().stream()
+        final long late = platform.upstreams.stream()
+                .filter(upstream -> upstream.zone.equals(ZONE))
+                .flatMap(upstream -> upstream.arrivedMs.entrySet().stream())
                 .filter(arrival -> arrival.getValue() > evacuatedMs + EVACUATE_MS && sentTo.get(arrival.getKey()) != frozen)
                 .count();
         verdict(ids + " requests; " + late + " of them ran at upstreams of zone " + ZONE + " later than " + EVACUATE_MS
--- a/review/stand/Upstream.java
+++ b/review/stand/Upstream.java
@@ -27,6 +27,8 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     /** How often each request ran here, by its id. */
     final Map<String, Integer> runs;
+    /** When each request that ran here arrived, by its id. */
+    final Map<String, Long> arrivedMs = new ConcurrentHashMap<>();
     /** The body of the answer to a request. */
     volatile Function<Http.Message, byte[]> answer = request -> ("done " + request.line()).getBytes();
 
@@ -90,6 +92,7 @@
     private void answer(final Http http, final Http.Message request) throws Exception {
         final String id = request.field("Spokestall-Attempt-Id");
         final String expected = request.field("Spokestall-Expect-Instance");
+        final long receivedMs = record.nowMs();
         final Map<String, String> fields = new TreeMap<>();
         fields.put("Spokestall-Attempt-Id", String.valueOf(id));
         if (request.line().startsWith("GET /health ")) {
@@ -109,6 +112,7 @@
         try {
             working.acquire();
             try {
+                arrivedMs.put(String.valueOf(id), receivedMs);
                 runs.merge(String.valueOf(id), 1, Integer::sum);
                 record.line("run " + id + " at " + instance + " (" + request.line() + ", " + request.body().length + " bytes)");
                 Thread.sleep(workMs);
