An evacuation order that waited anywhere no longer undoes a later one: it is applied only under a version that its caller confirmed

Cause: an order of a zone's evacuation has neither id nor version. ChangeCoordinator.submitWithoutId took a valid freshness lease as the sign that the node had not stood still, and counted what supersedes the order from the version that was confirmed after the order was read. The lease lasts 4 s, so a freeze of 3 s passes, and the newest version is confirmed after the wake. Evidence: edge-zb-2, continued 3.0 s after its stop, logs change_answered Committed with confirmedAfterMs=487 for the finish, one version after the second begin (docs/incidents/stale-evacuation-order.md).

Excluded: the core (settled, its decisions are in order); an order that was read before its node froze (held before: superseded by its confirmed version).

Mend: an order without an id is applied only under a precondition, a version after which nothing of the zone's evacuation changed. Only a caller that still waits follows. Each acknowledgement is a change that committed after its precondition. So whatever a caller orders later commits after the version that its stale order names, and the stale one finds it, however long it waited and wherever. No clock or lease enters.

--- a/spokestall/src/main/java/spokestall/configuration/ConfigurationFormat.java
+++ b/spokestall/src/main/java/spokestall/configuration/ConfigurationFormat.java
@@ -10,6 +10,9 @@
  * <p>Implementations are stateless and thread-safe.
  */
 public interface ConfigurationFormat {
+    /** The member with the evacuated zones by name, in the configurations of every format. */
+    String EVACUATIONS = "holds";
+
     /**
      * Validates a configuration.
      *
--- a/spokestall/src/main/java/spokestall/configuration/NativeConfigurationFormat.java
+++ b/spokestall/src/main/java/spokestall/configuration/NativeConfigurationFormat.java
@@ -58,7 +58,7 @@
                 .forEachRemaining(service ->
                         services.put(service.getKey(), readServiceLimits(service.getKey(), service.getValue())));
         final Set<String> drainedZones = new HashSet<>();
-        tree.path("holds").fieldNames().forEachRemaining(drainedZones::add);
+        tree.path(EVACUATIONS).fieldNames().forEachRemaining(drainedZones::add);
         return new Configuration(
                 version, tree, tenants, routes, services, drainedZones, readClientLimits(tree.path("limits")));
     }
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeAttempt.java
@@ -1,6 +1,7 @@
 package spokestall.configuration.change;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.OptionalLong;
 import spokestall.configuration.ConfigurationChange;
 
 /**
@@ -46,24 +47,30 @@
     private static final long NOT_CONFIRMED = -1;
 
     private final String changeId;
+    private final OptionalLong unchangedSince;
     private final ChangeDraft draft;
     private final long receivedMs;
     private final long deadlineMs;
     private final Callback callback;
     private State state = State.RECEIVED;
     private long confirmedAfterMs = NOT_CONFIRMED;
-    private long confirmedVersion;
     private int proposals;
     private boolean mayBeCommitted;
 
-    /** Creates an attempt; its times are on this node's monotonic clock. */
+    /**
+     * Creates an attempt; its times are on this node's monotonic clock.
+     *
+     * @param unchangedSince the version after which no conflicting change may have committed, if the request has a precondition
+     */
     ChangeAttempt(
             final String changeId,
+            final OptionalLong unchangedSince,
             final ChangeDraft draft,
             final long receivedMs,
             final long deadlineMs,
             final Callback callback) {
         this.changeId = changeId;
+        this.unchangedSince = unchangedSince;
         this.draft = draft;
         this.receivedMs = receivedMs;
         this.deadlineMs = deadlineMs;
@@ -74,6 +81,11 @@
         return changeId;
     }
 
+    /** Returns the version after which no conflicting change may have committed, if the request has a precondition. */
+    OptionalLong unchangedSince() {
+        return unchangedSince;
+    }
+
     ChangeDraft draft() {
         return draft;
     }
@@ -98,18 +110,12 @@
     }
 
     /** Records a confirmation that this node has applied the newest version; only the first one counts. */
-    void onConfirmed(final long nowMs, final long version) {
+    void onConfirmed(final long nowMs) {
         if (confirmedAfterMs == NOT_CONFIRMED) {
             confirmedAfterMs = waitedMs(nowMs);
-            confirmedVersion = version;
         }
     }
 
-    /** Returns the version that was the newest at the first confirmation. */
-    long confirmedVersion() {
-        return confirmedVersion;
-    }
-
     State state() {
         return state;
     }
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import spokestall.api.Reply;
 import spokestall.configuration.Configuration;
@@ -30,7 +31,8 @@
  * arrived. It therefore never answers that a request is stale, invalid, not found or already done because this node lags
  * behind. If another change commits first, the coordinator drafts the request again on top of that version, until the request
  * commits, no longer applies, or reaches its deadline. A request whose change id is among the retained committed changes is
- * acknowledged with the version that it created and not applied again.
+ * acknowledged with the version that it created and not applied again. A request without a change id has a version as its
+ * precondition instead: it is applied only if nothing that it concerns changed after that version.
  *
  * <p>Not thread-safe; all calls and callbacks are on the node's event loop. Each callback receives exactly one reply.
  */
@@ -112,14 +114,14 @@
             final ChangeDraft draft,
             final ChangeDeadlines deadlines,
             final Consumer<Reply> callback) {
-        submit(changeId, draft, deadlines, deadlines.abandonAfterMillis(), callback);
+        submit(changeId, OptionalLong.empty(), draft, deadlines, callback);
     }
 
     private void submit(
             final String changeId,
+            final OptionalLong unchangedSince,
             final ChangeDraft draft,
             final ChangeDeadlines deadlines,
-            final long confirmWithinMillis,
             final Consumer<Reply> callback) {
         final long receivedMs = clock.nowMs();
         final boolean overloaded = pendingChanges >= PENDING_CHANGES_MAX;
@@ -129,13 +131,14 @@
             scheduleEarlyReplies(deadlines, reply);
         }
         pendingChanges++;
+        final long deadlineMs = receivedMs + timeoutMillis;
         confirm(
-                new ChangeAttempt(changeId, draft, receivedMs, receivedMs + timeoutMillis, (attempt, result) -> {
+                new ChangeAttempt(changeId, unchangedSince, draft, receivedMs, deadlineMs, (attempt, result) -> {
                     pendingChanges--;
                     log(attempt, result);
                     reply.send(result);
                 }),
-                Math.min(timeoutMillis, confirmWithinMillis));
+                timeoutMillis);
     }
 
     private void scheduleEarlyReplies(final ChangeDeadlines deadlines, final CallerReply reply) {
@@ -147,9 +150,11 @@
 
     private void log(final ChangeAttempt attempt, final ChangeResult result) {
         LOG.atInfo().log(
-                "event=change_answered node=%s changeId=%s result=%s waitedMs=%s confirmedAfterMs=%s proposals=%s",
+                "event=change_answered node=%s changeId=%s unchangedSince=%s result=%s waitedMs=%s confirmedAfterMs=%s"
+                        + " proposals=%s",
                 host.name(),
                 attempt.changeId(),
+                attempt.unchangedSince().isPresent() ? attempt.unchangedSince().getAsLong() : "none",
                 result,
                 attempt.waitedMs(clock.nowMs()),
                 attempt.confirmedAfterMs(),
@@ -157,26 +162,61 @@
     }
 
     /**
-     * Submits a change without an operator's change id, whose repetition can't be distinguished from a new request. If the request
-     * was delayed at a paused or partitioned node, the operator may have repeated it elsewhere and undone it since. Therefore
-     * only a node whose freshness lease is valid accepts the request; any other answers that it is not ready. For the same
-     * reason, the newest version must be confirmed while the caller still waits, and the change is abandoned if a version
-     * after that one {@linkplain ChangeDraft#isSupersededBy supersedes} it.
+     * Submits a change without an operator's change id, whose repetition can't be distinguished from a new request. The request
+     * may have been delayed for any time at a paused or slow node or in the network, and its caller may have repeated it elsewhere
+     * and undone it since. Therefore it is applied only under a precondition: that no change which conflicts with it committed
+     * after the version {@code unchangedSince}.
+     *
+     * <p>A request without a precondition changes nothing. A voter's reply names the newest version, confirmed after the request
+     * arrived, as the precondition with which the caller repeats the request; another node redirects the caller to a voter. Only a
+     * caller that still waits can repeat the request, and whatever it orders after it stopped waiting commits after that version.
+     *
+     * <p>An acknowledged request is a change that committed after its precondition, even if the configuration already was as
+     * requested. So it also takes precedence over a conflicting request that was submitted before it and is still in progress.
      *
      * @param changeId a newly generated id that no other request has
+     * @param unchangedSince the precondition, from the reply to the request without one; empty to ask for one
      */
     public void submitWithoutId(
             final String changeId,
+            final OptionalLong unchangedSince,
             final ChangeDraft draft,
             final ChangeDeadlines deadlines,
             final Consumer<Reply> callback) {
-        if (feedClient.isFresh()) {
-            submit(changeId, draft, deadlines, deadlines.replyAfterMillis(), callback);
+        if (unchangedSince.isPresent()) {
+            submit(changeId, unchangedSince, draft, deadlines, callback);
+        } else if (feedClient.isFresh()) {
+            requirePrecondition(changeId, deadlines, callback);
         } else {
             callback.accept(new ChangeResult.NotReady().toReply(changeId, appliedVersion()));
         }
     }
 
+    private void requirePrecondition(
+            final String changeId, final ChangeDeadlines deadlines, final Consumer<Reply> callback) {
+        final Consumer<ChangeResult> reply = result -> callback.accept(result.toReply(changeId, appliedVersion()));
+        final Optional<String> voter = feedClient.nearestVoter();
+        if (voter.isPresent()) {
+            reply.accept(new ChangeResult.Pending(voter.get()));
+            return;
+        }
+        readNewest(
+                deadlines.replyAfterMillis(),
+                newest -> reply.accept(
+                        newest.isPresent()
+                                ? new ChangeResult.PreconditionRequired(
+                                        newest.get().version())
+                                : new ChangeResult.NotReady()));
+    }
+
+    /** Returns the precondition with which a reply asks the caller to repeat the request, if any. */
+    public static OptionalLong requiredPrecondition(final Reply reply) {
+        return Optional.ofNullable(reply.fields())
+                .map(fields -> fields.get(ChangeResult.UNCHANGED_SINCE_FIELD))
+                .map(version -> OptionalLong.of(version.asLong()))
+                .orElse(OptionalLong.empty());
+    }
+
     /** Returns the address of the voter to which a reply redirects the caller to repeat the change, if any. */
     public static Optional<String> redirectAddress(final Reply reply) {
         return Optional.ofNullable(reply.fields())
@@ -229,18 +269,22 @@
             attempt.complete(attempt.timeoutResult());
             return;
         }
-        attempt.onConfirmed(clock.nowMs(), appliedVersion());
+        attempt.onConfirmed(clock.nowMs());
         final Long committed = configurationStore.versionOf(attempt.changeId());
         if (committed != null) {
             attempt.complete(new ChangeResult.Committed(committed));
             return;
         }
+        switch (relationSincePrecondition(attempt)) {
+            case SAME -> attempt.complete(new ChangeResult.Committed(appliedVersion()));
+            case CONFLICTING -> attempt.complete(new ChangeResult.PreconditionRequired(appliedVersion()));
+            case UNRELATED -> draftAndPropose(attempt);
+        }
+    }
+
+    private void draftAndPropose(final ChangeAttempt attempt) {
         final ChangeDraft.Drafted drafted = draft(attempt);
-        if (drafted instanceof ChangeDraft.Drafted.Unchanged) {
-            attempt.complete(new ChangeResult.Committed(appliedVersion()));
-        } else if (isSuperseded(attempt)) {
-            attempt.complete(attempt.timeoutResult());
-        } else if (drafted instanceof ChangeDraft.Drafted.StaleBase) {
+        if (drafted instanceof ChangeDraft.Drafted.StaleBase) {
             attempt.complete(new ChangeResult.StaleBase());
         } else if (drafted instanceof ChangeDraft.Drafted.NotFound) {
             attempt.complete(new ChangeResult.NotFound());
@@ -271,7 +315,7 @@
         }
         if (isOfCurrentGeneration()
                 && configurationStore.versionOf(attempt.changeId()) == null
-                && !isSuperseded(attempt)
+                && relationSincePrecondition(attempt) == ChangeDraft.Relation.UNRELATED
                 && draft(attempt) instanceof ChangeDraft.Drafted.Write write) {
             final ConfigurationChange change = change(attempt, write);
             if (validate(change).isEmpty()) {
@@ -282,13 +326,23 @@
         confirm(attempt, remainingMs);
     }
 
-    /** Returns whether a change after the version that was confirmed for the attempt supersedes it, or may do so unseen. */
-    private boolean isSuperseded(final ChangeAttempt attempt) {
-        if (!attempt.draft().canBeSuperseded() || attempt.confirmedVersion() == appliedVersion()) {
-            return false;
+    /**
+     * Returns how the changes after the attempt's precondition relate to it: the newest one that isn't unrelated decides. Changes
+     * that are no longer retained may conflict.
+     */
+    private ChangeDraft.Relation relationSincePrecondition(final ChangeAttempt attempt) {
+        if (attempt.unchangedSince().isEmpty()) {
+            return ChangeDraft.Relation.UNRELATED;
+        }
+        final Map<Long, ConfigurationChange> since =
+                configurationStore.changesAfter(attempt.unchangedSince().getAsLong());
+        if (since == null) {
+            return ChangeDraft.Relation.CONFLICTING;
         }
-        final Map<Long, ConfigurationChange> since = configurationStore.changesAfter(attempt.confirmedVersion());
-        return since == null || since.values().stream().anyMatch(attempt.draft()::isSupersededBy);
+        return since.values().stream()
+                .map(attempt.draft()::relationTo)
+                .filter(relation -> relation != ChangeDraft.Relation.UNRELATED)
+                .reduce(ChangeDraft.Relation.UNRELATED, (older, newer) -> newer);
     }
 
     private ChangeDraft.Drafted draft(final ChangeAttempt attempt) {
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeDraft.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeDraft.java
@@ -14,9 +14,6 @@
         /** The request results in a change to propose. */
         record Write(ConfigurationChange.Kind kind, JsonNode json) implements Drafted {}
 
-        /** The version already is as requested; nothing is proposed. */
-        record Unchanged() implements Drafted {}
-
         /** The request applies only to a different version. */
         record StaleBase() implements Drafted {}
 
@@ -39,16 +36,18 @@
      */
     Drafted draftOn(JsonNode tree);
 
-    /**
-     * Returns whether this request may be applied only while no later change {@linkplain #isSupersededBy supersedes} it: one without an
-     * operator's change id, which may have been repeated elsewhere and undone since.
-     */
-    default boolean canBeSuperseded() {
-        return false;
+    /** How a committed change relates to what this request changes. */
+    enum Relation {
+        /** The change leaves alone what this request changes. */
+        UNRELATED,
+        /** The change set what this request sets, to the same value. */
+        SAME,
+        /** The change set what this request sets, to another value. */
+        CONFLICTING
     }
 
-    /** Returns whether a change that committed after this request was confirmed concerns what this request changes. */
-    default boolean isSupersededBy(final ConfigurationChange committed) {
-        return false;
+    /** Returns how a change relates to this request, which has no operator's change id. */
+    default Relation relationTo(final ConfigurationChange committed) {
+        return Relation.UNRELATED;
     }
 }
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeResult.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeResult.java
@@ -13,6 +13,9 @@
     /** The reply field with the address of the voter to which the caller should repeat the request. */
     String VOTER_FIELD = "voter";
 
+    /** The reply field with the precondition under which the caller should repeat the request. */
+    String UNCHANGED_SINCE_FIELD = "unchangedSince";
+
     /** The change is committed as this version, or this version already is as requested. */
     record Committed(long version) implements ChangeResult {}
 
@@ -25,6 +28,14 @@
     /** The request is invalid, or would make the configuration invalid. */
     record Invalid(List<ValidationError> errors) implements ChangeResult {}
 
+    /**
+     * The request has no precondition, or one that doesn't hold: a conflicting change committed after the version that it names. The
+     * caller may repeat the request under this precondition.
+     *
+     * @param unchangedSince the version after which no conflicting change may commit before the request does
+     */
+    record PreconditionRequired(long unchangedSince) implements ChangeResult {}
+
     /** No proposal of this request can still commit: the newest version could not be confirmed in time. */
     record NotReady() implements ChangeResult {}
 
@@ -60,6 +71,9 @@
         if (this instanceof Pending pending && !pending.voter().isEmpty()) {
             fields.put(VOTER_FIELD, pending.voter());
         }
+        if (this instanceof PreconditionRequired required) {
+            fields.put(UNCHANGED_SINCE_FIELD, required.unchangedSince());
+        }
         return Reply.of(code(), fields);
     }
 
@@ -70,7 +84,7 @@
             return ResultCode.NOT_FOUND;
         } else if (this instanceof Invalid) {
             return ResultCode.INVALID;
-        } else if (this instanceof NotReady) {
+        } else if (this instanceof NotReady || this instanceof PreconditionRequired) {
             return ResultCode.NOT_READY;
         } else if (this instanceof Undecided || this instanceof Pending) {
             return ResultCode.UNDECIDED;
--- a/spokestall/src/main/java/spokestall/node/ConfigurationCalls.java
+++ b/spokestall/src/main/java/spokestall/node/ConfigurationCalls.java
@@ -8,6 +8,7 @@
 import spokestall.api.ResultCode;
 import spokestall.configuration.Configuration;
 import spokestall.configuration.ConfigurationChange;
+import spokestall.configuration.ConfigurationFormat;
 import spokestall.configuration.ConfigurationStore;
 import spokestall.configuration.KeyHash;
 import spokestall.configuration.change.ChangeCoordinator;
@@ -117,7 +118,8 @@
     /** Starts the evacuation of the zone, or ends it if the value is a JSON null. */
     private void changeEvacuation(final JsonNode params, final JsonNode value, final Consumer<Reply> done) {
         final ObjectNode patch = ConfigurationStore.JSON.createObjectNode();
-        patch.putObject("holds").set(params.get("district").asText(), value);
+        patch.putObject(ConfigurationFormat.EVACUATIONS)
+                .set(params.get("district").asText(), value);
         change(params, write(ConfigurationChange.Kind.PATCH, patch), done);
     }
 }
--- a/spokestall/src/test/java/spokestall/configuration/change/ChangeResultTest.java
+++ b/spokestall/src/test/java/spokestall/configuration/change/ChangeResultTest.java
@@ -48,6 +48,18 @@
         assertReply(new ChangeResult.Pending(""), ResultCode.UNDECIDED, "{\"current\":17,\"changeId\":\"chg-1\"}");
     }
 
+    @Test
+    void aReplyThatRequiresAPreconditionNamesIt() {
+        final ChangeResult required = new ChangeResult.PreconditionRequired(16);
+        assertReply(required, ResultCode.NOT_READY, "{\"current\":17,\"changeId\":\"chg-1\",\"unchangedSince\":16}");
+        assertThat(ChangeCoordinator.requiredPrecondition(required.toReply("chg-1", 17)))
+                .hasValue(16);
+        assertThat(ChangeCoordinator.requiredPrecondition(new ChangeResult.NotReady().toReply("chg-1", 17)))
+                .isEmpty();
+        assertThat(ChangeCoordinator.requiredPrecondition(Reply.of(ResultCode.BAD_PARAMS, null)))
+                .isEmpty();
+    }
+
     @Test
     void onlyRepliesWithAVoterRedirect() {
         assertThat(ChangeCoordinator.redirectAddress(new ChangeResult.Pending("10.1.0.13:7560").toReply("chg-1", 17)))
