An evacuation order that takes long is acknowledged on fleets with slow cores too: repeats join it under the same precondition

Edges sent their callers to a voter first, and a repeat at another node got a newer precondition and had to commit anew.

Cause: a commit that takes longer than one call of its caller was never the one that the next call could be acknowledged by.

Zone, order and precondition are the change's id, so two nodes' proposals are one change. A conflicting change after the precondition is looked for before that id.

--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeCoordinator.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -80,6 +81,9 @@
     /** The proposals whose outcome their attempts still wait for, in start order. */
     private final List<ChangeAttempt.Proposal> proposals = new ArrayList<>();
 
+    /** The callers that wait for each pending change that has a precondition, by change id. */
+    private final Map<String, List<CallerReply>> callersByChangeId = new HashMap<>();
+
     private int pendingChanges;
 
     /** Creates a coordinator with no pending changes. */
@@ -114,38 +118,79 @@
             final ChangeDraft draft,
             final ChangeDeadlines deadlines,
             final Consumer<Reply> callback) {
-        submit(changeId, OptionalLong.empty(), draft, deadlines, callback);
+        final CallerReply reply = new CallerReply(changeId, this::appliedVersion, callback);
+        scheduleEarlyReplies(deadlines, reply);
+        final long timeoutMillis = timeoutMillis(deadlines);
+        confirm(attempt(changeId, OptionalLong.empty(), draft, timeoutMillis, reply::send), timeoutMillis);
     }
 
-    private void submit(
+    /**
+     * Submits a change with a precondition. A caller that repeats a change which is still pending here waits for its result and
+     * doesn't start another attempt. The first caller is redirected if the change takes long, so that it waits once more.
+     */
+    private void submitUnderPrecondition(
             final String changeId,
-            final OptionalLong unchangedSince,
+            final long unchangedSince,
             final ChangeDraft draft,
             final ChangeDeadlines deadlines,
             final Consumer<Reply> callback) {
-        final long receivedMs = clock.nowMs();
-        final boolean overloaded = pendingChanges >= PENDING_CHANGES_MAX;
-        final long timeoutMillis = overloaded ? deadlines.replyAfterMillis() : deadlines.abandonAfterMillis();
         final CallerReply reply = new CallerReply(changeId, this::appliedVersion, callback);
-        if (deadlines.mayReplyEarly()) {
-            scheduleEarlyReplies(deadlines, reply);
+        scheduleReply(deadlines.replyAfterMillis(), reply);
+        final List<CallerReply> waiting = callersByChangeId.get(changeId);
+        if (waiting != null) {
+            waiting.add(reply);
+            return;
         }
+        clock.after(deadlines.redirectAfterMillis(), () -> reply.send(pending(OptionalLong.of(unchangedSince))));
+        callersByChangeId.put(changeId, new ArrayList<>(List.of(reply)));
+        final ChangeAttempt attempt = attempt(
+                changeId,
+                OptionalLong.of(unchangedSince),
+                draft,
+                timeoutMillis(deadlines),
+                result -> callersByChangeId.remove(changeId).forEach(caller -> caller.send(result)));
+        attempt.startConfirming();
+        proposeOrAwaitConfirmation(attempt);
+    }
+
+    /** Returns when a new change is abandoned, in milliseconds from now. */
+    private long timeoutMillis(final ChangeDeadlines deadlines) {
+        final boolean overloaded = pendingChanges >= PENDING_CHANGES_MAX;
+        return overloaded ? deadlines.replyAfterMillis() : deadlines.abandonAfterMillis();
+    }
+
+    private ChangeAttempt attempt(
+            final String changeId,
+            final OptionalLong unchangedSince,
+            final ChangeDraft draft,
+            final long timeoutMillis,
+            final Consumer<ChangeResult> onResult) {
         pendingChanges++;
-        final long deadlineMs = receivedMs + timeoutMillis;
-        confirm(
-                new ChangeAttempt(changeId, unchangedSince, draft, receivedMs, deadlineMs, (attempt, result) -> {
+        final long receivedMs = clock.nowMs();
+        return new ChangeAttempt(
+                changeId, unchangedSince, draft, receivedMs, receivedMs + timeoutMillis, (attempt, result) -> {
                     pendingChanges--;
                     log(attempt, result);
-                    reply.send(result);
-                }),
-                timeoutMillis);
+                    onResult.accept(result);
+                });
     }
 
     private void scheduleEarlyReplies(final ChangeDeadlines deadlines, final CallerReply reply) {
-        clock.after(
-                deadlines.redirectAfterMillis(),
-                () -> feedClient.nearestVoter().ifPresent(voter -> reply.send(new ChangeResult.Pending(voter))));
-        clock.after(deadlines.replyAfterMillis(), () -> reply.send(new ChangeResult.Pending("")));
+        if (deadlines.mayReplyEarly()) {
+            clock.after(
+                    deadlines.redirectAfterMillis(),
+                    () -> feedClient.nearestVoter().ifPresent(voter -> reply.send(pending(OptionalLong.empty()))));
+            scheduleReply(deadlines.replyAfterMillis(), reply);
+        }
+    }
+
+    private void scheduleReply(final long afterMillis, final CallerReply reply) {
+        clock.after(afterMillis, () -> reply.send(new ChangeResult.Pending("", OptionalLong.empty())));
+    }
+
+    /** Returns the result that redirects the caller to the nearest voter, or to this node if it is a voter. */
+    private ChangeResult pending(final OptionalLong unchangedSince) {
+        return new ChangeResult.Pending(feedClient.nearestVoter().orElse(""), unchangedSince);
     }
 
     private void log(final ChangeAttempt attempt, final ChangeResult result) {
@@ -167,14 +212,14 @@
      * and undone it since. Therefore it is applied only under a precondition: that no change which conflicts with it committed
      * after the version {@code unchangedSince}.
      *
-     * <p>A request without a precondition changes nothing. A voter's reply names the newest version, confirmed after the request
-     * arrived, as the precondition with which the caller repeats the request; another node redirects the caller to a voter. Only a
-     * caller that still waits can repeat the request, and whatever it orders after it stopped waiting commits after that version.
+     * <p>A request without a precondition changes nothing. Its reply names the newest version, confirmed after the request arrived, as
+     * the precondition under which the caller repeats the request. Only a caller that still waits can repeat the request, and
+     * whatever it orders after it stopped waiting commits after that version.
      *
      * <p>An acknowledged request is a change that committed after its precondition, even if the configuration already was as
      * requested. So it also takes precedence over a conflicting request that was submitted before it and is still in progress.
      *
-     * @param changeId a newly generated id that no other request has
+     * @param changeId an id that all requests for this change under this precondition have, and no others
      * @param unchangedSince the precondition, from the reply to the request without one; empty to ask for one
      */
     public void submitWithoutId(
@@ -184,7 +229,7 @@
             final ChangeDeadlines deadlines,
             final Consumer<Reply> callback) {
         if (unchangedSince.isPresent()) {
-            submit(changeId, unchangedSince, draft, deadlines, callback);
+            submitUnderPrecondition(changeId, unchangedSince.getAsLong(), draft, deadlines, callback);
         } else if (feedClient.isFresh()) {
             requirePrecondition(changeId, deadlines, callback);
         } else {
@@ -194,15 +239,11 @@
 
     private void requirePrecondition(
             final String changeId, final ChangeDeadlines deadlines, final Consumer<Reply> callback) {
-        final Consumer<ChangeResult> reply = result -> callback.accept(result.toReply(changeId, appliedVersion()));
-        final Optional<String> voter = feedClient.nearestVoter();
-        if (voter.isPresent()) {
-            reply.accept(new ChangeResult.Pending(voter.get()));
-            return;
-        }
+        final CallerReply reply = new CallerReply(changeId, this::appliedVersion, callback);
+        scheduleEarlyReplies(deadlines, reply);
         readNewest(
                 deadlines.replyAfterMillis(),
-                newest -> reply.accept(
+                newest -> reply.send(
                         newest.isPresent()
                                 ? new ChangeResult.PreconditionRequired(
                                         newest.get().version())
@@ -261,6 +302,10 @@
 
     private void confirm(final ChangeAttempt attempt, final long timeoutMillis) {
         attempt.startConfirming();
+        awaitConfirmation(attempt, timeoutMillis);
+    }
+
+    private void awaitConfirmation(final ChangeAttempt attempt, final long timeoutMillis) {
         feedClient.lease().awaitConfirmation(timeoutMillis, confirmed -> onConfirmation(attempt, confirmed));
     }
 
@@ -270,15 +315,19 @@
             return;
         }
         attempt.onConfirmed(clock.nowMs());
-        final Long committed = configurationStore.versionOf(attempt.changeId());
-        if (committed != null) {
-            attempt.complete(new ChangeResult.Committed(committed));
-            return;
-        }
         switch (relationSincePrecondition(attempt)) {
             case SAME -> attempt.complete(new ChangeResult.Committed(appliedVersion()));
             case CONFLICTING -> attempt.complete(new ChangeResult.PreconditionRequired(appliedVersion()));
-            case UNRELATED -> draftAndPropose(attempt);
+            case UNRELATED -> acknowledgeOrPropose(attempt);
+        }
+    }
+
+    private void acknowledgeOrPropose(final ChangeAttempt attempt) {
+        final Long committed = configurationStore.versionOf(attempt.changeId());
+        if (committed != null) {
+            attempt.complete(new ChangeResult.Committed(committed));
+        } else {
+            draftAndPropose(attempt);
         }
     }
 
@@ -302,17 +351,29 @@
         }
     }
 
-    /**
-     * Handles another change committing first. If the attempt still applies on top of that change, it is proposed immediately,
-     * because the proposal commits only if no newer version exists. Any other result requires a confirmed version: the version
-     * that superseded the attempt may not be the newest.
-     */
+    /** Handles another change committing first. */
     private void onSuperseded(final ChangeAttempt attempt) {
         final long remainingMs = attempt.remainingMs(clock.nowMs());
         if (remainingMs <= 0) {
             attempt.complete(attempt.timeoutResult());
-            return;
+        } else if (!proposeIfApplicable(attempt)) {
+            confirm(attempt, remainingMs);
         }
+    }
+
+    /** Starts an attempt with a precondition; the version that it names was confirmed before the caller sent the request. */
+    private void proposeOrAwaitConfirmation(final ChangeAttempt attempt) {
+        if (appliedVersion() < attempt.unchangedSince().orElseThrow() || !proposeIfApplicable(attempt)) {
+            awaitConfirmation(attempt, attempt.remainingMs(clock.nowMs()));
+        }
+    }
+
+    /**
+     * Proposes the attempt's change if it applies on top of the applied version, without a confirmation that this is the newest
+     * one, because the proposal commits only if no newer version exists. Any other result requires a confirmed version: the
+     * applied version may not be the newest.
+     */
+    private boolean proposeIfApplicable(final ChangeAttempt attempt) {
         if (isOfCurrentGeneration()
                 && configurationStore.versionOf(attempt.changeId()) == null
                 && relationSincePrecondition(attempt) == ChangeDraft.Relation.UNRELATED
@@ -320,10 +381,10 @@
             final ConfigurationChange change = change(attempt, write);
             if (validate(change).isEmpty()) {
                 propose(attempt, change);
-                return;
+                return true;
             }
         }
-        confirm(attempt, remainingMs);
+        return false;
     }
 
     /**
--- a/spokestall/src/main/java/spokestall/configuration/change/ChangeResult.java
+++ b/spokestall/src/main/java/spokestall/configuration/change/ChangeResult.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.OptionalLong;
 import spokestall.api.Reply;
 import spokestall.api.ResultCode;
 import spokestall.configuration.ConfigurationStore;
@@ -30,7 +31,7 @@
 
     /**
      * The request has no precondition, or one that doesn't hold: a conflicting change committed after the version that it names. The
-     * caller may repeat the request under this precondition.
+     * caller may immediately repeat the request under this precondition.
      *
      * @param unchangedSince the version after which no conflicting change may commit before the request does
      */
@@ -46,8 +47,9 @@
      * The change is still in progress here. The caller may repeat the request; if a voter is given, immediately and to that voter.
      *
      * @param voter the address of a voting core, or empty
+     * @param unchangedSince the precondition of a request without an id, under which the caller may repeat it immediately
      */
-    record Pending(String voter) implements ChangeResult {}
+    record Pending(String voter, OptionalLong unchangedSince) implements ChangeResult {}
 
     /**
      * Returns the reply to the operator. The field names are part of the API.
@@ -68,15 +70,23 @@
                     .forEach(error ->
                             list.addObject().put("pointer", error.pointer()).put("reason", error.reason()));
         }
-        if (this instanceof Pending pending && !pending.voter().isEmpty()) {
-            fields.put(VOTER_FIELD, pending.voter());
+        if (this instanceof Pending pending) {
+            putRepeat(fields, pending.voter(), pending.unchangedSince());
         }
         if (this instanceof PreconditionRequired required) {
-            fields.put(UNCHANGED_SINCE_FIELD, required.unchangedSince());
+            putRepeat(fields, "", OptionalLong.of(required.unchangedSince()));
         }
         return Reply.of(code(), fields);
     }
 
+    /** Adds the voter and the precondition, as far as there are any, with which the caller should repeat the request. */
+    private static void putRepeat(final ObjectNode fields, final String voter, final OptionalLong unchangedSince) {
+        if (!voter.isEmpty()) {
+            fields.put(VOTER_FIELD, voter);
+        }
+        unchangedSince.ifPresent(version -> fields.put(UNCHANGED_SINCE_FIELD, version));
+    }
+
     private ResultCode code() {
         if (this instanceof StaleBase) {
             return ResultCode.STALE_BASE;
