--- a/spokestall/src/main/java/spokestall/io/http/HttpCall.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpCall.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Executor;
-import java.util.function.LongSupplier;
 import spokestall.message.Header;
 
 /**
@@ -18,10 +16,7 @@
  * @param freshConnection whether to open a new connection even if an idle one could be reused
  * @param idempotent whether the request may be sent twice; others don't reuse a connection that has been idle for long, since the
  *     peer may have closed it
- * @param gateExecutor runs {@code sendDeadline}
- * @param sendDeadline returns the monotonic time in ms at which the request may no longer be sent. Called once the connection is
- *     open; the I/O thread compares the result with its clock again immediately before it sends the first bytes
- * @param onSent run on the I/O thread once the request's first bytes are on their way
+ * @param gate the condition under which the request may be sent
  */
 public record HttpCall(
         String address,
@@ -35,9 +30,7 @@
         int responseMaxBytes,
         boolean freshConnection,
         boolean idempotent,
-        Executor gateExecutor,
-        LongSupplier sendDeadline,
-        Runnable onSent) {
+        SendGate gate) {
     /** Any instance that has the address. */
     public static final String ANY_INSTANCE = "";
 
@@ -62,9 +55,7 @@
                 responseMaxBytes,
                 false,
                 true,
-                Runnable::run,
-                () -> Long.MAX_VALUE,
-                () -> {});
+                SendGate.OPEN);
     }
 
     static List<Header> list(final Map<String, String> headers) {
--- a/spokestall/src/main/java/spokestall/io/http/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpClient.java
@@ -12,6 +12,7 @@
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Set;
@@ -109,6 +110,8 @@
         private volatile ClientConnection connection;
         private volatile XnioExecutor.Key timer;
         private volatile XnioExecutor.Key connectTimer;
+        private volatile long connectStartedMs;
+        private volatile long connectMs;
 
         Exchange(final HttpCall call, final ResultHandler handler) {
             this.call = call;
@@ -130,6 +133,7 @@
         }
 
         private void connect(final XnioIoThread io) {
+            connectStartedMs = nowMs.getAsLong();
             if (call.connectTimeoutMs() < call.timeoutMillis()) {
                 connectTimer = io.executeAfter(
                         () -> {
@@ -146,6 +150,7 @@
                                 @Override
                                 public void completed(final ClientConnection made) {
                                     made.addCloseListener(closed -> idle.remove(peer, closed));
+                                    connectMs = nowMs.getAsLong() - connectStartedMs;
                                     onConnected(made);
                                 }
 
@@ -170,8 +175,8 @@
                 onClosedBeforeSend(opened);
                 return;
             }
-            call.gateExecutor().execute(() -> {
-                final long deadlineMs = call.sendDeadline().getAsLong();
+            call.gate().executor().execute(() -> {
+                final long deadlineMs = call.gate().deadline().getAsLong();
                 opened.getIoThread().execute(() -> send(opened, deadlineMs));
             });
         }
@@ -207,6 +212,7 @@
             if (!request.getRequestHeaders().contains(Headers.HOST)) {
                 request.getRequestHeaders().put(Headers.HOST, call.address());
             }
+            final long leftMs = deadlineMs - nowMs.getAsLong();
             if (nowMs.getAsLong() >= deadlineMs) {
                 idle.keep(peer, opened, idleTimeoutMs, nowMs.getAsLong());
                 end(new HttpResult.NotSent("barred"));
@@ -214,7 +220,12 @@
             }
             sent = true;
             opened.sendRequest(request, this);
-            call.onSent().run();
+            call.gate().onSent().accept(new Transmission(localAddress(opened), connectMs, leftMs));
+        }
+
+        private static String localAddress(final ClientConnection opened) {
+            final InetSocketAddress local = opened.getLocalAddress(InetSocketAddress.class);
+            return local == null ? "none" : local.getHostString() + ":" + local.getPort();
         }
 
         @Override
--- a/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
+++ b/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
@@ -1,6 +1,7 @@
 package spokestall.io.protocol;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +16,8 @@
 import spokestall.io.http.HttpCall;
 import spokestall.io.http.HttpClient;
 import spokestall.io.http.HttpResult;
+import spokestall.io.http.SendGate;
+import spokestall.io.http.Transmission;
 import spokestall.proxy.Attempt;
 import spokestall.proxy.AttemptHandle;
 import spokestall.proxy.AttemptResult;
@@ -30,6 +33,7 @@
  * {@link PlatformProtocol}. Callbacks run on the event loop.
  */
 public final class HttpUpstreamClient implements UpstreamClient, DiscoveryClient, UsageReportClient {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
     private static final int MAX_PAGES = 1000;
     private final HttpClient client;
@@ -74,9 +78,7 @@
                         attempt.responseMaxBytes(),
                         false,
                         attempt.idempotent(),
-                        eventLoop,
-                        sendDeadline,
-                        () -> eventLoop.execute(onSent)),
+                        new SendGate(eventLoop, sendDeadline, transmission -> eventLoop.execute(onSent))),
                 result -> {
                     final AttemptResult attemptResult = interpret(attempt, result);
                     eventLoop.execute(() -> done.accept(attemptResult));
@@ -119,9 +121,7 @@
                         MAX_RESPONSE_BYTES,
                         freshConnection,
                         true,
-                        Runnable::run,
-                        () -> Long.MAX_VALUE,
-                        () -> {}),
+                        SendGate.OPEN),
                 result -> {
                     JsonNode parsed = null;
                     if (result instanceof HttpResult.Complete response && response.status() == 200) {
@@ -194,12 +194,42 @@
                         MAX_RESPONSE_BYTES,
                         true,
                         false,
-                        eventLoop,
-                        deadline::latestMs,
-                        () -> {}),
+                        new SendGate(
+                                eventLoop,
+                                deadline::latestMs,
+                                transmission -> logSent(holder, token, sealed, transmission))),
                 result -> {
+                    logEnded(holder, token, sealed, result);
                     final boolean ok = result instanceof HttpResult.Complete response && response.status() / 100 == 2;
                     eventLoop.execute(() -> callback.onResult(ok ? ReportResult.ACCEPTED : ReportResult.UNCONFIRMED));
                 });
     }
+
+    private static void logSent(
+            final String holder, final long token, final SealedWindow sealed, final Transmission transmission) {
+        LOG.atInfo().log(
+                "event=report_sent node=%s fencingToken=%s window=%s connection=%s connectMs=%s leftMs=%s",
+                holder,
+                token,
+                sealed.window(),
+                transmission.localAddress(),
+                transmission.connectMs(),
+                transmission.leftMs());
+    }
+
+    private static void logEnded(
+            final String holder, final long token, final SealedWindow sealed, final HttpResult result) {
+        LOG.atInfo().log(
+                "event=report_call_ended node=%s fencingToken=%s window=%s reason=%s",
+                holder, token, sealed.window(), reason(result));
+    }
+
+    private static String reason(final HttpResult result) {
+        if (result instanceof HttpResult.Complete response) {
+            return "status_" + response.status();
+        }
+        return result instanceof HttpResult.Lost lost
+                ? "lost:" + lost.reason().replace(' ', '_')
+                : "not_sent:" + ((HttpResult.NotSent) result).reason().replace(' ', '_');
+    }
 }
--- a/spokestall/src/test/java/spokestall/io/http/HttpClientTest.java
+++ b/spokestall/src/test/java/spokestall/io/http/HttpClientTest.java
@@ -103,9 +103,7 @@
                         1024,
                         false,
                         false,
-                        gate,
-                        () -> Long.MAX_VALUE,
-                        () -> {}),
+                        new SendGate(gate, () -> Long.MAX_VALUE, transmission -> {})),
                 result -> {
                     results.add(result);
                     return own.test(result);
--- a/spokestall/src/test/java/spokestall/io/http/IdleConnectionTest.java
+++ b/spokestall/src/test/java/spokestall/io/http/IdleConnectionTest.java
@@ -105,9 +105,7 @@
                 1 << 10,
                 false,
                 repeatable,
-                Runnable::run,
-                () -> Long.MAX_VALUE,
-                () -> {});
+                SendGate.OPEN);
         client.call(call, result -> {
             assertThat(result).isInstanceOf(HttpResult.Complete.class);
             // The client keeps the connection in a task that it queues after this callback, so the latch is released
