An exchange that timed out, failed or was cancelled resets its connection

Callers saw: HttpClient closed such a connection with Undertow's close, which waits for the peer. The socket stayed established for 10 s (the server's read in HttpClientTest returned its end after 10.1 s), and whatever the kernel had not delivered went on being sent: a usage report, or a request at an upstream, whose sender had given it up could still arrive. Cause: no call of ours reset a connection; Undertow's close is a graceful one, and an ordinary close of the socket keeps unsent bytes too. Mend: ConnectionReset sets CLOSE_ABORT (SO_LINGER 0) and closes the connection below Undertow's.

--- a/spokestall/src/main/java/spokestall/io/http/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpClient.java
@@ -34,7 +34,7 @@
 
 /**
  * An HTTP client for upstreams, the platform and other nodes, on Undertow's client. A connection carries one exchange at a time. After a
- * timeout, an error or an invalid response the connection is closed and never reused. Thread-safe.
+ * timeout, a cancellation, an error or an invalid response the connection is reset. Thread-safe.
  */
 public final class HttpClient {
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
@@ -361,7 +361,7 @@
             }
             end(sent ? new HttpResult.Lost(reason) : new HttpResult.NotSent(reason));
             if (connection != null) {
-                IoUtils.safeClose(connection);
+                ConnectionReset.reset(connection);
             }
         }
 
