A usage report does not outlive the session under which it was sent, not in its sender's kernel either

The holder whose report came late had ended its session (renewal_failed, calls_in_flight); its machine's calls to the platform failed at their time-outs. Cause: the send deadline is looked at before the bytes are handed over. From then on only the call's own time-out ended it, by a graceful close, and the kernel goes on sending what was written: while the call lasts, after the close, and after the process's end, killed or not. A lossy or cut link makes it arrive seconds later, when the lease has expired and another core has reported. Mend: a gate may end its call. The connection of a report is opened with SO_LINGER 0, so that the kernel discards what is unsent at the process's end too; the call ends by a reset at the session's deadline at the latest, which lies two safety margins before a rival may acquire; and nothing is sent if less time is left than the connection took to open, since a link that slow may carry the report for as long. A write that comes after the deadline (a pause between head and body) is not made. No wait of a rival is changed. HttpClientTest has both parts (the reset at the deadline, the slow connection); they need the new gate, so they did not exist before.

--- a/spokestall/src/main/java/spokestall/io/http/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpClient.java
@@ -110,8 +110,10 @@
         private volatile ClientConnection connection;
         private volatile XnioExecutor.Key timer;
         private volatile XnioExecutor.Key connectTimer;
+        private volatile XnioExecutor.Key deadlineTimer;
         private volatile long connectStartedMs;
         private volatile long connectMs;
+        private volatile long deadlineMs = Long.MAX_VALUE;
 
         Exchange(final HttpCall call, final ResultHandler handler) {
             this.call = call;
@@ -162,7 +164,11 @@
                             URI.create("http://" + call.address()),
                             io,
                             pool,
-                            OptionMap.create(Options.TCP_NODELAY, true));
+                            OptionMap.create(
+                                    Options.TCP_NODELAY,
+                                    true,
+                                    Options.CLOSE_ABORT,
+                                    call.gate().endsCall()));
         }
 
         private void onConnected(final ClientConnection opened) {
@@ -176,8 +182,8 @@
                 return;
             }
             call.gate().executor().execute(() -> {
-                final long deadlineMs = call.gate().deadline().getAsLong();
-                opened.getIoThread().execute(() -> send(opened, deadlineMs));
+                deadlineMs = call.gate().deadline().getAsLong();
+                opened.getIoThread().execute(() -> send(opened));
             });
         }
 
@@ -195,7 +201,7 @@
             }
         }
 
-        private void send(final ClientConnection opened, final long deadlineMs) {
+        private void send(final ClientConnection opened) {
             if (ended.get()) {
                 return;
             }
@@ -212,15 +218,18 @@
             if (!request.getRequestHeaders().contains(Headers.HOST)) {
                 request.getRequestHeaders().put(Headers.HOST, call.address());
             }
-            final long leftMs = deadlineMs - nowMs.getAsLong();
-            if (nowMs.getAsLong() >= deadlineMs) {
-                idle.keep(peer, opened, idleTimeoutMs, nowMs.getAsLong());
+            final long sendMs = nowMs.getAsLong();
+            if (sendMs >= deadlineMs || call.gate().endsCall() && deadlineMs - sendMs <= connectMs) {
+                idle.keep(peer, opened, idleTimeoutMs, sendMs);
                 end(new HttpResult.NotSent("barred"));
                 return;
             }
+            if (call.gate().endsCall()) {
+                deadlineTimer = io.executeAfter(() -> fail("deadline"), deadlineMs - sendMs, TimeUnit.MILLISECONDS);
+            }
             sent = true;
             opened.sendRequest(request, this);
-            call.gate().onSent().accept(new Transmission(localAddress(opened), connectMs, leftMs));
+            call.gate().onSent().accept(new Transmission(localAddress(opened), connectMs, deadlineMs - sendMs));
         }
 
         private static String localAddress(final ClientConnection opened) {
@@ -241,6 +250,10 @@
                     fail("response: " + e.getMessage());
                 }
             });
+            if (call.gate().endsCall() && nowMs.getAsLong() >= deadlineMs) {
+                fail("deadline");
+                return;
+            }
             if (call.body().length > 0) {
                 write(exchange.getRequestChannel(), ByteBuffer.wrap(call.body()));
             }
@@ -376,6 +389,9 @@
             if (connectTimer != null) {
                 connectTimer.remove();
             }
+            if (deadlineTimer != null) {
+                deadlineTimer.remove();
+            }
             return handler.onResult(result);
         }
     }
--- a/spokestall/src/main/java/spokestall/io/http/SendGate.java
+++ b/spokestall/src/main/java/spokestall/io/http/SendGate.java
@@ -10,9 +10,12 @@
  * @param executor runs {@code deadline}
  * @param deadline returns the monotonic time in ms at which the request may no longer be sent. Called once the connection is open;
  *     the I/O thread compares the result with its clock again immediately before it sends the first bytes
+ * @param endsCall whether the request may no longer arrive after the deadline either. Then the call ends at the deadline by a reset
+ *     of its connection, as it does at the process's end, so that the kernel doesn't send the request again; and a request isn't sent
+ *     if less time is left than its connection took to open
  * @param onSent called on the I/O thread once the request's first bytes are on their way
  */
-public record SendGate(Executor executor, LongSupplier deadline, Consumer<Transmission> onSent) {
+public record SendGate(Executor executor, LongSupplier deadline, boolean endsCall, Consumer<Transmission> onSent) {
     /** Lets every request pass. */
-    public static final SendGate OPEN = new SendGate(Runnable::run, () -> Long.MAX_VALUE, transmission -> {});
+    public static final SendGate OPEN = new SendGate(Runnable::run, () -> Long.MAX_VALUE, false, transmission -> {});
 }
--- a/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
+++ b/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
@@ -78,7 +78,7 @@
                         attempt.responseMaxBytes(),
                         false,
                         attempt.idempotent(),
-                        new SendGate(eventLoop, sendDeadline, transmission -> eventLoop.execute(onSent))),
+                        new SendGate(eventLoop, sendDeadline, false, transmission -> eventLoop.execute(onSent))),
                 result -> {
                     final AttemptResult attemptResult = interpret(attempt, result);
                     eventLoop.execute(() -> done.accept(attemptResult));
@@ -197,6 +197,7 @@
                         new SendGate(
                                 eventLoop,
                                 deadline::latestMs,
+                                true,
                                 transmission -> logSent(holder, token, sealed, transmission))),
                 result -> {
                     logEnded(holder, token, sealed, result);
--- a/spokestall/src/test/java/spokestall/io/http/HttpClientTest.java
+++ b/spokestall/src/test/java/spokestall/io/http/HttpClientTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
@@ -33,6 +34,7 @@
 class HttpClientTest {
     private static final int WAIT_MS = 10_000;
     private static final int SHORT_MS = 100;
+    private static final int SLOW_MS = 1000;
     private static final String NAME = "X-Request";
     private XnioWorker worker;
     private HttpClient client;
@@ -110,7 +112,13 @@
 
     private BlockingQueue<HttpResult> call(
             final String name, final String instance, final byte[] body, final Executor gate) {
-        return call(name, instance, body, WAIT_MS, new SendGate(gate, () -> Long.MAX_VALUE, transmission -> {}), null);
+        return call(
+                name,
+                instance,
+                body,
+                WAIT_MS,
+                new SendGate(gate, () -> Long.MAX_VALUE, false, transmission -> {}),
+                null);
     }
 
     private BlockingQueue<HttpResult> call(
@@ -323,4 +331,30 @@
             awaitReset(socket);
         }
     }
+
+    @Test
+    void aCallThatMayNotOutliveItsDeadlineIsResetThere() throws Exception {
+        final long deadlineMs = System.nanoTime() / 1_000_000 + SHORT_MS;
+        final SendGate gate = new SendGate(Runnable::run, () -> deadlineMs, true, transmission -> {});
+        final BlockingQueue<HttpResult> results = call("first", "i-1", new byte[1], WAIT_MS, gate, null);
+        try (Socket socket = accept()) {
+            assertThat(request(socket)).isEqualTo("first");
+            assertThat(await(results)).isEqualTo(new HttpResult.Lost("deadline"));
+            assertThat(socket.getInputStream().readNBytes(1)).as("the body").hasSize(1);
+            awaitReset(socket);
+        }
+    }
+
+    @Test
+    void aCallWithLessTimeThanItsConnectionTookToOpenIsNotSent() throws Exception {
+        final AtomicLong nowMs = new AtomicLong();
+        // Each reading of the clock is as late as if a round trip on a slow link lay in between.
+        client = new HttpClient(
+                worker, new DefaultByteBufferPool(false, 16 << 10), 60_000, () -> nowMs.addAndGet(SLOW_MS));
+        final SendGate gate = new SendGate(Runnable::run, () -> nowMs.get() + 2 * SLOW_MS, true, transmission -> {});
+        final BlockingQueue<HttpResult> results = call("first", "i-1", new byte[1], WAIT_MS, gate, null);
+        try (Socket socket = accept()) {
+            assertThat(await(results)).isEqualTo(new HttpResult.NotSent("barred"));
+        }
+    }
 }
