--- a/test-support/src/main/java/spokestall/testsupport/KnownFailures.java
+++ b/test-support/src/main/java/spokestall/testsupport/KnownFailures.java
@@ -13,7 +13,7 @@
  * The list of tests that fail because of a real fault that is not fixed yet: KNOWN-RED.txt in the root of the repository.
  *
  * <p>Each line has the form {@code <test class> <subject>: <cause>; issue <number>}. The subject is the name of a test method; a test that
- * judges many runs defines a format of its own. At most {@value #MAX_ENTRIES} lines.
+ * judges many runs defines a format of its own.
  *
  * <p>Immutable.
  */
@@ -33,9 +33,6 @@
         }
     }
 
-    /** The maximum number of listed tests. */
-    public static final int MAX_ENTRIES = 3;
-
     /** The system property with the absolute path of the file; set by the build. */
     private static final String FILE_PROPERTY = "spokestall.knownRed";
 
@@ -64,18 +61,13 @@
     /**
      * Parses the file's lines and skips blank ones.
      *
-     * @throws IllegalArgumentException if a line is malformed or there are too many lines
+     * @throws IllegalArgumentException if a line is malformed
      */
     static KnownFailures parse(final List<String> lines) {
-        final List<Entry> entries = lines.stream()
+        return new KnownFailures(lines.stream()
                 .filter(line -> !line.isBlank())
                 .map(KnownFailures::parseLine)
-                .toList();
-        if (entries.size() > MAX_ENTRIES) {
-            throw new IllegalArgumentException(
-                    "KNOWN-RED.txt has " + entries.size() + " lines; at most " + MAX_ENTRIES + " are allowed");
-        }
-        return new KnownFailures(entries);
+                .toList());
     }
 
     private static Entry parseLine(final String line) {
