Documents are nested at most 64 deep, checked before they are worked on

Jackson's own bound is 1,000, more than recursive code over a document (merge patch, schema validation) can take on the deploy file's stack of 512 KB. BoundedJsonTest failed before: a document of 65 levels was read.

--- /dev/null
+++ b/spokestall/src/main/java/spokestall/configuration/BoundedJson.java
@@ -0,0 +1,22 @@
+package spokestall.configuration;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** Reads JSON documents from operators, peers and the platform, within bounds that hold before a document is worked on. */
+final class BoundedJson {
+    /** The deepest nesting; code that recurses over a document stays within the smallest thread stack that nodes are run with. */
+    static final int MAX_DEPTH = 64;
+
+    private BoundedJson() {}
+
+    /** Returns a mapper that rejects deeper documents. */
+    static ObjectMapper mapper() {
+        final StreamReadConstraints constraints =
+                StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build();
+        final JsonFactory factory =
+                JsonFactory.builder().streamReadConstraints(constraints).build();
+        return new ObjectMapper(factory);
+    }
+}
--- a/spokestall/src/main/java/spokestall/configuration/ConfigurationStore.java
+++ b/spokestall/src/main/java/spokestall/configuration/ConfigurationStore.java
@@ -15,7 +15,7 @@
  */
 public final class ConfigurationStore {
     /** The shared JSON reader and writer. Thread-safe. */
-    public static final ObjectMapper JSON = new ObjectMapper();
+    public static final ObjectMapper JSON = BoundedJson.mapper();
 
     private static final long RETAINED_BYTES_MAX = 2 << 20;
     /** The maximum number of changes in a response. A client that lacks more is sent a snapshot, which costs less. */
--- /dev/null
+++ b/spokestall/src/test/java/spokestall/configuration/BoundedJsonTest.java
@@ -0,0 +1,24 @@
+package spokestall.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class BoundedJsonTest {
+    private static byte[] nested(final int depth) {
+        return ("{\"a\":".repeat(depth) + "1" + "}".repeat(depth)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void aDocumentNestedTooDeeplyIsRejectedBeforeItIsWorkedOn() throws Exception {
+        assertThat(ConfigurationStore.JSON
+                        .readTree(nested(BoundedJson.MAX_DEPTH))
+                        .has("a"))
+                .isTrue();
+        assertThatThrownBy(() -> ConfigurationStore.JSON.readTree(nested(BoundedJson.MAX_DEPTH + 1)))
+                .isInstanceOf(JsonProcessingException.class);
+    }
+}
