An event that overflows its stack doesn't end its event loop

A StackOverflowError left the count of queued events as it was, so no turn was ever started again, and the process ran on and answered nobody. It is caught like an exception: the stack is unwound, and only the event is lost. EventLoopTest's new test failed before: the event after it did not run.

--- a/spokestall/src/main/java/spokestall/io/EventLoop.java
+++ b/spokestall/src/main/java/spokestall/io/EventLoop.java
@@ -10,8 +10,8 @@
  * is confined to it and needs no locks.
  *
  * <p>Events from outside are offered, and rejected while the queue is full. Completions of the loop's own work (a timer, a sync, a
- * response) are executed without a bound: their number was bounded when that work began. An event that throws is logged, and the
- * loop continues with the next one.
+ * response) are executed without a bound: their number was bounded when that work began. An event that throws, or that overflows its
+ * stack, is logged, and the loop continues with the next one.
  *
  * <p>Thread-safe.
  */
@@ -58,7 +58,7 @@
             }
             try {
                 event.run();
-            } catch (final RuntimeException | AssertionError e) {
+            } catch (final RuntimeException | AssertionError | StackOverflowError e) {
                 LOG.atSevere().withCause(e).log("event=fault message=\"%s\"", e.getMessage());
             }
             done++;
--- a/spokestall/src/test/java/spokestall/io/EventLoopTest.java
+++ b/spokestall/src/test/java/spokestall/io/EventLoopTest.java
@@ -57,4 +57,14 @@
         runTurns();
         assertThat(ran).containsExactly(1);
     }
+
+    @Test
+    void continuesAfterAnEventThatOverflowsItsStack() {
+        loop.execute(() -> {
+            throw new StackOverflowError("thrown by a test");
+        });
+        loop.execute(() -> ran.add(1));
+        runTurns();
+        assertThat(ran).containsExactly(1);
+    }
 }
