--- a/spokestall/src/test/java/spokestall/configuration/BoundedJsonTest.java
+++ b/spokestall/src/test/java/spokestall/configuration/BoundedJsonTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class BoundedJsonTest {
@@ -21,4 +22,16 @@
         assertThatThrownBy(() -> ConfigurationStore.JSON.readTree(nested(BoundedJson.MAX_DEPTH + 1)))
                 .isInstanceOf(JsonProcessingException.class);
     }
+
+    @Test
+    void bytesBehindADocumentAreNotDropped() throws Exception {
+        assertThat(ConfigurationStore.JSON.readTree("{} \n".getBytes(StandardCharsets.UTF_8)))
+                .isEmpty();
+        for (final String trailing : List.of("}", " trailing", "{\"configVersion\":99", "\0\0")) {
+            assertThatThrownBy(
+                            () -> ConfigurationStore.JSON.readTree(("{}" + trailing).getBytes(StandardCharsets.UTF_8)))
+                    .as(trailing)
+                    .isInstanceOf(JsonProcessingException.class);
+        }
+    }
 }
