--- a/spokestall/src/test/java/spokestall/configuration/BoundedJsonTest.java
+++ b/spokestall/src/test/java/spokestall/configuration/BoundedJsonTest.java
@@ -27,7 +27,7 @@
     void bytesBehindADocumentAreNotDropped() throws Exception {
         assertThat(ConfigurationStore.JSON.readTree("{} \n".getBytes(StandardCharsets.UTF_8)))
                 .isEmpty();
-        for (final String trailing : List.of("}", " trailing", "{\"configVersion\":99", "\0\0")) {
+        for (final String trailing : List.of("}", " trailing", "{\"version\":99", "\0\0")) {
             assertThatThrownBy(
                             () -> ConfigurationStore.JSON.readTree(("{}" + trailing).getBytes(StandardCharsets.UTF_8)))
                     .as(trailing)
