--- a/spokestall/src/main/java/spokestall/io/http/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpClient.java
@@ -12,7 +12,6 @@
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Set;
@@ -229,12 +228,7 @@
             }
             sent = true;
             opened.sendRequest(request, this);
-            call.gate().onSent().accept(new Transmission(localAddress(opened), connectMs, deadlineMs - sendMs));
-        }
-
-        private static String localAddress(final ClientConnection opened) {
-            final InetSocketAddress local = opened.getLocalAddress(InetSocketAddress.class);
-            return local == null ? "none" : local.getHostString() + ":" + local.getPort();
+            call.gate().onSent().accept(new Transmission(opened, connectMs, deadlineMs - sendMs));
         }
 
         @Override
