--- a/review/stand-2/Stand.java
+++ b/review/stand-2/Stand.java
@@ -28,7 +28,7 @@
  * A small deployment on loopback addresses: nodes started with the deploy file's command, and stand-ins for the platform, the
  * upstreams, the operator and clients. All of them follow the users' pages. Everything that is seen goes to the record.
  */
-final class Stand implements AutoCloseable {
+class Stand implements AutoCloseable {
     static final String HOST = "gate.example";
     static final String[][] ZONES = {
         {"dhk-motijheel", "dhaka"}, {"kol-saltlake", "kolkata"}, {"ctg-agrabad", "chattogram"},
@@ -50,6 +50,9 @@
     record Arrival(
             long atMs, String service, String method, String target, Map<String, String> headers, byte[] body, String note) {}
 
+    /** A usage report that the platform received. */
+    record UsageCall(long atMs, String holder, long fence, String body) {}
+
     final Path root = Path.of("").toAbsolutePath();
     final Path folder;
     final PrintWriter record;
@@ -59,7 +62,7 @@
     final List<Node> nodes = new ArrayList<>();
     final List<Upstream> upstreams = new ArrayList<>();
     final List<Arrival> arrivals = new ArrayList<>();
-    final List<String> usage = new ArrayList<>();
+    final List<UsageCall> usage = new ArrayList<>();
     final AtomicLong ids = new AtomicLong(new Random().nextInt(1 << 30));
     private final ServerSocket platform;
 
@@ -200,8 +203,11 @@
             String answer = "";
             if (head.get(0).startsWith("POST /usage")) {
                 synchronized (this) {
-                    usage.add(headers.get("spokestall-duty-holder") + " " + headers.get("spokestall-fence-token") + " "
-                            + new String(body, StandardCharsets.UTF_8));
+                    usage.add(new UsageCall(
+                            nowMs(),
+                            headers.get("spokestall-duty-holder"),
+                            Long.parseLong(headers.get("spokestall-fence-token")),
+                            new String(body, StandardCharsets.UTF_8)));
                     note("platform: usage from %s fence %s %s", headers.get("spokestall-duty-holder"),
                             headers.get("spokestall-fence-token"), new String(body, StandardCharsets.UTF_8));
                 }
@@ -320,6 +326,8 @@
         final String zone;
         final String region;
         final boolean core;
+        /** The address at which the node reaches the platform. */
+        String platformAddress = net + ".200:" + port;
         Process process;
 
         Node(final int number, final int zone, final boolean core) {
@@ -388,7 +396,7 @@
                         warmupOverage: 1.5, warmupSlack: 5, evacuateMs: 5000, recoveryS: 15, ttl_max_s: 5}
                     """.formatted(name, ip, zone, region, core, bootstrap, core ? "dataPath: \"" + data + "\"" : "",
                     frontend(), readiness(), control(), directory(), port + 5, port + 5, seeds, zones,
-                    net + ".200:" + port));
+                    platformAddress));
         }
 
         void start() throws IOException {
@@ -424,6 +432,9 @@
         }
     }
 
+    /** Called for each node before its settings are written. */
+    void beforeStart(final Node node) throws IOException {}
+
     /** Starts six nodes with disks and some without, and sends the first configuration until it is taken. */
     boolean start(final int edges, final String configuration) throws IOException {
         for (int i = 0; i < 6; i++) {
@@ -433,6 +444,7 @@
             nodes.add(new Node(i + 7, i, false));
         }
         for (final Node node : nodes) {
+            beforeStart(node);
             node.writeSettings(true);
             node.start();
         }
