--- a/spokestall/src/main/java/spokestall/io/http/HttpCall.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpCall.java
@@ -34,6 +34,13 @@
     /** Any instance that has the address. */
     public static final String ANY_INSTANCE = "";
 
+    /** Checks that a request that is held back has a byte to hold back, and one to send first. */
+    public HttpCall {
+        if (gate.onHeld().isPresent() && body.length < 2) {
+            throw new IllegalArgumentException("expected a body of two bytes or more, found " + body.length);
+        }
+    }
+
     /** Creates an idempotent call to any instance, without a deadline for sending. */
     public static HttpCall withoutGate(
             final String address,
--- a/spokestall/src/main/java/spokestall/io/http/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpClient.java
@@ -97,7 +97,7 @@
     }
 
     /** One exchange, from taking or opening a connection to its result. */
-    private final class Exchange implements ClientCallback<ClientExchange> {
+    private final class Exchange implements ClientCallback<ClientExchange>, HeldRequest {
         private final HttpCall call;
         private final ResultHandler handler;
         private final IdleConnectionPool.Peer peer;
@@ -107,6 +107,7 @@
         private volatile boolean sent;
         private volatile boolean reused;
         private volatile ClientConnection connection;
+        private volatile StreamSinkChannel requestChannel;
         private volatile XnioExecutor.Key timer;
         private volatile XnioExecutor.Key connectTimer;
         private volatile XnioExecutor.Key deadlineTimer;
@@ -124,7 +125,7 @@
             final ClientConnection kept =
                     call.freshConnection() ? null : idle.take(peer, call.idempotent(), nowMs.getAsLong());
             io = kept != null ? kept.getIoThread() : worker.getIoThread();
-            timer = io.executeAfter(() -> fail("timeout"), Math.max(1, call.timeoutMillis()), TimeUnit.MILLISECONDS);
+            startTimer();
             if (kept != null) {
                 reused = true;
                 io.execute(() -> onConnected(kept));
@@ -133,6 +134,10 @@
             }
         }
 
+        private void startTimer() {
+            timer = io.executeAfter(() -> fail("timeout"), Math.max(1, call.timeoutMillis()), TimeUnit.MILLISECONDS);
+        }
+
         private void connect(final XnioIoThread io) {
             connectStartedMs = nowMs.getAsLong();
             if (call.connectTimeoutMs() < call.timeoutMillis()) {
@@ -218,17 +223,32 @@
                 request.getRequestHeaders().put(Headers.HOST, call.address());
             }
             final long sendMs = nowMs.getAsLong();
-            if (sendMs >= deadlineMs || call.gate().endsCall() && deadlineMs - sendMs <= connectMs) {
+            if (isBarred(sendMs)) {
                 idle.keep(peer, opened, idleTimeoutMs, sendMs);
                 end(new HttpResult.NotSent("barred"));
                 return;
             }
+            startDeadlineTimer(sendMs);
+            final boolean held = call.gate().onHeld().isPresent();
+            sent = !held;
+            opened.sendRequest(request, this);
+            if (!held) {
+                notifySent(sendMs);
+            }
+        }
+
+        private boolean isBarred(final long sendMs) {
+            return sendMs >= deadlineMs || call.gate().endsCall() && deadlineMs - sendMs <= connectMs;
+        }
+
+        private void startDeadlineTimer(final long sendMs) {
             if (call.gate().endsCall()) {
                 deadlineTimer = io.executeAfter(() -> fail("deadline"), deadlineMs - sendMs, TimeUnit.MILLISECONDS);
             }
-            sent = true;
-            opened.sendRequest(request, this);
-            call.gate().onSent().accept(new Transmission(opened, connectMs, deadlineMs - sendMs));
+        }
+
+        private void notifySent(final long sendMs) {
+            call.gate().onSent().accept(new Transmission(connection, connectMs, deadlineMs - sendMs));
         }
 
         @Override
@@ -248,31 +268,80 @@
                 fail("deadline");
                 return;
             }
-            if (call.body().length > 0) {
-                write(exchange.getRequestChannel(), ByteBuffer.wrap(call.body()));
+            requestChannel = exchange.getRequestChannel();
+            if (call.gate().onHeld().isPresent()) {
+                final int firstLength = call.body().length - 1;
+                write(requestChannel, ByteBuffer.wrap(call.body(), 0, firstLength), this::onHeld);
+            } else if (call.body().length > 0) {
+                write(requestChannel, ByteBuffer.wrap(call.body()), this::endRequest);
             }
         }
 
+        private void onHeld() {
+            requestChannel.suspendWrites();
+            call.gate()
+                    .executor()
+                    .execute(() -> call.gate().onHeld().orElseThrow().accept(this));
+        }
+
+        @Override
+        public void release() {
+            final long latestMs = call.gate().deadline().getAsLong();
+            io.execute(() -> sendLastByte(latestMs));
+        }
+
+        @Override
+        public void abandon() {
+            io.execute(() -> fail("abandoned"));
+        }
+
+        private void sendLastByte(final long latestMs) {
+            if (ended.get()) {
+                return;
+            }
+            removeTimers();
+            deadlineMs = latestMs;
+            final long sendMs = nowMs.getAsLong();
+            if (isBarred(sendMs)) {
+                fail("barred");
+                return;
+            }
+            startTimer();
+            startDeadlineTimer(sendMs);
+            sent = true;
+            write(requestChannel, ByteBuffer.wrap(call.body(), call.body().length - 1, 1), this::endRequest);
+            notifySent(sendMs);
+        }
+
         @Override
         public void failed(final IOException e) {
             fail("send: " + e.getMessage());
         }
 
-        private void write(final StreamSinkChannel channel, final ByteBuffer left) {
+        private void write(final StreamSinkChannel channel, final ByteBuffer left, final Runnable onWritten) {
             try {
                 while (left.hasRemaining()) {
                     if (channel.write(left) == 0) {
-                        channel.getWriteSetter().set(c -> write(channel, left));
+                        channel.getWriteSetter().set(c -> write(channel, left, onWritten));
                         channel.resumeWrites();
                         return;
                     }
                 }
-                channel.shutdownWrites();
-                if (!channel.flush()) {
-                    channel.getWriteSetter().set(c -> flush(channel));
-                    channel.resumeWrites();
+            } catch (final IOException e) {
+                fail("body: " + e.getMessage());
+                return;
+            }
+            onWritten.run();
+        }
+
+        private void endRequest() {
+            try {
+                requestChannel.shutdownWrites();
+                if (!requestChannel.flush()) {
+                    requestChannel.getWriteSetter().set(c -> flush(requestChannel));
+                    requestChannel.resumeWrites();
                 } else {
-                    channel.suspendWrites();
+                    requestChannel.suspendWrites();
                 }
             } catch (final IOException e) {
                 fail("body: " + e.getMessage());
@@ -377,16 +446,20 @@
             if (!ended.compareAndSet(false, true)) {
                 return false;
             }
-            if (timer != null) {
-                timer.remove();
-            }
+            removeTimers();
             if (connectTimer != null) {
                 connectTimer.remove();
             }
+            return handler.onResult(result);
+        }
+
+        private void removeTimers() {
+            if (timer != null) {
+                timer.remove();
+            }
             if (deadlineTimer != null) {
                 deadlineTimer.remove();
             }
-            return handler.onResult(result);
         }
     }
 }
--- a/spokestall/src/main/java/spokestall/io/http/SendGate.java
+++ b/spokestall/src/main/java/spokestall/io/http/SendGate.java
@@ -1,5 +1,6 @@
 package spokestall.io.http;
 
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -13,9 +14,26 @@
  * @param endsCall whether the request may no longer arrive after the deadline either. Then the call ends at the deadline by a reset
  *     of its connection, as it does at the process's end, so that the kernel doesn't send the request again; and a request isn't sent
  *     if less time is left than its connection took to open
- * @param onSent called on the I/O thread once the request's first bytes are on their way
+ * @param onSent called on the I/O thread once the request's first bytes are on their way; of a request that is held, once its last byte
+ *     is
+ * @param onHeld if present, the request is sent but for its last byte, and handed to this on {@code executor}, to be released or
+ *     abandoned. Until its release a request counts as not sent. Its body must have two bytes or more
  */
-public record SendGate(Executor executor, LongSupplier deadline, boolean endsCall, Consumer<Transmission> onSent) {
+public record SendGate(
+        Executor executor,
+        LongSupplier deadline,
+        boolean endsCall,
+        Consumer<Transmission> onSent,
+        Optional<Consumer<HeldRequest>> onHeld) {
     /** Lets every request pass. */
     public static final SendGate OPEN = new SendGate(Runnable::run, () -> Long.MAX_VALUE, false, transmission -> {});
+
+    /** Creates a gate for requests that are sent in one go. */
+    public SendGate(
+            final Executor executor,
+            final LongSupplier deadline,
+            final boolean endsCall,
+            final Consumer<Transmission> onSent) {
+        this(executor, deadline, endsCall, onSent, Optional.empty());
+    }
 }
--- a/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
+++ b/spokestall/src/main/java/spokestall/io/protocol/HttpUpstreamClient.java
@@ -1,7 +1,6 @@
 package spokestall.io.protocol;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,14 +16,13 @@
 import spokestall.io.http.HttpClient;
 import spokestall.io.http.HttpResult;
 import spokestall.io.http.SendGate;
-import spokestall.io.http.Transmission;
 import spokestall.proxy.Attempt;
 import spokestall.proxy.AttemptHandle;
 import spokestall.proxy.AttemptResult;
 import spokestall.proxy.UpstreamClient;
+import spokestall.usage.ReportCall;
 import spokestall.usage.ReportCallback;
-import spokestall.usage.ReportResult;
-import spokestall.usage.SealedWindow;
+import spokestall.usage.ReportPermit;
 import spokestall.usage.SendDeadline;
 import spokestall.usage.UsageReportClient;
 
@@ -33,7 +31,6 @@
  * {@link PlatformProtocol}. Callbacks run on the event loop.
  */
 public final class HttpUpstreamClient implements UpstreamClient, DiscoveryClient, UsageReportClient {
-    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
     private static final int MAX_PAGES = 1000;
     private final HttpClient client;
@@ -174,63 +171,10 @@
 
     @Override
     public void report(
-            final String holder,
-            final long token,
-            final SealedWindow sealed,
-            final long timeoutMillis,
+            final ReportCall call,
             final SendDeadline deadline,
+            final ReportPermit permit,
             final ReportCallback callback) {
-        final PlatformProtocol.Report report = platform.report(holder, token, sealed);
-        client.call(
-                new HttpCall(
-                        platformAddress,
-                        HttpCall.ANY_INSTANCE,
-                        "POST",
-                        report.target(),
-                        report.headers(),
-                        report.body(),
-                        timeoutMillis,
-                        timeoutMillis,
-                        MAX_RESPONSE_BYTES,
-                        true,
-                        false,
-                        new SendGate(
-                                eventLoop,
-                                deadline::latestMs,
-                                true,
-                                transmission -> logSent(holder, token, sealed, transmission))),
-                result -> {
-                    logEnded(holder, token, sealed, result);
-                    final boolean ok = result instanceof HttpResult.Complete response && response.status() / 100 == 2;
-                    eventLoop.execute(() -> callback.onResult(ok ? ReportResult.ACCEPTED : ReportResult.UNCONFIRMED));
-                });
-    }
-
-    private static void logSent(
-            final String holder, final long token, final SealedWindow sealed, final Transmission transmission) {
-        LOG.atInfo().log(
-                "event=report_sent node=%s fencingToken=%s window=%s connection=%s connectMs=%s leftMs=%s",
-                holder,
-                token,
-                sealed.window(),
-                transmission.localAddress(),
-                transmission.connectMs(),
-                transmission.leftMs());
-    }
-
-    private static void logEnded(
-            final String holder, final long token, final SealedWindow sealed, final HttpResult result) {
-        LOG.atInfo().log(
-                "event=report_call_ended node=%s fencingToken=%s window=%s reason=%s",
-                holder, token, sealed.window(), reason(result));
-    }
-
-    private static String reason(final HttpResult result) {
-        if (result instanceof HttpResult.Complete response) {
-            return "status_" + response.status();
-        }
-        return result instanceof HttpResult.Lost lost
-                ? "lost:" + lost.reason().replace(' ', '_')
-                : "not_sent:" + ((HttpResult.NotSent) result).reason().replace(' ', '_');
+        new ReportExchange(client, eventLoop, platformAddress, platform, call, permit, callback).start(deadline);
     }
 }
--- a/spokestall/src/main/java/spokestall/io/protocol/NativePlatformProtocol.java
+++ b/spokestall/src/main/java/spokestall/io/protocol/NativePlatformProtocol.java
@@ -56,6 +56,11 @@
                 body.toString().getBytes(StandardCharsets.UTF_8));
     }
 
+    @Override
+    public String linkCheckTarget() {
+        return listTarget();
+    }
+
     @Override
     public String statusTarget() {
         return "/spokestall/status";
--- a/spokestall/src/main/java/spokestall/io/protocol/PlatformProtocol.java
+++ b/spokestall/src/main/java/spokestall/io/protocol/PlatformProtocol.java
@@ -32,6 +32,9 @@
      */
     Report report(String holder, long token, SealedWindow sealed);
 
+    /** Returns the request target of a cheap call that the platform answers, by which the link to it is checked. */
+    String linkCheckTarget();
+
     /** Returns the request target at which an upstream returns its status. */
     String statusTarget();
 
--- a/spokestall/src/main/java/spokestall/lease/LeaseManager.java
+++ b/spokestall/src/main/java/spokestall/lease/LeaseManager.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import spokestall.consensus.ProposalOutcome;
 import spokestall.consensus.Proposer;
@@ -30,8 +32,10 @@
  *   <li><b>Fencing.</b> Each acquisition stores a token higher than the register's current one and higher than the first number of
  *       the voter set's generation, in the same change as the owner. Tokens therefore increase with each acquisition, even after
  *       the register was lost.
- *   <li><b>Release.</b> The holder releases the lease only if no call made under the session may still arrive; otherwise the lease
- *       expires.
+ *   <li><b>Calls.</b> A call is announced in the lease before it is made. As long as it is, the lease's span is longer, so that no
+ *       rival acts while a call of a frozen or cut-off holder may be held up on its way.
+ *   <li><b>Release.</b> The holder waits for the end of its calls, and releases the lease at once only if none of them may still
+ *       arrive; otherwise it waits until the lease would have expired.
  * </ul>
  *
  * <p>Not thread-safe; all calls, including those to the {@link LeasedTask}, run on the node's event loop.
@@ -45,7 +49,10 @@
         ACQUIRING,
         /** Holds the lease in a session of this node. */
         HOLDING,
-        /** Has cancelled the session, or is told to stop; the change that releases the lease may be in flight. */
+        /**
+         * Has cancelled the session, or is told to stop; waits for the end of the session's calls, then for the change that releases
+         * the lease.
+         */
         RELEASING,
         /** Has given up the role permanently. */
         STOPPED;
@@ -77,6 +84,13 @@
     private boolean renewalInFlight;
     private long renewalRequestedMs;
     private LeaseSession session;
+    /** The calls of {@link #session}; null if there is no session. */
+    private SessionCalls calls;
+
+    private boolean releaseRequested;
+    /** When no call of the ended session was in flight any more. */
+    private long callsEndedMs;
+
     private Runnable onStopped;
 
     /**
@@ -115,18 +129,22 @@
         return session;
     }
 
-    /** Observes the lease in state WATCHING; checks and renews the session in state HOLDING. */
+    /**
+     * Observes the lease in state WATCHING; checks and renews the session in state HOLDING; releases the lease in state RELEASING once
+     * no call is in flight.
+     */
     public void onTick() {
         switch (state) {
             case WATCHING -> observe();
             case HOLDING -> renewOrEnd();
-            case ACQUIRING, RELEASING, STOPPED -> {}
+            case RELEASING -> releaseOnceCallsEnded();
+            case ACQUIRING, STOPPED -> {}
         }
     }
 
     /**
-     * Gives up the role permanently. Cancels the session at once and releases its lease if no call is in flight. An acquisition that
-     * is in flight starts no session, and its lease is released.
+     * Gives up the role permanently. Cancels the session at once, and releases its lease once no call is in flight. An acquisition
+     * that is in flight starts no session, and its lease is released.
      *
      * @param done runs once the release has ended, successfully or not, or at once if there is nothing to release
      */
@@ -134,8 +152,9 @@
         onStopped = done;
         switch (state) {
             case HOLDING -> release("stop");
+            case RELEASING -> releaseOnceCallsEnded();
             case WATCHING, STOPPED -> onStopComplete("stop");
-            case ACQUIRING, RELEASING -> {}
+            case ACQUIRING -> {}
         }
     }
 
@@ -237,12 +256,14 @@
             if (committed.wrote()
                     && current.owner().equals(owner)
                     && nowMs - requestedMs <= timeouts.storeTimeoutMs()) {
+                calls = new SessionCalls(this::renewForCalls);
                 session = new LeaseSession(
                         sessionId,
                         owner,
                         current.fencingToken(),
                         timeouts.deadlineMs(requestedMs),
-                        requestedMs + timeouts.maxSessionMs());
+                        requestedMs + timeouts.maxSessionMs(),
+                        calls);
                 if (onStopped != null) {
                     release("stop");
                     return;
@@ -273,26 +294,43 @@
         }
     }
 
+    /** Renews the lease at once if that announces a call, or the end of the last one. */
+    private void renewForCalls() {
+        if (state == State.HOLDING && !renewalInFlight && calls.needsRenewal() && session.isValid(clock.nowMs())) {
+            renew(session);
+        }
+    }
+
     private void renew(final LeaseSession renewedSession) {
         renewalInFlight = true;
+        final List<Consumer<Boolean>> announced = calls.onRenewalRequested();
+        final long spanMs = calls.isRenewedForCalls() ? timeouts.callLeaseMs() : timeouts.leaseMs();
         final long requestedMs = clock.nowMs();
         renewalRequestedMs = requestedMs;
         proposer.propose(
                 key,
                 timeouts.storeTimeoutMs(),
-                value -> editIfOwned(value, renewedSession, now -> now.renewed(timeouts.leaseMs())),
-                outcome -> onRenewed(renewedSession, outcome, requestedMs));
+                value -> editIfOwned(value, renewedSession, now -> now.renewed(spanMs)),
+                outcome -> onRenewed(renewedSession, outcome, requestedMs, announced));
     }
 
-    private void onRenewed(final LeaseSession renewedSession, final ProposalOutcome outcome, final long requestedMs) {
+    private void onRenewed(
+            final LeaseSession renewedSession,
+            final ProposalOutcome outcome,
+            final long requestedMs,
+            final List<Consumer<Boolean>> announced) {
         renewalInFlight = false;
         final boolean extended = isRenewed(renewedSession, outcome, requestedMs);
         if (renewedSession != session || state != State.HOLDING) {
+            announced.forEach(call -> call.accept(false));
             return;
         }
         if (extended) {
             renewedSession.extend(timeouts.deadlineMs(requestedMs));
+            announced.forEach(call -> call.accept(true));
+            renewForCalls();
         } else {
+            announced.forEach(call -> call.accept(false));
             renewedSession.markUncertain();
             release("renewal_failed");
         }
@@ -309,22 +347,52 @@
         return stored && timely && timeouts.deadlineMs(requestedMs) > nowMs;
     }
 
-    /** Ends the session. Releases its lease if no call of the task may still arrive; otherwise the lease expires. */
+    /** Ends the session, and releases its lease once no call of the task is in flight. */
     private void release(final String reason) {
-        final LeaseSession endedSession = session;
-        endedSession.cancel();
-        acquisitionRule.onSessionEnded(endedSession);
+        session.cancel();
+        acquisitionRule.onSessionEnded(session);
+        releaseRequested = false;
+        callsEndedMs = Long.MAX_VALUE;
         transitionTo(State.RELEASING, reason);
-        if (!task.isQuiescent()) {
-            onReleaseEnded("calls_in_flight");
+        calls.onSessionEnded();
+        releaseOnceCallsEnded();
+    }
+
+    /**
+     * Releases the lease of the ended session if none of its calls may still arrive. Otherwise, since their connections have been reset,
+     * releases it once it would have expired without a call in flight. A manager that is told to stop doesn't wait for that.
+     */
+    private void releaseOnceCallsEnded() {
+        if (releaseRequested || task.hasCallInFlight()) {
             return;
         }
+        final long nowMs = clock.nowMs();
+        callsEndedMs = Math.min(callsEndedMs, nowMs);
+        if (task.isQuiescent()) {
+            proposeLast(Lease::release, "released");
+        } else if (nowMs >= expiresMs()) {
+            proposeLast(Lease::release, "expired");
+        } else if (onStopped != null) {
+            proposeLast(current -> current.renewed(timeouts.leaseMs()), "calls_unconfirmed");
+        }
+    }
+
+    /** Returns when a rival could have acquired the lease if no call had been announced, but not before the calls' end. */
+    private long expiresMs() {
+        final long leaseEndMs = session.deadlineMs() + timeouts.safetyMarginMs();
+        return Math.max(leaseEndMs, callsEndedMs) + timeouts.safetyMarginMs();
+    }
+
+    /** Proposes the last change of the ended session's lease. */
+    private void proposeLast(final UnaryOperator<Lease> change, final String reason) {
+        releaseRequested = true;
+        acquisitionRule.onSessionEnded(session);
+        final LeaseSession endedSession = session;
         proposer.propose(
                 key,
                 timeouts.storeTimeoutMs(),
-                value -> editIfOwned(value, endedSession, Lease::release),
-                outcome ->
-                        onReleaseEnded(outcome instanceof ProposalOutcome.Committed ? "released" : "outcome_unknown"));
+                value -> editIfOwned(value, endedSession, change),
+                outcome -> onReleaseEnded(outcome instanceof ProposalOutcome.Committed ? reason : "outcome_unknown"));
     }
 
     private void onReleaseEnded(final String reason) {
--- a/spokestall/src/main/java/spokestall/lease/LeaseSession.java
+++ b/spokestall/src/main/java/spokestall/lease/LeaseSession.java
@@ -28,6 +28,7 @@
     private final String owner;
     private final long fencingToken;
     private final long endMs;
+    private final CallAnnouncer calls;
     private long deadlineMs;
     private boolean uncertain;
     private boolean cancelled;
@@ -40,18 +41,21 @@
      * @param fencingToken the fencing token of this acquisition
      * @param deadlineMs the time until which the session is valid without a renewal
      * @param endMs the time at which the session ends regardless of renewals
+     * @param calls announces the calls of the session in the stored lease
      */
     public LeaseSession(
             final String sessionId,
             final String owner,
             final long fencingToken,
             final long deadlineMs,
-            final long endMs) {
+            final long endMs,
+            final CallAnnouncer calls) {
         this.sessionId = sessionId;
         this.owner = owner;
         this.fencingToken = fencingToken;
         this.deadlineMs = deadlineMs;
         this.endMs = endMs;
+        this.calls = calls;
     }
 
     /** Returns the id of this session in log lines. */
@@ -74,6 +78,11 @@
         return deadlineMs;
     }
 
+    /** Returns the announcer of calls that may not arrive after a successor's. */
+    public CallAnnouncer calls() {
+        return calls;
+    }
+
     /** Returns whether the holder may act at {@code nowMs}. The task checks this before each step and before it completes. */
     public boolean isValid(final long nowMs) {
         return endReason(nowMs).isEmpty();
--- a/spokestall/src/main/java/spokestall/lease/LeasedTask.java
+++ b/spokestall/src/main/java/spokestall/lease/LeasedTask.java
@@ -8,6 +8,14 @@
      */
     void onSessionStarted(LeaseSession session);
 
+    /**
+     * Returns whether a call made under a session has not ended yet. A call ends with its answer, or when its connection is reset; it
+     * must end by itself, at the deadline of its session at the latest. The lease is not released before.
+     */
+    default boolean hasCallInFlight() {
+        return false;
+    }
+
     /**
      * Returns whether no call made under an ended session can still arrive. The lease is released before its expiry only in that
      * case, so that no call with an older fencing token arrives after one with a newer token. A task that makes no calls is always
--- a/spokestall/src/main/java/spokestall/node/Timings.java
+++ b/spokestall/src/main/java/spokestall/node/Timings.java
@@ -37,6 +37,9 @@
     private static final int PROPOSAL_ATTEMPTS = 64;
     /** The maximum number of unanswered requests for a proof of freshness. */
     private static final int OPEN_FRESHNESS_REQUESTS = 32;
+    /** The successor of a holder with a call in flight still has the rest of this time to report the window before it is due. */
+    private static final double CALL_LEASE_DUE_RATIO = 0.6;
+
     /** One in so many requests for updates goes to a core that is not the nearest one. */
     private static final int CORE_SOURCE_PROBE_INTERVAL = 8;
 
@@ -182,6 +185,7 @@
     LeaseTimeouts lease() {
         return new LeaseTimeouts(
                 settings.integer("leaseMs"),
+                Math.max(settings.integer("leaseMs"), settings.fractionOf("reportDueMs", CALL_LEASE_DUE_RATIO)),
                 settings.fractionOf("leaseMs", 0.2),
                 settings.fractionOf("leaseMs", 0.4),
                 settings.fractionOf("leaseMs", 0.1),
--- a/spokestall/src/main/java/spokestall/node/UsageComponent.java
+++ b/spokestall/src/main/java/spokestall/node/UsageComponent.java
@@ -98,13 +98,15 @@
     }
 
     /**
-     * Ticks the lease manager if this core holds the lease or may acquire it. A core that is draining doesn't acquire
+     * Ticks the lease manager if this core holds or releases the lease, or may acquire it. A core that is draining doesn't acquire
      * the lease, but keeps one that it holds until its last request is answered. A core that doesn't vote doesn't
      * acquire the lease either: without the registers it can't tell which windows it may report.
      */
     void tickLease(final boolean draining) {
         final boolean mayAcquire = acceptor.state() == Acceptor.State.VOTING && !draining;
-        if (context.fleetClock.settled() && (leaseManager.state() == LeaseManager.State.HOLDING || mayAcquire)) {
+        final boolean holdsOrReleases = leaseManager.state() == LeaseManager.State.HOLDING
+                || leaseManager.state() == LeaseManager.State.RELEASING;
+        if (context.fleetClock.settled() && (holdsOrReleases || mayAcquire)) {
             leaseManager.onTick();
         }
     }
--- a/spokestall/src/main/java/spokestall/usage/ReportResult.java
+++ b/spokestall/src/main/java/spokestall/usage/ReportResult.java
@@ -4,6 +4,8 @@
 public enum ReportResult {
     /** The platform confirmed the report. */
     ACCEPTED,
-    /** The report was rejected, not sent, or not answered in time. The platform may have received it, or may receive it later. */
+    /** The end of the report was not sent: the platform has not received it and never will. */
+    NOT_SENT,
+    /** The report was rejected, or not answered in time. The platform may have received it, or may receive it later. */
     UNCONFIRMED
 }
--- a/spokestall/src/main/java/spokestall/usage/UsageReportClient.java
+++ b/spokestall/src/main/java/spokestall/usage/UsageReportClient.java
@@ -4,21 +4,13 @@
 @FunctionalInterface
 public interface UsageReportClient {
     /**
-     * Sends one report.
+     * Sends one report, in two steps. All of it but its end is sent first, which the platform can't act on. If the platform answers
+     * another call that is made after that, the permit is requested, and the end is sent. So no report that was sent into a dead link
+     * is complete.
      *
-     * @param holder the node that holds the lease
-     * @param fencingToken the fencing token of the current lease session, which may be newer than that of the session that sealed
-     *     the window
-     * @param window the sealed counts
-     * @param timeoutMillis the time to wait for the platform's answer, in milliseconds
-     * @param deadline the send deadline, checked immediately before the report is sent
+     * @param deadline the send deadline, checked immediately before the first part is sent and before the end is
+     * @param permit permits the end of the report to be sent
      * @param callback receives the result
      */
-    void report(
-            String holder,
-            long fencingToken,
-            SealedWindow window,
-            long timeoutMillis,
-            SendDeadline deadline,
-            ReportCallback callback);
+    void report(ReportCall call, SendDeadline deadline, ReportPermit permit, ReportCallback callback);
 }
--- a/spokestall/src/main/java/spokestall/usage/UsageReporter.java
+++ b/spokestall/src/main/java/spokestall/usage/UsageReporter.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import spokestall.consensus.ProposalOutcome;
 import spokestall.consensus.Proposer;
 import spokestall.consensus.RegisterEdit;
@@ -33,7 +34,8 @@
  * twice, if a holder fails between sending and recording or if an answer is lost. A window that can't arrive before it is due is
  * not sent; its sealed counts remain readable.
  *
- * <p>The reporter checks the lease session before each step, and again immediately before a report is sent. Not thread-safe; call
+ * <p>The reporter checks the lease session before each step, and again immediately before a report is sent. The end of a report is
+ * sent only once the lease says that the call may be in flight, see {@link spokestall.lease.CallAnnouncer}. Not thread-safe; call
  * only on the node's event loop.
  */
 public final class UsageReporter implements LeasedTask {
@@ -95,6 +97,11 @@
                 node, started.sessionId(), started.fencingToken(), nextWindow);
     }
 
+    @Override
+    public boolean hasCallInFlight() {
+        return callsInFlight > 0;
+    }
+
     /**
      * Returns false while a call is in flight, and after a call of this session ended unconfirmed, because its request may still
      * reach the platform.
@@ -231,15 +238,44 @@
         report.transition(WindowReport.State.SENDING);
         lastSentMs = clock.nowMs();
         callsInFlight++;
+        final AnnouncedCall announcement = new AnnouncedCall(leaseSession);
         client.report(
-                node,
-                leaseSession.fencingToken(),
-                report.sealed(),
-                timeoutMillis,
-                () -> leaseSession == session && leaseSession.isValid(clock.nowMs())
-                        ? leaseSession.deadlineMs()
-                        : Long.MIN_VALUE,
-                result -> onReportResult(leaseSession, report, result));
+                new ReportCall(node, leaseSession.fencingToken(), report.sealed(), timeoutMillis),
+                () -> mayAct(leaseSession) ? leaseSession.deadlineMs() : Long.MIN_VALUE,
+                announcement::request,
+                result -> {
+                    announcement.end();
+                    onReportResult(leaseSession, report, result);
+                });
+    }
+
+    private boolean mayAct(final LeaseSession leaseSession) {
+        return leaseSession == session && leaseSession.isValid(clock.nowMs());
+    }
+
+    /** The announcement of one report's call in the lease. */
+    private final class AnnouncedCall {
+        private final LeaseSession leaseSession;
+        private boolean announced;
+
+        AnnouncedCall(final LeaseSession leaseSession) {
+            this.leaseSession = leaseSession;
+        }
+
+        void request(final Consumer<Boolean> permitted) {
+            if (mayAct(leaseSession)) {
+                announced = true;
+                leaseSession.calls().announce(permitted);
+            } else {
+                permitted.accept(false);
+            }
+        }
+
+        void end() {
+            if (announced) {
+                leaseSession.calls().onCallEnded();
+            }
+        }
     }
 
     private void onReportResult(final LeaseSession leaseSession, final WindowReport report, final ReportResult result) {
@@ -249,6 +285,7 @@
                 node, leaseSession.sessionId(), leaseSession.fencingToken(), report.window(), result, lateMs(report));
         switch (result) {
             case ACCEPTED -> recordCompleted(leaseSession, report);
+            case NOT_SENT -> report.transition(WindowReport.State.SEALED);
             case UNCONFIRMED -> {
                 unconfirmedCall = true;
                 report.transition(WindowReport.State.SEALED);
--- a/spokestall/src/test/java/spokestall/io/http/HttpClientTest.java
+++ b/spokestall/src/test/java/spokestall/io/http/HttpClientTest.java
@@ -13,6 +13,7 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
@@ -345,6 +346,102 @@
         }
     }
 
+    private static SendGate holding(final long deadlineMs, final BlockingQueue<HeldRequest> held) {
+        return new SendGate(Runnable::run, () -> deadlineMs, true, transmission -> {}, Optional.of(held::add));
+    }
+
+    private static long inMs(final long ms) {
+        return System.nanoTime() / 1_000_000 + ms;
+    }
+
+    private static final byte[] BODY = "three".getBytes(StandardCharsets.US_ASCII);
+    private static final int HELD_BACK = 1;
+
+    /** Guards against: a request that was written into a dead link was complete, and took effect when it arrived late. */
+    @Test
+    void aHeldRequestIsIncompleteUntilItIsReleased() throws Exception {
+        final BlockingQueue<HeldRequest> held = new LinkedBlockingQueue<>();
+        final BlockingQueue<HttpResult> results =
+                call("first", "i-1", BODY, WAIT_MS, holding(inMs(WAIT_MS), held), null);
+        try (Socket socket = accept()) {
+            assertThat(request(socket)).isEqualTo("first");
+            final HeldRequest request = held.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+            assertThat(socket.getInputStream().readNBytes(BODY.length - HELD_BACK))
+                    .isEqualTo("thre".getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().available()).isZero();
+            request.release();
+            assertThat(socket.getInputStream().readNBytes(HELD_BACK))
+                    .isEqualTo("e".getBytes(StandardCharsets.US_ASCII));
+            write(socket, response("first", "Connection: close\r\n"));
+            assertThat(await(results)).isInstanceOf(HttpResult.Complete.class);
+        }
+    }
+
+    @Test
+    void anAbandonedRequestIsResetAndNotSent() throws Exception {
+        final BlockingQueue<HeldRequest> held = new LinkedBlockingQueue<>();
+        final BlockingQueue<HttpResult> results =
+                call("first", "i-1", BODY, WAIT_MS, holding(inMs(WAIT_MS), held), null);
+        try (Socket socket = accept()) {
+            assertThat(request(socket)).isEqualTo("first");
+            held.poll(WAIT_MS, TimeUnit.MILLISECONDS).abandon();
+            assertThat(await(results)).isEqualTo(new HttpResult.NotSent("abandoned"));
+            socket.getInputStream().readNBytes(BODY.length - HELD_BACK);
+            awaitReset(socket);
+        }
+    }
+
+    /** The deadline ends a held request too, and a later release sends nothing. */
+    @Test
+    void aRequestThatIsHeldUntilItsDeadlineIsResetAndNotSent() throws Exception {
+        final BlockingQueue<HeldRequest> held = new LinkedBlockingQueue<>();
+        final BlockingQueue<HttpResult> results =
+                call("first", "i-1", BODY, WAIT_MS, holding(inMs(SHORT_MS), held), null);
+        try (Socket socket = accept()) {
+            assertThat(request(socket)).isEqualTo("first");
+            assertThat(await(results)).isEqualTo(new HttpResult.NotSent("deadline"));
+            held.remove().release();
+            socket.getInputStream().readNBytes(BODY.length - HELD_BACK);
+            awaitReset(socket);
+        }
+    }
+
+    /** The deadline is read anew at the release, and a request with a released last byte may have arrived. */
+    @Test
+    void aReleasedRequestIsResetAtTheLaterDeadline() throws Exception {
+        final AtomicLong deadlineMs = new AtomicLong(inMs(WAIT_MS));
+        final BlockingQueue<HeldRequest> held = new LinkedBlockingQueue<>();
+        final SendGate gate =
+                new SendGate(Runnable::run, deadlineMs::get, true, transmission -> {}, Optional.of(held::add));
+        final BlockingQueue<HttpResult> results = call("first", "i-1", BODY, WAIT_MS, gate, null);
+        try (Socket socket = accept()) {
+            assertThat(request(socket)).isEqualTo("first");
+            final HeldRequest request = held.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+            deadlineMs.set(inMs(SHORT_MS));
+            request.release();
+            assertThat(await(results)).isEqualTo(new HttpResult.Lost("deadline"));
+            assertThat(socket.getInputStream().readNBytes(BODY.length)).isEqualTo(BODY);
+            awaitReset(socket);
+        }
+    }
+
+    @Test
+    void aRequestThatIsReleasedAfterItsDeadlineIsNotSent() throws Exception {
+        final AtomicLong deadlineMs = new AtomicLong(inMs(WAIT_MS));
+        final BlockingQueue<HeldRequest> held = new LinkedBlockingQueue<>();
+        final SendGate gate =
+                new SendGate(Runnable::run, deadlineMs::get, true, transmission -> {}, Optional.of(held::add));
+        final BlockingQueue<HttpResult> results = call("first", "i-1", BODY, WAIT_MS, gate, null);
+        try (Socket socket = accept()) {
+            assertThat(request(socket)).isEqualTo("first");
+            deadlineMs.set(Long.MIN_VALUE);
+            held.poll(WAIT_MS, TimeUnit.MILLISECONDS).release();
+            assertThat(await(results)).isEqualTo(new HttpResult.NotSent("barred"));
+            socket.getInputStream().readNBytes(BODY.length - HELD_BACK);
+            awaitReset(socket);
+        }
+    }
+
     @Test
     void aCallWithLessTimeThanItsConnectionTookToOpenIsNotSent() throws Exception {
         final AtomicLong nowMs = new AtomicLong();
--- a/spokestall/src/test/java/spokestall/lease/LeaseManagerTest.java
+++ b/spokestall/src/test/java/spokestall/lease/LeaseManagerTest.java
@@ -15,7 +15,7 @@
 import spokestall.message.MessageCodec;
 
 class LeaseManagerTest {
-    private static final LeaseTimeouts TIMEOUTS = new LeaseTimeouts(2000, 400, 800, 200, 100, 20_000, 0);
+    private static final LeaseTimeouts TIMEOUTS = new LeaseTimeouts(2000, 6000, 400, 800, 200, 100, 20_000, 0);
     private static final long CHECKED_SPAN_MS = 3000;
     /** The longest time until the last of six voters attempts an acquisition. */
     private static final long STAGGER_MAX_MS = 6 * TIMEOUTS.staggerMs();
@@ -179,7 +179,7 @@
     }
 
     private static final LeaseTimeouts TIMEOUTS_WITH_COOLDOWN =
-            new LeaseTimeouts(2000, 400, 800, 200, 100, 20_000, 3600);
+            new LeaseTimeouts(2000, 6000, 400, 800, 200, 100, 20_000, 3600);
 
     /** One incarnation of a node, with its lease manager and the sessions that it started. */
     private static final class Incarnation implements LeasedTask {
@@ -188,6 +188,8 @@
         private final LeaseManager leaseManager;
         private final List<LeaseSession> sessions = new ArrayList<>();
         private boolean callInFlight;
+        /** Whether a call in flight ends later; otherwise it has ended without an answer. */
+        private boolean callsEnd;
 
         Incarnation(
                 final ConsensusTestContext context, final String name, final int number, final LeaseTimeouts timeouts) {
@@ -211,8 +213,17 @@
             return !callInFlight;
         }
 
+        @Override
+        public boolean hasCallInFlight() {
+            return callsEnd && callInFlight;
+        }
+
+        LeaseSession lastSession() {
+            return sessions.get(sessions.size() - 1);
+        }
+
         boolean mayAct() {
-            return !sessions.isEmpty() && sessions.get(sessions.size() - 1).isValid(context.clock.nowMs());
+            return !sessions.isEmpty() && lastSession().isValid(context.clock.nowMs());
         }
     }
 
@@ -304,6 +315,135 @@
                 .isGreaterThan(TIMEOUTS.leaseMs() - TIMEOUTS.renewIntervalMs());
     }
 
+    /** Ticks the holder until its call is announced. */
+    private static void announceCall(final ConsensusTestContext context, final Incarnation holder) {
+        final List<Boolean> announced = new ArrayList<>();
+        holder.lastSession().calls().announce(announced::add);
+        while (announced.isEmpty()) {
+            context.run(context.clock.nowMs() + 20);
+            holder.leaseManager.onTick();
+        }
+        assertThat(announced).containsExactly(true);
+    }
+
+    /**
+     * Guards against: a holder froze with a call under way, which arrived after its successor's. The holder can't take it back, so its
+     * rivals wait longer.
+     */
+    @Test
+    void rivalsWaitForTheCallLeaseWhileAHolderThatStoppedMayHaveACallInFlight() {
+        final ConsensusTestContext context = new ConsensusTestContext(9, 0);
+        final Incarnation holder = new Incarnation(context, "k1", 1, TIMEOUTS_WITH_COOLDOWN);
+        final Incarnation rival = new Incarnation(context, "k2", 1, TIMEOUTS_WITH_COOLDOWN);
+        msUntilSessionOf(context, 10_000, holder);
+        msUntilSessionOf(context, TIMEOUTS_WITH_COOLDOWN.cooldownMs(), rival, holder);
+        announceCall(context, holder);
+        assertThat(msUntilSessionOf(context, 20_000, rival))
+                .isBetween(
+                        TIMEOUTS.callLeaseMs() + TIMEOUTS.safetyMarginMs() - TIMEOUTS.renewIntervalMs(),
+                        TIMEOUTS.callLeaseMs() + TIMEOUTS.leaseMs());
+    }
+
+    /** A renewal beside an open call keeps the longer span; the end of the call ends it at once. */
+    @Test
+    void rivalsWaitForTheUsualLeaseOnceTheCallHasEnded() {
+        final ConsensusTestContext context = new ConsensusTestContext(10, 0);
+        final Incarnation holder = new Incarnation(context, "k1", 1, TIMEOUTS_WITH_COOLDOWN);
+        final Incarnation rival = new Incarnation(context, "k2", 1, TIMEOUTS_WITH_COOLDOWN);
+        msUntilSessionOf(context, 10_000, holder);
+        announceCall(context, holder);
+        assertThat(msUntilSessionOf(context, 3 * TIMEOUTS.renewIntervalMs(), rival, holder))
+                .isGreaterThanOrEqualTo(3 * TIMEOUTS.renewIntervalMs());
+        assertThat(rival.leaseManager.observedLease().spanMs()).isEqualTo(TIMEOUTS.callLeaseMs());
+        holder.lastSession().calls().onCallEnded();
+        context.run(context.clock.nowMs() + TIMEOUTS.renewIntervalMs());
+        assertThat(msUntilSessionOf(context, 20_000, rival))
+                .isLessThan(TIMEOUTS.leaseMs() + TIMEOUTS.safetyMarginMs() + STAGGER_MAX_MS + TIMEOUTS.leaseMs() / 2);
+    }
+
+    /** The end of its process has reset the connections of its calls. */
+    @Test
+    void aRestartedHolderWithAnAnnouncedCallAcquiresItsOwnLeaseAtOnce() {
+        final ConsensusTestContext context = new ConsensusTestContext(11, 0);
+        final Incarnation before = new Incarnation(context, "k", 1, TIMEOUTS_WITH_COOLDOWN);
+        msUntilSessionOf(context, 10_000, before);
+        announceCall(context, before);
+        assertThat(msUntilSessionOf(context, 10_000, new Incarnation(context, "k", 2, TIMEOUTS_WITH_COOLDOWN)))
+                .isLessThan(TIMEOUTS.leaseMs() / 2);
+    }
+
+    /** Guards against: each stop during a call left its successor waiting for the expiry of the lease. */
+    @Test
+    void aStoppedHolderReleasesItsLeaseAtTheEndOfItsCall() {
+        final ConsensusTestContext context = new ConsensusTestContext(12, 0);
+        final Incarnation holder = new Incarnation(context, "k1", 1, TIMEOUTS_WITH_COOLDOWN);
+        final Incarnation rival = new Incarnation(context, "k2", 1, TIMEOUTS_WITH_COOLDOWN);
+        msUntilSessionOf(context, 10_000, holder);
+        msUntilSessionOf(context, TIMEOUTS_WITH_COOLDOWN.cooldownMs(), rival, holder);
+        holder.callInFlight = true;
+        holder.callsEnd = true;
+        announceCall(context, holder);
+        final int[] completions = {0};
+        holder.leaseManager.stop(() -> completions[0]++);
+        assertThat(msUntilSessionOf(context, 1000, rival, holder)).isGreaterThanOrEqualTo(1000);
+        assertThat(completions[0]).as("completions of the stop during the call").isZero();
+        holder.callInFlight = false;
+        holder.lastSession().calls().onCallEnded();
+        assertThat(msUntilSessionOf(context, 10_000, rival, holder))
+                .isLessThan(STAGGER_MAX_MS + TIMEOUTS.leaseMs() / 2);
+        assertThat(completions[0]).as("completions of the stop").isEqualTo(1);
+    }
+
+    /**
+     * Guards against: a holder that woke up with an unanswered call made its successor wait for another whole lease, and the window was
+     * missed. Once it has reset its connection it releases the lease, which has expired long since.
+     */
+    @Test
+    void aHolderThatRunsAgainAfterItsLeaseReleasesItAlthoughACallWasUnanswered() {
+        final ConsensusTestContext context = new ConsensusTestContext(14, 0);
+        final Incarnation holder = new Incarnation(context, "k1", 1, TIMEOUTS_WITH_COOLDOWN);
+        final Incarnation rival = new Incarnation(context, "k2", 1, TIMEOUTS_WITH_COOLDOWN);
+        msUntilSessionOf(context, 10_000, holder);
+        msUntilSessionOf(context, TIMEOUTS_WITH_COOLDOWN.cooldownMs(), rival, holder);
+        announceCall(context, holder);
+        holder.callInFlight = true;
+        final long frozenMs = TIMEOUTS.callLeaseMs() - TIMEOUTS.leaseMs() / 2;
+        assertThat(msUntilSessionOf(context, frozenMs, rival)).isGreaterThanOrEqualTo(frozenMs);
+        assertThat(msUntilSessionOf(context, 10_000, rival, holder))
+                .isBetween(TIMEOUTS.safetyMarginMs(), TIMEOUTS.leaseMs() / 2 + STAGGER_MAX_MS);
+    }
+
+    /** The same, but the holder ran on: its lease is not released before it expires. */
+    @Test
+    void aHolderWhoseSessionEndsWithAnUnansweredCallDoesNotReleaseItsLeaseBeforeItsExpiry() {
+        final ConsensusTestContext context = new ConsensusTestContext(15, 0);
+        final LeaseTimeouts shortSession = new LeaseTimeouts(2000, 6000, 400, 800, 200, 100, 5000, 3600);
+        final Incarnation holder = new Incarnation(context, "k1", 1, shortSession);
+        final Incarnation rival = new Incarnation(context, "k2", 1, shortSession);
+        msUntilSessionOf(context, 10_000, holder);
+        holder.callInFlight = true;
+        while (holder.mayAct()) {
+            holder.leaseManager.onTick();
+            rival.leaseManager.onTick();
+            context.run(context.clock.nowMs() + 20);
+        }
+        assertThat(msUntilSessionOf(context, 10_000, rival, holder))
+                .isGreaterThan(shortSession.leaseMs() - shortSession.renewIntervalMs() - shortSession.storeTimeoutMs());
+    }
+
+    @Test
+    void anAnnouncementAfterTheEndOfTheSessionIsRejected() {
+        final ConsensusTestContext context = new ConsensusTestContext(13, 0);
+        final Incarnation holder = new Incarnation(context, "k1", 1, TIMEOUTS_WITH_COOLDOWN);
+        msUntilSessionOf(context, 10_000, holder);
+        final List<Boolean> announced = new ArrayList<>();
+        holder.lastSession().calls().announce(announced::add);
+        holder.leaseManager.stop(() -> {});
+        holder.lastSession().calls().announce(announced::add);
+        context.run(context.clock.nowMs() + 2 * TIMEOUTS.storeTimeoutMs());
+        assertThat(announced).containsExactly(false, false);
+    }
+
     @Test
     void aStopDuringAnAcquisitionStartsNoSessionAndLeavesTheLeaseReleased() {
         final ConsensusTestContext context = new ConsensusTestContext(8, 0);
--- a/spokestall/src/test/java/spokestall/lease/LeaseSessionTest.java
+++ b/spokestall/src/test/java/spokestall/lease/LeaseSessionTest.java
@@ -8,7 +8,8 @@
 class LeaseSessionTest {
     private static final long DEADLINE_MS = 2000;
     private static final long END_MS = 10_000;
-    private final LeaseSession session = new LeaseSession("s", "k/1", 7, DEADLINE_MS, END_MS);
+    private final LeaseSession session =
+            new LeaseSession("s", "k/1", 7, DEADLINE_MS, END_MS, new SessionCalls(() -> {}));
 
     @Test
     void aSessionIsValidUntilItsDeadlineAndRenewalsNeverMoveTheDeadlineBack() {
--- a/spokestall/src/test/java/spokestall/usage/UsageReporterTest.java
+++ b/spokestall/src/test/java/spokestall/usage/UsageReporterTest.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import spokestall.consensus.ConsensusTestContext;
 import spokestall.consensus.ProposalOutcome;
 import spokestall.consensus.RegisterEdit;
+import spokestall.lease.CallAnnouncer;
 import spokestall.lease.LeaseSession;
 import spokestall.message.Message;
 import spokestall.message.MessageCodec;
@@ -20,12 +22,37 @@
     private static final ReportSchedule SCHEDULE = new ReportSchedule(WINDOW_MS, 1500, 5000, 300, DUE_MS, 800, 800, 10);
     private static final List<String> CORES = List.of("v0", "v1", "v2", "v3", "v4", "v5");
 
-    private record Call(SealedWindow contents, long atMs, long timeoutMillis, ReportCallback callback) {
+    private record Call(ReportCall report, long atMs, ReportPermit permit, ReportCallback callback) {
         long window() {
-            return contents.window();
+            return contents().window();
+        }
+
+        SealedWindow contents() {
+            return report.window();
+        }
+
+        long timeoutMillis() {
+            return report.timeoutMillis();
+        }
+    }
+
+    /** Announces calls at once while the session's lease is stored, as the lease manager does. */
+    private final class ImmediateAnnouncer implements CallAnnouncer {
+        @Override
+        public void announce(final Consumer<Boolean> announced) {
+            openCalls++;
+            announced.accept(announceable);
+        }
+
+        @Override
+        public void onCallEnded() {
+            openCalls--;
         }
     }
 
+    private boolean announceable = true;
+    private int openCalls;
+
     private final ConsensusTestContext context = new ConsensusTestContext(1, 0);
     private final FleetClock fleetClock = new FleetClock(context.clock, 100);
     private final List<Call> calls = new ArrayList<>();
@@ -33,8 +60,8 @@
     private final UsageReporter reporter = new UsageReporter(
             new ReporterContext("k", "k", context.proposer("k"), this::answer, context.clock, fleetClock),
             SCHEDULE,
-            (holder, fencingToken, contents, timeoutMillis, deadline, callback) ->
-                    calls.add(new Call(contents, context.clock.nowMs(), timeoutMillis, callback)),
+            (report, deadline, permit, callback) ->
+                    calls.add(new Call(report, context.clock.nowMs(), permit, callback)),
             new ReportSources(table, () -> CORES, edge -> null, () -> 0));
 
     private void answer(final String core, final Message message) {
@@ -43,9 +70,13 @@
                 5, () -> reporter.onMessage(new UsageMessage.CountsResponse(core, request.window(), List.of())));
     }
 
+    private LeaseSession session(final String id, final String owner, final long token, final long deadlineMs) {
+        return new LeaseSession(id, owner, token, deadlineMs, 600_000, new ImmediateAnnouncer());
+    }
+
     private void startSessionAt(final long ms) {
         context.run(ms);
-        reporter.onSessionStarted(new LeaseSession("s1", "k/1", 7, ms + 20_000, ms + 600_000));
+        reporter.onSessionStarted(session("s1", "k/1", 7, ms + 20_000));
     }
 
     /** Writes counts to a window's register as an earlier lease holder would. */
@@ -77,7 +108,7 @@
         tickUntil(50_000);
         assertThat(calls).extracting(Call::window).containsExactlyInAnyOrder(7L, 8L);
         assertThat(calls)
-                .allSatisfy(c -> assertThat(c.atMs + c.timeoutMillis)
+                .allSatisfy(c -> assertThat(c.atMs + c.timeoutMillis())
                         .isLessThanOrEqualTo((c.window() + 1) * WINDOW_MS + DUE_MS));
     }
 
@@ -105,8 +136,52 @@
         assertThat(reporter.isQuiescent())
                 .as("the platform may still receive the first call")
                 .isFalse();
-        reporter.onSessionStarted(new LeaseSession("e2", "k/2", 8, 60_000, 600_000));
+        reporter.onSessionStarted(session("e2", "k/2", 8, 60_000));
+        assertThat(reporter.isQuiescent()).isTrue();
+    }
+
+    /** Guards against: a report of a frozen or cut-off holder was under way, and its successor could not know. */
+    @Test
+    void theEndOfAReportIsSentOnlyOnceItsCallIsAnnouncedInTheLease() {
+        startSessionAt(41_000);
+        tickUntil(41_450);
+        assertThat(openCalls).isZero();
+        final List<Boolean> permits = new ArrayList<>();
+        calls.get(0).permit.request(permits::add);
+        assertThat(permits).containsExactly(true);
+        assertThat(openCalls).isOne();
+        calls.get(0).callback.onResult(ReportResult.ACCEPTED);
+        assertThat(openCalls).isZero();
+    }
+
+    @Test
+    void theEndOfAReportIsNotSentIfItsCallCouldNotBeAnnouncedOrTheSessionEnded() {
+        startSessionAt(41_000);
+        tickUntil(41_450);
+        announceable = false;
+        final List<Boolean> permits = new ArrayList<>();
+        calls.get(0).permit.request(permits::add);
+        calls.get(0).callback.onResult(ReportResult.NOT_SENT);
+        assertThat(openCalls).isZero();
+        announceable = true;
+        tickUntil(41_900);
+        context.run(62_000);
+        calls.get(1).permit.request(permits::add);
+        assertThat(permits).containsExactly(false, false);
+        assertThat(openCalls).isZero();
+    }
+
+    /** A report whose end was not sent can't arrive, so it doesn't keep the lease from being released. */
+    @Test
+    void aReportThatWasNotSentIsSentAgainAndLeavesTheReporterQuiescent() {
+        startSessionAt(41_000);
+        tickUntil(41_450);
+        assertThat(reporter.hasCallInFlight()).isTrue();
+        calls.get(0).callback.onResult(ReportResult.NOT_SENT);
+        assertThat(reporter.hasCallInFlight()).isFalse();
         assertThat(reporter.isQuiescent()).isTrue();
+        tickUntil(41_900);
+        assertThat(callsOf(calls.get(0).window())).hasSize(2);
     }
 
     /** A lease holder sends the counts in the window's register, even if its own table differs. */
@@ -147,7 +222,7 @@
                 .allSatisfy(call -> assertThat(call.contents().counts()).isEqualTo(Map.of("t", 9L)));
         callsOf(7).get(1).callback().onResult(ReportResult.ACCEPTED);
         tickUntil(42_800);
-        reporter.onSessionStarted(new LeaseSession("s2", "k/2", 8, 60_000, 600_000));
+        reporter.onSessionStarted(session("s2", "k/2", 8, 60_000));
         tickUntil(44_000);
         assertThat(callsOf(7))
                 .as("a later session finds the window recorded as reported")
--- a/testbed/src/main/java/spokestall/testbed/fault/InjectedFault.java
+++ b/testbed/src/main/java/spokestall/testbed/fault/InjectedFault.java
@@ -44,6 +44,8 @@
     SLOW_LEAVING(Map.of("leaveBoundMs", "24000")),
     /** A node that requests a freshness proof from a core that it is cut off from receives a forged confirmation. */
     FORGED_PROOFS(Map.of()),
+    /** Nodes send the end of a usage report without announcing in the lease that the call may be in flight. */
+    UNANNOUNCED_CALLS(Map.of()),
     /** Each configuration change carries a timestamp one hour after the previous change. */
     LEAPING_CHANGES(Map.of());
 
--- a/testbed/src/main/java/spokestall/testbed/fleet/FaultHookNode.java
+++ b/testbed/src/main/java/spokestall/testbed/fleet/FaultHookNode.java
@@ -48,13 +48,8 @@
 
                                     @Override
                                     public UsageReportClient wrapUsageReports(final UsageReportClient platform) {
-                                        return (holder, token, window, waitMs, deadline, callback) -> platform.report(
-                                                holder,
-                                                token,
-                                                window,
-                                                waitMs,
-                                                pauseBeforeSend(hooks, deadline),
-                                                callback);
+                                        return (call, deadline, permit, callback) -> platform.report(
+                                                call, pauseBeforeSend(hooks, deadline), permit, callback);
                                     }
                                 },
                                 ProtocolAdapter.nativeAdapter())
--- a/testbed/src/main/java/spokestall/testbed/scale/ScaleNode.java
+++ b/testbed/src/main/java/spokestall/testbed/scale/ScaleNode.java
@@ -28,9 +28,10 @@
 import spokestall.settings.SettingsResult;
 import spokestall.testbed.simulation.SimulatedWorld;
 import spokestall.time.Clock;
+import spokestall.usage.ReportCall;
 import spokestall.usage.ReportCallback;
+import spokestall.usage.ReportPermit;
 import spokestall.usage.ReportResult;
-import spokestall.usage.SealedWindow;
 import spokestall.usage.SendDeadline;
 import spokestall.usage.UsageCounter;
 import spokestall.usage.UsageReportClient;
@@ -295,14 +296,27 @@
 
         @Override
         public void report(
-                final String holder,
-                final long token,
-                final SealedWindow sealed,
-                final long waitMs,
+                final ReportCall call,
                 final SendDeadline deadline,
+                final ReportPermit permit,
                 final ReportCallback callback) {
-            final Map<String, Long> counts = Map.copyOf(sealed.counts());
-            tell(() -> run.judge.reported(holder, token, sealed.window(), counts));
+            later(
+                    mine,
+                    PLATFORM_MS,
+                    ScaleTraffic.OUTSIDE,
+                    () -> permit.request(permitted -> {
+                        if (permitted) {
+                            deliver(call, callback);
+                        } else {
+                            callback.onResult(ReportResult.NOT_SENT);
+                        }
+                    }));
+        }
+
+        private void deliver(final ReportCall call, final ReportCallback callback) {
+            final Map<String, Long> counts = Map.copyOf(call.window().counts());
+            tell(() -> run.judge.reported(
+                    call.holder(), call.fencingToken(), call.window().window(), counts));
             later(mine, PLATFORM_MS, ScaleTraffic.OUTSIDE, () -> callback.onResult(ReportResult.ACCEPTED));
         }
 
--- a/testbed/src/main/java/spokestall/testbed/simulation/Scenario.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/Scenario.java
@@ -455,6 +455,20 @@
                 run.later(at, () -> run.injectRandomFailure());
             }
         }
+    },
+    HELD_UP_REPORTS {
+        @Override
+        void play(final SimulationRun run) {
+            // The holder's link to the platform is cut while it reports, and the holder runs on, freezes or is killed.
+            for (long at = 0; at < run.playMs() - 15_000; at += 14_000 + run.random.nextInt(4000)) {
+                run.later(at, run::holdUpReport);
+            }
+        }
+
+        @Override
+        long playMs() {
+            return 75_000;
+        }
     };
 
     abstract void play(SimulationRun run);
--- a/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/SimulatedEnvironment.java
@@ -23,9 +23,10 @@
 import spokestall.testbed.fault.InjectedFault;
 import spokestall.testbed.standin.UpstreamStandIn;
 import spokestall.testbed.verdict.Ledger;
+import spokestall.usage.ReportCall;
 import spokestall.usage.ReportCallback;
+import spokestall.usage.ReportPermit;
 import spokestall.usage.ReportResult;
-import spokestall.usage.SealedWindow;
 import spokestall.usage.SendDeadline;
 import spokestall.usage.UsageReportClient;
 
@@ -77,6 +78,7 @@
     private final Map<String, Upstream> byAddress = new TreeMap<>();
     private final Map<String, Upstream> byInstance = new LinkedHashMap<>();
     private final Map<String, Integer> attemptCounts = new TreeMap<>();
+    private final Map<String, SimulatedPlatformLink> platformLinks = new TreeMap<>();
     private List<ListedEndpoint> listedEndpoints = new ArrayList<>();
     /** Whether the platform computes the remaining warm-up when it answers, halfway between call and response. */
     private boolean computesWarmUpOnAnswer;
@@ -159,6 +161,11 @@
         return Math.max(0, up.readyAtMs + SimulatedWorld.WARMUP_MS - world.sim.nowMs());
     }
 
+    /** Returns a node's link to the platform. */
+    SimulatedPlatformLink platformLink(final SimulatedNode node) {
+        return platformLinks.computeIfAbsent(node.name, name -> new SimulatedPlatformLink(world.sim));
+    }
+
     /** Returns the clients through which one incarnation of a node reaches the upstreams and the platform. */
     NodeClients clientsOf(final SimulatedNode node, final long incarnation) {
         return new NodeClients(node, incarnation);
@@ -211,34 +218,64 @@
 
         @Override
         public void report(
-                final String holder,
-                final long token,
-                final SealedWindow sealed,
-                final long waitMs,
+                final ReportCall call,
                 final SendDeadline deadline,
+                final ReportPermit permit,
                 final ReportCallback callback) {
             final long oneWayMs = 5L + random.nextInt(20);
-            // Connecting takes a round trip; the deadline is checked just before the bytes are sent.
-            sendIfInTime(2 * oneWayMs, deadline::latestMs, () -> callback.onResult(ReportResult.UNCONFIRMED), () -> {
-                final TreeMap<String, Long> counts = new TreeMap<>(sealed.counts());
-                if (world.injectedFault == InjectedFault.SWAPPED_TENANTS) {
-                    final Long first = counts.get(Deployment.tenant(0));
-                    counts.put(Deployment.tenant(0), counts.getOrDefault(Deployment.tenant(5), 0L));
-                    counts.put(Deployment.tenant(5), first);
+            // Connecting takes a round trip, and checking the link after the first part another one.
+            runOnNode(4 * oneWayMs, () -> {
+                if (platformLink(node).isCut()) {
+                    runOnNode(call.timeoutMillis(), () -> callback.onResult(ReportResult.NOT_SENT));
+                    return;
                 }
-                if (world.injectedFault != InjectedFault.DEAF_PLATFORM || world.sim.nowMs() > 35_000) {
-                    world.sim.after(
-                            oneWayMs,
-                            () -> world.reports.add(
-                                    new Ledger.Reported(holder, token, sealed.window(), counts, world.sim.nowMs())));
+                if (world.injectedFault == InjectedFault.UNANNOUNCED_CALLS) {
+                    sendLastByte(call, oneWayMs, deadline, callback);
+                    return;
                 }
-                final boolean lost = random.nextInt(50) == 0;
-                runOnNode(
-                        lost ? waitMs : 2 * oneWayMs,
-                        () -> callback.onResult(lost ? ReportResult.UNCONFIRMED : ReportResult.ACCEPTED));
+                permit.request(permitted -> {
+                    if (permitted) {
+                        sendLastByte(call, oneWayMs, deadline, callback);
+                    } else {
+                        callback.onResult(ReportResult.NOT_SENT);
+                    }
+                });
             });
         }
 
+        /** The deadline is checked just before the byte is sent. */
+        private void sendLastByte(
+                final ReportCall call,
+                final long oneWayMs,
+                final SendDeadline deadline,
+                final ReportCallback callback) {
+            sendIfInTime(true, deadline::latestMs, () -> callback.onResult(ReportResult.NOT_SENT), () -> {
+                final boolean[] ended = {false};
+                // The node that runs resets the connection when it gives the call up; the end of its process does, too.
+                platformLink(node)
+                        .sendLastByte(
+                                oneWayMs, () -> ended[0] || node.incarnation() != incarnation, () -> arrive(call));
+                final boolean lost = platformLink(node).isCut() || random.nextInt(50) == 0;
+                runOnNode(lost ? call.timeoutMillis() : 2 * oneWayMs, () -> {
+                    ended[0] = true;
+                    callback.onResult(lost ? ReportResult.UNCONFIRMED : ReportResult.ACCEPTED);
+                });
+            });
+        }
+
+        private void arrive(final ReportCall call) {
+            final TreeMap<String, Long> counts = new TreeMap<>(call.window().counts());
+            if (world.injectedFault == InjectedFault.SWAPPED_TENANTS) {
+                final Long first = counts.get(Deployment.tenant(0));
+                counts.put(Deployment.tenant(0), counts.getOrDefault(Deployment.tenant(5), 0L));
+                counts.put(Deployment.tenant(5), first);
+            }
+            if (world.injectedFault != InjectedFault.DEAF_PLATFORM || world.sim.nowMs() > 35_000) {
+                world.reports.add(new Ledger.Reported(
+                        call.holder(), call.fencingToken(), call.window().window(), counts, world.sim.nowMs()));
+            }
+        }
+
         @Override
         public AttemptHandle attempt(
                 final Attempt attempt,
@@ -282,7 +319,7 @@
                     once.accept(new AttemptResult.NotSent("refused"));
                     return;
                 }
-                sendIfInTime(0, until, () -> once.accept(new AttemptResult.NotSent("barred")), () -> {
+                sendIfInTime(false, until, () -> once.accept(new AttemptResult.NotSent("barred")), () -> {
                     if (!finished[0]) {
                         sent[0] = true;
                         counted.run();
@@ -298,12 +335,11 @@
          * after reading the deadline.
          */
         private void sendIfInTime(
-                final long waitMs, final LongSupplier until, final Runnable blocked, final Runnable attempt) {
-            runOnNode(waitMs, () -> {
+                final boolean report, final LongSupplier until, final Runnable blocked, final Runnable attempt) {
+            runOnNode(0, () -> {
                 final long untilMs = until.getAsLong();
                 // A report is hit 300 times as often as an attempt, but never two within 20 s: a usage window does not
                 // survive two freezes in a row.
-                final boolean report = waitMs > 0;
                 if (random.nextDouble() < (report ? 300 : 1) * world.freezeProbability
                         && (!report || world.sim.nowMs() - lastReportFreezeMs > 20_000)) {
                     lastReportFreezeMs = report ? world.sim.nowMs() : lastReportFreezeMs;
--- a/testbed/src/main/java/spokestall/testbed/simulation/SimulationRun.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/SimulationRun.java
@@ -15,6 +15,11 @@
 public final class SimulationRun {
     private static final long RECOVERY_MS = 15_000;
     private static final long FINAL_MS = 10_000;
+    /** How long a node's link to the platform is cut at least and at most. */
+    private static final int CUT_MIN_MS = 500;
+
+    private static final int CUT_MAX_MS = 5000;
+
     public final SimulatedWorld world;
     final SimulatedOperator operator;
     final Random random;
@@ -372,6 +377,34 @@
         later(spanMs, node::thaw);
     }
 
+    /**
+     * Cuts the lease holder's link to the platform, mostly as it sends the last byte of a report. The holder then runs on, freezes or
+     * is killed, and the link is restored.
+     */
+    void holdUpReport() {
+        final SimulatedNode holder = world.leaseHolder();
+        if (holder == null) {
+            return;
+        }
+        final SimulatedPlatformLink link = world.environment.platformLink(holder);
+        final SimulatedPlatformLink.Cut when =
+                random.nextInt(4) == 0 ? SimulatedPlatformLink.Cut.NOW : SimulatedPlatformLink.Cut.AT_LAST_BYTE;
+        link.cut(when, () -> {
+            final long healedAfterMs = CUT_MIN_MS + random.nextInt(CUT_MAX_MS - CUT_MIN_MS);
+            markDisturbed(nodes(), healedAfterMs + 10_000);
+            later(healedAfterMs, link::restore);
+            later(random.nextInt(100), () -> playHolderFate(holder, healedAfterMs));
+        });
+    }
+
+    private void playHolderFate(final SimulatedNode holder, final long healedAfterMs) {
+        switch (random.nextInt(4)) {
+            case 0 -> {}
+            case 1 -> restart(holder, random.nextInt(2000), false);
+            default -> freeze(holder, healedAfterMs + random.nextInt(2000));
+        }
+    }
+
     /** Adds and starts a core under a new name, in the zone of that index. */
     void addCore(final String name, final int zoneIndex) {
         final SimulatedNode core = world.addCore(name, zoneIndex);
