--- a/spokestall/src/main/java/spokestall/io/http/HttpClient.java
+++ b/spokestall/src/main/java/spokestall/io/http/HttpClient.java
@@ -28,7 +28,6 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -107,7 +106,7 @@
         private volatile boolean sent;
         private volatile boolean reused;
         private volatile ClientConnection connection;
-        private volatile StreamSinkChannel requestChannel;
+        private volatile RequestBodyWriter requestBody;
         private volatile XnioExecutor.Key timer;
         private volatile XnioExecutor.Key connectTimer;
         private volatile XnioExecutor.Key deadlineTimer;
@@ -268,17 +267,16 @@
                 fail("deadline");
                 return;
             }
-            requestChannel = exchange.getRequestChannel();
+            requestBody = new RequestBodyWriter(
+                    exchange.getRequestChannel(), call.body(), e -> fail("body: " + e.getMessage()));
             if (call.gate().onHeld().isPresent()) {
-                final int firstLength = call.body().length - 1;
-                write(requestChannel, ByteBuffer.wrap(call.body(), 0, firstLength), this::onHeld);
+                requestBody.writeAllButLast(this::onHeld);
             } else if (call.body().length > 0) {
-                write(requestChannel, ByteBuffer.wrap(call.body()), this::endRequest);
+                requestBody.writeAll();
             }
         }
 
         private void onHeld() {
-            requestChannel.suspendWrites();
             call.gate()
                     .executor()
                     .execute(() -> call.gate().onHeld().orElseThrow().accept(this));
@@ -309,7 +307,7 @@
             startTimer();
             startDeadlineTimer(sendMs);
             sent = true;
-            write(requestChannel, ByteBuffer.wrap(call.body(), call.body().length - 1, 1), this::endRequest);
+            requestBody.writeLast();
             notifySent(sendMs);
         }
 
@@ -318,46 +316,6 @@
             fail("send: " + e.getMessage());
         }
 
-        private void write(final StreamSinkChannel channel, final ByteBuffer left, final Runnable onWritten) {
-            try {
-                while (left.hasRemaining()) {
-                    if (channel.write(left) == 0) {
-                        channel.getWriteSetter().set(c -> write(channel, left, onWritten));
-                        channel.resumeWrites();
-                        return;
-                    }
-                }
-            } catch (final IOException e) {
-                fail("body: " + e.getMessage());
-                return;
-            }
-            onWritten.run();
-        }
-
-        private void endRequest() {
-            try {
-                requestChannel.shutdownWrites();
-                if (!requestChannel.flush()) {
-                    requestChannel.getWriteSetter().set(c -> flush(requestChannel));
-                    requestChannel.resumeWrites();
-                } else {
-                    requestChannel.suspendWrites();
-                }
-            } catch (final IOException e) {
-                fail("body: " + e.getMessage());
-            }
-        }
-
-        private void flush(final StreamSinkChannel channel) {
-            try {
-                if (channel.flush()) {
-                    channel.suspendWrites();
-                }
-            } catch (final IOException e) {
-                fail("body: " + e.getMessage());
-            }
-        }
-
         private void onResponseHead(final ClientExchange exchange) {
             final String invalidReason = ResponseHead.invalidReason(exchange.getResponse(), call.method());
             if (invalidReason != null) {
