--- a/spokestall/src/main/java/spokestall/lease/Lease.java
+++ b/spokestall/src/main/java/spokestall/lease/Lease.java
@@ -21,6 +21,11 @@
         return KEY_PREFIX + role;
     }
 
+    /** Returns this lease with another fencing token. */
+    Lease withFencingToken(final long newFencingToken) {
+        return new Lease(owner, holder, renewal, newFencingToken, spanMs, released);
+    }
+
     /** Returns this lease, renewed once more by its owner and valid for {@code newSpanMs} after this change. */
     Lease renewed(final long newSpanMs) {
         return new Lease(owner, holder, renewal + 1, fencingToken, newSpanMs, false);
--- a/spokestall/src/main/java/spokestall/lease/LeaseManager.java
+++ b/spokestall/src/main/java/spokestall/lease/LeaseManager.java
@@ -10,8 +10,6 @@
 import spokestall.consensus.ProposalOutcome;
 import spokestall.consensus.Proposer;
 import spokestall.consensus.Register;
-import spokestall.consensus.RegisterEdit;
-import spokestall.message.MessageCodec;
 import spokestall.time.Clock;
 
 /**
@@ -183,7 +181,7 @@
         }
         final Register copy = replica.current();
         if (copy != null) {
-            watch.onReplica(decodeLease(copy.value()));
+            watch.onReplica(LeaseEdits.decode(copy.value()));
         }
         if (copy != null && !watch.needsStoreRead() && !acquisitionRule.mayAcquire(watch)) {
             return;
@@ -195,7 +193,7 @@
     private void onRead(final ProposalOutcome outcome) {
         readInFlight = false;
         if (state == State.WATCHING && outcome instanceof ProposalOutcome.Committed committed) {
-            watch.onStoreRead(decodeLease(committed.value()));
+            watch.onStoreRead(LeaseEdits.decode(committed.value()));
             if (acquisitionRule.mayAcquire(watch)) {
                 acquire();
             }
@@ -213,27 +211,14 @@
         proposer.propose(
                 key,
                 timeouts.storeTimeoutMs(),
-                value -> acquisitionEdit(value, owner, expired),
+                value -> LeaseEdits.acquire(
+                        value, owned(owner), expired, proposer.voterSet().firstNumber()),
                 outcome -> onAcquired(outcome, owner, sessionId, requestedMs));
     }
 
-    /** Sets this owner if the lease is free: absent, released, or unchanged since it was observed to expire. */
-    private RegisterEdit acquisitionEdit(final byte[] value, final String owner, final Lease expired) {
-        final Lease current = decodeLease(value);
-        if (current != null && current.owner().equals(owner)) {
-            return new RegisterEdit.Set(value);
-        }
-        final boolean unchangedSinceObserved = current != null
-                && expired != null
-                && current.owner().equals(expired.owner())
-                && current.renewal() == expired.renewal();
-        if (current != null && !current.released() && !unchangedSinceObserved) {
-            return RegisterEdit.LEAVE;
-        }
-        final long firstNumber = proposer.voterSet().firstNumber();
-        final long fencingToken = Math.max(current == null ? 0 : current.fencingToken(), firstNumber) + 1;
-        return new RegisterEdit.Set(MessageCodec.encodeRecord(
-                new Lease(owner, context.node(), 0, fencingToken, timeouts.leaseMs(), false)));
+    /** Returns this node's lease of an owner value, without a fencing token yet. */
+    private Lease owned(final String owner) {
+        return new Lease(owner, context.node(), 0, 0, timeouts.leaseMs(), false);
     }
 
     private String acquisitionReason(final Lease expired) {
@@ -251,7 +236,7 @@
         final long nowMs = clock.nowMs();
         watch.reset();
         if (outcome instanceof ProposalOutcome.Committed committed && committed.value() != null) {
-            final Lease current = decodeLease(committed.value());
+            final Lease current = LeaseEdits.decode(committed.value());
             watch.restart(current);
             if (committed.wrote()
                     && current.owner().equals(owner)
@@ -310,7 +295,7 @@
         proposer.propose(
                 key,
                 timeouts.storeTimeoutMs(),
-                value -> editIfOwned(value, renewedSession, now -> now.renewed(spanMs)),
+                value -> LeaseEdits.ifOwned(value, renewedSession.owner(), now -> now.renewed(spanMs)),
                 outcome -> onRenewed(renewedSession, outcome, requestedMs, announced));
     }
 
@@ -342,7 +327,7 @@
         final long nowMs = clock.nowMs();
         final boolean stored = outcome instanceof ProposalOutcome.Committed committed
                 && committed.wrote()
-                && decodeLease(committed.value()).owner().equals(renewedSession.owner());
+                && LeaseEdits.decode(committed.value()).owner().equals(renewedSession.owner());
         final boolean timely = nowMs - requestedMs <= timeouts.storeTimeoutMs() && renewedSession.isValid(nowMs);
         return stored && timely && timeouts.deadlineMs(requestedMs) > nowMs;
     }
@@ -391,7 +376,7 @@
         proposer.propose(
                 key,
                 timeouts.storeTimeoutMs(),
-                value -> editIfOwned(value, endedSession, change),
+                value -> LeaseEdits.ifOwned(value, endedSession.owner(), change),
                 outcome -> onReleaseEnded(outcome instanceof ProposalOutcome.Committed ? reason : "outcome_unknown"));
     }
 
@@ -405,16 +390,4 @@
             session = null;
         }
     }
-
-    /** Applies the change if the lease still belongs to this session and is not released; otherwise leaves it unchanged. */
-    private static RegisterEdit editIfOwned(
-            final byte[] value, final LeaseSession session, final UnaryOperator<Lease> change) {
-        final Lease current = decodeLease(value);
-        final boolean owned = current != null && current.owner().equals(session.owner()) && !current.released();
-        return owned ? new RegisterEdit.Set(MessageCodec.encodeRecord(change.apply(current))) : RegisterEdit.LEAVE;
-    }
-
-    private static Lease decodeLease(final byte[] value) {
-        return value == null ? null : MessageCodec.decodeRecord(value, Lease.class);
-    }
 }
