--- a/testbed/src/main/java/spokestall/testbed/simulation/SimulationRun.java
+++ b/testbed/src/main/java/spokestall/testbed/simulation/SimulationRun.java
@@ -16,9 +16,9 @@
     private static final long RECOVERY_MS = 15_000;
     private static final long FINAL_MS = 10_000;
     /** How long a node's link to the platform is cut at least and at most. */
-    private static final int CUT_MIN_MS = 500;
+    private static final long CUT_MIN_MS = 500;
 
-    private static final int CUT_MAX_MS = 5000;
+    private static final long CUT_MAX_MS = 5000;
 
     public final SimulatedWorld world;
     final SimulatedOperator operator;
@@ -390,7 +390,7 @@
         final SimulatedPlatformLink.Cut when =
                 random.nextInt(4) == 0 ? SimulatedPlatformLink.Cut.NOW : SimulatedPlatformLink.Cut.AT_LAST_BYTE;
         link.cut(when, () -> {
-            final long healedAfterMs = CUT_MIN_MS + random.nextInt(CUT_MAX_MS - CUT_MIN_MS);
+            final long healedAfterMs = CUT_MIN_MS + random.nextLong(CUT_MAX_MS - CUT_MIN_MS);
             markDisturbed(nodes(), healedAfterMs + 10_000);
             later(healedAfterMs, link::restore);
             later(random.nextInt(100), () -> playHolderFate(holder, healedAfterMs));
