--- a/spokestall/src/main/java/spokestall/lease/LeaseManager.java
+++ b/spokestall/src/main/java/spokestall/lease/LeaseManager.java
@@ -289,7 +289,7 @@
     private void renew(final LeaseSession renewedSession) {
         renewalInFlight = true;
         final List<Consumer<Boolean>> announced = calls.onRenewalRequested();
-        final long spanMs = calls.isRenewedForCalls() ? timeouts.callLeaseMs() : timeouts.leaseMs();
+        final long spanMs = calls.spanMs(clock.nowMs(), timeouts);
         final long requestedMs = clock.nowMs();
         renewalRequestedMs = requestedMs;
         proposer.propose(
--- a/spokestall/src/main/java/spokestall/lease/LeaseTimeouts.java
+++ b/spokestall/src/main/java/spokestall/lease/LeaseTimeouts.java
@@ -4,7 +4,7 @@
  * The durations that govern the acquisition, renewal and release of a lease, in milliseconds.
  *
  * @param leaseMs how long a lease is valid after its acquisition or renewal was requested
- * @param callLeaseMs how long a lease is valid while a call of its holder may be in flight, which may then arrive late although its
+ * @param callLeaseMs how long a lease is valid at most while a call of its holder may be in flight, which may then arrive late although its
  *     holder can't act any more
  * @param renewIntervalMs the interval between the requests of two renewals
  * @param storeTimeoutMs how long a read or change of the register may take; later outcomes are not used
--- a/spokestall/src/main/java/spokestall/lease/SessionCalls.java
+++ b/spokestall/src/main/java/spokestall/lease/SessionCalls.java
@@ -14,6 +14,7 @@
     private final Runnable renewSoon;
     private final List<Consumer<Boolean>> waiting = new ArrayList<>();
     private int openCalls;
+    private long coveredUntilMs;
     private boolean ended;
     private boolean renewedForCalls;
 
@@ -27,7 +28,8 @@
     }
 
     @Override
-    public void announce(final Consumer<Boolean> announced) {
+    public void announce(final long untilMs, final Consumer<Boolean> announced) {
+        coveredUntilMs = isOpen() ? Math.max(coveredUntilMs, untilMs) : untilMs;
         openCalls++;
         if (ended) {
             announced.accept(false);
@@ -56,9 +58,11 @@
         return !waiting.isEmpty() || renewedForCalls && !isOpen();
     }
 
-    /** Returns whether the last requested renewal covers calls. */
-    boolean isRenewedForCalls() {
-        return renewedForCalls;
+    /** Returns the span of a lease that is renewed at {@code nowMs} and covers the open calls. */
+    long spanMs(final long nowMs, final LeaseTimeouts timeouts) {
+        return isOpen()
+                ? Math.max(timeouts.leaseMs(), Math.min(timeouts.callLeaseMs(), coveredUntilMs - nowMs))
+                : timeouts.leaseMs();
     }
 
     /** Records that a renewal is requested, and returns the announcements that it stores. */
--- a/spokestall/src/main/java/spokestall/node/Timings.java
+++ b/spokestall/src/main/java/spokestall/node/Timings.java
@@ -37,7 +37,7 @@
     private static final int PROPOSAL_ATTEMPTS = 64;
     /** The maximum number of unanswered requests for a proof of freshness. */
     private static final int OPEN_FRESHNESS_REQUESTS = 32;
-    /** The successor of a holder with a call in flight still has the rest of this time to report the window before it is due. */
+
     private static final double CALL_LEASE_DUE_RATIO = 0.6;
 
     /** One in so many requests for updates goes to a core that is not the nearest one. */
@@ -176,6 +176,7 @@
                 settings.fractionOf("reportDueMs", 0.5),
                 settings.fractionOf("reportDueMs", 0.03),
                 settings.integer("reportDueMs"),
+                settings.fractionOf("reportDueMs", 0.25),
                 settings.fractionOf("leaseMs", 0.4),
                 settings.fractionOf("leaseMs", 0.4),
                 settings.number("dutiesPerS"));
--- a/spokestall/src/main/java/spokestall/usage/ReportSchedule.java
+++ b/spokestall/src/main/java/spokestall/usage/ReportSchedule.java
@@ -8,6 +8,7 @@
  * @param closeMaxMs the time after the window's end at which it is sealed even if an edge has not closed it
  * @param gatherMs the time to wait for the cores' answers; the cores are first asked this long before the grace period ends
  * @param dueMs the time after the window's end by which the report must have arrived at the platform
+ * @param takeoverMs the time that a successor needs, from the lease's expiry until its report of a sealed window has arrived
  * @param storeTimeoutMs the timeout of a change to the window's register
  * @param sendTimeoutMs the timeout of a report's call to the platform, which is shortened if the report is due earlier
  * @param reportsPerSecond the maximum rate of reports
@@ -18,6 +19,7 @@
         long closeMaxMs,
         long gatherMs,
         long dueMs,
+        long takeoverMs,
         long storeTimeoutMs,
         long sendTimeoutMs,
         double reportsPerSecond) {
--- a/spokestall/src/main/java/spokestall/usage/UsageReporter.java
+++ b/spokestall/src/main/java/spokestall/usage/UsageReporter.java
@@ -238,7 +238,7 @@
         report.transition(WindowReport.State.SENDING);
         lastSentMs = clock.nowMs();
         callsInFlight++;
-        final AnnouncedCall announcement = new AnnouncedCall(leaseSession);
+        final AnnouncedCall announcement = new AnnouncedCall(leaseSession, report);
         client.report(
                 new ReportCall(node, leaseSession.fencingToken(), report.sealed(), timeoutMillis),
                 () -> mayAct(leaseSession) ? leaseSession.deadlineMs() : Long.MIN_VALUE,
@@ -256,21 +256,28 @@
     /** The announcement of one report's call in the lease. */
     private final class AnnouncedCall {
         private final LeaseSession leaseSession;
+        private final WindowReport report;
         private boolean announced;
 
-        AnnouncedCall(final LeaseSession leaseSession) {
+        AnnouncedCall(final LeaseSession leaseSession, final WindowReport report) {
             this.leaseSession = leaseSession;
+            this.report = report;
         }
 
         void request(final Consumer<Boolean> permitted) {
             if (mayAct(leaseSession)) {
                 announced = true;
-                leaseSession.calls().announce(permitted);
+                leaseSession.calls().announce(coveredUntilMs(), permitted);
             } else {
                 permitted.accept(false);
             }
         }
 
+        /** Rivals wait no longer than lets a successor report the window in time. */
+        private long coveredUntilMs() {
+            return clock.nowMs() + schedule.dueMs() - schedule.takeoverMs() - lateMs(report);
+        }
+
         void end() {
             if (announced) {
                 leaseSession.calls().onCallEnded();
